--- a/packages/caller/src/call.ts
+++ b/packages/caller/src/call.ts
@@ -9,7 +9,7 @@
 const maxTokens = 1_000_000;
 const chatPath = '/v1/chat/completions';
 const namePattern = /^[\w.\-]{1,64}$/v;
-const keyPattern = /^[\x21-\x7E]{1,255}$/v;
+const keyPattern = /^[\u0021-\u007E]{1,255}$/v;
 const requestIdPattern = /^[\w.\-]{1,128}$/v;
 
 /** The headers by which a caller says more than HTTP does. */
@@ -40,9 +40,9 @@
 	readonly tokens: number;
 };
 
-export type CallResult =
-	| {readonly kind: 'call'; readonly call: Call}
-	| {readonly kind: 'bad'; readonly requestId: string; readonly reason: 'badRequest' | 'noRoute'; readonly status: number; readonly detail: string};
+export type CallResult
+	= | {readonly kind: 'call'; readonly call: Call}
+		| {readonly kind: 'bad'; readonly requestId: string; readonly reason: 'badRequest' | 'noRoute'; readonly status: number; readonly detail: string};
 
 type Body = {readonly kind: 'read'; readonly bytes: Uint8Array} | {readonly kind: 'tooLarge'} | {readonly kind: 'broken'};
 type Shape = Pick<Call, 'service' | 'idempotent' | 'affinityKey' | 'tokens'>;
--- a/packages/cli/src/entry-wiring.ts
+++ b/packages/cli/src/entry-wiring.ts
@@ -2,18 +2,16 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	createFollower, followStore, revisionMessage, type ConfigMessage,
+	createFollower, followStore, revisionMessage,
 } from '@papayaflow/config';
 import {createFront, createLinks} from '@papayaflow/entry';
 import {connectInstances, followInstances, type Instance} from '@papayaflow/instances';
 import {lossReasons, refusalReasons} from '@papayaflow/outcome';
-import {type Frame} from '@papayaflow/peer';
 import {createRetryBudget, isReader} from '@papayaflow/policy';
-import {type SettingsOf} from '@papayaflow/settings';
+import {type SettingsOf, portSetting} from '@papayaflow/settings';
 import {connectStore} from '@papayaflow/store';
 import {createLog, createMetrics, serveAdmin} from '@papayaflow/telemetry';
 import {listen} from './program.js';
-import {portSetting} from '@papayaflow/settings';
 import {sharedSettings} from './shared-settings.js';
 
 const defaultSubsetSize = 20;
@@ -69,7 +67,7 @@
 	follower.onApplied(({revision, name}) => {
 		metrics.gauge('config_revision', revision);
 		log.info({revision, preset: name}, 'configuration applied');
-		links.broadcast(revisionMessage(follower, {monotonicMs}) as ConfigMessage as Frame);
+		links.broadcast(revisionMessage(follower, {monotonicMs}));
 		updateLinks();
 	});
 
@@ -84,7 +82,7 @@
 		ready: () => isStopping ? {ready: false, reason: 'stopping'} : (follower.applied() ? {ready: true} : {ready: false, reason: 'no configuration yet'}),
 		status: () => ({
 			instance, role: 'entry', zone, incarnation, revision: follower.revision(), inForce: follower.applied()?.name, leaving: isStopping,
-			confirmedAgoMs: finiteOrNull(monotonicMs() - follower.confirmedAtMs()), inFlight: front.inFlight(),
+			confirmedAgoMs: wholeIfFinite(monotonicMs() - follower.confirmedAtMs()), inFlight: front.inFlight(),
 			links: links.all().map(link => ({
 				sidecar: link.sidecar.id, connected: link.connected, usable: link.usable, ownTokens: link.ownTokens, failures: link.health.failures,
 			})),
@@ -100,7 +98,7 @@
 		pauseMs: settings.configPollMs, random, nowMs: monotonicMs, signal: ending.signal,
 	});
 	const heartbeat = setInterval(() => {
-		links.broadcast(revisionMessage(follower, {monotonicMs}) as Frame);
+		links.broadcast(revisionMessage(follower, {monotonicMs}));
 	}, heartbeatMs).unref();
 
 	const adminPort = await listen(admin, settings.adminPort, settings.address);
@@ -131,6 +129,6 @@
 	};
 }
 
-function finiteOrNull(value: number): number | null {
-	return Number.isFinite(value) ? Math.round(value) : null;
+function wholeIfFinite(value: number): number | undefined {
+	return Number.isFinite(value) ? Math.round(value) : undefined;
 }
--- a/packages/cli/src/output.ts
+++ b/packages/cli/src/output.ts
@@ -44,8 +44,12 @@
 	}
 
 	const names = [...new Set(rows.flatMap(row => Object.keys(row)))];
-	const cells = rows.map(row => names.map(name => String(row[name] ?? '')));
+	const cells = rows.map(row => names.map(name => cell(row[name])));
 	const widths = names.map((name, column) => Math.max(name.length, ...cells.map(row => row[column].length)));
-	const line = (row: readonly string[]): string => row.map((cell, column) => cell.padEnd(widths[column])).join('  ').trimEnd();
+	const line = (row: readonly string[]): string => row.map((text, column) => text.padEnd(widths[column])).join('  ').trimEnd();
 	print([...(title === undefined ? [] : [title]), line(names), ...cells.map(row => line(row))].join('\n'));
 }
+
+function cell(value: unknown): string {
+	return typeof value === 'object' && value !== null ? JSON.stringify(value) : `${value as string | number | boolean | undefined ?? ''}`;
+}
--- a/packages/cli/src/papayaflow.ts
+++ b/packages/cli/src/papayaflow.ts
@@ -12,33 +12,35 @@
 } from '@papayaflow/operator';
 import {connectStore, type Store} from '@papayaflow/store';
 import {defineCommand, runMain} from 'citty';
-import {exitCodes, fail, print, printTable} from './output.js';
+import {
+	exitCodes, fail, print, printTable,
+} from './output.js';
 
 const storeTimeoutMs = 3000;
 const confirmPollMs = 200;
 
-const storeArgs = {
+const storeArguments = {
 	store: {type: 'string', description: 'the platform\'s key-value service (PAPAYAFLOW_STORE)', valueHint: 'http://IP:PORT'},
 	json: {type: 'boolean', description: 'print JSON'},
 } as const;
 
-const instancesArgs = {
+const instancesArguments = {
 	instances: {type: 'string', description: 'the platform\'s list of instances (PAPAYAFLOW_INSTANCES)', valueHint: 'http://IP:PORT'},
 	json: {type: 'boolean', description: 'print JSON'},
 } as const;
 
-const changeArgs = {
-	...storeArgs,
+const changeArguments = {
+	...storeArguments,
 	'change-id': {type: 'string', description: 'the id of this change; give that of an unknown change to settle it'},
 } as const;
 
-const nameArg = {type: 'positional', description: 'the name of the preset', required: true} as const;
+const nameArgument = {type: 'positional', description: 'the name of the preset', required: true} as const;
 
-type Args = Readonly<Record<string, unknown>>;
+type Arguments = Readonly<Record<string, unknown>>;
 
 const list = defineCommand({
 	meta: {name: 'list', description: 'List the presets and the one in force'},
-	args: storeArgs,
+	args: storeArguments,
 	async run({args}) {
 		const head = await headOrFail(openStore(args));
 		const rows = Object.entries(head.presets).map(([name, body]) => ({name, body, inForce: name === head.inForce}));
@@ -48,7 +50,7 @@
 
 const show = defineCommand({
 	meta: {name: 'show', description: 'Show a preset with every default filled in'},
-	args: {...storeArgs, name: nameArg},
+	args: {...storeArguments, name: nameArgument},
 	async run({args}) {
 		const {preset, body} = await presetOrFail(openStore(args), args.name);
 		print(args.json ? {body, preset} : preset);
@@ -57,17 +59,17 @@
 
 const create = defineCommand({
 	meta: {name: 'create', description: 'Create a preset from a file'},
-	args: {...changeArgs, name: nameArg, file: {type: 'string', description: 'the preset as JSON', required: true}},
+	args: {...changeArguments, name: nameArgument, file: {type: 'string', description: 'the preset as JSON', required: true}},
 	async run({args}) {
 		const preset = await presetFromFile(args.file);
-		finish(await savePreset(openStore(args), args.name, preset, undefined, authorOf(args)), args);
+		finish(await savePreset(openStore(args), {name: args.name, preset, editedFrom: undefined}, authorOf(args)), args);
 	},
 });
 
 const edit = defineCommand({
 	meta: {name: 'edit', description: 'Edit a preset: --set PATH=JSON, or --file with the body it was made from'},
 	args: {
-		...changeArgs, name: nameArg,
+		...changeArguments, name: nameArgument,
 		set: {type: 'string', description: 'a field and its new value, such as retries.maxAttempts=2'},
 		file: {type: 'string', description: 'the whole new preset as JSON'},
 		from: {type: 'string', description: 'the body that the file was made from, as "show --json" names it'},
@@ -79,7 +81,7 @@
 				fail(exitCodes.usage, '--file needs --from: the body that the file was made from');
 			}
 
-			finish(await savePreset(store, args.name, await presetFromFile(args.file), args.from, authorOf(args)), args);
+			finish(await savePreset(store, {name: args.name, preset: await presetFromFile(args.file), editedFrom: args.from}, authorOf(args)), args);
 			return;
 		}
 
@@ -90,20 +92,21 @@
 
 		const {preset, body} = await presetOrFail(store, args.name);
 		const edited = validOrFail(withField(preset, path.split('.'), parseValue(value.join('='))));
-		finish(await savePreset(store, args.name, edited, body, authorOf(args)), args);
+		finish(await savePreset(store, {name: args.name, preset: edited, editedFrom: body}, authorOf(args)), args);
 	},
 });
 
 const use = defineCommand({
 	meta: {name: 'use', description: 'Put a preset in force and wait until every instance has confirmed it'},
 	args: {
-		...changeArgs, name: nameArg, instances: instancesArgs.instances,
+		...changeArguments, name: nameArgument, instances: instancesArguments.instances,
 		seen: {type: 'string', description: 'the revision that you decided on; default: the present one'},
 		'wait-ms': {type: 'string', description: 'how long to wait for the instances', default: '9000'},
 	},
 	async run({args}) {
 		const store = openStore(args);
-		const seen = args.seen === undefined ? (await headOrFail(store)).revision : Number(args.seen);
+		const head = await headOrFail(store);
+		const seen = args.seen === undefined ? head.revision : Number(args.seen);
 		const startedMs = Date.now();
 		const result = await usePreset(store, args.name, seen, authorOf(args));
 		if (result.kind !== 'accepted') {
@@ -113,7 +116,9 @@
 
 		const lagging = await waitForInstances(args, result.head.revision, Number(args['wait-ms']));
 		print(args.json
-			? {kind: 'accepted', revision: result.head.revision, inForceAfterMs: Date.now() - startedMs, notConfirmed: lagging}
+			? {
+				kind: 'accepted', revision: result.head.revision, inForceAfterMs: Date.now() - startedMs, notConfirmed: lagging,
+			}
 			: `accepted at revision ${result.head.revision}; ${lagging.length === 0 ? `in force everywhere after ${Date.now() - startedMs} ms` : `not confirmed by: ${lagging.join(', ')}`}`);
 		process.exitCode = lagging.length === 0 ? exitCodes.ok : exitCodes.lagging;
 	},
@@ -121,7 +126,7 @@
 
 const diff = defineCommand({
 	meta: {name: 'diff', description: 'Show the fields in which two presets differ'},
-	args: {...storeArgs, name: nameArg, other: {type: 'positional', description: 'another preset, or the hash of a body', required: true}},
+	args: {...storeArguments, name: nameArgument, other: {type: 'positional', description: 'another preset, or the hash of a body', required: true}},
 	async run({args}) {
 		const store = openStore(args);
 		const before = await presetOrFail(store, args.name);
@@ -139,7 +144,7 @@
 
 const history = defineCommand({
 	meta: {name: 'history', description: 'Show the last accepted changes'},
-	args: storeArgs,
+	args: storeArguments,
 	async run({args}) {
 		const head = await headOrFail(openStore(args));
 		printTable(head.recent.map(({revision, atMs, by, what, id, body}) => ({
@@ -159,7 +164,7 @@
 
 const settle = defineCommand({
 	meta: {name: 'settle', description: 'Find out what became of a change whose result was unknown'},
-	args: {...storeArgs, change: {type: 'positional', description: 'the id of the change', required: true}},
+	args: {...storeArguments, change: {type: 'positional', description: 'the id of the change', required: true}},
 	async run({args}) {
 		const result = await settleChange(openStore(args), args.change);
 		if (result.kind === 'notFound') {
@@ -174,7 +179,7 @@
 
 const status = defineCommand({
 	meta: {name: 'status', description: 'Show what is in force, where, and what lags'},
-	args: {...storeArgs, instances: instancesArgs.instances},
+	args: {...storeArguments, instances: instancesArguments.instances},
 	async run({args}) {
 		const read = await readHead(openStore(args));
 		const statuses = await fetchStatuses(await instancesOrFail(args));
@@ -189,9 +194,10 @@
 
 const drain = defineCommand({
 	meta: {name: 'drain', description: 'Tell the target beside an instance to leave'},
-	args: {...instancesArgs, instance: {type: 'positional', description: 'the name of the sidecar\'s instance', required: true}},
+	args: {...instancesArguments, instance: {type: 'positional', description: 'the name of the sidecar\'s instance', required: true}},
 	async run({args}) {
-		const instance = (await instancesOrFail(args)).find(({id, role}) => id === args.instance && role === 'sidecar');
+		const instances = await instancesOrFail(args);
+		const instance = instances.find(({id, role}) => id === args.instance && role === 'sidecar');
 		if (!instance) {
 			fail(exitCodes.refused, `no sidecar "${args.instance}" on the list of instances`);
 		}
@@ -228,7 +234,7 @@
 	return told.revision === newest ? 'level' : 'behind';
 }
 
-async function waitForInstances(args: Args, revision: number, waitMs: number): Promise<readonly string[]> {
+async function waitForInstances(args: Arguments, revision: number, waitMs: number): Promise<readonly string[]> {
 	const untilMs = Date.now() + waitMs;
 	for (;;) {
 		const instances = await instancesOrFail(args);
@@ -242,21 +248,23 @@
 	}
 }
 
-function openStore(args: Args): Store {
+function openStore(args: Arguments): Store {
 	const url = settingOf(args, 'store');
 	return connectStore({url, timeoutMs: storeTimeoutMs});
 }
 
-async function instancesOrFail(args: Args): Promise<readonly Instance[]> {
+async function instancesOrFail(args: Arguments): Promise<readonly Instance[]> {
 	const result = await connectInstances(settingOf(args, 'instances')).fetch();
 	return result.kind === 'listed' ? result.instances : fail(exitCodes.unavailable, 'the list of instances can\'t be read');
 }
 
-function settingOf(args: Args, name: 'store' | 'instances'): string {
+function settingOf(args: Arguments, name: 'store' | 'instances'): string {
 	const given = args[name] ?? process.env[`PAPAYAFLOW_${name.toUpperCase()}`];
-	return typeof given === 'string' && /^http:\/\/[\d.:a-f\[\]]+$/v.test(given)
-		? given
-		: fail(exitCodes.usage, `--${name} ${given === undefined ? 'is missing' : `has the value "${String(given as string)}"`}; allowed: http://IP:PORT`);
+	if (typeof given !== 'string') {
+		return fail(exitCodes.usage, `--${name} is missing; allowed: http://IP:PORT`);
+	}
+
+	return /^http:\/\/[\d.:a-f\[\]]+$/v.test(given) ? given : fail(exitCodes.usage, `--${name} has the value "${given}"; allowed: http://IP:PORT`);
 }
 
 async function headOrFail(store: Store): Promise<Head> {
@@ -313,12 +321,12 @@
 	}
 }
 
-function authorOf(args: Args): Author {
+function authorOf(args: Arguments): Author {
 	const given = args['change-id'];
 	return {by: userInfo().username, changeId: typeof given === 'string' ? given : randomUUID(), nowMs: Date.now()};
 }
 
-function finish(result: ChangeResult, args: Args): void {
+function finish(result: ChangeResult, args: Arguments): void {
 	switch (result.kind) {
 		case 'accepted': {
 			print(args.json ? {kind: 'accepted', revision: result.head.revision} : `accepted at revision ${result.head.revision}`);
@@ -327,7 +335,11 @@
 
 		case 'refused': {
 			const winner = result.head.recent.at(-1);
-			print(args.json ? {kind: 'refused', reason: result.reason, revision: result.head.revision, inForce: result.head.inForce} : `refused: ${result.reason}; revision ${result.head.revision} stands, last change: ${winner ? `${winner.what} by ${winner.by}` : 'none'}; in force: ${result.head.inForce ?? 'nothing'}`);
+			print(args.json
+				? {
+					kind: 'refused', reason: result.reason, revision: result.head.revision, inForce: result.head.inForce,
+				}
+				: `refused: ${result.reason}; ${winner ? `${winner.what} by ${winner.by}` : 'nothing'} stands at revision ${result.head.revision}; in force: ${result.head.inForce ?? 'nothing'}`);
 			process.exitCode = exitCodes.refused;
 			return;
 		}
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -58,15 +58,16 @@
 /** Calls `stop` at the first signal to end; a second one ends the process at once. */
 export function onStopSignal(stop: () => Promise<void>): void {
 	let isStopping = false;
-	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-		process.on(signal, async () => {
-			if (isStopping) {
-				process.exit(1);
-			}
+	const onSignal = async (): Promise<void> => {
+		if (isStopping) {
+			process.exit(1);
+		}
 
-			isStopping = true;
-			await stop();
-			process.exit(0);
-		});
-	}
+		isStopping = true;
+		await stop();
+		process.exit(0);
+	};
+
+	process.on('SIGTERM', onSignal);
+	process.on('SIGINT', onSignal);
 }
--- a/packages/cli/src/sidecar-wiring.ts
+++ b/packages/cli/src/sidecar-wiring.ts
@@ -5,7 +5,6 @@
 import {createClaims, createLease, type Claims} from '@papayaflow/idempotency';
 import {connectInstances, followInstances, type Instance} from '@papayaflow/instances';
 import {lossReasons, refusalReasons} from '@papayaflow/outcome';
-import {type Frame} from '@papayaflow/peer';
 import {isReader} from '@papayaflow/policy';
 import {
 	nameSetting, portSetting, urlSetting, type SettingsOf,
@@ -41,7 +40,9 @@
 export async function startSidecar(settings: SettingsOf<typeof sidecarSettings>): Promise<Running> {
 	const {instance, zone, service} = settings;
 	const incarnation = randomUUID();
-	const log = createLog({program: 'papayaflow-sidecar', instance, zone, service}, settings.logLevel);
+	const log = createLog({
+		program: 'papayaflow-sidecar', instance, zone, service,
+	}, settings.logLevel);
 	const metrics = createMetrics();
 	const ending = new AbortController();
 	const monotonicMs = (): number => performance.now();
@@ -147,7 +148,7 @@
 	follower.onApplied(({revision, name}) => {
 		metrics.gauge('config_revision', revision);
 		log.info({revision, preset: name}, 'configuration applied');
-		peers.broadcast(revisionMessage(follower, {monotonicMs}) as Frame);
+		peers.broadcast(revisionMessage(follower, {monotonicMs}));
 		if (revision > 0 && hasKeyedRoutes()) {
 			void lease.tick();
 		}
@@ -182,7 +183,7 @@
 	});
 	void keepLease();
 	const heartbeat = setInterval(() => {
-		peers.broadcast(revisionMessage(follower, {monotonicMs}) as Frame);
+		peers.broadcast(revisionMessage(follower, {monotonicMs}));
 	}, heartbeatMs).unref();
 
 	const adminPort = await listen(admin, settings.adminPort, settings.address);
--- a/packages/config/src/change.ts
+++ b/packages/config/src/change.ts
@@ -10,6 +10,9 @@
 /** Who changes the configuration, with the id by which a lost answer is settled. */
 export type Author = {readonly by: string; readonly changeId: string; readonly nowMs: number};
 
+/** A new body for a preset. */
+export type Edit = {readonly name: string; readonly preset: Preset; readonly editedFrom: string | undefined};
+
 export type ChangeRefusal = 'exists' | 'noSuchPreset' | 'editedMeanwhile' | 'switchedMeanwhile';
 
 /**
@@ -17,16 +20,16 @@
 is said only while the key-value service can't be asked; asking again with the
 same change id settles it.
 */
-export type ChangeResult =
-	| {readonly kind: 'accepted'; readonly head: Head}
-	| {readonly kind: 'refused'; readonly reason: ChangeRefusal; readonly head: Head}
-	| {readonly kind: 'unknown'; readonly changeId: string; readonly detail: string};
+export type ChangeResult
+	= | {readonly kind: 'accepted'; readonly head: Head}
+		| {readonly kind: 'refused'; readonly reason: ChangeRefusal; readonly head: Head}
+		| {readonly kind: 'unknown'; readonly changeId: string; readonly detail: string};
 
 type Proposal = {readonly kind: 'propose'; readonly head: Head} | {readonly kind: 'refuse'; readonly reason: ChangeRefusal};
 
-export type HeadResult =
-	| {readonly kind: 'read'; readonly head: Head; readonly storeRevision: number}
-	| {readonly kind: 'unavailable'; readonly detail: string};
+export type HeadResult
+	= | {readonly kind: 'read'; readonly head: Head; readonly storeRevision: number}
+		| {readonly kind: 'unavailable'; readonly detail: string};
 
 /** Reads the head; an absent one reads as the empty head at store revision 0. */
 export async function readHead(store: Store): Promise<HeadResult> {
@@ -53,9 +56,9 @@
 edit is refused and the winner's body stays.
 
 @example
-const result = await savePreset(store, 'peak', preset, undefined, author);
+const result = await savePreset(store, {name: 'peak', preset, editedFrom: undefined}, author);
 */
-export async function savePreset(store: Store, name: string, preset: Preset, editedFrom: string | undefined, author: Author): Promise<ChangeResult> {
+export async function savePreset(store: Store, {name, preset, editedFrom}: Edit, author: Author): Promise<ChangeResult> {
 	const {body, chunks} = chunkPreset(preset);
 	for (const [hash, bytes] of chunks) {
 		const written = await store.write(chunkKey(hash), bytes, {expected: 0});
--- a/packages/config/src/exchange.ts
+++ b/packages/config/src/exchange.ts
@@ -1,10 +1,10 @@
 import {type Follower, type Update} from './follower.js';
 
 /** The messages by which two processes bring each other up to date. */
-export type ConfigMessage =
-	| {readonly kind: 'revision'; readonly revision: number; readonly ageMs: number; readonly sentMs: number}
-	| {readonly kind: 'pullConfig'; readonly have: readonly string[]}
-	| {readonly kind: 'config'; readonly update: Update};
+export type ConfigMessage
+	= | {readonly kind: 'revision'; readonly revision: number; readonly ageMs: number; readonly sentMs: number}
+		| {readonly kind: 'pullConfig'; readonly have: readonly string[]}
+		| {readonly kind: 'config'; readonly update: Update};
 
 /** The clocks of a process, in milliseconds. */
 export type Clock = {
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -1,5 +1,5 @@
 export {
-	readHead, savePreset, settleChange, usePreset, type Author, type ChangeRefusal, type ChangeResult, type HeadResult,
+	readHead, savePreset, settleChange, usePreset, type Author, type ChangeRefusal, type ChangeResult, type Edit, type HeadResult,
 } from './change.js';
 export {
 	chunkPreset, chunksOf, isChunk, joinPreset, type ChunkedPreset,
--- a/packages/config/src/preset.ts
+++ b/packages/config/src/preset.ts
@@ -107,10 +107,10 @@
 	/** What a process does that can't learn whether its preset is the one in force. */
 	whenStale: z.enum(['serve', 'refuse']).default('serve'),
 	staleAfterMs: ms(30_000, 1000),
-}).check(ctx => {
-	for (const [index, route] of ctx.value.routes.entries()) {
-		if (!Object.hasOwn(ctx.value.services, route.service)) {
-			ctx.issues.push({
+}).check(context => {
+	for (const [index, route] of context.value.routes.entries()) {
+		if (!Object.hasOwn(context.value.services, route.service)) {
+			context.issues.push({
 				code: 'custom', message: `no such service: "${route.service}"`, path: ['routes', index, 'service'], input: route.service,
 			});
 		}
@@ -125,9 +125,9 @@
 
 export type PresetProblem = {readonly path: string; readonly message: string};
 
-export type PresetResult =
-	| {readonly kind: 'valid'; readonly preset: Preset}
-	| {readonly kind: 'invalid'; readonly problems: readonly PresetProblem[]};
+export type PresetResult
+	= | {readonly kind: 'valid'; readonly preset: Preset}
+		| {readonly kind: 'invalid'; readonly problems: readonly PresetProblem[]};
 
 /**
 Checks a preset and fills in the defaults. Unknown fields are problems, so that a
--- /dev/null
+++ b/packages/config/test/head.test.ts
@@ -0,0 +1,162 @@
+import {expect} from 'chai';
+import {describe, it} from 'mocha';
+import {createKv, memoryStore} from '@papayaflow/standins';
+import {type Store} from '@papayaflow/store';
+import {
+	checkPreset, createFollower, onConfigMessage, readHead, refreshFromStore, revisionMessage, savePreset, settleChange, usePreset,
+	type ChangeResult, type Preset,
+} from '@papayaflow/config';
+
+const nowMs = (): number => 0;
+
+function preset(description: string, organisations = 0): Preset {
+	const named = Object.fromEntries(Array.from({length: organisations}, (_, index) => [`org-${index}`, {}]));
+	const checked = checkPreset({description, services: {ledger: {kind: 'plain'}}, organisations: {named}});
+	return (checked as {preset: Preset}).preset;
+}
+
+function author(changeId: string): {by: string; changeId: string; nowMs: number} {
+	return {by: 'operator', changeId, nowMs: 0};
+}
+
+async function storeWith(...names: readonly string[]): Promise<{store: Store; kv: ReturnType<typeof createKv>}> {
+	const kv = createKv(nowMs);
+	const store = memoryStore(kv);
+	for (const name of names) {
+		await savePreset(store, {name, preset: preset(name), editedFrom: undefined}, author(`create-${name}`));
+	}
+
+	return {store, kv};
+}
+
+function bodyOf(result: ChangeResult, name: string): string {
+	return result.kind === 'accepted' ? result.head.presets[name] : '';
+}
+
+describe('changes of the configuration', () => {
+	it('accepts one of two edits made from the same body', async () => {
+		const {store} = await storeWith('peak');
+		const head = await readHead(store);
+		const editedFrom = head.kind === 'read' ? head.head.presets.peak : undefined;
+		const first = await savePreset(store, {name: 'peak', preset: preset('first'), editedFrom}, author('1'));
+		const second = await savePreset(store, {name: 'peak', preset: preset('second'), editedFrom}, author('2'));
+		expect(first.kind).to.equal('accepted');
+		expect(second).to.include({kind: 'refused', reason: 'editedMeanwhile'});
+		expect(bodyOf(first, 'peak')).to.equal(second.kind === 'refused' ? second.head.presets.peak : '');
+	});
+
+	it('refuses a switch that was decided before another switch', async () => {
+		const {store} = await storeWith('ordinary', 'peak');
+		await usePreset(store, 'peak', 2, author('1'));
+		const late = await usePreset(store, 'ordinary', 2, author('2'));
+		expect(late).to.include({kind: 'refused', reason: 'switchedMeanwhile'});
+		expect(late.kind === 'refused' && late.head.inForce).to.equal('peak');
+	});
+
+	it('accepts a switch that was decided before an edit', async () => {
+		const {store} = await storeWith('ordinary', 'peak');
+		await savePreset(store, {name: 'third', preset: preset('third'), editedFrom: undefined}, author('1'));
+		const result = await usePreset(store, 'peak', 2, author('2'));
+		expect(result.kind).to.equal('accepted');
+	});
+
+	it('settles a change whose answer was lost, without making it twice', async () => {
+		const {store, kv} = await storeWith('ordinary');
+		let losses = 1;
+		const lossy = memoryStore(kv, {
+			fail: (call, key) => call === 'write' && key.endsWith('/head') && losses-- > 0 ? 'after' : 'no',
+		});
+		const result = await usePreset(lossy, 'ordinary', 1, author('use-1'));
+		expect(result.kind).to.equal('accepted');
+		const head = await readHead(store);
+		expect(head.kind === 'read' && head.head.recent.filter(({id}) => id === 'use-1').length).to.equal(1);
+	});
+
+	it('says unknown while the store is down, and settles it afterwards', async () => {
+		const {store, kv} = await storeWith('ordinary');
+		kv.faults.down = true;
+		expect((await usePreset(store, 'ordinary', 1, author('use-1'))).kind).to.equal('unknown');
+		kv.faults.down = false;
+		expect((await settleChange(store, 'use-1')).kind).to.equal('notFound');
+	});
+
+	it('leaves the preset of a lost edit as it was', async () => {
+		const {store} = await storeWith('ordinary');
+		expect((await usePreset(store, 'missing', 1, author('1')))).to.include({kind: 'refused', reason: 'noSuchPreset'});
+	});
+});
+
+describe('a follower', () => {
+	const clock = {monotonicMs: nowMs};
+
+	it('never goes back to a lower revision', async () => {
+		const {store} = await storeWith('ordinary', 'peak');
+		await usePreset(store, 'ordinary', 2, author('1'));
+		const [old, fresh] = [createFollower(), createFollower()];
+		await refreshFromStore(store, old, nowMs);
+		await usePreset(store, 'peak', 3, author('2'));
+		await refreshFromStore(store, fresh, nowMs);
+		expect(fresh.offer(old.updateFor([])!)).to.equal('notNewer');
+		expect(fresh.applied()?.name).to.equal('peak');
+	});
+
+	it('learns from a peer what it could not learn from the store', async () => {
+		const {store, kv} = await storeWith('ordinary');
+		await usePreset(store, 'ordinary', 1, author('1'));
+		const [ahead, behind] = [createFollower(), createFollower()];
+		await refreshFromStore(store, ahead, nowMs);
+		kv.faults.down = true;
+		const pull = onConfigMessage(revisionMessage(ahead, clock), behind, clock);
+		const update = onConfigMessage(pull!, ahead, clock);
+		onConfigMessage(update!, behind, clock);
+		expect(behind.applied()?.name).to.equal('ordinary');
+	});
+
+	it('pulls only the chunks that it lacks', async () => {
+		const kv = createKv(nowMs);
+		const store = memoryStore(kv);
+		const first = preset('large', 500);
+		const created = await savePreset(store, {name: 'large', preset: first, editedFrom: undefined}, author('1'));
+		await usePreset(store, 'large', 1, author('2'));
+		const [ahead, behind] = [createFollower(), createFollower()];
+		await refreshFromStore(store, ahead, nowMs);
+		await refreshFromStore(store, behind, nowMs);
+		const edited = {...first, organisations: {...first.organisations, named: {...first.organisations.named, 'org-7': {weight: 2, requestsPerSecond: 1, burst: 1}}}};
+		await savePreset(store, {name: 'large', preset: edited, editedFrom: bodyOf(created, 'large')}, author('3'));
+		await refreshFromStore(store, ahead, nowMs);
+		const update = ahead.updateFor(behind.have())!;
+		expect(Object.keys(update.chunks)).to.have.length(2);
+		expect(behind.offer(update)).to.equal('applied');
+		expect(behind.applied()?.preset.organisations.named['org-7'].weight).to.equal(2);
+	});
+
+	it('turns down a chunk that is not what its hash says', async () => {
+		const {store} = await storeWith('ordinary');
+		await usePreset(store, 'ordinary', 1, author('1'));
+		const [source, follower] = [createFollower(), createFollower()];
+		await refreshFromStore(store, source, nowMs);
+		const update = source.updateFor([])!;
+		const chunks = Object.fromEntries(Object.keys(update.chunks).map(hash => [hash, new Uint8Array([1])]));
+		expect(follower.offer({...update, chunks})).to.equal('malformed');
+	});
+});
+
+describe('a preset', () => {
+	it('names the field that is wrong', () => {
+		const result = checkPreset({services: {}, retries: {maxAttempts: 99}});
+		expect(result.kind === 'invalid' && result.problems[0].path).to.equal('retries.maxAttempts');
+	});
+
+	it('refuses a field that it does not know', () => {
+		expect(checkPreset({services: {}, retry: {}}).kind).to.equal('invalid');
+	});
+
+	it('refuses a route to a service that is not there', () => {
+		const result = checkPreset({
+			services: {}, routes: [{
+				methods: ['GET'], pathPrefix: '/', service: 'ledger', idempotent: true,
+			}],
+		});
+		expect(result.kind === 'invalid' && result.problems[0].path).to.equal('routes.0.service');
+	});
+});
--- a/packages/demo/src/fleet.ts
+++ b/packages/demo/src/fleet.ts
@@ -28,7 +28,7 @@
 	readonly kvPort: number;
 	readonly listPort: number;
 	startTarget(kind: 'engine' | 'plain', args?: readonly string[]): Promise<Member>;
-	startSidecar(id: string, service: string, zone: string, target: Member, args?: readonly string[]): Promise<Member>;
+	startSidecar(id: string, zone: string, beside: {readonly service: string; readonly target: Member}, args?: readonly string[]): Promise<Member>;
 	startEntry(id: string, zone: string, args?: readonly string[]): Promise<Member>;
 	/** Runs the operators' program and gives its exit code and output. */
 	operate(args: readonly string[]): Promise<{readonly code: number; readonly output: string}>;
@@ -58,12 +58,12 @@
 const target = await fleet.startTarget('plain');
 */
 export async function startFleet(options: FleetOptions = {}): Promise<Fleet> {
-	const dist = options.dist ?? path.dirname(fileURLToPath(import.meta.url));
+	const distribution = options.dist ?? path.dirname(fileURLToPath(import.meta.url));
 	const log = options.logFile === undefined ? undefined : openSync(options.logFile, 'a');
 	const children: ChildProcess[] = [];
 
 	const run = (program: string, args: readonly string[]): ChildProcess => {
-		const child = spawn(process.execPath, [path.join(dist, `${program}.js`), ...args], {stdio: ['ignore', 'ignore', log ?? 'ignore']});
+		const child = spawn(process.execPath, [path.join(distribution, `${program}.js`), ...args], {stdio: ['ignore', 'ignore', log ?? 'ignore']});
 		children.push(child);
 		return child;
 	};
@@ -110,7 +110,7 @@
 				id: kind, child, port, adminPort: port,
 			};
 		},
-		async startSidecar(id, service, zone, target, args = []) {
+		async startSidecar(id, zone, {service, target}, args = []) {
 			const member = await startProgram('papayaflow-sidecar', id, zone, ['--service', service, '--target', url(target.port), ...args]);
 			await listMember(member, 'sidecar', zone, service);
 			return {...member, service, target: target.port};
@@ -121,7 +121,7 @@
 			return member;
 		},
 		async operate(args) {
-			const child = spawn(process.execPath, [path.join(dist, 'papayaflow.js'), ...args, ...platformFlags(args, platform)], {stdio: ['ignore', 'pipe', 'pipe']});
+			const child = spawn(process.execPath, [path.join(distribution, 'papayaflow.js'), ...args, ...platformFlags(args, platform)], {stdio: ['ignore', 'pipe', 'pipe']});
 			const output: string[] = [];
 			child.stdout.on('data', chunk => output.push(String(chunk)));
 			child.stderr.on('data', chunk => output.push(String(chunk)));
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -32,10 +32,10 @@
 
 	await mustSucceed(fleet, ['preset', 'use', 'ordinary']);
 	await Promise.all([
-		fleet.startSidecar('notice-1', 'notice-drafting', zones[0], engines[0]),
-		fleet.startSidecar('pack-1', 'pack-drafting', zones[1], engines[1]),
-		fleet.startSidecar('notice-2', 'notice-drafting', zones[2], engines[2]),
-		...plains.map(async (plain, index) => fleet.startSidecar(`ledger-${index + 1}`, 'ledger', zones[index], plain)),
+		fleet.startSidecar('notice-1', zones[0], {service: 'notice-drafting', target: engines[0]}),
+		fleet.startSidecar('pack-1', zones[1], {service: 'pack-drafting', target: engines[1]}),
+		fleet.startSidecar('notice-2', zones[2], {service: 'notice-drafting', target: engines[2]}),
+		...plains.map(async (plain, index) => fleet.startSidecar(`ledger-${index + 1}`, zones[index], {service: 'ledger', target: plain})),
 	]);
 	const entries = await Promise.all([fleet.startEntry('entry-1', zones[0]), fleet.startEntry('entry-2', zones[1])]);
 	return {entries, engines, plains};
@@ -109,7 +109,8 @@
 		const count = (outcome: Result['outcome']): string => String(own.filter(result => result.outcome === outcome).length);
 		const sorted = own.map(({ms}) => ms).toSorted((a, b) => a - b);
 		const quantile = (q: number): string => (sorted[Math.min(sorted.length - 1, Math.floor(q * sorted.length))] ?? 0).toFixed(1).padStart(6);
-		lines.push(`${kind.padEnd(9)} ${count('answered').padEnd(9)} ${count('notRun').padEnd(8)} ${count('unknown').padEnd(8)} ${count('wrong').padEnd(6)} ${count('cut').padEnd(6)}  ${quantile(0.5)}  ${quantile(0.95)}  ${quantile(0.99)}`);
+		const counts = [count('answered').padEnd(9), count('notRun').padEnd(8), count('unknown').padEnd(8), count('wrong').padEnd(6), count('cut').padEnd(6)];
+		lines.push(`${kind.padEnd(9)} ${counts.join(' ')}  ${quantile(0.5)}  ${quantile(0.95)}  ${quantile(0.99)}`);
 	}
 
 	const refusals = new Map<string, number>();
@@ -128,13 +129,27 @@
 	return repeated.repeated === 0 && results.every(result => result.outcome === 'answered');
 }
 
+function hints(fleet: Fleet, entries: readonly Member[]): string {
+	const body = '{"model":"notice-drafting","messages":[{"role":"user","content":"hello"}]}';
+	return [
+		`entries: ${entries.map(({port}) => `http://127.0.0.1:${port}`).join(' ')}`,
+		`for the operators' program: --store http://127.0.0.1:${fleet.kvPort} --instances http://127.0.0.1:${fleet.listPort}`,
+		`try: curl -s http://127.0.0.1:${entries[0].port}/v1/chat/completions -H 'x-organisation: ayamoni' -d '${body}'`,
+		'stop with Ctrl-C',
+		'',
+	].join('\n');
+}
+
 async function main(): Promise<number> {
 	const keep = process.argv.includes('--keep');
 	const fleet = await startFleet({logFile: process.env.PAPAYAFLOW_DEMO_LOG});
 	try {
 		const {entries, plains} = await startAll(fleet);
-		const states = await waitUntil(async () => (await Promise.all(entries.map(async entry => isReady(entry)))).every(Boolean), readyTimeoutMs);
-		if (!states) {
+		const isUp = await waitUntil(async () => {
+			const ready = await Promise.all(entries.map(async entry => isReady(entry)));
+			return ready.every(Boolean);
+		}, readyTimeoutMs);
+		if (!isUp) {
 			process.stderr.write('the entries did not get ready\n');
 			return 1;
 		}
@@ -146,7 +161,7 @@
 		const isGood = report(await load, await countRepeated(plains), switched);
 		process.stdout.write(isGood ? 'each caller got its own whole answer\n' : 'NOT each caller got its own whole answer\n');
 		if (keep) {
-			process.stdout.write(`entries: ${entries.map(({port}) => `http://127.0.0.1:${port}`).join(' ')}\nkey-value service: http://127.0.0.1:${fleet.kvPort}, instances: http://127.0.0.1:${fleet.listPort}\ntry: curl -s http://127.0.0.1:${entries[0].port}/v1/chat/completions -H 'x-organisation: ayamoni' -H 'content-type: application/json' -d '{"model":"notice-drafting","messages":[{"role":"user","content":"hello"}]}'\nstop with Ctrl-C\n`);
+			process.stdout.write(hints(fleet, entries));
 			await new Promise(resolve => {
 				process.once('SIGINT', resolve);
 				process.once('SIGTERM', resolve);
--- a/packages/demo/src/presets.ts
+++ b/packages/demo/src/presets.ts
@@ -1,7 +1,11 @@
 /** The services of the demo: two models and a plain service whose calls may not be repeated. */
 const services = {
-	'notice-drafting': {kind: 'model', fencing: 'checked', concurrency: 64, queueLimit: 512},
-	'pack-drafting': {kind: 'model', fencing: 'ignored', concurrency: 64, queueLimit: 512},
+	'notice-drafting': {
+		kind: 'model', fencing: 'checked', concurrency: 64, queueLimit: 512,
+	},
+	'pack-drafting': {
+		kind: 'model', fencing: 'ignored', concurrency: 64, queueLimit: 512,
+	},
 	ledger: {kind: 'plain', concurrency: 32, queueLimit: 256},
 };
 
--- a/packages/entry/src/forward.ts
+++ b/packages/entry/src/forward.ts
@@ -22,6 +22,18 @@
 	readonly sleep: (ms: number) => Promise<void>;
 };
 
+/** A call that has been let in, with where its answer goes. */
+export type Arrival = {
+	readonly call: Call;
+	readonly answer: Answer;
+	/** Fires with the reason when the call is given up. */
+	readonly signal: AbortSignal;
+	/** The preset that was in force when it came. */
+	readonly preset: Preset;
+};
+
+type Choice = {readonly call: Call; readonly preset: Preset; readonly tried: ReadonlySet<string>; readonly owner: string | undefined};
+
 /** How a call ended, with what the log tells of it. */
 export type Forwarded = {readonly outcome: Outcome; readonly attempts: number; readonly target: string | undefined};
 
@@ -31,9 +43,9 @@
 or keyed work is sent again, and only while nothing of an answer has gone out.
 
 @example
-const {outcome} = await forward(call, answer, signal, preset, deps);
+const {outcome} = await forward({call, answer, signal, preset}, deps);
 */
-export async function forward(call: Call, answer: Answer, signal: AbortSignal, preset: Preset, deps: ForwardDeps): Promise<Forwarded> {
+export async function forward({call, answer, signal, preset}: Arrival, deps: ForwardDeps): Promise<Forwarded> {
 	const {metrics, budget} = deps;
 	const startedMs = deps.monotonicMs();
 	const tried = new Set<string>();
@@ -46,7 +58,9 @@
 	budget.onRequest(preset.retries.budgetRatio);
 
 	while (attempts < preset.retries.maxAttempts) {
-		const link = chooseLink(call, tried, owner, preset, deps);
+		const link = chooseLink({
+			call, tried, owner, preset,
+		}, deps);
 		if (!link) {
 			break;
 		}
@@ -122,9 +136,10 @@
 	return call.idempotent ? result.reason === 'connectionLost' || result.reason === 'targetLost' : isSettledByLog;
 }
 
-function chooseLink(call: Call, tried: ReadonlySet<string>, owner: string | undefined, preset: Preset, deps: ForwardDeps): Link | undefined {
+function chooseLink(choice: Choice, deps: ForwardDeps): Link | undefined {
+	const {call, preset, tried} = choice;
 	if (!call.idempotent && call.key !== undefined) {
-		return chooseOwner(call.key, call, tried, owner, preset, deps);
+		return chooseOwner(call.key, choice, deps);
 	}
 
 	const nowMs = deps.monotonicMs();
@@ -141,7 +156,7 @@
 }
 
 // Keyed work goes to the owner of its shard; who is asked first is the same at every entry, so that owners settle.
-function chooseOwner(key: string, call: Call, tried: ReadonlySet<string>, owner: string | undefined, preset: Preset, deps: ForwardDeps): Link | undefined {
+function chooseOwner(key: string, {call, owner, tried, preset}: Choice, deps: ForwardDeps): Link | undefined {
 	if (owner !== undefined) {
 		const link = deps.links.to(owner);
 		if (link?.connected) {
--- a/packages/entry/src/front.ts
+++ b/packages/entry/src/front.ts
@@ -1,4 +1,6 @@
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import {
 	openAnswer, readCall, type Answer, type Call,
 } from '@papayaflow/caller';
@@ -40,7 +42,9 @@
 		const startedMs = deps.monotonicMs();
 		const preset = follower.applied()?.preset;
 		if (!preset) {
-			openAnswer(res, '').fail({kind: 'notRun', reason: 'configurationStale', retryAfterMs: noConfigRetryMs, detail: 'no configuration yet'});
+			openAnswer(res, '').fail({
+				kind: 'notRun', reason: 'configurationStale', retryAfterMs: noConfigRetryMs, detail: 'no configuration yet',
+			});
 			metrics.count('refusals', {reason: 'configurationStale'});
 			return;
 		}
@@ -55,7 +59,7 @@
 		const {call} = read;
 		const answer = openAnswer(res, call.requestId);
 		const refusal = refuse(call, preset);
-		const ended = refusal ? {outcome: refusal, attempts: 0, target: undefined} : await run(call, answer, preset, req, res);
+		const ended = refusal ? {outcome: refusal, attempts: 0, target: undefined} : await run(call, answer, preset, res);
 		finish(answer, ended.outcome, res);
 		countOutcome(ended.outcome, deps.monotonicMs() - startedMs);
 		log.info({
@@ -65,7 +69,7 @@
 		}, 'request ended');
 	};
 
-	const run = async (call: Call, answer: Answer, preset: Preset, req: IncomingMessage, res: ServerResponse): ReturnType<typeof forward> => {
+	const run = async (call: Call, answer: Answer, preset: Preset, res: ServerResponse): ReturnType<typeof forward> => {
 		const controller = new AbortController();
 		const giveUp = (reason: LossReason) => (): void => {
 			controller.abort(reason);
@@ -92,7 +96,9 @@
 				return answer.begun;
 			},
 		};
-		const ended = await forward(call, watched, controller.signal, preset, deps);
+		const ended = await forward({
+			call, answer: watched, signal: controller.signal, preset,
+		}, deps);
 		clearTimeout(timer);
 		open.delete(controller);
 		return ended;
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,4 +1,8 @@
-export {forward, shardOf, type Forwarded, type ForwardDeps} from './forward.js';
+export {
+	forward, shardOf, type Arrival, type Forwarded, type ForwardDeps,
+} from './forward.js';
 export {createFront, type Front, type FrontDeps} from './front.js';
-export {openLink, type AttemptResult, type Link, type LinkDeps, type SidecarAddress} from './link.js';
+export {
+	openLink, type AttemptResult, type Link, type LinkDeps, type SidecarAddress,
+} from './link.js';
 export {createLinks, type Links} from './links.js';
--- a/packages/entry/src/link.ts
+++ b/packages/entry/src/link.ts
@@ -33,10 +33,10 @@
 How an attempt ends. `refused` is the sidecar's proof that this attempt did not
 run; `lost` says that it may have.
 */
-export type AttemptResult =
-	| {readonly kind: 'answered'}
-	| {readonly kind: 'refused'; readonly reason: RefusalReason; readonly retryAfterMs: number; readonly detail?: string; readonly owner?: string}
-	| {readonly kind: 'lost'; readonly reason: LossReason; readonly retryAfterMs: number; readonly detail?: string};
+export type AttemptResult
+	= | {readonly kind: 'answered'}
+		| {readonly kind: 'refused'; readonly reason: RefusalReason; readonly retryAfterMs: number; readonly detail?: string; readonly owner?: string}
+		| {readonly kind: 'lost'; readonly reason: LossReason; readonly retryAfterMs: number; readonly detail?: string};
 
 /** One entry's connection to one sidecar. */
 export type Link = {
@@ -101,7 +101,7 @@
 			case 'hello': {
 				peerIncarnation = frame.incarnation;
 				isLeaving = false;
-				connection?.send(revisionMessage(follower, deps) as Frame);
+				connection?.send(revisionMessage(follower, deps));
 				break;
 			}
 
@@ -132,7 +132,7 @@
 			case 'config': {
 				const reply = onConfigMessage(frame, follower, deps);
 				if (reply) {
-					connection?.send(reply as Frame);
+					connection?.send(reply);
 				}
 
 				break;
@@ -167,9 +167,11 @@
 
 			case 'end': {
 				const isWhole = attempt.received === frame.length;
-				attempt.finish(isWhole ? {kind: 'answered'} : {
-					kind: 'lost', reason: 'truncated', retryAfterMs: unknownRetryMs, detail: `${attempt.received} of ${frame.length} bytes`,
-				});
+				attempt.finish(isWhole
+					? {kind: 'answered'}
+					: {
+						kind: 'lost', reason: 'truncated', retryAfterMs: unknownRetryMs, detail: `${attempt.received} of ${frame.length} bytes`,
+					});
 				break;
 			}
 
--- a/packages/experts/src/index.ts
+++ b/packages/experts/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export const todo = 1;
--- a/packages/idempotency/src/claim.ts
+++ b/packages/idempotency/src/claim.ts
@@ -1,5 +1,7 @@
 import {type LogRecord, type RecordedAnswer} from './segment.js';
-import {acquireShard, type KeyState, type OwnedShard, type ShardOptions} from './shard.js';
+import {
+	acquireShard, type KeyState, type OwnedShard, type ShardOptions,
+} from './shard.js';
 
 /** A claim that stands in the log: its call may now be dispatched, once. */
 export type Claim = {
@@ -12,22 +14,22 @@
 };
 
 /** What may be done about a call that carries a key. */
-export type ClaimResult =
-	| {readonly kind: 'claimed'; readonly claim: Claim}
-	| {readonly kind: 'replay'; readonly answer: RecordedAnswer}
+export type ClaimResult
+	= | {readonly kind: 'claimed'; readonly claim: Claim}
+		| {readonly kind: 'replay'; readonly answer: RecordedAnswer}
 	/** It has run, with this status, but its answer was too large to keep. */
-	| {readonly kind: 'ranUnrecorded'; readonly status: number}
+		| {readonly kind: 'ranUnrecorded'; readonly status: number}
 	/** Another arrival of the same key is at the target now; ask again when it has ended. */
-	| {readonly kind: 'inProgress'; readonly ended: Promise<void>}
+		| {readonly kind: 'inProgress'; readonly ended: Promise<void>}
 	/** The key came before with another request. */
-	| {readonly kind: 'reused'}
+		| {readonly kind: 'reused'}
 	/** It may have run under an earlier owner, and it is never run again. */
-	| {readonly kind: 'claimedEarlier'}
-	| {readonly kind: 'elsewhere'; readonly holder: string}
+		| {readonly kind: 'claimedEarlier'}
+		| {readonly kind: 'elsewhere'; readonly holder: string}
 	/** It is proved that no call with this key has run. */
-	| {readonly kind: 'notRun'}
+		| {readonly kind: 'notRun'}
 	/** Nothing can be said of the key here and now. */
-	| {readonly kind: 'unknown'};
+		| {readonly kind: 'unknown'};
 
 export type Claims = {
 	/** Says what is known of a key without claiming it: `fresh` when its owner, this process, has never seen it. */
@@ -85,6 +87,12 @@
 	};
 
 	const claimIn = async (shard: OwnedShard, key: string, fingerprint: string): Promise<ClaimResult> => {
+		// Looked at again in the same turn that notes the claim: two arrivals may both have been told that the key is fresh.
+		const known = shard.keys.get(key);
+		if (known && known.kind !== 'withdrawn') {
+			return fromKnown(known, fingerprint);
+		}
+
 		let end = (): void => undefined;
 		const ended = new Promise<void>(resolve => {
 			end = resolve;
@@ -131,16 +139,20 @@
 		async done(answer) {
 			const atMs = options.nowMs();
 			const fits = answer.body.length <= options.maxRecordedBytes();
-			settle(fits ? {
-				kind: 'done', fingerprint, answer, atMs,
-			} : {
-				kind: 'doneUnrecorded', fingerprint, status: answer.status, atMs,
-			});
-			await record(shard, fits ? {
-				kind: 'done', key, answer, atMs,
-			} : {
-				kind: 'doneUnrecorded', key, status: answer.status, atMs,
-			});
+			settle(fits
+				? {
+					kind: 'done', fingerprint, answer, atMs,
+				}
+				: {
+					kind: 'doneUnrecorded', fingerprint, status: answer.status, atMs,
+				});
+			await record(shard, fits
+				? {
+					kind: 'done', key, answer, atMs,
+				}
+				: {
+					kind: 'doneUnrecorded', key, status: answer.status, atMs,
+				});
 		},
 		async withdrawn() {
 			const atMs = options.nowMs();
--- a/packages/idempotency/src/lease.ts
+++ b/packages/idempotency/src/lease.ts
@@ -9,7 +9,7 @@
 	generation(): number;
 	/** Renews the lease, or takes a new one when there is none. */
 	tick(): Promise<void>;
-	/** Gives the lease up, so that others may take the shards at once. Nothing is claimed under it any more. */
+	/** Gives the lease up for good, so that others may take the shards at once. */
 	release(): Promise<void>;
 };
 
@@ -35,6 +35,8 @@
 	let validUntilMs = 0;
 	let generation = 0;
 	let revision = 0;
+	let isReleased = false;
+	let ticking: Promise<void> | undefined;
 
 	const take = async (): Promise<void> => {
 		const askedAtMs = monotonicMs();
@@ -52,7 +54,7 @@
 
 		const expected = present.kind === 'found' ? present.entry.revision : 0;
 		const written = await store.write(key, new Uint8Array([1]), {expected, lease: granted.lease});
-		if (written.kind !== 'written') {
+		if (written.kind !== 'written' || isReleased) {
 			return;
 		}
 
@@ -62,26 +64,35 @@
 		validUntilMs = askedAtMs + ttl;
 	};
 
+	const tickOnce = async (): Promise<void> => {
+		if (id === undefined || monotonicMs() >= validUntilMs) {
+			id = undefined;
+			await take();
+			return;
+		}
+
+		const askedAtMs = monotonicMs();
+		const ttl = ttlMs();
+		const renewed = await store.renewLease(id);
+		if (renewed.kind === 'renewed') {
+			validUntilMs = Math.max(validUntilMs, askedAtMs + ttl);
+		} else if (renewed.kind === 'expired') {
+			id = undefined;
+		}
+	};
+
 	return {
 		isValid: () => id !== undefined && monotonicMs() < validUntilMs,
 		generation: () => generation,
 		async tick() {
-			if (id === undefined || monotonicMs() >= validUntilMs) {
-				id = undefined;
-				await take();
-				return;
-			}
-
-			const askedAtMs = monotonicMs();
-			const ttl = ttlMs();
-			const renewed = await store.renewLease(id);
-			if (renewed.kind === 'renewed') {
-				validUntilMs = Math.max(validUntilMs, askedAtMs + ttl);
-			} else if (renewed.kind === 'expired') {
-				id = undefined;
-			}
+			// One at a time: two that take the lease together would leave its key bound to the one not renewed.
+			ticking ??= tickOnce().finally(() => {
+				ticking = undefined;
+			});
+			return ticking;
 		},
 		async release() {
+			isReleased = true;
 			if (id === undefined) {
 				return;
 			}
--- a/packages/idempotency/src/segment.ts
+++ b/packages/idempotency/src/segment.ts
@@ -13,16 +13,16 @@
 `doneUnrecorded` where the answer was too large to keep, `withdrawn` where it is
 proved that the claimed call did not run.
 */
-export type LogRecord =
-	| {readonly kind: 'claim'; readonly key: string; readonly fingerprint: string; readonly atMs: number}
-	| {readonly kind: 'done'; readonly key: string; readonly answer: RecordedAnswer; readonly atMs: number}
-	| {readonly kind: 'doneUnrecorded'; readonly key: string; readonly status: number; readonly atMs: number}
-	| {readonly kind: 'withdrawn'; readonly key: string; readonly atMs: number};
+export type LogRecord
+	= | {readonly kind: 'claim'; readonly key: string; readonly fingerprint: string; readonly atMs: number}
+		| {readonly kind: 'done'; readonly key: string; readonly answer: RecordedAnswer; readonly atMs: number}
+		| {readonly kind: 'doneUnrecorded'; readonly key: string; readonly status: number; readonly atMs: number}
+		| {readonly kind: 'withdrawn'; readonly key: string; readonly atMs: number};
 
 /** One value of the log: records by their writer, or the seal that ends an epoch. */
-export type Segment =
-	| {readonly kind: 'records'; readonly writer: string; readonly records: readonly LogRecord[]}
-	| {readonly kind: 'seal'; readonly writer: string};
+export type Segment
+	= | {readonly kind: 'records'; readonly writer: string; readonly records: readonly LogRecord[]}
+		| {readonly kind: 'seal'; readonly writer: string};
 
 /** Who owns a shard: the epoch rises by one with each owner. */
 export type Ownership = {
--- a/packages/idempotency/src/shard.ts
+++ b/packages/idempotency/src/shard.ts
@@ -11,23 +11,23 @@
 const settlePauseMs = 250;
 
 /** What is known of one key. */
-export type KeyState =
+export type KeyState
 	/** Claimed by this owner and not yet ended. */
-	| {readonly kind: 'running'; readonly fingerprint: string; readonly ended: Promise<void>}
+	= | {readonly kind: 'running'; readonly fingerprint: string; readonly ended: Promise<void>}
 	/** Claimed under an earlier owner with no outcome: it may have run. */
-	| {readonly kind: 'claimed'; readonly fingerprint: string; readonly atMs: number}
-	| {readonly kind: 'done'; readonly fingerprint: string; readonly answer: RecordedAnswer; readonly atMs: number}
-	| {readonly kind: 'doneUnrecorded'; readonly fingerprint: string; readonly status: number; readonly atMs: number}
+		| {readonly kind: 'claimed'; readonly fingerprint: string; readonly atMs: number}
+		| {readonly kind: 'done'; readonly fingerprint: string; readonly answer: RecordedAnswer; readonly atMs: number}
+		| {readonly kind: 'doneUnrecorded'; readonly fingerprint: string; readonly status: number; readonly atMs: number}
 	/** Claimed once, proved not to have run: it may be claimed again. */
-	| {readonly kind: 'withdrawn'; readonly fingerprint: string; readonly atMs: number};
+		| {readonly kind: 'withdrawn'; readonly fingerprint: string; readonly atMs: number};
 
 /** How an append to the log ends. */
-export type AppendResult =
-	| {readonly kind: 'recorded'}
+export type AppendResult
+	= | {readonly kind: 'recorded'}
 	/** The epoch is sealed: another owner has taken the shard. */
-	| {readonly kind: 'sealed'}
+		| {readonly kind: 'sealed'}
 	/** The service did not answer in time; the record may stand in the log. */
-	| {readonly kind: 'unavailable'};
+		| {readonly kind: 'unavailable'};
 
 /** The owner's view of a shard during one epoch. */
 export type OwnedShard = {
@@ -40,10 +40,10 @@
 	append(record: LogRecord): Promise<AppendResult>;
 };
 
-export type AcquireResult =
-	| {readonly kind: 'owned'; readonly shard: OwnedShard}
-	| {readonly kind: 'elsewhere'; readonly holder: string}
-	| {readonly kind: 'unavailable'; readonly detail: string};
+export type AcquireResult
+	= | {readonly kind: 'owned'; readonly shard: OwnedShard}
+		| {readonly kind: 'elsewhere'; readonly holder: string}
+		| {readonly kind: 'unavailable'; readonly detail: string};
 
 export type ShardOptions = {
 	readonly store: Store;
@@ -68,52 +68,21 @@
 if (result.kind === 'owned') …
 */
 export async function acquireShard(options: ShardOptions): Promise<AcquireResult> {
-	const {store, service, shard, holder, incarnation, lease} = options;
+	const {store, service, shard, lease} = options;
 	const generation = lease.generation();
 	if (!lease.isValid()) {
 		return {kind: 'unavailable', detail: 'no lease'};
 	}
 
-	const key = ownerKey(service, shard);
-	const present = await store.read(key);
-	if (present.kind === 'unavailable') {
-		return present;
-	}
-
-	const before = present.kind === 'found' ? decodeOwnership(present.entry.value) : undefined;
-	const isOwn = before?.holder === holder && before.incarnation === incarnation;
-	if (before && !isOwn) {
-		const alive = await store.read(livenessKey(before.holder, before.incarnation));
-		if (alive.kind === 'unavailable') {
-			return alive;
-		}
-
-		if (alive.kind === 'found') {
-			return before.holder === holder
-				? {kind: 'unavailable', detail: 'an earlier incarnation still holds its lease'}
-				: {kind: 'elsewhere', holder: before.holder};
-		}
-	}
-
-	const sealedThrough = before?.sealedThrough ?? 0;
-	const ownership: Ownership = {
-		epoch: (before?.epoch ?? 0) + 1, holder, incarnation, sealedThrough,
-	};
-	// One owner an epoch: the swap expects the ownership that was read. (sealed-log.pml: raise)
-	const raised = await store.write(key, encodeValue(ownership), {expected: present.kind === 'found' ? present.entry.revision : 0});
-	if (raised.kind === 'conflict') {
-		const winner = raised.current && decodeOwnership(raised.current.value);
-		return winner && winner.holder !== holder ? {kind: 'elsewhere', holder: winner.holder} : {kind: 'unavailable', detail: 'raced'};
-	}
-
-	// After a lost answer this epoch may be ours and may not: the next try raises it again.
-	if (raised.kind === 'unknown') {
-		return {kind: 'unavailable', detail: raised.detail};
+	const raised = await raiseEpoch(options);
+	if (raised.kind !== 'raised') {
+		return raised;
 	}
 
 	// Every epoch back to the last one known sealed, not the one before alone:
 	// its owner may have paused before it sealed its own predecessor. (sealed-log.pml: sealAll)
-	for (let epoch = sealedThrough + 1; epoch < ownership.epoch; epoch++) {
+	const {ownership, revision} = raised;
+	for (let epoch = ownership.sealedThrough + 1; epoch < ownership.epoch; epoch++) {
 		if (!await sealEpoch(options, epoch)) {
 			return {kind: 'unavailable', detail: `epoch ${epoch} is not sealed`};
 		}
@@ -129,10 +98,66 @@
 		const segment = decodeSegment(entry.value);
 		return segment.kind === 'records' ? segment.records : [];
 	});
-	await store.write(key, encodeValue({...ownership, sealedThrough: ownership.epoch - 1}), {expected: raised.revision});
+	const sealed = encodeValue({...ownership, sealedThrough: ownership.epoch - 1});
+	await store.write(ownerKey(service, shard), sealed, {expected: revision});
 	return {kind: 'owned', shard: openShard(options, ownership.epoch, generation, replay(records))};
 }
 
+type Raised = {readonly kind: 'raised'; readonly ownership: Ownership; readonly revision: number};
+
+async function raiseEpoch(options: ShardOptions): Promise<Raised | Exclude<AcquireResult, {kind: 'owned'}>> {
+	const {store, service, shard, holder, incarnation} = options;
+	const key = ownerKey(service, shard);
+	const present = await store.read(key);
+	if (present.kind === 'unavailable') {
+		return present;
+	}
+
+	const before = present.kind === 'found' ? decodeOwnership(present.entry.value) : undefined;
+	const standing = before && await standingOwner(options, before);
+	if (standing) {
+		return standing;
+	}
+
+	const ownership: Ownership = {
+		epoch: (before?.epoch ?? 0) + 1, holder, incarnation, sealedThrough: before?.sealedThrough ?? 0,
+	};
+	// One owner an epoch: the swap expects the ownership that was read. (sealed-log.pml: raise)
+	const written = await store.write(key, encodeValue(ownership), {expected: present.kind === 'found' ? present.entry.revision : 0});
+	switch (written.kind) {
+		case 'written': {
+			return {kind: 'raised', ownership, revision: written.revision};
+		}
+
+		case 'conflict': {
+			const winner = written.current && decodeOwnership(written.current.value);
+			return winner && winner.holder !== holder ? {kind: 'elsewhere', holder: winner.holder} : {kind: 'unavailable', detail: 'raced'};
+		}
+
+		case 'unknown': {
+			// This epoch may be ours and may not: the next try raises it again.
+			return {kind: 'unavailable', detail: written.detail};
+		}
+	}
+}
+
+// An owner whose lease stands keeps its shard. Correctness rests on the seals; the lease only keeps owners from taking turns.
+async function standingOwner(options: ShardOptions, before: Ownership): Promise<Exclude<AcquireResult, {kind: 'owned'}> | undefined> {
+	const {store, holder, incarnation} = options;
+	if (before.holder === holder && before.incarnation === incarnation) {
+		return undefined;
+	}
+
+	const alive = await store.read(livenessKey(before.holder, before.incarnation));
+	if (alive.kind !== 'found') {
+		return alive.kind === 'unavailable' ? alive : undefined;
+	}
+
+	return before.holder === holder
+		? {kind: 'unavailable', detail: 'an earlier incarnation still holds its lease'}
+		: {kind: 'elsewhere', holder: before.holder};
+}
+
 /** Brings the state of each key out of the lines of a log, in their order. */
 export function replay(records: readonly LogRecord[]): Map<string, KeyState> {
 	const keys = new Map<string, KeyState>();
--- /dev/null
+++ b/packages/idempotency/test/helper.ts
@@ -0,0 +1,34 @@
+import {createKv, memoryStore, type StoreFaults} from '@papayaflow/standins';
+import {
+	createClaims, createLease, type Claims, type Lease,
+} from '@papayaflow/idempotency';
+
+/** A clock that tests set. */
+export type TestClock = {nowMs: number};
+
+export const answer = (text: string) => ({status: 200, headers: {}, body: new TextEncoder().encode(text)});
+
+/** One owner of shard 0 of a service, on a key-value service that several owners share. */
+export async function owner(kv: ReturnType<typeof createKv>, clock: TestClock, holder: string, faults: StoreFaults = {}): Promise<{claims: Claims; lease: Lease}> {
+	const store = memoryStore(kv, faults);
+	const incarnation = `${holder}-incarnation`;
+	const lease = createLease({
+		store, holder, incarnation, ttlMs: () => 9000, monotonicMs: () => clock.nowMs,
+	});
+	await lease.tick();
+	const claims = createClaims({
+		store, service: 'ledger', shard: 0, holder, incarnation, lease, nowMs: () => clock.nowMs,
+		batchMs: () => 0, maxRecordedBytes: () => 100,
+		async sleep() {
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		},
+	});
+	return {claims, lease};
+}
+
+export function platform(): {kv: ReturnType<typeof createKv>; clock: TestClock} {
+	const clock = {nowMs: 0};
+	return {kv: createKv(() => clock.nowMs), clock};
+}
--- a/packages/instances/src/instances.ts
+++ b/packages/instances/src/instances.ts
@@ -78,13 +78,11 @@
 	onChange: (instances: readonly Instance[]) => void,
 ): Promise<void> {
 	while (!options.signal.aborted) {
-		// eslint-disable-next-line no-await-in-loop
 		const result = await list.fetch();
 		if (result.kind === 'listed') {
 			onChange(result.instances);
 		}
 
-		// eslint-disable-next-line no-await-in-loop
 		await sleep(options.intervalMs * (0.75 + (options.random() / 2)), undefined, {signal: options.signal}).catch(() => undefined);
 	}
 }
--- a/packages/operator/src/presets.ts
+++ b/packages/operator/src/presets.ts
@@ -3,10 +3,10 @@
 } from '@papayaflow/config';
 import {type Store} from '@papayaflow/store';
 
-export type FetchResult =
-	| {readonly kind: 'fetched'; readonly preset: Preset; readonly body: string; readonly head: Head}
-	| {readonly kind: 'noSuchPreset'; readonly head: Head}
-	| {readonly kind: 'unavailable'; readonly detail: string};
+export type FetchResult
+	= | {readonly kind: 'fetched'; readonly preset: Preset; readonly body: string; readonly head: Head}
+		| {readonly kind: 'noSuchPreset'; readonly head: Head}
+		| {readonly kind: 'unavailable'; readonly detail: string};
 
 /**
 Fetches a preset from the key-value service, by the name it has in the head.
--- a/packages/operator/src/status.ts
+++ b/packages/operator/src/status.ts
@@ -14,7 +14,7 @@
 	readonly revision?: number;
 	readonly inForce?: string;
 	readonly leaving?: boolean;
-	readonly confirmedAgoMs?: number | null;
+	readonly confirmedAgoMs?: number | undefined;
 };
 
 /**
--- a/packages/peer/src/connection.ts
+++ b/packages/peer/src/connection.ts
@@ -1,5 +1,7 @@
 import {type Socket} from 'node:net';
-import {encodeFrame, readFrames, type Frame, type FrameFault} from './frame.js';
+import {
+	encodeFrame, readFrames, type Frame, type FrameFault,
+} from './frame.js';
 
 /** One end of a connection between two processes. */
 export type Connection = {
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -53,8 +53,8 @@
 The messages between two processes of papayaflow, tagged by `kind`. `sentMs` is
 the sender's monotonic clock in milliseconds; only differences of it mean anything.
 */
-export type Frame =
-	| {
+export type Frame
+	= | {
 		readonly kind: 'hello'; readonly version: number; readonly role: 'entry' | 'sidecar'; readonly instance: string;
 		readonly incarnation: string; readonly zone: string; readonly sentMs: number;
 	}
@@ -112,11 +112,11 @@
 }
 */
 export async function * readFrames(chunks: AsyncIterable<Uint8Array>): AsyncGenerator<Frame | {readonly kind: 'fault'; readonly fault: FrameFault}> {
-	let rest: Buffer = Buffer.alloc(0);
+	let rest: Uint8Array = new Uint8Array(0);
 	for await (const chunk of chunks) {
-		rest = rest.length === 0 ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength) : Buffer.concat([rest, chunk]);
+		rest = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
 		while (rest.length >= headerBytes) {
-			const length = rest.readUInt32BE(0);
+			const length = new DataView(rest.buffer, rest.byteOffset).getUint32(0);
 			if (length > maxFrameBytes) {
 				yield {kind: 'fault', fault: 'oversized'};
 				return;
--- /dev/null
+++ b/packages/peer/test/frame.test.ts
@@ -0,0 +1,61 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {describe, it} from 'mocha';
+import {
+	createFrameAge, encodeFrame, maxFrameBytes, readFrames, type Frame,
+} from '@papayaflow/peer';
+
+async function read(...chunks: readonly Uint8Array[]): Promise<readonly unknown[]> {
+	const items: unknown[] = [];
+	for await (const item of readFrames((async function * () {
+		yield * chunks;
+	})())) {
+		items.push(item);
+	}
+
+	return items;
+}
+
+const hello: Frame = {
+	kind: 'hello', version: 1, role: 'entry', instance: 'e', incarnation: 'i', zone: 'z', sentMs: 1.5,
+};
+
+describe('frames', () => {
+	it('are the same after any cutting of the stream', async () => {
+		await fc.assert(fc.asyncProperty(fc.array(fc.uint8Array({maxLength: 300}), {maxLength: 8}), fc.integer({min: 1, max: 64}), async (payloads, size) => {
+			const frames = payloads.map((bytes, attempt): Frame => ({kind: 'data', attempt, bytes}));
+			const stream = Uint8Array.from(frames.flatMap(frame => [...encodeFrame(frame)]));
+			const chunks = Array.from({length: Math.ceil(stream.length / size)}, (_, index) => stream.slice(index * size, (index + 1) * size));
+			const items = await read(...chunks) as Array<{attempt: number; bytes: Uint8Array}>;
+			expect(items.map(({attempt, bytes}) => [attempt, [...bytes]])).to.deep.equal(payloads.map((bytes, index) => [index, [...bytes]]));
+		}), {seed: 1, numRuns: 100});
+	});
+
+	it('of an unknown kind end the stream with a fault', async () => {
+		const unknown = encodeFrame({kind: 'nonsense'} as unknown as Frame);
+		expect(await read(unknown, encodeFrame(hello))).to.deep.equal([{kind: 'fault', fault: 'unknownKind'}]);
+	});
+
+	it('of another version are turned away', async () => {
+		expect(await read(encodeFrame({...hello, version: 2}))).to.deep.equal([{kind: 'fault', fault: 'wrongVersion'}]);
+	});
+
+	it('that say they are too large are not waited for', async () => {
+		const header = new Uint8Array(4);
+		new DataView(header.buffer).setUint32(0, maxFrameBytes + 1);
+		expect(await read(header)).to.deep.equal([{kind: 'fault', fault: 'oversized'}]);
+	});
+
+	it('that are not cbor are a fault', async () => {
+		expect(await read(new Uint8Array([0, 0, 0, 2, 0xFF, 0xFF]))).to.deep.equal([{kind: 'fault', fault: 'malformed'}]);
+	});
+});
+
+describe('the age of a frame', () => {
+	it('is what it took beyond the fastest one, whatever the clocks say', () => {
+		const ageOf = createFrameAge();
+		expect(ageOf(1000, 5)).to.equal(0);
+		expect(ageOf(1010, 15)).to.equal(0);
+		expect(ageOf(1020, 3025)).to.equal(3000);
+	});
+});
--- a/packages/policy/src/fair-queue.ts
+++ b/packages/policy/src/fair-queue.ts
@@ -11,10 +11,10 @@
 	readonly deadlineMs: number;
 };
 
-export type PushResult<T> =
-	| {readonly kind: 'queued'}
+export type PushResult<T>
+	= | {readonly kind: 'queued'}
 	/** The queue was full, and `evicted` was put out to make room; it may be what was pushed. */
-	| {readonly kind: 'evicted'; readonly evicted: Queued<T>};
+		| {readonly kind: 'evicted'; readonly evicted: Queued<T>};
 
 /** A queue that shares a target between organisations by weight. */
 export type FairQueue<T> = {
--- a/packages/policy/src/quota.ts
+++ b/packages/policy/src/quota.ts
@@ -10,9 +10,9 @@
 	readonly entries: number;
 };
 
-export type QuotaResult =
-	| {readonly kind: 'within'; readonly bucket: Bucket}
-	| {readonly kind: 'over'; readonly bucket: Bucket; readonly retryAfterMs: number};
+export type QuotaResult
+	= | {readonly kind: 'within'; readonly bucket: Bucket}
+		| {readonly kind: 'over'; readonly bucket: Bucket; readonly retryAfterMs: number};
 
 /**
 Takes one request from an organisation's quota. There is no central counter: each
--- a/packages/settings/src/common.ts
+++ b/packages/settings/src/common.ts
@@ -14,7 +14,7 @@
 export const urlSchema = z.string().refine(text => {
 	try {
 		const url = new URL(text);
-		return url.protocol === 'http:' && isIP(url.hostname.replaceAll(/[[\]]/g, '')) !== 0;
+		return url.protocol === 'http:' && isIP(url.hostname.replaceAll(/[\[\]]/gv, '')) !== 0;
 	} catch {
 		return false;
 	}
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -56,7 +56,7 @@
 	const problems: BadSetting[] = unknownFlags(argv, defs);
 	const settings: Record<string, unknown> = {};
 	for (const [name, def] of Object.entries(defs)) {
-		const given = parsed[name] === undefined ? env[environmentName(name)] : String(parsed[name]);
+		const given = parsed[name] === undefined ? env[environmentName(name)] : `${parsed[name] as string}`;
 		const text = given ?? def.default;
 		const checked = def.schema.safeParse(text);
 		if (checked.success) {
@@ -109,5 +109,5 @@
 }
 
 function kebab(name: string): string {
-	return name.replaceAll(/[A-Z]/g, letter => `-${letter.toLowerCase()}`);
+	return name.replaceAll(/[A-Z]/gv, letter => `-${letter.toLowerCase()}`);
 }
--- a/packages/sidecar/src/admission.ts
+++ b/packages/sidecar/src/admission.ts
@@ -17,9 +17,9 @@
 	readonly signal: AbortSignal;
 };
 
-export type Admitted =
-	| {readonly kind: 'admitted'; readonly release: (answered: boolean) => void}
-	| {readonly kind: 'refused'; readonly reason: RefusalReason; readonly retryAfterMs: number};
+export type Admitted
+	= | {readonly kind: 'admitted'; readonly release: (answered: boolean) => void}
+		| {readonly kind: 'refused'; readonly reason: RefusalReason; readonly retryAfterMs: number};
 
 export type AdmissionState = {
 	readonly queued: number;
--- a/packages/sidecar/src/serve.ts
+++ b/packages/sidecar/src/serve.ts
@@ -1,7 +1,9 @@
 import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
 import {organisationOf, type Preset} from '@papayaflow/config';
-import {type Claim, type ClaimResult, type Claims, type RecordedAnswer} from '@papayaflow/idempotency';
+import {
+	type Claim, type ClaimResult, type Claims, type RecordedAnswer,
+} from '@papayaflow/idempotency';
 import {type LossReason, type RefusalReason} from '@papayaflow/outcome';
 import {type Frame, type PeerRequest} from '@papayaflow/peer';
 import {hashText} from '@papayaflow/policy';
@@ -36,6 +38,8 @@
 	readonly isLeaving: () => boolean;
 };
 
+type Keyed = {readonly id: string; readonly print: string; readonly claims: Claims; readonly deadlineMs: number};
+
 type Refusal = {readonly reason: RefusalReason; readonly retryAfterMs: number; readonly detail?: string; readonly owner?: string};
 
 /**
@@ -55,7 +59,7 @@
 	}
 
 	if (request.key !== undefined) {
-		await serveKeyed(arrived, request.key, deadlineMs, preset, deps);
+		await serveKeyed(arrived, request.key, {deadlineMs, preset}, deps);
 		return;
 	}
 
@@ -75,14 +79,17 @@
 	report(arrived, outcome, deps);
 }
 
-async function serveKeyed(arrived: Arrived, key: string, deadlineMs: number, preset: Preset, deps: ServeDeps): Promise<void> {
+async function serveKeyed(arrived: Arrived, key: string, {deadlineMs, preset}: {deadlineMs: number; preset: Preset}, deps: ServeDeps): Promise<void> {
 	const {request} = arrived;
 	const claims = deps.claimsOf(hashText(`${request.organisation}/${key}`) % preset.idempotency.shards);
 	const id = `${request.organisation}/${key}`;
 	const print = fingerprint(request);
+	const keyed: Keyed = {
+		id, print, claims, deadlineMs,
+	};
 	const looked = await claims.look(id, print);
 	if (looked.kind !== 'fresh') {
-		await answerKnown(arrived, id, print, looked, claims, deadlineMs, deps);
+		await answerKnown(arrived, looked, keyed, deps);
 		return;
 	}
 
@@ -101,7 +108,7 @@
 	const result = await claims.claim(id, print);
 	if (result.kind !== 'claimed') {
 		admitted.release(false);
-		await answerKnown(arrived, id, print, result, claims, deadlineMs, deps);
+		await answerKnown(arrived, result, keyed, deps);
 		return;
 	}
 
@@ -139,9 +146,10 @@
 	}
 }
 
-async function answerKnown(
-	arrived: Arrived, id: string, print: string, known: ClaimResult, claims: Claims, deadlineMs: number, deps: ServeDeps,
-): Promise<void> {
+async function answerKnown(arrived: Arrived, known: ClaimResult, keyed: Keyed, deps: ServeDeps): Promise<void> {
+	const {
+		id, print, claims, deadlineMs,
+	} = keyed;
 	deps.metrics.count('claims', {result: known.kind});
 	switch (known.kind) {
 		case 'replay': {
@@ -157,7 +165,7 @@
 			} else if (later.kind === 'fresh') {
 				refuse(arrived, {reason: 'withdrawn', retryAfterMs: refusedRetryMs, detail: 'the call with this key did not run'}, deps);
 			} else {
-				await answerKnown(arrived, id, print, later, claims, deadlineMs, deps);
+				await answerKnown(arrived, later, keyed, deps);
 			}
 
 			return;
--- a/packages/sidecar/src/server.ts
+++ b/packages/sidecar/src/server.ts
@@ -99,7 +99,7 @@
 
 				case 'hello': {
 					ageOf(frame.sentMs, deps.monotonicMs());
-					connection.send(revisionMessage(follower, deps) as Frame);
+					connection.send(revisionMessage(follower, deps));
 					break;
 				}
 
@@ -112,13 +112,19 @@
 
 					const reply = onConfigMessage(frame, follower, deps);
 					if (reply) {
-						connection.send(reply as Frame);
+						connection.send(reply);
 					}
 
 					break;
 				}
 
-				default: {
+				case 'head':
+				case 'data':
+				case 'end':
+				case 'refused':
+				case 'lost':
+				case 'load':
+				case 'leaving': {
 					metrics.count('frame_faults', {reason: 'unexpected'});
 				}
 			}
--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -84,21 +84,37 @@
 		const body = await readJson(req);
 		const path = req.url ?? '/';
 		const rankOrder = /^\/ranks\/(?<rank>\d+)(?<order>\/orders)?$/v.exec(path)?.groups;
-		if (path === '/faults') {
-			Object.assign(faults, body);
-			sendJson(res, 200, faults);
-		} else if (path === '/ledger') {
-			sendJson(res, 200, {runs, maps: group.maps(), mixedSteps: group.mixedSteps()});
-		} else if (path === '/load') {
-			sendJson(res, 200, {running: batch.length, waiting: waiting.length, step: group.stepNumber()});
-		} else if (rankOrder) {
-			answerRank(group, Number(rankOrder.rank), rankOrder.order ? body : undefined, res);
-		} else if (path === '/v1/chat/completions') {
-			const id = String(req.headers['x-request-id'] ?? '');
-			runs[id] = (runs[id] ?? 0) + 1;
-			waiting.push(startRequest(id, body, res, options.model, faults));
-		} else {
-			sendJson(res, 404, {error: 'no such call'});
+		switch (path) {
+			case '/faults': {
+				Object.assign(faults, body);
+				sendJson(res, 200, faults);
+
+				break;
+			}
+
+			case '/ledger': {
+				sendJson(res, 200, {runs, maps: group.maps(), mixedSteps: group.mixedSteps()});
+
+				break;
+			}
+
+			case '/load': {
+				sendJson(res, 200, {running: batch.length, waiting: waiting.length, step: group.stepNumber()});
+
+				break;
+			}
+
+			default: {
+				if (rankOrder) {
+					answerRank(group, Number(rankOrder.rank), rankOrder.order ? body : undefined, res);
+				} else if (path === '/v1/chat/completions') {
+					const id = String(req.headers['x-request-id'] ?? '');
+					runs[id] = (runs[id] ?? 0) + 1;
+					waiting.push(startRequest(body, res, {id, model: options.model, faults}));
+				} else {
+					sendJson(res, 404, {error: 'no such call'});
+				}
+			}
 		}
 	});
 }
@@ -108,7 +124,7 @@
 	sendJson(res, reply ? 200 : 404, reply ?? {error: 'no such rank'});
 }
 
-function startRequest(id: string, body: Record<string, unknown>, res: ServerResponse, model: string, faults: EngineFaults): Running {
+function startRequest(body: Record<string, unknown>, res: ServerResponse, {id, model, faults}: {id: string; model: string; faults: EngineFaults}): Running {
 	const prompt = JSON.stringify(body.messages);
 	const total = Number(body.max_tokens ?? defaultMaxTokens);
 	const isStream = body.stream === true;
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,4 +1,6 @@
-export {answerText, serveEngine, tokenText, type EngineOptions} from './engine.js';
+export {
+	answerText, serveEngine, tokenText, type EngineOptions,
+} from './engine.js';
 export {serveInstanceList} from './instance-list.js';
 export {createKv, type Kv, type KvFaults} from './kv.js';
 export {serveKv} from './kv-server.js';
--- a/packages/standins/src/memory-store.ts
+++ b/packages/standins/src/memory-store.ts
@@ -55,9 +55,11 @@
 		},
 		async list(prefix) {
 			const done = await call('list', prefix, () => kv.list(prefix, `${prefix}\u{FFFF}`));
-			return done.kind === 'failed' ? unavailable : {
-				kind: 'listed', entries: done.value.map(([key, stored]) => ({key, value: decode(stored.value), revision: stored.revision})),
-			};
+			return done.kind === 'failed'
+				? unavailable
+				: {
+					kind: 'listed', entries: done.value.map(([key, stored]) => ({key, value: decode(stored.value), revision: stored.revision})),
+				};
 		},
 		async write(key, value, options) {
 			return swap(key, options.expected, Buffer.from(value).toString('base64'), options.lease);
--- a/packages/standins/src/ranks.ts
+++ b/packages/standins/src/ranks.ts
@@ -60,7 +60,7 @@
 			}
 
 			case 'hold': {
-				if (stepNumber >= step || version <= rank.aborted || rank.prepared !== version || (rank.next && rank.next.version >= version)) {
+				if (stepNumber >= step || !mayHold(rank, version)) {
 					return false;
 				}
 
@@ -149,3 +149,7 @@
 		mixedSteps: () => mixed,
 	};
 }
+
+function mayHold(rank: Rank, version: number): boolean {
+	return version > rank.aborted && rank.prepared === version && (!rank.next || rank.next.version < version);
+}
--- a/packages/target/src/target.ts
+++ b/packages/target/src/target.ts
@@ -21,10 +21,10 @@
 sink. `notRun` says that no byte of the call reached the target. `unknown` says
 that the target may have run it; `bytes` is what the sink was given.
 */
-export type TargetOutcome =
-	| {readonly kind: 'answered'; readonly bytes: number}
-	| {readonly kind: 'notRun'; readonly detail: string}
-	| {readonly kind: 'unknown'; readonly reason: 'targetLost' | 'truncated' | 'timeout' | 'cancelled'; readonly bytes: number; readonly detail: string};
+export type TargetOutcome
+	= | {readonly kind: 'answered'; readonly bytes: number}
+		| {readonly kind: 'notRun'; readonly detail: string}
+		| {readonly kind: 'unknown'; readonly reason: 'targetLost' | 'truncated' | 'timeout' | 'cancelled'; readonly bytes: number; readonly detail: string};
 
 export type TargetOptions = {
 	/** Where the target listens, such as `http://10.0.0.4:8000`. */
@@ -43,7 +43,9 @@
 };
 
 /** Headers that concern one connection and are not passed on. */
-const hopHeaders: ReadonlySet<string> = new Set(['connection', 'keep-alive', 'transfer-encoding', 'content-length', 'upgrade', 'te', 'trailer', 'proxy-authorization', 'proxy-authenticate', 'host', 'expect']);
+const hopHeaders: ReadonlySet<string> = new Set([
+	'connection', 'keep-alive', 'transfer-encoding', 'content-length', 'upgrade', 'te', 'trailer', 'proxy-authorization', 'proxy-authenticate', 'host', 'expect',
+]);
 
 /** Drops the headers that belong to one connection. */
 export function endToEndHeaders(headers: Readonly<Record<string, string | string[] | undefined>>): Record<string, string> {
@@ -91,7 +93,9 @@
 
 			// A stream that ends without its mark is cut, even where the connection ended in order.
 			return isStream && !tail.includes(endMark)
-				? {kind: 'unknown', reason: 'truncated', bytes, detail: 'no end mark'}
+				? {
+					kind: 'unknown', reason: 'truncated', bytes, detail: 'no end mark',
+				}
 				: {kind: 'answered', bytes};
 		},
 		async ask(method, path, body) {
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,6 +1,6 @@
 // The users' house style goes before XO's rules: customary short names (`req`, `res`, `cfg`, `err`),
 // one task for each connection written straight down (await in loops), and the names of wire formats as they are.
-const shortNames = ['req', 'res', 'cfg', 'err', 'env', 'args', 'def', 'defs', 'params', 'ref', 'src', 'i', 'j', 'e'];
+const shortNames = ['req', 'res', 'cfg', 'err', 'env', 'args', 'def', 'defs', 'params', 'ref', 'src', 'SettingDef', 'SettingDefs', 'i', 'j', 'e'];
 
 /** @type {import('xo').FlatXoConfig} */
 const config = [
@@ -10,6 +10,8 @@
 		rules: {
 			'unicorn/prevent-abbreviations': ['error', {allowList: Object.fromEntries(shortNames.map(name => [name, true]))}],
 			'no-await-in-loop': 'off',
+			'no-bitwise': 'off',
+			'no-unmodified-loop-condition': 'off',
 			'@typescript-eslint/naming-convention': 'off',
 			'@typescript-eslint/no-unsafe-type-assertion': 'off',
 			'@typescript-eslint/strict-void-return': 'off',
@@ -17,6 +19,10 @@
 			'@typescript-eslint/member-ordering': 'off',
 		},
 	},
+	{
+		files: ['packages/cli/**', 'packages/demo/**', 'packages/standins/src/main.ts'],
+		rules: {'unicorn/no-process-exit': 'off'},
+	},
 	{
 		files: ['**/test/**', 'test/**'],
 		rules: {'@typescript-eslint/no-unused-expressions': 'off', 'max-lines': 'off'},
