Switch expert maps by prepare, hold and commit; coordinator, gates and rebalancing loop

Cause: the paths of a request stood without the group's protocol. Weighed: stopping the group for each switch (costs steps each time), a store write for each decision (ties steps to the store); chosen is unanimity among the ranks with an epoch from the store.

--- a/bench/drift.ts
+++ b/packages/bench/src/drift.ts
@@ -1,4 +1,4 @@
-import {normal} from './random.js';
+import {normal} from '@papayaflow/standins';
 
 /** How experts' popularity changes over a trace. */
 export type DriftKind = 'slow' | 'burst' | 'shift' | 'rough';
--- a/bench/rebalance.ts
+++ b/packages/bench/src/rebalance.ts
@@ -2,8 +2,8 @@
 	applyMoves, evenPopularity, initialMap, movesBetween, planAnew, planMoves, rankLoads, skewOf, withReport, worthMoves,
 	type ExpertMap, type Move, type Popularity,
 } from '@papayaflow/policy';
+import {quantile, seededRandom} from '@papayaflow/standins';
 import {driftTrace, type DriftKind} from './drift.js';
-import {quantile, seededRandom} from './random.js';
 
 const ranks = 64;
 const experts = 256;
--- a/packages/cli/src/sidecar-wiring.ts
+++ b/packages/cli/src/sidecar-wiring.ts
@@ -2,6 +2,9 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createFollower, followStore, revisionMessage} from '@papayaflow/config';
+import {
+	createRankGate, readEpoch, type RankOrder, type RankReply,
+} from '@papayaflow/experts';
 import {createClaims, createLease, type Claims} from '@papayaflow/idempotency';
 import {connectInstances, followInstances, type Instance} from '@papayaflow/instances';
 import {lossReasons, refusalReasons} from '@papayaflow/outcome';
@@ -9,10 +12,13 @@
 import {
 	nameSetting, portSetting, urlSetting, type SettingsOf,
 } from '@papayaflow/settings';
-import {createAdmission, createPeerServer, serveAttempt} from '@papayaflow/sidecar';
+import {
+	createAdmission, createGroup, createPeerServer, runRebalancer, serveAttempt,
+} from '@papayaflow/sidecar';
 import {connectStore} from '@papayaflow/store';
-import {connectTarget} from '@papayaflow/target';
+import {askExperts, connectTarget, orderRank} from '@papayaflow/target';
 import {createLog, createMetrics, serveAdmin} from '@papayaflow/telemetry';
+import {z} from 'zod';
 import {type Running} from './entry-wiring.js';
 import {listen} from './program.js';
 import {sharedSettings} from './shared-settings.js';
@@ -22,14 +28,26 @@
 const handoffMs = 2000;
 const defaultLeaseMs = 9000;
 const defaultConcurrency = 32;
+const defaultOrderMs = 5000;
+const highestRanks = 4096;
 
 export const sidecarSettings = {
 	...sharedSettings,
 	port: portSetting('the port that entries connect to', '0'),
 	service: nameSetting('the service whose target stands beside this process'),
 	target: urlSetting('the target beside this process'),
+	group: nameSetting('the group that the ranks beside this process belong to; "none" for a plain service', 'none'),
+	firstRank: rankSetting('the first of the ranks beside this process; the sidecar of rank 0 coordinates the group', '0'),
+	ranks: rankSetting('the ranks beside this process', '0'),
+	groupRanks: rankSetting('the ranks of the whole group', '0'),
 };
 
+function rankSetting(description: string, fallback: string) {
+	return {
+		schema: z.coerce.number().int().min(0).max(highestRanks), description, allowed: `0 to ${highestRanks}`, default: fallback,
+	};
+}
+
 /**
 Wires a sidecar: follower, admission, claims, peer server and admin endpoints.
 
@@ -47,6 +65,10 @@
 	const ending = new AbortController();
 	const monotonicMs = (): number => performance.now();
 	const {random} = Math;
+	const pause = async (ms: number): Promise<void> => {
+		await sleep(ms, undefined, {ref: false});
+	};
+
 	const store = connectStore({url: settings.store, timeoutMs: settings.storeTimeoutMs});
 	const follower = createFollower();
 	const preset = () => follower.applied()?.preset;
@@ -56,6 +78,10 @@
 	metrics.declare('refusals', 'reason', refusalReasons);
 	metrics.declare('losses', 'reason', lossReasons);
 	metrics.declare('frame_faults', 'reason', ['oversized', 'malformed', 'unknownKind', 'wrongVersion', 'unexpected', 'notForThisIncarnation']);
+	metrics.declare('map_switches', 'result', ['committed', 'aborted', 'superseded']);
+	metrics.declare('expert_reports', 'result', ['used', 'stale', 'missing']);
+	metrics.count('experts_moved', {}, 0);
+	metrics.count('bytes_moved', {}, 0);
 	metrics.declare('claims', 'result', ['replay', 'inProgress', 'reused', 'claimedEarlier', 'ranUnrecorded', 'elsewhere', 'notRun', 'unknown']);
 
 	const target = connectTarget({
@@ -82,9 +108,7 @@
 			store, service, shard, holder: instance, incarnation, lease, nowMs: Date.now,
 			batchMs: () => preset()?.idempotency.batchMs ?? 1,
 			maxRecordedBytes: () => preset()?.idempotency.maxRecordedBytes ?? 0,
-			async sleep(ms) {
-				await sleep(ms);
-			},
+			sleep: pause,
 			onWrite(records) {
 				metrics.count('claim_writes');
 				metrics.count('claim_records', {}, records);
@@ -94,7 +118,21 @@
 		return claims;
 	};
 
+	const range = {group: settings.group, first: settings.firstRank, count: settings.ranks};
+	const orderMs = (): number => preset()?.rebalancing.orderTimeoutMs ?? defaultOrderMs;
+	const engine = connectTarget({url: settings.target, connectMs: orderMs, idleMs: orderMs});
+	const gates = Array.from({length: settings.ranks}, (_, index) => createRankGate(
+		async order => orderRank(engine, settings.firstRank + index, order),
+		async () => readEpoch(store, settings.group),
+	));
+	const orderLocal = async (rank: number, order: RankOrder): Promise<RankReply | undefined> => gates.at(rank - settings.firstRank)?.order(order);
+	const group = createGroup({
+		instance, incarnation, zone, range, groupRanks: settings.groupRanks, orderLocal, orderTimeoutMs: orderMs, monotonicMs, sleep: pause,
+		isStopped: () => ending.signal.aborted,
+	});
+
 	const peers = createPeerServer({
+		ranks: range, orderRank: orderLocal,
 		instance, incarnation, zone, follower, metrics, monotonicMs,
 		load() {
 			const state = admission.state();
@@ -173,6 +211,7 @@
 
 	void followInstances(connectInstances(settings.instances), {intervalMs: settings.instancesIntervalMs, random, signal: ending.signal}, next => {
 		instances = next;
+		group.update(next);
 		if (next.some(({id, state}) => id === instance && state === 'leaving')) {
 			leave('list');
 		}
@@ -182,6 +221,15 @@
 		pauseMs: settings.configPollMs, random, nowMs: monotonicMs, signal: ending.signal,
 	});
 	void keepLease();
+	if (settings.groupRanks > 0 && settings.firstRank === 0) {
+		void runRebalancer({
+			store, group: settings.group, instance, ranks: group, metrics, log, monotonicMs, sleep: pause,
+			report: async () => askExperts(engine),
+			settings: () => preset()?.rebalancing,
+			isStopped: () => ending.signal.aborted,
+		});
+	}
+
 	const heartbeat = setInterval(() => {
 		peers.broadcast(revisionMessage(follower, {monotonicMs}));
 	}, heartbeatMs).unref();
--- a/packages/config/src/preset.ts
+++ b/packages/config/src/preset.ts
@@ -101,8 +101,19 @@
 		/** Time over which a move has to pay for itself. */
 		horizonMs: ms(60_000, 1000),
 		skewWeight: z.number().min(0).max(1000).default(1),
-		costWeight: z.number().min(0).max(1000).default(1),
-		maxMoves: count(16, 0, 4096),
+		costWeight: z.number().min(0).max(1000).default(4),
+		/** Experts that one switch may move. */
+		maxMoves: count(64, 0, 4096),
+		/** How many steps ahead of the ranks a new map comes in force. */
+		stepsAhead: count(32, 1, 100_000),
+		/** How long a rank may take to load its part of a map and to answer. */
+		orderTimeoutMs: ms(5000),
+		/** The part of a step's time that grows with the load of the heaviest rank, at skew 1. */
+		loadMs: z.number().min(0).max(10_000).default(2),
+		/** What one moved expert costs the group's steps. */
+		moveMs: z.number().min(0).max(10_000).default(2),
+		/** The size of one expert's weights. */
+		expertBytes: count(44_000_000, 1, 1_000_000_000_000),
 	}).prefault({}),
 	/** What a process does that can't learn whether its preset is the one in force. */
 	whenStale: z.enum(['serve', 'refuse']).default('serve'),
--- a/packages/demo/src/fleet.ts
+++ b/packages/demo/src/fleet.ts
@@ -95,9 +95,9 @@
 		await res.body.dump();
 	};
 
-	const listMember = async (member: Member, role: string, zone: string, service?: string): Promise<void> => {
+	const listMember = async (member: Member, role: string, zone: string, more: Readonly<Record<string, unknown>> = {}): Promise<void> => {
 		await post(list.port, '/v1/instances', {
-			id: member.id, role, zone, service, address: host, port: member.port, adminPort: member.adminPort, state: 'live',
+			id: member.id, role, zone, ...more, address: host, port: member.port, adminPort: member.adminPort, state: 'live',
 		});
 	};
 
@@ -112,7 +112,7 @@
 		},
 		async startSidecar(id, zone, {service, target}, args = []) {
 			const member = await startProgram('papayaflow-sidecar', id, zone, ['--service', service, '--target', url(target.port), ...args]);
-			await listMember(member, 'sidecar', zone, service);
+			await listMember(member, 'sidecar', zone, {service, group: flagValue(args, '--group')});
 			return {...member, service, target: target.port};
 		},
 		async startEntry(id, zone, args = []) {
@@ -174,6 +174,11 @@
 	}
 }
 
+function flagValue(args: readonly string[], flag: string): string | undefined {
+	const at = args.indexOf(flag);
+	return at === -1 ? undefined : args[at + 1];
+}
+
 function platformFlags(args: readonly string[], platform: readonly string[]): readonly string[] {
 	const isLocal = args[0] === 'preset' && args[1] === 'check';
 	const needsList = args[0] !== 'preset' || args[1] === 'use';
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -32,15 +32,19 @@
 
 	await mustSucceed(fleet, ['preset', 'use', 'ordinary']);
 	await Promise.all([
-		fleet.startSidecar('notice-1', zones[0], {service: 'notice-drafting', target: engines[0]}),
-		fleet.startSidecar('pack-1', zones[1], {service: 'pack-drafting', target: engines[1]}),
-		fleet.startSidecar('notice-2', zones[2], {service: 'notice-drafting', target: engines[2]}),
+		fleet.startSidecar('notice-1', zones[0], {service: 'notice-drafting', target: engines[0]}, groupArguments('notice-a')),
+		fleet.startSidecar('pack-1', zones[1], {service: 'pack-drafting', target: engines[1]}, groupArguments('pack-a')),
+		fleet.startSidecar('notice-2', zones[2], {service: 'notice-drafting', target: engines[2]}, groupArguments('notice-b')),
 		...plains.map(async (plain, index) => fleet.startSidecar(`ledger-${index + 1}`, zones[index], {service: 'ledger', target: plain})),
 	]);
 	const entries = await Promise.all([fleet.startEntry('entry-1', zones[0]), fleet.startEntry('entry-2', zones[1])]);
 	return {entries, engines, plains};
 }
 
+function groupArguments(group: string): readonly string[] {
+	return ['--group', group, '--ranks', '4', '--group-ranks', '4'];
+}
+
 async function mustSucceed(fleet: Fleet, args: readonly string[]): Promise<string> {
 	const {code, output} = await fleet.operate(args);
 	if (code !== 0) {
--- a/packages/demo/src/presets.ts
+++ b/packages/demo/src/presets.ts
@@ -22,6 +22,7 @@
 export const ordinary = {
 	description: 'an ordinary day', services, routes,
 	organisations: {default: {requestsPerSecond: 2000, burst: 2000}, named: {ayamoni: {weight: 2, requestsPerSecond: 2000, burst: 2000}}},
+	rebalancing: {intervalMs: 400, moveMs: 0.1},
 	drain: {graceMs: 5000, lingerMs: 200},
 };
 
--- a/packages/entry/src/link.ts
+++ b/packages/entry/src/link.ts
@@ -139,7 +139,9 @@
 			}
 
 			case 'request':
-			case 'cancel': {
+			case 'cancel':
+			case 'order':
+			case 'orderReply': {
 				metrics.count('frame_faults', {reason: 'unexpected'});
 				break;
 			}
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {Decoder, Encoder} from 'cbor-x';
+import {type RankOrder, type RankReply} from '@papayaflow/experts';
 import {type LossReason, type RefusalReason} from '@papayaflow/outcome';
 
 /** The version of the frames; a peer that speaks another one is turned away. */
@@ -57,6 +58,8 @@
 	= | {
 		readonly kind: 'hello'; readonly version: number; readonly role: 'entry' | 'sidecar'; readonly instance: string;
 		readonly incarnation: string; readonly zone: string; readonly sentMs: number;
+		/** The ranks of a group whose engine stands beside this sidecar. */
+		readonly ranks?: {readonly group: string; readonly first: number; readonly count: number};
 	}
 	| {readonly kind: 'request'; readonly attempt: number; readonly incarnation: string; readonly sentMs: number; readonly request: PeerRequest}
 	| {readonly kind: 'cancel'; readonly attempt: number}
@@ -76,10 +79,13 @@
 		readonly ageMs: number;
 	}
 	| {readonly kind: 'pullConfig'; readonly have: readonly string[]}
-	| {readonly kind: 'config'; readonly update: ConfigUpdate};
+	| {readonly kind: 'config'; readonly update: ConfigUpdate}
+	| {readonly kind: 'order'; readonly id: number; readonly rank: number; readonly order: RankOrder}
+	/** Without a reply the rank did not answer in time. */
+	| {readonly kind: 'orderReply'; readonly id: number; readonly reply?: RankReply};
 
 const frameKinds: ReadonlySet<string> = new Set<Frame['kind']>([
-	'hello', 'request', 'cancel', 'head', 'data', 'end', 'refused', 'lost', 'load', 'leaving', 'revision', 'pullConfig', 'config',
+	'hello', 'request', 'cancel', 'head', 'data', 'end', 'refused', 'lost', 'load', 'leaving', 'revision', 'pullConfig', 'config', 'order', 'orderReply',
 ]);
 
 /** Why a connection was closed by the one who reads it. */
--- a/packages/sidecar/src/index.ts
+++ b/packages/sidecar/src/index.ts
@@ -3,3 +3,7 @@
 } from './admission.js';
 export {serveAttempt, type Arrived, type ServeDeps} from './serve.js';
 export {createPeerServer, type PeerServer, type ServerDeps} from './server.js';
+export {
+	createGroup, type Group, type GroupDeps, type RankRange,
+} from './group.js';
+export {runRebalancer, type RebalancerDeps} from './rebalancer.js';
--- a/packages/sidecar/src/server.ts
+++ b/packages/sidecar/src/server.ts
@@ -3,6 +3,7 @@
 import {
 	createFrameAge, openConnection, protocolVersion, serveFrames, type Connection, type Frame, type LoadReport,
 } from '@papayaflow/peer';
+import {type RankOrder, type RankReply} from '@papayaflow/experts';
 import {type LossReason} from '@papayaflow/outcome';
 import {type Metrics} from '@papayaflow/telemetry';
 import {type Arrived} from './serve.js';
@@ -19,6 +20,10 @@
 	readonly load: () => LoadReport;
 	readonly isLeaving: () => boolean;
 	readonly serve: (arrived: Arrived) => Promise<void>;
+	/** The ranks beside this sidecar, told to whoever connects. */
+	readonly ranks?: Extract<Frame, {kind: 'hello'}>['ranks'];
+	/** Gives an order to one of them. */
+	readonly orderRank?: (rank: number, order: RankOrder) => Promise<RankReply | undefined>;
 };
 
 /** The side of a sidecar that entries connect to. */
@@ -118,6 +123,12 @@
 					break;
 				}
 
+				case 'order': {
+					void passOrder(frame, connection);
+					break;
+				}
+
+				case 'orderReply':
 				case 'head':
 				case 'data':
 				case 'end':
@@ -141,13 +152,18 @@
 	const greet = (connection: Connection): void => {
 		connection.send({
 			kind: 'hello', version: protocolVersion, role: 'sidecar', instance: deps.instance, incarnation: deps.incarnation,
-			zone: deps.zone, sentMs: deps.monotonicMs(),
+			zone: deps.zone, sentMs: deps.monotonicMs(), ...(deps.ranks && {ranks: deps.ranks}),
 		});
 		if (deps.isLeaving()) {
 			connection.send({kind: 'leaving'});
 		}
 	};
 
+	const passOrder = async (frame: Extract<Frame, {kind: 'order'}>, connection: Connection): Promise<void> => {
+		const reply = await deps.orderRank?.(frame.rank, frame.order);
+		connection.send({kind: 'orderReply', id: frame.id, ...(reply && {reply})});
+	};
+
 	return {
 		server: createServer(socket => {
 			void serveConnection(socket);
--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -1,21 +1,28 @@
 import {createHash} from 'node:crypto';
 import {createServer, type Server, type ServerResponse} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {readJson, sendJson} from './http.js';
 import {createRankGroup, type RankGroup} from './ranks.js';
 
 const defaultMaxTokens = 16;
+const tokensPerStep = 1000;
+const skewMemory = 0.05;
 
 /** The switches of the stand-in of a model engine. */
 export type EngineFaults = {
-	/** The next streams are cut after two tokens. */
+	/** The next streams are cut after three tokens. */
 	cutStreams: number;
 	/** No step is taken while this holds. */
 	stalled: boolean;
+	/** Orders to this rank are not answered; -1 for none. */
+	deafRank: number;
+	/** Expert reports are left out while this holds. */
+	muteReports: boolean;
+	/** By how many places the experts' popularity is turned round. */
+	popularityShift: number;
 };
 
 type Running = {
-	readonly id: string;
-	readonly prompt: string;
 	readonly total: number;
 	done: number;
 	readonly emit: (index: number) => boolean;
@@ -25,10 +32,15 @@
 export type EngineOptions = {
 	readonly model: string;
 	readonly ranks: number;
+	/** The time of a step whose ranks are all loaded alike, in milliseconds. */
 	readonly stepMs: number;
 	readonly maxBatch: number;
 	/** Whether the ranks refuse orders that carry an old fencing number. */
 	readonly checksFencing: boolean;
+	readonly experts?: number;
+	readonly slots?: number;
+	/** How long a rank takes to load one expert, in milliseconds. */
+	readonly loadMs?: number;
 };
 
 /** The text of a token, so that a test knows what answer belongs to a prompt. */
@@ -43,28 +55,38 @@
 
 /**
 Serves a model engine whose ranks run in lock-step: each step gives every running
-request one token. `GET /ledger` shows how often each request ran and which map
-each rank used at each step.
+request one token, and takes as long as its most loaded rank. `GET /experts` tells
+the experts' loads, `/ranks/N/orders` takes orders, and `GET /ledger` shows how
+often each request ran and which map each rank used.
 
 @example
 serveEngine({model: 'notice-drafting', ranks: 4, stepMs: 5, maxBatch: 32, checksFencing: true}).listen(8000, '127.0.0.1');
 */
 export function serveEngine(options: EngineOptions): Server {
-	const faults: EngineFaults = {cutStreams: 0, stalled: false};
-	const group = createRankGroup(options.ranks, options.checksFencing);
+	const {experts = options.ranks * 4, slots = 5, loadMs = 5} = options;
+	const faults: EngineFaults = {
+		cutStreams: 0, stalled: false, deafRank: -1, muteReports: false, popularityShift: 0,
+	};
+	const group = createRankGroup({
+		ranks: options.ranks, experts, slots, checksFencing: options.checksFencing,
+	});
 	const runs: Record<string, number> = {};
-	let batch: Running[] = [];
+	const counts = Array.from({length: experts}, () => 0);
 	const waiting: Running[] = [];
+	let batch: Running[] = [];
+	let skew = 1;
 
-	const step = (): void => {
+	const step = (): number => {
 		while (batch.length < options.maxBatch && waiting.length > 0) {
 			batch.push(waiting.shift()!);
 		}
 
-		if (faults.stalled || !group.step(batch.length)) {
-			return;
+		if (faults.stalled || !group.step()) {
+			return options.stepMs;
 		}
 
+		const stepSkew = loadStep(group, counts, faults.popularityShift);
+		skew += (stepSkew - skew) * skewMemory;
 		for (const running of batch) {
 			if (!running.emit(running.done++)) {
 				running.done = running.total;
@@ -76,14 +98,21 @@
 		}
 
 		batch = batch.filter(running => running.done < running.total);
+		return options.stepMs * (0.5 + (stepSkew / 2));
 	};
 
-	setInterval(step, options.stepMs).unref();
+	const run = async (): Promise<void> => {
+		for (;;) {
+			await sleep(step(), undefined, {ref: false});
+		}
+	};
+
+	void run();
 
 	return createServer(async (req, res) => {
 		const body = await readJson(req);
 		const path = req.url ?? '/';
-		const rankOrder = /^\/ranks\/(?<rank>\d+)(?<order>\/orders)?$/v.exec(path)?.groups;
+		const rank = /^\/ranks\/(?<rank>\d+)\/orders$/v.exec(path)?.groups?.rank;
 		switch (path) {
 			case '/faults': {
 				Object.assign(faults, body);
@@ -93,20 +122,24 @@
 			}
 
 			case '/ledger': {
-				sendJson(res, 200, {runs, maps: group.maps(), mixedSteps: group.mixedSteps()});
+				sendJson(res, 200, {
+					runs, maps: group.used(), mixedSteps: group.mixedSteps(), step: group.stepNumber(),
+				});
 
 				break;
 			}
 
-			case '/load': {
-				sendJson(res, 200, {running: batch.length, waiting: waiting.length, step: group.stepNumber()});
+			case '/experts': {
+				sendJson(res, faults.muteReports ? 503 : 200, {
+					counts, slots: group.slots(), version: group.version(), step: group.stepNumber(), skew,
+				});
 
 				break;
 			}
 
 			default: {
-				if (rankOrder) {
-					answerRank(group, Number(rankOrder.rank), rankOrder.order ? body : undefined, res);
+				if (rank !== undefined) {
+					await answerOrder(group, Number(rank), body, {res, faults, loadMs});
 				} else if (path === '/v1/chat/completions') {
 					const id = String(req.headers['x-request-id'] ?? '');
 					runs[id] = (runs[id] ?? 0) + 1;
@@ -119,9 +152,36 @@
 	});
 }
 
-function answerRank(group: RankGroup, rank: number, order: Record<string, unknown> | undefined, res: ServerResponse): void {
-	const reply = order ? group.order(rank, order) : group.show(rank);
-	sendJson(res, reply ? 200 : 404, reply ?? {error: 'no such rank'});
+// Spreads a step's tokens over the experts by Zipf's law and gives the skew of the ranks' loads.
+function loadStep(group: RankGroup, counts: number[], shift: number): number {
+	const experts = counts.length;
+	const shares = counts.map((_, expert) => 1 / (((expert + shift) % experts) + 1));
+	const total = shares.reduce((sum, share) => sum + share, 0);
+	const copies = counts.map(() => 0);
+	const slots = group.slots();
+	for (const expert of slots.flat()) {
+		copies[expert]++;
+	}
+
+	const loads = slots.map(held => held.reduce((sum, expert) => sum + (shares[expert] / copies[expert]), 0));
+	for (const [expert, share] of shares.entries()) {
+		counts[expert] += tokensPerStep * share / total;
+	}
+
+	return Math.max(...loads) / (total / slots.length);
+}
+
+async function answerOrder(group: RankGroup, rank: number, order: Record<string, unknown>, {res, faults, loadMs}: {res: ServerResponse; faults: EngineFaults; loadMs: number}): Promise<void> {
+	if (faults.deafRank === rank) {
+		return;
+	}
+
+	if (order.kind === 'prepare') {
+		const own = (order.moves as ReadonlyArray<{rank: number}>).filter(move => move.rank === rank);
+		await sleep(own.length * loadMs);
+	}
+
+	sendJson(res, 200, group.order(rank, order));
 }
 
 function startRequest(body: Record<string, unknown>, res: ServerResponse, {id, model, faults}: {id: string; model: string; faults: EngineFaults}): Running {
@@ -135,7 +195,7 @@
 	}
 
 	return {
-		id, prompt, total, done: 0,
+		total, done: 0,
 		emit(index) {
 			if (res.destroyed || isCut) {
 				return false;
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -6,4 +6,7 @@
 export {serveKv} from './kv-server.js';
 export {memoryStore, type StoreFaults} from './memory-store.js';
 export {servePlainService, type PlainFaults} from './plain-service.js';
-export {createRankGroup, type RankGroup} from './ranks.js';
+export {createRankGroup, type RankGroup, type RankGroupOptions} from './ranks.js';
+export {
+	exponential, normal, quantile, seededRandom,
+} from './random.js';
--- a/bench/random.ts
+++ b/packages/standins/src/random.ts
@@ -10,7 +10,7 @@
 	return () => {
 		state = (state + 0x6D_2B_79_F5) >>> 0;
 		let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
-		mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed;
+		mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed);
 		return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
 	};
 }
--- a/packages/standins/src/ranks.ts
+++ b/packages/standins/src/ranks.ts
@@ -1,114 +1,74 @@
+type Scheduled = {readonly version: number; readonly step: number};
+
+type Move = {readonly rank: number; readonly slot: number; readonly expert: number};
+
+type Slots = ReadonlyArray<readonly number[]>;
+
 /** What a rank knows of its expert maps. */
 type Rank = {
 	promised: number;
 	committed: number;
-	/** The version held and the step before which it must be decided. */
-	held: {version: number; step: number; epoch: number} | undefined;
 	prepared: number;
-	/** The map that comes in force at a step, once committed. */
-	next: {version: number; step: number} | undefined;
-	/** The versions that were aborted. */
+	held: Scheduled | undefined;
+	next: Scheduled | undefined;
 	aborted: number;
-	reachable: boolean;
+};
+
+type RankState = Readonly<Rank> & {readonly step: number};
+
+type Order = Readonly<Record<string, unknown>>;
+
+export type RankGroupOptions = {
+	readonly ranks: number;
+	readonly experts: number;
+	/** Slots of a rank. */
+	readonly slots: number;
+	/** Whether a rank refuses an order with a lower epoch than it has promised. */
+	readonly checksFencing: boolean;
 };
 
 /** The ranks of one group, which take their steps together. */
 export type RankGroup = {
 	/** Takes a step if no rank holds it back; `false` when one does. */
-	step(batch: number): boolean;
+	step(): boolean;
 	stepNumber(): number;
-	order(rank: number, order: Record<string, unknown>): unknown;
-	show(rank: number): unknown;
-	/** The maps used: for each step at which any changed, the version by rank. */
-	maps(): ReadonlyArray<{readonly step: number; readonly versions: readonly number[]}>;
+	order(rank: number, order: Order): {readonly accepted: boolean; readonly state: RankState};
+	show(rank: number): RankState;
+	/** The slots of each rank under the map in use. */
+	slots(): Slots;
+	version(): number;
+	/** The maps used: the version by rank, at each step where it changed. */
+	used(): ReadonlyArray<{readonly step: number; readonly versions: readonly number[]}>;
 	/** The steps in which two ranks used different maps. */
 	mixedSteps(): number;
 };
 
 /**
-Makes a group of ranks. Orders are `prepare`, `hold`, `commit`, `abort` and
-`promise`, each with the epoch of who gives it.
+Makes a group of ranks. Orders are `promise`, `prepare`, `hold`, `commit` and
+`abort`, each with the epoch of who gives it.
 
 @example
-const group = createRankGroup(4, true);
+const group = createRankGroup({ranks: 4, experts: 16, slots: 5, checksFencing: true});
 */
-export function createRankGroup(size: number, checksFencing: boolean): RankGroup {
-	const ranks: Rank[] = Array.from({length: size}, () => ({
-		promised: 0, committed: 0, held: undefined, prepared: 0, next: undefined, aborted: 0, reachable: true,
+export function createRankGroup(options: RankGroupOptions): RankGroup {
+	const ranks: Rank[] = Array.from({length: options.ranks}, () => ({
+		promised: 0, committed: 0, prepared: 0, held: undefined, next: undefined, aborted: 0,
 	}));
+	const start: Slots = Array.from({length: options.ranks}, (_, rank) => Array.from({length: options.slots}, (__, slot) => ((slot * options.ranks) + rank) % options.experts));
+	const maps = new Map<number, Slots>([[0, start]]);
 	const used: Array<{step: number; versions: number[]}> = [];
 	let stepNumber = 0;
 	let mixed = 0;
 
-	const showRank = (rank: Rank): Record<string, unknown> => ({
-		promised: rank.promised, committed: rank.committed, held: rank.held ?? null, next: rank.next ?? null, prepared: rank.prepared,
-		aborted: rank.aborted, step: stepNumber,
-	});
-
-	const obey = (rank: Rank, order: Record<string, unknown>): boolean => {
-		const version = Number(order.version);
-		const step = Number(order.step);
-		const epoch = Number(order.epoch);
-		switch (order.kind) {
-			case 'promise': {
-				return true;
-			}
-
-			case 'prepare': {
-				rank.prepared = version;
-				return true;
-			}
-
-			case 'hold': {
-				if (stepNumber >= step || !mayHold(rank, version)) {
-					return false;
-				}
-
-				rank.held = {version, step, epoch};
-				return true;
-			}
-
-			case 'commit': {
-				if (rank.next?.version === version || rank.committed >= version) {
-					return true;
-				}
-
-				if (rank.held?.version !== version) {
-					return false;
-				}
-
-				rank.next = {version, step: rank.held.step};
-				rank.held = undefined;
-				return true;
-			}
-
-			case 'abort': {
-				if (rank.next?.version === version || rank.committed >= version) {
-					return false;
-				}
-
-				rank.aborted = Math.max(rank.aborted, version);
-				rank.held = rank.held?.version === version ? undefined : rank.held;
-				return true;
-			}
-
-			default: {
-				return false;
-			}
-		}
-	};
+	const stateOf = (rank: Rank): RankState => ({...rank, step: stepNumber});
 
 	return {
-		step(batch) {
+		step() {
 			const next = stepNumber + 1;
 			if (ranks.some(rank => rank.held && rank.held.step <= next)) {
 				return false;
 			}
 
-			if (batch === 0 && !ranks.some(rank => rank.next)) {
-				return true;
-			}
-
 			stepNumber = next;
 			for (const rank of ranks) {
 				if (rank.next && rank.next.step <= stepNumber) {
@@ -127,29 +87,100 @@
 		},
 		stepNumber: () => stepNumber,
 		order(index, order) {
-			const rank = ranks.at(index);
-			if (!rank) {
-				return undefined;
+			const rank = ranks[index];
+			const epoch = Number(order.epoch);
+			if (options.checksFencing && epoch < rank.promised) {
+				return {accepted: false, state: stateOf(rank)};
 			}
 
-			const epoch = Number(order.epoch);
-			if (checksFencing && epoch < rank.promised) {
-				return {accepted: false, reason: 'oldEpoch', ...showRank(rank)};
+			rank.promised = Math.max(rank.promised, epoch);
+			if (order.kind === 'prepare') {
+				maps.set(Number(order.version), moved(maps.get(rank.committed)!, order.moves as readonly Move[]));
 			}
 
-			rank.promised = checksFencing ? Math.max(rank.promised, epoch) : rank.promised;
-			const accepted = obey(rank, order);
-			return {accepted, ...showRank(rank)};
+			return {accepted: obey(rank, order, stepNumber), state: stateOf(rank)};
 		},
-		show(index) {
-			const rank = ranks.at(index);
-			return rank && showRank(rank);
-		},
-		maps: () => used,
+		show: index => stateOf(ranks[index]),
+		slots: () => maps.get(ranks[0].committed)!,
+		version: () => ranks[0].committed,
+		used: () => used,
 		mixedSteps: () => mixed,
 	};
 }
 
-function mayHold(rank: Rank, version: number): boolean {
-	return version > rank.aborted && rank.prepared === version && (!rank.next || rank.next.version < version);
+function obey(rank: Rank, order: Order, stepNumber: number): boolean {
+	const version = Number(order.version);
+	switch (order.kind) {
+		case 'promise': {
+			return true;
+		}
+
+		case 'prepare': {
+			rank.prepared = version;
+			return version > rank.aborted;
+		}
+
+		case 'hold': {
+			return hold(rank, version, {stepNumber, step: Number(order.step)});
+		}
+
+		case 'commit': {
+			return commit(rank, version);
+		}
+
+		case 'abort': {
+			return abort(rank, version);
+		}
+
+		default: {
+			return false;
+		}
+	}
+}
+
+function hold(rank: Rank, version: number, {stepNumber, step}: {stepNumber: number; step: number}): boolean {
+	const mayHold = version > rank.aborted && rank.prepared === version && chosen(rank) < version && rank.next === undefined && (rank.held === undefined || rank.held.version === version);
+	if (stepNumber >= step || !mayHold) {
+		return false;
+	}
+
+	rank.held = {version, step};
+	return true;
+}
+
+function commit(rank: Rank, version: number): boolean {
+	if (chosen(rank) >= version) {
+		return true;
+	}
+
+	if (rank.held?.version !== version) {
+		return false;
+	}
+
+	rank.next = rank.held;
+	rank.held = undefined;
+	return true;
+}
+
+function abort(rank: Rank, version: number): boolean {
+	if (chosen(rank) >= version) {
+		return false;
+	}
+
+	rank.aborted = Math.max(rank.aborted, version);
+	rank.held = rank.held?.version === version ? undefined : rank.held;
+	return true;
+}
+
+function chosen(rank: Rank): number {
+	return Math.max(rank.committed, rank.next?.version ?? 0);
+}
+
+function moved(slots: Slots, moves: readonly Move[]): Slots {
+	const next = slots.map(held => [...held]);
+	for (const {rank, slot, expert} of moves) {
+		next[rank][slot] = expert;
+	}
+
+	return next;
 }
--- a/packages/target/src/index.ts
+++ b/packages/target/src/index.ts
@@ -1,3 +1,6 @@
 export {
 	connectTarget, endToEndHeaders, type AnswerSink, type Target, type TargetOptions, type TargetOutcome, type TargetRequest,
 } from './target.js';
+export {
+	askExperts, orderRank, type EngineRankReply, type ExpertReport,
+} from './engine.js';
