--- a/packages/sidecar/src/rebalancer.ts
+++ b/packages/sidecar/src/rebalancer.ts
@@ -97,7 +97,8 @@
 
 // A report that shows no steps since the last one is old, and nothing is decided on it.
 function watch(before: Watched | undefined, report: ExpertReport, atMs: number): Watched | undefined {
-	if (!before || before.report.counts.length !== report.counts.length || report.step < before.report.step) {
+	const isFirst = before === undefined || before.report.counts.length !== report.counts.length || report.step < before.report.step;
+	if (isFirst) {
 		return {popularity: evenPopularity(report.counts.length), report, atMs};
 	}
 
--- a/packages/sidecar/src/server.ts
+++ b/packages/sidecar/src/server.ts
@@ -81,19 +81,23 @@
 			reportLoad();
 		};
 
+		const onRequest = (frame: Extract<Frame, {kind: 'request'}>): void => {
+			const ageMs = ageOf(frame.sentMs, deps.monotonicMs());
+			if (frame.incarnation === deps.incarnation && !mine.has(frame.attempt)) {
+				void serveRequest(frame, ageMs);
+				return;
+			}
+
+			metrics.count('frame_faults', {reason: 'notForThisIncarnation'});
+			connection.send({
+				kind: 'refused', attempt: frame.attempt, reason: 'connectionLost', retryAfterMs: 0,
+			});
+		};
+
 		await serveFrames(socket, frame => {
 			switch (frame.kind) {
 				case 'request': {
-					const ageMs = ageOf(frame.sentMs, deps.monotonicMs());
-					if (frame.incarnation === deps.incarnation && !mine.has(frame.attempt)) {
-						void serveRequest(frame, ageMs);
-					} else {
-						metrics.count('frame_faults', {reason: 'notForThisIncarnation'});
-						connection.send({
-							kind: 'refused', attempt: frame.attempt, reason: 'connectionLost', retryAfterMs: 0,
-						});
-					}
-
+					onRequest(frame);
 					break;
 				}
 
