--- a/packages/caller/src/call.ts
+++ b/packages/caller/src/call.ts
@@ -7,6 +7,7 @@
 const charactersPerToken = 4;
 const defaultMaxTokens = 16;
 const maxTokens = 1_000_000;
+const maxDeadlineMs = 86_400_000;
 const chatPath = '/v1/chat/completions';
 const namePattern = /^[\w.\-]{1,64}$/v;
 const keyPattern = /^[\u0021-\u007E]{1,255}$/v;
@@ -71,9 +72,9 @@
 		return bad(`${headerNames.priority} must be a whole number from 0 to ${lowestPriority}`);
 	}
 
-	const deadlineMs = wholeNumber(headerOf(req, headerNames.deadline), preset.timeouts.requestMs, 1, preset.timeouts.requestMs);
-	if (deadlineMs === undefined) {
-		return bad(`${headerNames.deadline} must be a whole number from 1 to ${preset.timeouts.requestMs}`);
+	const patienceMs = wholeNumber(headerOf(req, headerNames.deadline), preset.timeouts.requestMs, 1, maxDeadlineMs);
+	if (patienceMs === undefined) {
+		return bad(`${headerNames.deadline} must be a whole number from 1 to ${maxDeadlineMs}`);
 	}
 
 	const key = headerOf(req, preset.idempotency.keyHeader);
@@ -102,7 +103,7 @@
 	return {
 		kind: 'call',
 		call: {
-			requestId, organisation, priority, deadlineMs, method, path, body: body.bytes, headers: passedHeaders(req, requestId), key, ...shape,
+			requestId, organisation, priority, deadlineMs: Math.min(patienceMs, preset.timeouts.requestMs), method, path, body: body.bytes, headers: passedHeaders(req, requestId), key, ...shape,
 		},
 	};
 }
--- a/packages/caller/src/problem.ts
+++ b/packages/caller/src/problem.ts
@@ -14,6 +14,8 @@
 
 const lossStatus: Readonly<Partial<Record<LossReason, number>>> = {
 	timeout: 504,
+	notOwner: 503,
+	notAsked: 503,
 };
 
 /** What a caller gets in place of an answer, as `application/problem+json`. */
--- a/packages/cli/src/entry-wiring.ts
+++ b/packages/cli/src/entry-wiring.ts
@@ -4,7 +4,7 @@
 import {
 	createFollower, followStore, revisionMessage,
 } from '@papayaflow/config';
-import {createFront, createLinks} from '@papayaflow/entry';
+import {createFront, createLinks, createOwners} from '@papayaflow/entry';
 import {connectInstances, followInstances, type Instance} from '@papayaflow/instances';
 import {lossReasons, refusalReasons} from '@papayaflow/outcome';
 import {createRetryBudget, isReader} from '@papayaflow/policy';
@@ -72,7 +72,7 @@
 	});
 
 	const front = createFront({
-		follower, log, links, metrics, zone, random, monotonicMs, budget: createRetryBudget(),
+		follower, log, links, metrics, zone, random, monotonicMs, budget: createRetryBudget(), owners: createOwners(),
 		async sleep(ms) {
 			await sleep(ms);
 		},
--- a/packages/cli/src/sidecar-wiring.ts
+++ b/packages/cli/src/sidecar-wiring.ts
@@ -27,6 +27,8 @@
 const drainPollMs = 20;
 const handoffMs = 2000;
 const defaultLeaseMs = 9000;
+const longestLeasePauseMs = 3000;
+const configPauseMs = 100;
 const defaultConcurrency = 32;
 const defaultOrderMs = 5000;
 const highestRanks = 4096;
@@ -94,8 +96,9 @@
 		queueLimit: () => preset()?.services[service]?.queueLimit ?? 0,
 		monotonicMs,
 	});
+	const leaseMs = (): number => preset()?.idempotency.leaseMs ?? defaultLeaseMs;
 	const lease = createLease({
-		store, holder: instance, incarnation, monotonicMs, ttlMs: () => preset()?.idempotency.leaseMs ?? defaultLeaseMs,
+		store, holder: instance, incarnation, monotonicMs, ttlMs: leaseMs,
 	});
 	const shards = new Map<number, Claims>();
 	const claimsOf = (shard: number): Claims => {
@@ -154,7 +157,7 @@
 				await lease.tick();
 			}
 
-			await sleep((preset()?.idempotency.leaseMs ?? defaultLeaseMs) / 3);
+			await pause(Math.min(longestLeasePauseMs, preset() ? leaseMs() / 3 : configPauseMs));
 		}
 	};
 
--- a/packages/entry/src/forward.ts
+++ b/packages/entry/src/forward.ts
@@ -2,18 +2,18 @@
 import {type Preset} from '@papayaflow/config';
 import {type Outcome, type RefusalReason} from '@papayaflow/outcome';
 import {type PeerRequest} from '@papayaflow/peer';
-import {
-	backoffMs, hashText, pickTarget, rendezvousOrder, withoutEjected, type RetryBudget,
-} from '@papayaflow/policy';
+import {backoffMs, type RetryBudget} from '@papayaflow/policy';
 import {type Metrics} from '@papayaflow/telemetry';
+import {chooseOwner, chooseTarget, type Owners} from './choose.js';
 import {type AttemptResult, type Link} from './link.js';
 import {type Links} from './links.js';
 
 const noTargetRetryMs = 1000;
-const maxOwnerHops = 3;
+const maxOwnerHops = 4;
 
 export type ForwardDeps = {
 	readonly links: Links;
+	readonly owners: Owners;
 	readonly budget: RetryBudget;
 	readonly metrics: Metrics;
 	readonly zone: string;
@@ -32,11 +32,16 @@
 	readonly preset: Preset;
 };
 
-type Choice = {readonly call: Call; readonly preset: Preset; readonly tried: ReadonlySet<string>; readonly owner: string | undefined};
-
 /** How a call ended, with what the log tells of it. */
 export type Forwarded = {readonly outcome: Outcome; readonly attempts: number; readonly target: string | undefined};
 
+type Failed = Exclude<AttemptResult, {kind: 'answered'}>;
+
+/** Whether a call has its claim recorded before it runs. */
+export function isKeyed(call: Call): boolean {
+	return call.key !== undefined && !call.idempotent;
+}
+
 /**
 Brings a call to a target and its answer back. A refusal is a proof that the
 attempt did not run, so another target may be asked; after a loss only idempotent
@@ -45,22 +50,20 @@
 @example
 const {outcome} = await forward({call, answer, signal, preset}, deps);
 */
-export async function forward({call, answer, signal, preset}: Arrival, deps: ForwardDeps): Promise<Forwarded> {
+export async function forward(arrival: Arrival, deps: ForwardDeps): Promise<Forwarded> {
+	const {call, answer, signal, preset} = arrival;
 	const {metrics, budget} = deps;
 	const startedMs = deps.monotonicMs();
 	const tried = new Set<string>();
 	let hasLoss = false;
-	let owner: string | undefined;
 	let hops = 0;
 	let attempts = 0;
-	let last: AttemptResult = {kind: 'refused', reason: 'noTarget', retryAfterMs: noTargetRetryMs};
 	let target: string | undefined;
+	let last: Failed = {kind: 'refused', reason: 'noTarget', retryAfterMs: noTargetRetryMs};
 	budget.onRequest(preset.retries.budgetRatio);
 
 	while (attempts < preset.retries.maxAttempts) {
-		const link = chooseLink({
-			call, tried, owner, preset,
-		}, deps);
+		const link = chooseLink(arrival, tried, deps);
 		if (!link) {
 			break;
 		}
@@ -69,110 +72,110 @@
 		tried.add(target);
 		attempts++;
 		const remainingMs = call.deadlineMs - (deps.monotonicMs() - startedMs);
-		last = await link.attempt(peerRequest(call, remainingMs), answer, signal);
-		if (last.kind === 'answered') {
-			return {outcome: last, attempts, target};
+		const result = await link.attempt(peerRequest(call, remainingMs), answer, signal);
+		learnOwner(arrival, link, result, deps);
+		if (result.kind === 'answered') {
+			return {outcome: result, attempts, target};
 		}
 
-		hasLoss ||= last.kind === 'lost';
-		if (last.kind === 'refused' && last.owner !== undefined && hops < maxOwnerHops) {
-			owner = last.owner;
+		last = result;
+		hasLoss ||= mayHaveRun(call, result);
+		if (isSentOn(result) && hops < maxOwnerHops) {
 			hops++;
 			attempts--;
-			tried.delete(owner);
+			tried.delete(result.owner ?? '');
 			metrics.count('retries', {reason: 'wrongOwner'});
 			continue;
 		}
 
-		owner = undefined;
-		if (!mayRetry(call, last, answer, signal) || attempts >= preset.retries.maxAttempts) {
+		if (!mayRetry(arrival, result) || attempts >= preset.retries.maxAttempts) {
 			break;
 		}
 
 		if (!budget.tryTake()) {
-			metrics.count('retries_denied', {reason: last.reason});
+			metrics.count('retries_denied', {reason: result.reason});
 			break;
 		}
 
-		metrics.count('retries', {reason: last.reason});
+		metrics.count('retries', {reason: result.reason});
 		await deps.sleep(backoffMs(attempts, {baseMs: preset.retries.baseBackoffMs, maxMs: preset.retries.maxBackoffMs, random: deps.random}));
 	}
 
-	return {outcome: finalOutcome(last, hasLoss), attempts, target};
+	return {outcome: finalOutcome(call, last, hasLoss), attempts, target};
+}
+
+function chooseLink({call, preset}: Arrival, tried: ReadonlySet<string>, deps: ForwardDeps): Link | undefined {
+	return isKeyed(call)
+		? chooseOwner(call, {tried, shards: preset.idempotency.shards}, deps)
+		: chooseTarget(call, {tried, preset}, deps);
+}
+
+function learnOwner({call, preset}: Arrival, link: Link, result: AttemptResult, {owners}: ForwardDeps): void {
+	if (!isKeyed(call)) {
+		return;
+	}
+
+	const isOwner = result.kind === 'answered' || (result.kind === 'refused' && result.reason !== 'wrongOwner' && result.reason !== 'connectionLost');
+	owners.learn(call, preset.idempotency.shards, isOwner ? link.sidecar.id : (result.kind === 'refused' ? result.owner : undefined));
+}
+
+function isSentOn(result: Failed): result is Extract<Failed, {kind: 'refused'}> {
+	return result.kind === 'refused' && result.reason === 'wrongOwner' && result.owner !== undefined;
+}
+
+// What a sidecar that does not own the key's shard could not say, it did not run either.
+function mayHaveRun(call: Call, result: Failed): boolean {
+	return result.kind === 'lost' && !(isKeyed(call) && (result.reason === 'notOwner' || result.reason === 'notAsked'));
 }
 
 // Silence is never "not run": after one attempt that may have run, a later refusal proves nothing of the request.
-function finalOutcome(last: Exclude<AttemptResult, {kind: 'answered'}>, hasLoss: boolean): Outcome {
-	const {retryAfterMs, detail} = last;
+function finalOutcome(call: Call, last: Failed, hasLoss: boolean): Outcome {
+	const {reason, retryAfterMs, detail} = last;
 	if (last.kind === 'lost') {
 		return {
 			kind: 'unknown', reason: last.reason, retryAfterMs, detail,
 		};
 	}
 
-	return hasLoss
-		? {
-			kind: 'unknown', reason: 'connectionLost', retryAfterMs, detail: `then refused: ${last.reason}`,
-		}
-		: {
-			kind: 'notRun', reason: last.reason, retryAfterMs, detail,
+	if (hasLoss) {
+		return {
+			kind: 'unknown', reason: 'connectionLost', retryAfterMs, detail: `then refused: ${reason}`,
 		};
-}
-
-const refusalsWorthAnotherTarget: ReadonlySet<RefusalReason> = new Set<RefusalReason>(['queueFull', 'targetLeaving', 'targetUnreachable', 'deadlineTooShort', 'wrongOwner', 'connectionLost']);
-
-function mayRetry(call: Call, result: Exclude<AttemptResult, {kind: 'answered'}>, answer: Answer, signal: AbortSignal): boolean {
-	if (signal.aborted || answer.begun) {
-		return false;
 	}
 
-	if (result.kind === 'refused') {
-		const isKeyed = call.key !== undefined && !call.idempotent;
-		return isKeyed ? result.reason === 'targetUnreachable' || result.reason === 'targetLeaving' : refusalsWorthAnotherTarget.has(result.reason);
+	// The owner of a key may say that it has not run; nobody else may, whatever became of this attempt.
+	if (isKeyed(call) && !ownersWord.has(last.reason)) {
+		return {
+			kind: 'unknown', reason: 'notOwner', retryAfterMs, detail: `the owner of the key could not be asked: ${reason}`,
+		};
 	}
 
-	// With a key the log at the owner tells a second arrival from the first, so asking again is safe.
-	const isSettledByLog = call.key !== undefined && result.reason === 'connectionLost';
-	return call.idempotent ? result.reason === 'connectionLost' || result.reason === 'targetLost' : isSettledByLog;
+	return {
+		kind: 'notRun', reason: last.reason, retryAfterMs, detail,
+	};
 }
 
-function chooseLink(choice: Choice, deps: ForwardDeps): Link | undefined {
-	const {call, preset, tried} = choice;
-	if (!call.idempotent && call.key !== undefined) {
-		return chooseOwner(call.key, choice, deps);
-	}
+const ownersWord: ReadonlySet<RefusalReason> = new Set<RefusalReason>([
+	'queueFull', 'deadlineTooShort', 'deadlinePassed', 'targetLeaving', 'targetUnreachable', 'storeUnavailable', 'withdrawn', 'keyReused',
+]);
 
-	const nowMs = deps.monotonicMs();
-	const usable = deps.links.of(call.service).filter(link => link.usable && !tried.has(link.sidecar.id));
-	const links = withoutEjected(usable, link => link.health, nowMs, preset.routing);
-	const byId = new Map(links.map(link => [link.sidecar.id, link]));
-	const candidates = links.map(link => ({
-		id: link.sidecar.id, zone: link.sidecar.zone, ownTokens: link.ownTokens, report: link.report, sinceMs: link.sinceMs,
-	}));
-	const picked = pickTarget(candidates, {
-		...preset.routing, nowMs, random: deps.random, zone: deps.zone, affinityKey: call.affinityKey,
-	});
-	return picked && byId.get(picked.id);
-}
+const worthAnotherTarget: ReadonlySet<RefusalReason> = new Set<RefusalReason>(['queueFull', 'targetLeaving', 'targetUnreachable', 'deadlineTooShort', 'connectionLost']);
 
-// Keyed work goes to the owner of its shard; who is asked first is the same at every entry, so that owners settle.
-function chooseOwner(key: string, {call, owner, tried, preset}: Choice, deps: ForwardDeps): Link | undefined {
-	if (owner !== undefined) {
-		const link = deps.links.to(owner);
-		if (link?.connected) {
-			return link;
-		}
+const worthAnotherOwner: ReadonlySet<string> = new Set<string>(['targetLeaving', 'wrongOwner', 'connectionLost', 'notOwner', 'notAsked']);
+
+function mayRetry({call, answer, signal}: Arrival, result: Failed): boolean {
+	if (signal.aborted || answer.begun) {
+		return false;
 	}
 
-	const shard = shardOf(call.organisation, key, preset.idempotency.shards);
-	const order = rendezvousOrder(`${call.service}/${shard}`, deps.links.sidecarsOf(call.service));
-	const links = order.map(id => deps.links.to(id)).filter(link => link?.usable);
-	return links.find(link => !tried.has(link!.sidecar.id)) ?? links.at(0);
-}
+	// With a key the log at the owner tells a second arrival from the first, so asking again is safe.
+	if (isKeyed(call)) {
+		return worthAnotherOwner.has(result.reason);
+	}
 
-/** The shard of the idempotency log that holds a key. */
-export function shardOf(organisation: string, key: string, shards: number): number {
-	return hashText(`${organisation}/${key}`) % shards;
+	return result.kind === 'refused'
+		? worthAnotherTarget.has(result.reason)
+		: call.idempotent && (result.reason === 'connectionLost' || result.reason === 'targetLost');
 }
 
 function peerRequest(call: Call, remainingMs: number): PeerRequest {
@@ -180,6 +183,6 @@
 	return {
 		service, method, path, headers, body, organisation, priority, requestId, idempotent, tokens,
 		deadlineMs: Math.max(0, remainingMs),
-		...(!idempotent && call.key !== undefined && {key: call.key}),
+		...(isKeyed(call) && {key: call.key}),
 	};
 }
--- a/packages/entry/src/front.ts
+++ b/packages/entry/src/front.ts
@@ -8,12 +8,14 @@
 import {type LossReason, type Outcome} from '@papayaflow/outcome';
 import {takeQuota, type Bucket} from '@papayaflow/policy';
 import {type Log} from '@papayaflow/telemetry';
-import {forward, type ForwardDeps} from './forward.js';
+import {forward, isKeyed, type ForwardDeps} from './forward.js';
 
 const noConfigRetryMs = 1000;
 const headersTimeoutMs = 10_000;
 const maxHeaderBytes = 65_536;
 
+type Refusal = Extract<Outcome, {kind: 'notRun'}>;
+
 export type FrontDeps = ForwardDeps & {readonly follower: Follower; readonly log: Log};
 
 /** The HTTP front of an entry. */
@@ -59,7 +61,7 @@
 		const {call} = read;
 		const answer = openAnswer(res, call.requestId);
 		const refusal = refuse(call, preset);
-		const ended = refusal ? {outcome: refusal, attempts: 0, target: undefined} : await run(call, answer, preset, res);
+		const ended = refusal ? {outcome: refusedHere(call, refusal), attempts: 0, target: undefined} : await run(call, answer, preset, res);
 		finish(answer, ended.outcome, res);
 		countOutcome(ended.outcome, deps.monotonicMs() - startedMs);
 		log.info({
@@ -104,7 +106,7 @@
 		return ended;
 	};
 
-	const refuse = (call: Call, preset: Preset): Outcome | undefined => {
+	const refuse = (call: Call, preset: Preset): Refusal | undefined => {
 		const isStale = preset.whenStale === 'refuse' && deps.monotonicMs() - follower.confirmedAtMs() > preset.staleAfterMs;
 		if (isStale) {
 			return {
@@ -150,6 +152,15 @@
 	};
 }
 
+// "Not run" speaks of the key, and only the owner of the key's shard can say it.
+function refusedHere(call: Call, refusal: Refusal): Outcome {
+	return isKeyed(call)
+		? {
+			kind: 'unknown', reason: 'notAsked', retryAfterMs: refusal.retryAfterMs, detail: `refused without asking the owner of the key: ${refusal.reason}`,
+		}
+		: refusal;
+}
+
 function finish(answer: Answer, outcome: Outcome, res: ServerResponse): void {
 	if (outcome.kind === 'answered') {
 		answer.end();
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,5 +1,6 @@
+export {createOwners, shardOf, type Owners} from './choose.js';
 export {
-	forward, shardOf, type Arrival, type Forwarded, type ForwardDeps,
+	forward, isKeyed, type Arrival, type Forwarded, type ForwardDeps,
 } from './forward.js';
 export {createFront, type Front, type FrontDeps} from './front.js';
 export {
--- a/packages/entry/src/link.ts
+++ b/packages/entry/src/link.ts
@@ -246,7 +246,7 @@
 		async attempt(request, sink, signal) {
 			const open = connection;
 			if (!open || peerIncarnation === undefined) {
-				return {kind: 'refused', reason: 'targetUnreachable', retryAfterMs: unknownRetryMs};
+				return {kind: 'refused', reason: 'connectionLost', retryAfterMs: unknownRetryMs};
 			}
 
 			const number = ++lastAttempt;
@@ -291,7 +291,7 @@
 
 function nextHealth(health: Health, result: AttemptResult, deps: LinkDeps): Health {
 	const isFault = (result.kind === 'lost' && result.reason !== 'callerGone')
-		|| (result.kind === 'refused' && result.reason === 'targetUnreachable');
+		|| (result.kind === 'refused' && (result.reason === 'targetUnreachable' || result.reason === 'connectionLost'));
 	if (isFault) {
 		return afterFailure(health, deps.monotonicMs(), deps.ejection());
 	}
--- a/packages/idempotency/src/claim.ts
+++ b/packages/idempotency/src/claim.ts
@@ -25,7 +25,8 @@
 		| {readonly kind: 'reused'}
 	/** It may have run under an earlier owner, and it is never run again. */
 		| {readonly kind: 'claimedEarlier'}
-		| {readonly kind: 'elsewhere'; readonly holder: string}
+		/** Another process owns the shard; without a holder it is not known which. */
+	| {readonly kind: 'elsewhere'; readonly holder: string | undefined}
 	/** It is proved that no call with this key has run. */
 		| {readonly kind: 'notRun'}
 	/** Nothing can be said of the key here and now. */
@@ -54,23 +55,27 @@
 */
 export function createClaims(options: ShardOptions & {readonly nowMs: () => number; readonly maxRecordedBytes: () => number}): Claims {
 	let owned: OwnedShard | undefined;
+	let lastHolder: string | undefined;
 	let acquiring: Promise<ClaimResult | undefined> | undefined;
 
 	const acquire = async (): Promise<ClaimResult | undefined> => {
 		const result = await acquireShard(options);
 		switch (result.kind) {
 			case 'owned': {
+				lastHolder = undefined;
 				carryOver(owned, result.shard);
 				owned = result.shard;
 				return undefined;
 			}
 
 			case 'elsewhere': {
+				lastHolder = result.holder;
 				return result;
 			}
 
 			case 'unavailable': {
-				return {kind: 'unknown'};
+				// While the store can't say, the last holder it named is still the best one to ask.
+				return lastHolder === undefined ? {kind: 'unknown'} : {kind: 'elsewhere', holder: lastHolder};
 			}
 		}
 	};
@@ -80,6 +85,11 @@
 			return undefined;
 		}
 
+		// A process that has given its lease up takes no shard again; whoever asks should ask another.
+		if (options.lease.isReleased()) {
+			return {kind: 'elsewhere', holder: undefined};
+		}
+
 		acquiring ??= acquire().finally(() => {
 			acquiring = undefined;
 		});
--- a/packages/idempotency/src/lease.ts
+++ b/packages/idempotency/src/lease.ts
@@ -5,6 +5,8 @@
 export type Lease = {
 	/** Whether the lease stands by this process's own monotonic clock. */
 	isValid(): boolean;
+	/** Whether the lease was given up for good. */
+	isReleased(): boolean;
 	/** Counts the leases this process has had; work begun under an earlier one is not trusted. */
 	generation(): number;
 	/** Renews the lease, or takes a new one when there is none. */
@@ -35,6 +37,7 @@
 	let validUntilMs = 0;
 	let generation = 0;
 	let revision = 0;
+	let grantedMs = 0;
 	let isReleased = false;
 	let ticking: Promise<void> | undefined;
 
@@ -61,6 +64,7 @@
 		id = granted.lease;
 		revision = written.revision;
 		generation++;
+		grantedMs = ttl;
 		validUntilMs = askedAtMs + ttl;
 	};
 
@@ -72,10 +76,10 @@
 		}
 
 		const askedAtMs = monotonicMs();
-		const ttl = ttlMs();
 		const renewed = await store.renewLease(id);
 		if (renewed.kind === 'renewed') {
-			validUntilMs = Math.max(validUntilMs, askedAtMs + ttl);
+			// A lease keeps the time it was granted with, whatever the preset says by now.
+			validUntilMs = Math.max(validUntilMs, askedAtMs + grantedMs);
 		} else if (renewed.kind === 'expired') {
 			id = undefined;
 		}
@@ -83,6 +87,7 @@
 
 	return {
 		isValid: () => id !== undefined && monotonicMs() < validUntilMs,
+		isReleased: () => isReleased,
 		generation: () => generation,
 		async tick() {
 			// One at a time: two that take the lease together would leave its key bound to the one not renewed.
--- a/packages/idempotency/test/claim.test.ts
+++ b/packages/idempotency/test/claim.test.ts
@@ -1,5 +1,7 @@
 import {expect} from 'chai';
 import {describe, it} from 'mocha';
+import {createLease} from '@papayaflow/idempotency';
+import {memoryStore} from '@papayaflow/standins';
 import {answer, owner, platform} from './helper.js';
 
 const leaseMs = 9000;
@@ -116,6 +118,20 @@
 		expect((await claims.claim('pay-1', 'f')).kind).to.equal('unknown');
 	});
 
+	it('believes in a renewed lease no longer than the store keeps it', async () => {
+		const {kv, clock} = platform();
+		let ttlMs = 1000;
+		const lease = createLease({
+			store: memoryStore(kv), holder: 'a', incarnation: '1', ttlMs: () => ttlMs, monotonicMs: () => clock.nowMs,
+		});
+		await lease.tick();
+		ttlMs = leaseMs;
+		clock.nowMs += 500;
+		await lease.tick();
+		clock.nowMs += 1001;
+		expect(lease.isValid()).to.equal(false);
+	});
+
 	it('goes on after an outage, and what it had refused may run once', async () => {
 		const {kv, clock} = platform();
 		const {claims} = await owner(kv, clock, 'a');
--- a/packages/outcome/src/outcome.ts
+++ b/packages/outcome/src/outcome.ts
@@ -36,6 +36,7 @@
 	'ownershipLost',
 	'claimedEarlier',
 	'notOwner',
+	'notAsked',
 	'callerGone',
 ] as const;
 
--- a/packages/sidecar/src/rebalancer.ts
+++ b/packages/sidecar/src/rebalancer.ts
@@ -97,8 +97,7 @@
 
 // A report that shows no steps since the last one is old, and nothing is decided on it.
 function watch(before: Watched | undefined, report: ExpertReport, atMs: number): Watched | undefined {
-	const isFirst = before === undefined || before.report.counts.length !== report.counts.length || report.step < before.report.step;
-	if (isFirst) {
+	if (before?.report.counts.length !== report.counts.length || report.step < before.report.step) {
 		return {popularity: evenPopularity(report.counts.length), report, atMs};
 	}
 
--- a/packages/sidecar/src/serve.ts
+++ b/packages/sidecar/src/serve.ts
@@ -54,6 +54,12 @@
 	const deadlineMs = deps.monotonicMs() + request.deadlineMs - ageMs;
 	const preset = deps.preset();
 	if (!preset || (preset.whenStale === 'refuse' && deps.isStale(preset))) {
+		// Of a key that was not looked at nothing is known here.
+		if (request.key !== undefined) {
+			lose(arrived, 'notAsked', deps, 'it is not known here whether this preset is in force');
+			return;
+		}
+
 		refuse(arrived, {reason: 'configurationStale', retryAfterMs: refusedRetryMs}, deps);
 		return;
 	}
@@ -187,7 +193,7 @@
 		}
 
 		case 'elsewhere': {
-			refuse(arrived, {reason: 'wrongOwner', retryAfterMs: refusedRetryMs, owner: known.holder}, deps);
+			refuse(arrived, {reason: 'wrongOwner', retryAfterMs: refusedRetryMs, ...(known.holder !== undefined && {owner: known.holder})}, deps);
 			return;
 		}
 
--- a/spec/expert-map.pml
+++ b/spec/expert-map.pml
@@ -7,7 +7,7 @@
 and then knows only the epoch in the key-value service. Engines ignore fencing
 numbers here, so the gate alone refuses old epochs.
 
-Checked for N=2 VERSIONS=2 and for N=3 VERSIONS=1.
+Checked for N=2 VERSIONS=2 and for N=3 VERSIONS=2.
 Each guard can be taken out with -DNO_name; the check must then fail.
 */
 #ifndef N
