--- a/packages/cli/src/entry-wiring.ts
+++ b/packages/cli/src/entry-wiring.ts
@@ -48,7 +48,7 @@
 
 	metrics.declare('refusals', 'reason', refusalReasons);
 	metrics.declare('losses', 'reason', lossReasons);
-	metrics.declare('retries', 'reason', [...refusalReasons, ...lossReasons]);
+	metrics.declare('retries', 'reason', ['ownerGone', ...refusalReasons, ...lossReasons]);
 	metrics.declare('retries_denied', 'reason', [...refusalReasons, ...lossReasons]);
 	metrics.declare('late_answers', 'kind', ['head', 'data', 'end', 'refused', 'lost']);
 	metrics.declare('frame_faults', 'reason', ['oversized', 'malformed', 'unknownKind', 'wrongVersion', 'unexpected']);
--- a/packages/cli/src/papayaflow.ts
+++ b/packages/cli/src/papayaflow.ts
@@ -44,7 +44,7 @@
 	async run({args}) {
 		const head = await headOrFail(openStore(args));
 		const rows = Object.entries(head.presets).map(([name, body]) => ({name, body, inForce: name === head.inForce}));
-		printTable(rows, args.json, `revision ${head.revision}`);
+		printTable(rows, args.json, `revision ${head.revision}`, {revision: head.revision, inForce: head.inForce});
 	},
 });
 
@@ -105,8 +105,7 @@
 	},
 	async run({args}) {
 		const store = openStore(args);
-		const head = await headOrFail(store);
-		const seen = args.seen === undefined ? head.revision : Number(args.seen);
+		const seen = args.seen === undefined ? await presentRevision(store) : Number(args.seen);
 		const startedMs = Date.now();
 		const result = await usePreset(store, args.name, seen, authorOf(args));
 		if (result.kind !== 'accepted') {
@@ -272,6 +271,11 @@
 	return result.kind === 'read' ? result.head : fail(exitCodes.unavailable, `the key-value service can't be reached: ${result.detail}`);
 }
 
+async function presentRevision(store: Store): Promise<number> {
+	const head = await headOrFail(store);
+	return head.revision;
+}
+
 async function presetOrFail(store: Store, name: string): Promise<{preset: Preset; body: string; head: Head}> {
 	const result = await fetchPreset(store, name);
 	switch (result.kind) {
--- a/packages/demo/test/orders.test.ts
+++ b/packages/demo/test/orders.test.ts
@@ -1,10 +1,12 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
-import {after, before, describe, it} from 'mocha';
-import {ask, orderOnce, waitUntil} from '@papayaflow/demo';
+import {
+	after, before, describe, it,
+} from 'mocha';
 import {
 	answeredNotRun, falselyRefused, orderThrough, repeated, startSmallFleet, untilServing, type Ordered, type SmallFleet,
 } from './helper.js';
+import {ask, orderOnce, waitUntil} from '@papayaflow/demo';
 
 const leaseMs = 1000;
 
--- a/packages/entry/src/forward.ts
+++ b/packages/entry/src/forward.ts
@@ -10,6 +10,8 @@
 
 const noTargetRetryMs = 1000;
 const maxOwnerHops = 4;
+const ownerPauseMs = 200;
+const ownerMarginMs = 1000;
 
 export type ForwardDeps = {
 	readonly links: Links;
@@ -80,11 +82,13 @@
 
 		last = result;
 		hasLoss ||= mayHaveRun(call, result);
-		if (isSentOn(result) && hops < maxOwnerHops) {
-			hops++;
+		const next = isSentOn(result) ? sentOn(result, {hops, waitedMs: deps.monotonicMs() - startedMs}, arrival, deps) : 'giveUp';
+		if (next !== 'giveUp') {
+			hops += next === 'ask' ? 1 : 0;
 			attempts--;
-			tried.delete(result.owner ?? '');
-			metrics.count('retries', {reason: 'wrongOwner'});
+			tried.clear();
+			metrics.count('retries', {reason: next === 'ask' ? 'wrongOwner' : 'ownerGone'});
+			await deps.sleep(next === 'ask' ? 0 : ownerPauseMs * (0.5 + deps.random()));
 			continue;
 		}
 
@@ -123,6 +127,17 @@
 	return result.kind === 'refused' && result.reason === 'wrongOwner' && result.owner !== undefined;
 }
 
+type SentOn = {readonly hops: number; readonly waitedMs: number};
+
+// An owner that the store still names but that is gone is waited for: its lease ends, and the next one can say what became of the key.
+function sentOn({owner = '', standing}: Extract<Failed, {kind: 'refused'}>, {hops, waitedMs}: SentOn, {preset, signal}: Arrival, {links}: ForwardDeps): 'ask' | 'wait' | 'giveUp' {
+	if (links.to(owner)?.connected) {
+		return hops < maxOwnerHops ? 'ask' : 'giveUp';
+	}
+
+	return standing && !signal.aborted && waitedMs < preset.idempotency.leaseMs + ownerMarginMs ? 'wait' : 'giveUp';
+}
+
 // What a sidecar that does not own the key's shard could not say, it did not run either.
 function mayHaveRun(call: Call, result: Failed): boolean {
 	return result.kind === 'lost' && !(isKeyed(call) && (result.reason === 'notOwner' || result.reason === 'notAsked'));
--- a/packages/entry/src/link.ts
+++ b/packages/entry/src/link.ts
@@ -35,7 +35,7 @@
 */
 export type AttemptResult
 	= | {readonly kind: 'answered'}
-		| {readonly kind: 'refused'; readonly reason: RefusalReason; readonly retryAfterMs: number; readonly detail?: string; readonly owner?: string}
+		| {readonly kind: 'refused'; readonly reason: RefusalReason; readonly retryAfterMs: number; readonly detail?: string; readonly owner?: string; readonly standing?: boolean}
 		| {readonly kind: 'lost'; readonly reason: LossReason; readonly retryAfterMs: number; readonly detail?: string};
 
 /** One entry's connection to one sidecar. */
@@ -50,6 +50,8 @@
 	readonly health: Health;
 	/** Makes one attempt. When `signal` fires the attempt is cancelled and ends at once as `lost`. */
 	attempt(request: PeerRequest, sink: AttemptSink, signal: AbortSignal): Promise<AttemptResult>;
+	/** Takes no new work, and closes when what runs over it has ended. */
+	retire(): void;
 	/** Sends a frame that belongs to no attempt. */
 	send(frame: Frame): void;
 	close(): void;
@@ -90,6 +92,7 @@
 	let connection: Connection | undefined;
 	let peerIncarnation: string | undefined;
 	let isLeaving = false;
+	let isRetired = false;
 	let isClosed = false;
 	let lastAttempt = 0;
 	let ownTokens = 0;
@@ -223,13 +226,20 @@
 		}
 	};
 
+	const closeIfDone = (): void => {
+		if (isRetired && attempts.size === 0) {
+			isClosed = true;
+			connection?.close();
+		}
+	};
+
 	void run();
 
 	return {
 		sidecar,
 		sinceMs,
 		get usable() {
-			return connection !== undefined && peerIncarnation !== undefined && !isLeaving && !isClosed;
+			return connection !== undefined && peerIncarnation !== undefined && !isLeaving && !isRetired && !isClosed;
 		},
 		get connected() {
 			return connection !== undefined && peerIncarnation !== undefined;
@@ -275,10 +285,15 @@
 				});
 			});
 			attempts.delete(number);
+			closeIfDone();
 			ownTokens -= request.tokens;
 			health = nextHealth(health, result, deps);
 			return result;
 		},
+		retire() {
+			isRetired = true;
+			closeIfDone();
+		},
 		send(frame) {
 			connection?.send(frame);
 		},
--- a/packages/entry/src/links.ts
+++ b/packages/entry/src/links.ts
@@ -5,7 +5,7 @@
 
 /** The links of one entry: for each service a subset of its sidecars. */
 export type Links = {
-	/** Takes a new instance list: opens what is missing, closes what is gone. */
+	/** Takes a new instance list: opens what is missing, retires what is gone. */
 	update(instances: readonly Instance[], subsetSize: number): void;
 	of(service: string): readonly Link[];
 	/** Finds the link to one sidecar, opening it when the list names it outside the subset. */
@@ -49,7 +49,8 @@
 			for (const [id, link] of links) {
 				const instance = sidecars.get(id);
 				if (!instance || hasMoved(link, instance)) {
-					link.close();
+					// What the list says is a hint: work in flight goes on to its end.
+					link.retire();
 					links.delete(id);
 				}
 			}
--- a/packages/idempotency/src/claim.ts
+++ b/packages/idempotency/src/claim.ts
@@ -25,8 +25,11 @@
 		| {readonly kind: 'reused'}
 	/** It may have run under an earlier owner, and it is never run again. */
 		| {readonly kind: 'claimedEarlier'}
-		/** Another process owns the shard; without a holder it is not known which. */
-	| {readonly kind: 'elsewhere'; readonly holder: string | undefined}
+		/**
+	Another process owns the shard; without a holder it is not known which. It is
+	`standing` when the store has just said that its lease stands.
+	*/
+		| {readonly kind: 'elsewhere'; readonly holder: string | undefined; readonly standing: boolean}
 	/** It is proved that no call with this key has run. */
 		| {readonly kind: 'notRun'}
 	/** Nothing can be said of the key here and now. */
@@ -70,12 +73,12 @@
 
 			case 'elsewhere': {
 				lastHolder = result.holder;
-				return result;
+				return {...result, standing: true};
 			}
 
 			case 'unavailable': {
 				// While the store can't say, the last holder it named is still the best one to ask.
-				return lastHolder === undefined ? {kind: 'unknown'} : {kind: 'elsewhere', holder: lastHolder};
+				return lastHolder === undefined ? {kind: 'unknown'} : {kind: 'elsewhere', holder: lastHolder, standing: false};
 			}
 		}
 	};
@@ -87,7 +90,7 @@
 
 		// A process that has given its lease up takes no shard again; whoever asks should ask another.
 		if (options.lease.isReleased()) {
-			return {kind: 'elsewhere', holder: undefined};
+			return {kind: 'elsewhere', holder: undefined, standing: false};
 		}
 
 		acquiring ??= acquire().finally(() => {
--- a/packages/idempotency/test/adversary.test.ts
+++ b/packages/idempotency/test/adversary.test.ts
@@ -1,9 +1,9 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {describe, it} from 'mocha';
-import {type Claims, type Lease} from '@papayaflow/idempotency';
 import {seededRandom} from '@papayaflow/standins';
 import {answer, owner, platform} from './helper.js';
+import {type Claims, type Lease} from '@papayaflow/idempotency';
 
 const owners = 3;
 const keys = ['pay-1', 'pay-2'];
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -69,6 +69,8 @@
 	| {
 		readonly kind: 'refused'; readonly attempt: number; readonly reason: RefusalReason; readonly retryAfterMs: number;
 		readonly detail?: string; readonly owner?: string;
+		/** Whether the key-value service has just named this owner. */
+		readonly standing?: boolean;
 	}
 	| {readonly kind: 'lost'; readonly attempt: number; readonly reason: LossReason; readonly retryAfterMs: number; readonly detail?: string}
 	| {readonly kind: 'load'; readonly load: LoadReport}
--- a/packages/sidecar/src/serve.ts
+++ b/packages/sidecar/src/serve.ts
@@ -40,7 +40,7 @@
 
 type Keyed = {readonly id: string; readonly print: string; readonly claims: Claims; readonly deadlineMs: number};
 
-type Refusal = {readonly reason: RefusalReason; readonly retryAfterMs: number; readonly detail?: string; readonly owner?: string};
+type Refusal = {readonly reason: RefusalReason; readonly retryAfterMs: number; readonly detail?: string; readonly owner?: string; readonly standing?: boolean};
 
 /**
 Serves one attempt from its arrival to its last frame. Whatever happens, exactly
@@ -193,7 +193,9 @@
 		}
 
 		case 'elsewhere': {
-			refuse(arrived, {reason: 'wrongOwner', retryAfterMs: refusedRetryMs, ...(known.holder !== undefined && {owner: known.holder})}, deps);
+			refuse(arrived, {
+				reason: 'wrongOwner', retryAfterMs: refusedRetryMs, owner: known.holder, standing: known.standing,
+			}, deps);
 			return;
 		}
 
@@ -258,7 +260,7 @@
 	send({
 		kind: 'refused', attempt, reason: refusal.reason, retryAfterMs: refusal.retryAfterMs,
 		...(refusal.detail !== undefined && {detail: refusal.detail}),
-		...(refusal.owner !== undefined && {owner: refusal.owner}),
+		...(refusal.owner !== undefined && {owner: refusal.owner, standing: refusal.standing ?? false}),
 	});
 }
 
