Tell entries when work begins to wait, and avoid full caches while few are full

Change: a replica tells those that used it in the last 5 s when work begins to wait and when it has room; that report fades over 10 s; a full replica's cache is avoided while at most a quarter are full.

--- a/packages/entry/src/link.ts
+++ b/packages/entry/src/link.ts
@@ -120,7 +120,15 @@
 			case 'load': {
 				report = {
 					outstandingTokens: frame.load.outstandingTokens, concurrency: frame.load.concurrency,
-					atMs: deps.monotonicMs(), ownTokensThen: ownTokens,
+					atMs: deps.monotonicMs(), ownTokensThen: ownTokens, isSaturated: frame.load.isBusy,
+				};
+				break;
+			}
+
+			case 'busy': {
+				report = {
+					outstandingTokens: frame.tokens, concurrency: report?.concurrency ?? 1,
+					atMs: deps.monotonicMs(), ownTokensThen: ownTokens, isSaturated: frame.isBusy,
 				};
 				break;
 			}
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -37,6 +37,8 @@
 	readonly queued: number;
 	readonly running: number;
 	readonly concurrency: number;
+	/** Whether work waits, or has waited and there is little room yet. */
+	readonly isBusy: boolean;
 	/** The tokens of the work queued and running. */
 	readonly outstandingTokens: number;
 	/** The mean time from dispatch to answer, in milliseconds. */
@@ -74,6 +76,8 @@
 	}
 	| {readonly kind: 'lost'; readonly attempt: number; readonly reason: LossReason; readonly retryAfterMs: number; readonly detail?: string}
 	| {readonly kind: 'load'; readonly load: LoadReport}
+	/** Work begins to wait before the target, or it has room again; sent on its own, so it is kept small. */
+	| {readonly kind: 'busy'; readonly isBusy: boolean; readonly tokens: number}
 	| {readonly kind: 'leaving'}
 	| {
 		readonly kind: 'revision'; readonly revision: number; readonly sentMs: number;
@@ -87,7 +91,7 @@
 	| {readonly kind: 'orderReply'; readonly id: number; readonly reply?: RankReply};
 
 const frameKinds: ReadonlySet<string> = new Set<Frame['kind']>([
-	'hello', 'request', 'cancel', 'head', 'data', 'end', 'refused', 'lost', 'load', 'leaving', 'revision', 'pullConfig', 'config', 'order', 'orderReply',
+	'hello', 'request', 'cancel', 'head', 'data', 'end', 'refused', 'lost', 'load', 'busy', 'leaving', 'revision', 'pullConfig', 'config', 'order', 'orderReply',
 ]);
 
 /** Why a connection was closed by the one who reads it. */
--- a/packages/policy/src/pick.ts
+++ b/packages/policy/src/pick.ts
@@ -7,6 +7,8 @@
 	readonly atMs: number;
 	/** What this process had outstanding at the target when the report arrived. */
 	readonly ownTokensThen: number;
+	/** Whether work waits there. It says so when that begins and when it ends, so this does not fade. */
+	readonly isSaturated: boolean;
 };
 
 /** A target as one entry sees it. */
@@ -36,12 +38,14 @@
 
 const leastSlowStartShare = 0.1;
 const affinityChoices = 2;
+const saturatedMaxAgeMs = 10_000;
+const fewSaturated = 0.25;
 
 /**
 Picks the target that is likely to answer first.
 
-A request with a prefix goes to the first of its two rendezvous targets whose load
-is within `affinityLoadFactor` of the mean. Otherwise two candidates are drawn and
+A request with a prefix goes to the first of its two rendezvous targets where no
+work waits and whose load is within `affinityLoadFactor` of the mean. Otherwise two candidates are drawn and
 the one with less load is taken. Load is what this entry itself has outstanding
 plus the last report, faded linearly to the mean over `reportMaxAgeMs`: an old
 report says nothing.
@@ -79,17 +83,22 @@
 			return meanOthers + ownTokens;
 		}
 
-		const freshness = Math.max(0, 1 - ((options.nowMs - report.atMs) / options.reportMaxAgeMs));
+		const fadeMs = report.isSaturated ? saturatedMaxAgeMs : options.reportMaxAgeMs;
+		const freshness = Math.max(0, 1 - ((options.nowMs - report.atMs) / fadeMs));
 		const others = Math.max(0, report.outstandingTokens - report.ownTokensThen);
 		return (others * freshness) + (meanOthers * (1 - freshness)) + ownTokens;
 	});
 }
 
 function cachedTarget(candidates: readonly Candidate[], loads: readonly number[], mean: number, options: PickOptions): Candidate | undefined {
+	const saturated = candidates.filter(({report}) => report?.isSaturated).length;
+	// Where few are full their cache is not worth the wait; where many are, every other place is as full and has no cache.
+	const isAvoided = saturated <= candidates.length * fewSaturated;
 	const order = rendezvousOrder(options.affinityKey!, candidates.map(({id}) => id)).slice(0, affinityChoices);
 	for (const id of order) {
 		const index = candidates.findIndex(candidate => candidate.id === id);
-		if (loads[index] <= (mean * options.affinityLoadFactor) + 1) {
+		const isFull = isAvoided && candidates[index].report?.isSaturated === true;
+		if (!isFull && loads[index] <= (mean * options.affinityLoadFactor) + 1) {
 			return candidates[index];
 		}
 	}
--- a/packages/policy/test/policy.test.ts
+++ b/packages/policy/test/policy.test.ts
@@ -35,7 +35,7 @@
 
 	it('counts what others have there by a report, less as it ages', () => {
 		const report = {
-			outstandingTokens: 500, concurrency: 1, atMs: 0, ownTokensThen: 0,
+			outstandingTokens: 500, concurrency: 1, atMs: 0, ownTokensThen: 0, isSaturated: false,
 		};
 		const candidates = [candidate('reported', 0, {report}), candidate('idle', 10, {report: {...report, outstandingTokens: 0}})];
 		expect(drawn(candidates)).to.deep.equal({idle: 300});
--- a/packages/sidecar/src/admission.ts
+++ b/packages/sidecar/src/admission.ts
@@ -4,6 +4,7 @@
 const smoothing = 0.1;
 const sweepMs = 10;
 const leastRetryMs = 50;
+const roomyPart = 0.8;
 
 /** What a request brings to admission. */
 export type Arrival = {
@@ -26,6 +27,8 @@
 	readonly running: number;
 	readonly outstandingTokens: number;
 	readonly serviceMs: number;
+	/** Whether work waits, or has waited and there is little room yet. */
+	readonly isBusy: boolean;
 };
 
 export type AdmissionOptions = {
@@ -63,6 +66,7 @@
 	const queue = createFairQueue<Waiting>(() => options.queueLimit() + Math.max(0, options.concurrency() - running));
 	let serviceMs = 0;
 	let msPerCost = 0;
+	let isBusy = false;
 	let isClosed = false;
 	let sweeper: NodeJS.Timeout | undefined;
 
@@ -171,8 +175,11 @@
 				refuse(value, 'targetLeaving');
 			}
 		},
-		state: () => ({
-			queued: queue.length, running, outstandingTokens: queue.cost + runningCost, serviceMs,
-		}),
+		state() {
+			isBusy = queue.length > 0 || (isBusy && running > options.concurrency() * roomyPart);
+			return {
+				queued: queue.length, running, outstandingTokens: queue.cost + runningCost, serviceMs, isBusy,
+			};
+		},
 	};
 }
--- a/packages/sidecar/src/server.ts
+++ b/packages/sidecar/src/server.ts
@@ -9,6 +9,9 @@
 import {type Arrived} from './serve.js';
 
 const loadReportMs = 50;
+const recentUseMs = 5000;
+
+type Listener = {usedMs: number; isTold: boolean};
 
 export type ServerDeps = {
 	readonly instance: string;
@@ -46,7 +49,8 @@
 */
 export function createPeerServer(deps: ServerDeps): PeerServer {
 	const {metrics, follower} = deps;
-	const connections = new Set<Connection>();
+	const connections = new Map<Connection, Listener>();
+	let isBusy = false;
 	const attempts = new Set<{readonly connection: Connection; readonly attempt: number; readonly controller: AbortController}>();
 
 	const serveConnection = async (socket: Socket): Promise<void> => {
@@ -54,7 +58,8 @@
 		const mine = new Map<number, AbortController>();
 		const ageOf = createFrameAge();
 		let reportedMs = 0;
-		connections.add(connection);
+		const listener: Listener = {usedMs: Number.NEGATIVE_INFINITY, isTold: false};
+		connections.set(connection, listener);
 		greet(connection);
 
 		const reportLoad = (): void => {
@@ -70,15 +75,19 @@
 			const entry = {connection, attempt: frame.attempt, controller};
 			attempts.add(entry);
 			mine.set(frame.attempt, controller);
-			await deps.serve({
+			listener.usedMs = deps.monotonicMs();
+			const served = deps.serve({
 				attempt: frame.attempt, request: frame.request, ageMs, signal: controller.signal,
 				send(answer) {
 					connection.send(answer);
 				},
 			});
+			tellBusy();
+			await served;
 			mine.delete(frame.attempt);
 			attempts.delete(entry);
 			reportLoad();
+			tellBusy();
 		};
 
 		const onRequest = (frame: Extract<Frame, {kind: 'request'}>): void => {
@@ -139,6 +148,7 @@
 				case 'refused':
 				case 'lost':
 				case 'load':
+				case 'busy':
 				case 'leaving': {
 					metrics.count('frame_faults', {reason: 'unexpected'});
 				}
@@ -163,6 +173,24 @@
 		}
 	};
 
+	// Told are those that sent work lately, and of the end of it those that were told: few frames, to whom they matter.
+	const tellBusy = (): void => {
+		const load = deps.load();
+		if (load.isBusy === isBusy) {
+			return;
+		}
+
+		isBusy = load.isBusy;
+		const nowMs = deps.monotonicMs();
+		for (const [connection, listener] of connections) {
+			if (isBusy ? nowMs - listener.usedMs < recentUseMs : listener.isTold) {
+				listener.isTold = isBusy;
+				connection.send({kind: 'busy', isBusy, tokens: load.outstandingTokens});
+				metrics.count('busy_notices');
+			}
+		}
+	};
+
 	const passOrder = async (frame: Extract<Frame, {kind: 'order'}>, connection: Connection): Promise<void> => {
 		const reply = await deps.orderRank?.(frame.rank, frame.order);
 		connection.send({kind: 'orderReply', id: frame.id, ...(reply && {reply})});
@@ -173,7 +201,7 @@
 			void serveConnection(socket);
 		}),
 		broadcast(frame) {
-			for (const connection of connections) {
+			for (const connection of connections.keys()) {
 				connection.send(frame);
 			}
 		},
@@ -186,7 +214,7 @@
 				});
 			}
 
-			for (const connection of connections) {
+			for (const connection of connections.keys()) {
 				connection.close();
 			}
 		},
