--- /dev/null
+++ b/packages/bench/src/capacity.ts
@@ -0,0 +1,212 @@
+import {mkdtemp, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	checkPreset, chunkPreset, createFollower, encodeHead, type Head, type Preset,
+} from '@papayaflow/config';
+import {
+	ask, ordinary, startFleet, waitUntil, type Fleet, type Member,
+} from '@papayaflow/demo';
+import {encodeFrame} from '@papayaflow/peer';
+import {
+	initialMap, pickTarget, planMoves, rendezvousOrder,
+} from '@papayaflow/policy';
+import {fakeEntries, fakeSidecars} from './peers.js';
+import {fitLine, watchProcess} from './process.js';
+
+const distribution = path.resolve(import.meta.dirname, '../../../dist');
+const peerCounts = [10, 100, 400];
+const organisationCounts = [10, 1000, 3900];
+const watchMs = 8000;
+const settleMs = 2500;
+
+type Point = readonly [number, number];
+
+function presetWith(organisations: number): unknown {
+	const named = Object.fromEntries(Array.from({length: organisations}, (_, index) => [`organisation-${index}`, {weight: 1 + (index % 7), requestsPerSecond: 10 + (index % 90), burst: 100}]));
+	return {...ordinary, organisations: {default: ordinary.organisations.default, named}};
+}
+
+async function fleetWith(organisations: number): Promise<{fleet: Fleet; file: string}> {
+	const fleet = await startFleet({dist: distribution, args: ['--log-level', 'warn']});
+	const file = path.join(await mkdtemp(path.join(tmpdir(), 'papayaflow-capacity-')), 'preset.json');
+	await writeFile(file, JSON.stringify(presetWith(organisations)));
+	await fleet.operate(['preset', 'create', 'ordinary', '--file', file]);
+	await fleet.operate(['preset', 'use', 'ordinary']);
+	return {fleet, file};
+}
+
+function line(name: string, points: readonly Point[], unit: string): void {
+	const {base, slope} = fitLine(points);
+	process.stdout.write(`${name}: ${points.map(([x, y]) => `${x}: ${y.toPrecision(3)}`).join(', ')}; ${base.toPrecision(3)} ${unit} at rest and ${slope.toPrecision(3)} ${unit} for each one more\n`);
+}
+
+async function listSidecars(fleet: Fleet, port: number, count: number): Promise<void> {
+	for (let index = 0; index < count; index++) {
+		await fleet.list({
+			id: `fake-${index}`, role: 'sidecar', service: `model-${index % 18}`, zone: 'abc'[index % 3], address: '127.0.0.1', port, adminPort: port,
+		});
+	}
+}
+
+async function measureEntries(): Promise<void> {
+	const [memory, core, bytes]: Point[][] = [[], [], []];
+	for (const count of peerCounts) {
+		const {fleet} = await fleetWith(10);
+		const peers = await fakeSidecars();
+		await listSidecars(fleet, peers.port, count);
+		const entry = await fleet.startEntry('entry-1', 'a');
+		await waitUntil(() => peers.connections() >= count, 20_000);
+		await sleep(settleMs);
+		peers.takeBytes();
+		const usage = await watchProcess(entry.child.pid ?? 0, 2 * watchMs);
+		memory.push([count, usage.megabytes]);
+		core.push([count, usage.core * 100]);
+		bytes.push([count, peers.takeBytes() / (2 * watchMs / 1000)]);
+		peers.stop();
+		await fleet.stop();
+	}
+
+	line('entry, resident memory by links', memory, 'MB');
+	line('entry, processor at rest by links', core, '% of a core');
+	line('entry, bytes of control by links', bytes, 'B/s');
+}
+
+async function measureSidecars(): Promise<void> {
+	const [memory, core, bytes]: Point[][] = [[], [], []];
+	for (const count of peerCounts) {
+		const {fleet} = await fleetWith(10);
+		const target = await fleet.startTarget('plain');
+		const sidecar = await fleet.startSidecar('sidecar-1', 'a', {service: 'ledger', target});
+		const peers = await fakeEntries(sidecar.port, count);
+		await sleep(settleMs);
+		peers.takeBytes();
+		const usage = await watchProcess(sidecar.child.pid ?? 0, 2 * watchMs);
+		memory.push([count, usage.megabytes]);
+		core.push([count, usage.core * 100]);
+		bytes.push([count, peers.takeBytes() / (2 * watchMs / 1000)]);
+		peers.stop();
+		await fleet.stop();
+	}
+
+	line('sidecar, resident memory by connections', memory, 'MB');
+	line('sidecar, processor at rest by connections', core, '% of a core');
+	line('sidecar, bytes of control by connections', bytes, 'B/s');
+}
+
+async function haveReached(members: readonly Member[], revision: number): Promise<boolean> {
+	const statuses = await Promise.all(members.map(async ({adminPort}) => ask(adminPort, '/status')));
+	return statuses.every(status => Number(status?.revision) >= revision);
+}
+
+async function measureOrganisations(): Promise<void> {
+	const memory: Point[] = [];
+	for (const count of organisationCounts) {
+		const {fleet} = await fleetWith(count);
+		const target = await fleet.startTarget('plain');
+		const sidecars = await Promise.all(Array.from({length: 6}, async (_, index) => fleet.startSidecar(`sidecar-${index}`, 'abc'[index % 3], {service: 'ledger', target})));
+		const entry = await fleet.startEntry('entry-1', 'a');
+		const members: readonly Member[] = [...sidecars, entry];
+		await waitUntil(async () => haveReached(members, 2), 20_000);
+		const startedMs = performance.now();
+		await fleet.operate(['preset', 'edit', 'ordinary', '--set', 'organisations.named.organisation-7.weight=9']);
+		const acceptedMs = performance.now();
+		await waitUntil(async () => haveReached(members, 3), 20_000);
+		const [editMs, spreadMs] = [acceptedMs - startedMs, performance.now() - acceptedMs];
+		process.stdout.write(`change among ${count} organisations: edit ${editMs.toFixed(0)} ms, in force on 7 processes ${spreadMs.toFixed(0)} ms after its answer\n`);
+		const usage = await watchProcess(entry.child.pid ?? 0, 1000);
+		memory.push([count, usage.megabytes]);
+		await fleet.stop();
+	}
+
+	line('entry, resident memory by organisations', memory, 'MB');
+}
+
+function measureChanges(): void {
+	for (const count of organisationCounts) {
+		const {preset} = checkPreset(presetWith(count)) as {preset: Preset};
+		const before = chunkPreset(preset);
+		const named = {...preset.organisations.named, 'organisation-7': {weight: 9, requestsPerSecond: 1, burst: 1}};
+		const after = chunkPreset({...preset, organisations: {...preset.organisations, named}});
+		const follower = createFollower();
+		const headOf = (body: string, revision: number): Head => ({
+			revision, inForce: 'ordinary', presets: {ordinary: body, peak: body, maintenance: body}, recent: [],
+		});
+		follower.offer({revision: 1, head: encodeHead(headOf(before.body, 1)), chunks: Object.fromEntries(before.chunks)});
+		const fresh = [...after.chunks].filter(([hash]) => !before.chunks.has(hash));
+		const update = {revision: 2, head: encodeHead(headOf(after.body, 2)), chunks: Object.fromEntries(fresh)};
+		const startedMs = performance.now();
+		follower.offer(update);
+		const ms = performance.now() - startedMs;
+		const bytes = encodeFrame({kind: 'config', update}).length;
+		const pull = encodeFrame({kind: 'pullConfig', have: follower.have()}).length;
+		const whole = [...before.chunks.values()].reduce((sum, chunk) => sum + chunk.length, 0);
+		process.stdout.write(`change of one of ${count} organisations: body ${whole} B, frame ${bytes} B, pull ${pull} B, ${ms.toFixed(1)} ms of a core to apply\n`);
+	}
+}
+
+function timeOf(what: string, runs: number, run: () => void): void {
+	for (let i = 0; i < runs / 5; i++) {
+		run();
+	}
+
+	const startedMs = performance.now();
+	for (let i = 0; i < runs; i++) {
+		run();
+	}
+
+	process.stdout.write(`${what}: ${((performance.now() - startedMs) * 1000 / runs).toFixed(1)} µs\n`);
+}
+
+function measureDecisions(): void {
+	const candidates = Array.from({length: 20}, (_, index) => ({
+		id: `sidecar-${index}`, zone: 'abc'[index % 3], ownTokens: index, report: undefined, sinceMs: 0,
+	}));
+	const options = {
+		nowMs: 0, random: Math.random, zone: 'a', reportMaxAgeMs: 2000, zoneBias: 0.3, slowStartMs: 0, affinityLoadFactor: 1.25,
+	};
+	timeOf('pick of 20 targets, two choices', 20_000, () => pickTarget(candidates, {...options, affinityKey: undefined}));
+	timeOf('pick of 20 targets, by prefix', 20_000, () => pickTarget(candidates, {...options, affinityKey: 'x'.repeat(512)}));
+	const nodes = Array.from({length: 1160}, (_, index) => `instance-${index}`);
+	timeOf('rendezvous order of 1,160 instances', 200, () => rendezvousOrder('key', nodes));
+	const loads = Array.from({length: 256}, (_, index) => 1 / (index + 1));
+	const map = initialMap(64, 256, 5);
+	timeOf('plan of one layer, 64 ranks, 256 experts, 64 moves', 50, () => planMoves(map, loads, {maxMoves: 64, goodSkew: 1.01}));
+}
+
+function measureFrames(): void {
+	const sizes: ReadonlyArray<readonly [string, Parameters<typeof encodeFrame>[0]]> = [
+		['revision', {
+			kind: 'revision', revision: 12_345, sentMs: 1.5, ageMs: 1.5,
+		}],
+		['busy', {kind: 'busy', isBusy: true, tokens: 1234}],
+		['load', {
+			kind: 'load', load: {
+				queued: 1, running: 32, concurrency: 32, isBusy: false, outstandingTokens: 4321, serviceMs: 12.5,
+			},
+		}],
+		['order to a rank without moves', {
+			kind: 'order', id: 1, rank: 63, order: {
+				kind: 'hold', epoch: 3, version: 12, step: 123_456,
+			},
+		}],
+		['order to a rank with 64 moves', {
+			kind: 'order', id: 1, rank: 63, order: {
+				kind: 'prepare', epoch: 3, version: 12, moves: Array.from({length: 64}, (_, index) => ({rank: index, slot: 4, expert: 200 + index})),
+			},
+		}],
+	];
+	for (const [name, frame] of sizes) {
+		process.stdout.write(`frame "${name}": ${encodeFrame(frame).length} B\n`);
+	}
+}
+
+measureFrames();
+measureDecisions();
+measureChanges();
+await measureOrganisations();
+await measureEntries();
+await measureSidecars();
+process.exit(0);
--- /dev/null
+++ b/packages/bench/src/peers.ts
@@ -0,0 +1,100 @@
+import {once} from 'node:events';
+import {connect, createServer, type Socket} from 'node:net';
+import {
+	encodeFrame, openConnection, protocolVersion, serveFrames, type Frame,
+} from '@papayaflow/peer';
+
+/** Many peers of one process, played by the bench; counts the bytes that pass. */
+export type FakePeers = {
+	readonly port: number;
+	connections(): number;
+	/** Bytes to and from the process since the last call. */
+	takeBytes(): number;
+	send(frame: Frame): void;
+	stop(): void;
+};
+
+/**
+Listens as many sidecars behind one port. `answer` says what each request gets.
+
+@example
+const peers = await fakeSidecars();
+*/
+export async function fakeSidecars(answer: (frame: Extract<Frame, {kind: 'request'}>, socket: Socket) => void = () => undefined): Promise<FakePeers> {
+	const sockets = new Set<Socket>();
+	let closedBytes = 0;
+	let takenBytes = 0;
+	const server = createServer(socket => {
+		sockets.add(socket);
+		const connection = openConnection(socket);
+		connection.send({
+			kind: 'hello', version: protocolVersion, role: 'sidecar', instance: 's', incarnation: 'bench', zone: 'a', sentMs: performance.now(),
+		});
+		void serveFrames(socket, frame => {
+			if (frame.kind === 'request') {
+				answer(frame, socket);
+			}
+		}, () => undefined).then(() => {
+			closedBytes += socket.bytesRead + socket.bytesWritten;
+			sockets.delete(socket);
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	return {
+		port: (server.address() as {port: number}).port,
+		connections: () => sockets.size,
+		takeBytes() {
+			const all = closedBytes + [...sockets].reduce((sum, socket) => sum + socket.bytesRead + socket.bytesWritten, 0);
+			const fresh = all - takenBytes;
+			takenBytes = all;
+			return fresh;
+		},
+		send(frame) {
+			for (const socket of sockets) {
+				socket.write(encodeFrame(frame));
+			}
+		},
+		stop() {
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+
+			server.close();
+		},
+	};
+}
+
+/** Connects to a sidecar as many entries. */
+export async function fakeEntries(port: number, count: number): Promise<FakePeers> {
+	const sockets = await Promise.all(Array.from({length: count}, async (_, index) => {
+		const socket = connect({host: '127.0.0.1', port});
+		await once(socket, 'connect');
+		const connection = openConnection(socket);
+		connection.send({
+			kind: 'hello', version: protocolVersion, role: 'entry', instance: `entry-${index}`, incarnation: 'bench', zone: 'a', sentMs: performance.now(),
+		});
+		void serveFrames(socket, () => undefined, () => undefined);
+		return socket;
+	}));
+	let takenBytes = 0;
+	return {
+		port, connections: () => sockets.length,
+		takeBytes() {
+			const all = sockets.reduce((sum, socket) => sum + socket.bytesRead + socket.bytesWritten, 0);
+			const fresh = all - takenBytes;
+			takenBytes = all;
+			return fresh;
+		},
+		send(frame) {
+			for (const socket of sockets) {
+				socket.write(encodeFrame(frame));
+			}
+		},
+		stop() {
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+		},
+	};
+}
--- a/packages/cli/src/sidecar-wiring.ts
+++ b/packages/cli/src/sidecar-wiring.ts
@@ -23,12 +23,13 @@
 import {listen} from './program.js';
 import {sharedSettings} from './shared-settings.js';
 
-const heartbeatMs = 15_000;
+const heartbeatMs = 30_000;
 const drainPollMs = 20;
 const handoffMs = 2000;
 const defaultLeaseMs = 9000;
 const longestLeasePauseMs = 3000;
 const configPauseMs = 100;
+const longestLogPauseMs = 3_600_000;
 const defaultConcurrency = 32;
 const defaultOrderMs = 5000;
 const highestRanks = 4096;
@@ -84,6 +85,10 @@
 	metrics.declare('expert_reports', 'result', ['used', 'stale', 'missing']);
 	metrics.count('experts_moved', {}, 0);
 	metrics.count('bytes_moved', {}, 0);
+	for (const name of ['segments_cleared', 'claim_writes', 'claim_records', 'busy_notices']) {
+		metrics.count(name, {}, 0);
+	}
+
 	metrics.declare('claims', 'result', ['replay', 'inProgress', 'reused', 'claimedEarlier', 'ranUnrecorded', 'elsewhere', 'notRun', 'unknown']);
 
 	const target = connectTarget({
@@ -161,6 +166,17 @@
 		}
 	};
 
+	// Old keys are forgotten and their segments cleared, one shard at a time.
+	const keepLog = async (): Promise<void> => {
+		while (!ending.signal.aborted) {
+			const retentionMs = preset()?.idempotency.retentionMs ?? longestLogPauseMs;
+			await pause(Math.min(longestLogPauseMs, retentionMs / 8) * (0.5 + random()));
+			for (const claims of shards.values()) {
+				metrics.count('segments_cleared', {}, await claims.maintain(retentionMs));
+			}
+		}
+	};
+
 	const hasKeyedRoutes = (): boolean => preset()?.routes.some(route => route.service === service && !route.idempotent) ?? false;
 
 	// The first notice counts, whichever way it comes. What waits is refused as not run, what runs goes on.
@@ -224,6 +240,7 @@
 		pauseMs: settings.configPollMs, random, nowMs: monotonicMs, signal: ending.signal,
 	});
 	void keepLease();
+	void keepLog();
 	if (settings.groupRanks > 0 && settings.firstRank === 0) {
 		void runRebalancer({
 			store, group: settings.group, instance, ranks: group, metrics, log, monotonicMs, sleep: pause,
--- a/packages/config/src/preset.ts
+++ b/packages/config/src/preset.ts
@@ -15,8 +15,6 @@
 	concurrency: count(32, 1, 10_000),
 	/** Calls that wait before one target. */
 	queueLimit: count(256, 0, 100_000),
-	/** Whether a cut stream can be taken up again at the target. */
-	resume: z.boolean().default(false),
 });
 
 /** Which service a caller's request goes to. The first route that fits is taken. */
@@ -48,7 +46,6 @@
 	}).prefault({}),
 	limits: z.strictObject({
 		maxBodyBytes: count(1_048_576, 1, 4_194_304),
-		maxHeaderBytes: count(16_384, 1024, 65_536),
 		/** Bytes that a slow caller may leave unread before its call is cancelled. */
 		maxUnreadBytes: count(4_194_304, 65_536, 67_108_864),
 	}).prefault({}),
@@ -61,7 +58,7 @@
 	retries: z.strictObject({
 		maxAttempts: count(3, 1, 10),
 		/** Retries that are allowed for each request, on average. */
-		budgetRatio: ratio(0.1),
+		budgetRatio: ratio(0.09),
 		baseBackoffMs: ms(20),
 		maxBackoffMs: ms(1000),
 	}).prefault({}),
@@ -87,6 +84,7 @@
 		/** Time over which claims are gathered into one write. */
 		batchMs: ms(5, 1, 1000),
 		maxRecordedBytes: count(32_768, 0, 262_144),
+		/** How long a key is kept; one that comes later than that counts as new. */
 		retentionMs: ms(86_400_000, 60_000, 604_800_000),
 	}).prefault({}),
 	drain: z.strictObject({
@@ -117,7 +115,7 @@
 	}).prefault({}),
 	/** What a process does that can't learn whether its preset is the one in force. */
 	whenStale: z.enum(['serve', 'refuse']).default('serve'),
-	staleAfterMs: ms(30_000, 1000),
+	staleAfterMs: ms(90_000, 1000),
 }).check(context => {
 	for (const [index, route] of context.value.routes.entries()) {
 		if (!Object.hasOwn(context.value.services, route.service)) {
--- a/packages/entry/src/link.ts
+++ b/packages/entry/src/link.ts
@@ -117,19 +117,9 @@
 				break;
 			}
 
-			case 'load': {
-				report = {
-					outstandingTokens: frame.load.outstandingTokens, concurrency: frame.load.concurrency,
-					atMs: deps.monotonicMs(), ownTokensThen: ownTokens, isSaturated: frame.load.isBusy,
-				};
-				break;
-			}
-
+			case 'load':
 			case 'busy': {
-				report = {
-					outstandingTokens: frame.tokens, concurrency: report?.concurrency ?? 1,
-					atMs: deps.monotonicMs(), ownTokensThen: ownTokens, isSaturated: frame.isBusy,
-				};
+				onLoad(frame);
 				break;
 			}
 
@@ -159,6 +149,13 @@
 		}
 	};
 
+	const onLoad = (frame: Extract<Frame, {kind: 'load' | 'busy'}>): void => {
+		const told = frame.kind === 'load'
+			? {outstandingTokens: frame.load.outstandingTokens, concurrency: frame.load.concurrency, isSaturated: frame.load.isBusy}
+			: {outstandingTokens: frame.tokens, concurrency: report?.concurrency ?? 1, isSaturated: frame.isBusy};
+		report = {...told, atMs: deps.monotonicMs(), ownTokensThen: ownTokens};
+	};
+
 	const onAnswer = (frame: Extract<Frame, {attempt: number}>): void => {
 		const attempt = attempts.get(frame.attempt);
 		if (!attempt) {
--- a/packages/idempotency/src/claim.ts
+++ b/packages/idempotency/src/claim.ts
@@ -1,8 +1,12 @@
 import {type LogRecord, type RecordedAnswer} from './segment.js';
 import {
-	acquireShard, type KeyState, type OwnedShard, type ShardOptions,
+	acquireShard, clearSegments, type KeyState, type OwnedShard, type ShardOptions,
 } from './shard.js';
 
+/** Epochs that one owner goes through in the time that keys are kept. */
+const epochsKept = 4;
+const mostCleared = 100;
+
 /** A claim that stands in the log: its call may now be dispatched, once. */
 export type Claim = {
 	/** Records the whole answer, so that the same key gets it again. */
@@ -43,8 +47,12 @@
 	second call with the key is the same request.
 	*/
 	claim(key: string, fingerprint: string): Promise<ClaimResult>;
-	/** Forgets keys that ended before `beforeMs` (wall clock, milliseconds). */
-	expire(beforeMs: number): number;
+	/**
+	Forgets keys older than `retentionMs` and clears their segments; returns how many
+	segments went. An owner of long standing takes the next epoch first, so that its
+	own old segments can go too.
+	*/
+	maintain(retentionMs: number): Promise<number>;
 	/** The epoch held, 0 for none, for status and tests. */
 	epoch(): number;
 };
@@ -58,6 +66,7 @@
 */
 export function createClaims(options: ShardOptions & {readonly nowMs: () => number; readonly maxRecordedBytes: () => number}): Claims {
 	let owned: OwnedShard | undefined;
+	let ownedSinceMs = 0;
 	let lastHolder: string | undefined;
 	let acquiring: Promise<ClaimResult | undefined> | undefined;
 
@@ -67,6 +76,7 @@
 			case 'owned': {
 				lastHolder = undefined;
 				carryOver(owned, result.shard);
+				ownedSinceMs = options.nowMs();
 				owned = result.shard;
 				return undefined;
 			}
@@ -84,7 +94,7 @@
 	};
 
 	const ensureOwned = async (): Promise<ClaimResult | undefined> => {
-		if (owned?.isOpen()) {
+		if (!acquiring && owned?.isOpen()) {
 			return undefined;
 		}
 
@@ -205,16 +215,26 @@
 			const looked = await look(key, fingerprint);
 			return looked.kind === 'fresh' ? claimIn(looked.shard, key, fingerprint) : looked;
 		},
-		expire(beforeMs) {
-			let expired = 0;
-			for (const [key, state] of owned?.keys ?? []) {
+		async maintain(retentionMs) {
+			const beforeMs = options.nowMs() - retentionMs;
+			if (!owned?.isOpen()) {
+				return 0;
+			}
+
+			if (ownedSinceMs < options.nowMs() - (retentionMs / epochsKept)) {
+				acquiring ??= acquire().finally(() => {
+					acquiring = undefined;
+				});
+				await acquiring;
+			}
+
+			for (const [key, state] of owned.keys) {
 				if (state.kind !== 'running' && state.atMs < beforeMs) {
-					owned!.keys.delete(key);
-					expired++;
+					owned.keys.delete(key);
 				}
 			}
 
-			return expired;
+			return clearSegments(options, owned.epoch, {beforeMs, most: mostCleared});
 		},
 		epoch: () => owned?.isOpen() ? owned.epoch : 0,
 	};
--- a/packages/idempotency/src/shard.ts
+++ b/packages/idempotency/src/shard.ts
@@ -158,6 +158,36 @@
 		: {kind: 'elsewhere', holder: before.holder};
 }
 
+/**
+Removes segments of sealed epochs whose every line is older than `beforeMs` (wall
+clock, milliseconds), at most `most` of them; returns how many.
+
+A seal is never removed: where it is gone, an owner that slept could write again.
+Nor is a segment of the open epoch: the next owner finds the place of its seal by
+the last one.
+
+@example
+const removed = await clearSegments(options, shard.epoch, {beforeMs: Date.now() - retentionMs, most: 100});
+*/
+export async function clearSegments(options: ShardOptions, ownEpoch: number, {beforeMs, most}: {readonly beforeMs: number; readonly most: number}): Promise<number> {
+	const listed = await options.store.list(shardPrefix(options.service, options.shard));
+	if (listed.kind === 'unavailable') {
+		return 0;
+	}
+
+	const old = listed.entries.filter(({key, value}) => {
+		const segment = decodeSegment(value);
+		return segmentPlace(key).epoch < ownEpoch && segment.kind === 'records' && segment.records.every(record => record.atMs < beforeMs);
+	});
+	let removed = 0;
+	for (const {key, revision} of old.slice(0, most)) {
+		const result = await options.store.remove(key, revision);
+		removed += result.kind === 'written' ? 1 : 0;
+	}
+
+	return removed;
+}
+
 /** Brings the state of each key out of the lines of a log, in their order. */
 export function replay(records: readonly LogRecord[]): Map<string, KeyState> {
 	const keys = new Map<string, KeyState>();
--- a/packages/idempotency/test/adversary.test.ts
+++ b/packages/idempotency/test/adversary.test.ts
@@ -9,6 +9,8 @@
 const keys = ['pay-1', 'pay-2'];
 const acts = 250;
 const longestPauseMs = 12_000;
+// Longer than any run: nothing that is cleared comes again.
+const retentionMs = 10_000_000;
 
 /** Owners of one shard under a store that pauses, loses answers and goes away, with what the target has run. */
 async function runAdversary(seed: number): Promise<{runs: ReadonlyMap<string, number>; untrue: readonly string[]}> {
@@ -74,6 +76,8 @@
 			void member?.lease.tick();
 		} else if (chance < 0.94) {
 			void member?.lease.release();
+		} else if (chance < 0.955) {
+			void member?.claims.maintain(retentionMs);
 		} else if (chance < 0.97) {
 			void join(Math.floor(random() * owners));
 		} else {
--- a/packages/idempotency/test/seal.test.ts
+++ b/packages/idempotency/test/seal.test.ts
@@ -59,6 +59,20 @@
 		bGate.open();
 	});
 
+	it('clears old segments of sealed epochs, and never a seal', async () => {
+		const {kv, clock} = platform();
+		const a = await owner(kv, clock, 'a');
+		const first = await a.claims.claim('pay-1', 'f');
+		await (first.kind === 'claimed' && first.claim.done(answer('paid')));
+		const retentionMs = 1000;
+		clock.nowMs += 2 * retentionMs;
+		await a.lease.tick();
+		expect(await a.claims.maintain(retentionMs)).to.equal(2);
+		const left = kv.list('papayaflow/idempotency/log/', 'papayaflow/idempotency/log0');
+		expect(left.map(([key]) => key.split('/').slice(-2).join('/'))).to.deep.equal(['0000000001/0000000002']);
+		expect((await a.claims.claim('pay-1', 'f')).kind, 'a key that has expired counts as new').to.equal('claimed');
+	});
+
 	it('does not overwrite what another owner knows of a key', async () => {
 		const {kv, clock} = platform();
 		const gate = createGate((call, key) => call === 'write' && key.includes('/0000000001/'));
--- a/packages/policy/src/rendezvous.ts
+++ b/packages/policy/src/rendezvous.ts
@@ -22,8 +22,10 @@
 const [owner, next] = rendezvousOrder('shard-3', ['a', 'b', 'c']);
 */
 export function rendezvousOrder(key: string, nodes: readonly string[]): readonly string[] {
+	// A long key is hashed once, not again with each node.
+	const prefix = `${hashText(key)}\n`;
 	return nodes
-		.map(node => ({node, score: hashText(`${key}\n${node}`)}))
+		.map(node => ({node, score: hashText(prefix + node)}))
 		.toSorted((a, b) => b.score - a.score || (a.node < b.node ? -1 : 1))
 		.map(({node}) => node);
 }
--- a/packages/sidecar/src/server.ts
+++ b/packages/sidecar/src/server.ts
@@ -9,7 +9,7 @@
 import {type Arrived} from './serve.js';
 
 const loadReportMs = 50;
-const recentUseMs = 5000;
+const recentUseMs = 2000;
 
 type Listener = {usedMs: number; isTold: boolean};
 
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -48,6 +48,11 @@
 		find: 'if (!before || next.epoch !== before.epoch + 1) {', replace: 'if (!before) {',
 		spec: 'idempotency/test/seal.test.ts', test: 'does not overwrite what another owner',
 	},
+	{
+		name: 'a seal is never cleared', file: 'idempotency/src/shard.ts',
+		find: 'segment.kind === \'records\' && segment.records.every(', replace: '(segment.kind === \'seal\' ? [] : segment.records).every(',
+		spec: 'idempotency/test/seal.test.ts', test: 'clears old segments',
+	},
 	{
 		name: 'a lower revision is never applied', file: 'config/src/follower.ts',
 		find: 'if (next.revision <= head.revision) {', replace: 'if (next.revision < 0) {',
--- a/xo.config.js
+++ b/xo.config.js
@@ -20,7 +20,7 @@
 		},
 	},
 	{
-		files: ['packages/cli/**', 'packages/demo/**', 'packages/standins/src/main.ts'],
+		files: ['packages/cli/**', 'packages/demo/**', 'packages/bench/**', 'packages/standins/src/main.ts'],
 		rules: {'unicorn/no-process-exit': 'off'},
 	},
 	{
