--- a/packages/bench/src/capacity.ts
+++ b/packages/bench/src/capacity.ts
@@ -20,6 +20,8 @@
 const peerCounts = [10, 100, 400];
 const organisationCounts = [10, 1000, 3900];
 const watchMs = 8000;
+// A heartbeat passes each minute, so bytes are counted over one.
+const heartbeatMs = 60_000;
 const settleMs = 2500;
 
 type Point = readonly [number, number];
@@ -52,7 +54,7 @@
 }
 
 async function measureEntries(): Promise<void> {
-	const [memory, core, bytes]: Point[][] = [[], [], []];
+	const [memory, core]: Point[][] = [[], []];
 	for (const count of peerCounts) {
 		const {fleet} = await fleetWith(10);
 		const peers = await fakeSidecars();
@@ -61,21 +63,24 @@
 		await waitUntil(() => peers.connections() >= count, 20_000);
 		await sleep(settleMs);
 		peers.takeBytes();
-		const usage = await watchProcess(entry.child.pid ?? 0, 2 * watchMs);
+		const isLast = count === peerCounts.at(-1);
+		const usage = await watchProcess(entry.child.pid ?? 0, isLast ? heartbeatMs : watchMs);
 		memory.push([count, usage.megabytes]);
 		core.push([count, usage.core * 100]);
-		bytes.push([count, peers.takeBytes() / (2 * watchMs / 1000)]);
+		if (isLast) {
+			process.stdout.write(`entry, bytes of control at rest with ${count} peers: ${(peers.takeBytes() / heartbeatMs * 1000).toFixed(0)} B/s\n`);
+		}
+
 		peers.stop();
 		await fleet.stop();
 	}
 
 	line('entry, resident memory by links', memory, 'MB');
 	line('entry, processor at rest by links', core, '% of a core');
-	line('entry, bytes of control by links', bytes, 'B/s');
 }
 
 async function measureSidecars(): Promise<void> {
-	const [memory, core, bytes]: Point[][] = [[], [], []];
+	const [memory, core]: Point[][] = [[], []];
 	for (const count of peerCounts) {
 		const {fleet} = await fleetWith(10);
 		const target = await fleet.startTarget('plain');
@@ -83,17 +88,20 @@
 		const peers = await fakeEntries(sidecar.port, count);
 		await sleep(settleMs);
 		peers.takeBytes();
-		const usage = await watchProcess(sidecar.child.pid ?? 0, 2 * watchMs);
+		const isLast = count === peerCounts.at(-1);
+		const usage = await watchProcess(sidecar.child.pid ?? 0, isLast ? heartbeatMs : watchMs);
 		memory.push([count, usage.megabytes]);
 		core.push([count, usage.core * 100]);
-		bytes.push([count, peers.takeBytes() / (2 * watchMs / 1000)]);
+		if (isLast) {
+			process.stdout.write(`sidecar, bytes of control at rest with ${count} peers: ${(peers.takeBytes() / heartbeatMs * 1000).toFixed(0)} B/s\n`);
+		}
+
 		peers.stop();
 		await fleet.stop();
 	}
 
 	line('sidecar, resident memory by connections', memory, 'MB');
 	line('sidecar, processor at rest by connections', core, '% of a core');
-	line('sidecar, bytes of control by connections', bytes, 'B/s');
 }
 
 async function haveReached(members: readonly Member[], revision: number): Promise<boolean> {
--- a/packages/cli/src/entry-wiring.ts
+++ b/packages/cli/src/entry-wiring.ts
@@ -15,7 +15,7 @@
 import {sharedSettings} from './shared-settings.js';
 
 const defaultSubsetSize = 20;
-const heartbeatMs = 30_000;
+const heartbeatMs = 60_000;
 const drainPollMs = 20;
 
 export const entrySettings = {
--- a/packages/cli/src/sidecar-wiring.ts
+++ b/packages/cli/src/sidecar-wiring.ts
@@ -23,7 +23,7 @@
 import {listen} from './program.js';
 import {sharedSettings} from './shared-settings.js';
 
-const heartbeatMs = 30_000;
+const heartbeatMs = 60_000;
 const drainPollMs = 20;
 const handoffMs = 2000;
 const defaultLeaseMs = 9000;
--- a/packages/config/src/preset.ts
+++ b/packages/config/src/preset.ts
@@ -115,7 +115,7 @@
 	}).prefault({}),
 	/** What a process does that can't learn whether its preset is the one in force. */
 	whenStale: z.enum(['serve', 'refuse']).default('serve'),
-	staleAfterMs: ms(90_000, 1000),
+	staleAfterMs: ms(180_000, 1000),
 }).check(context => {
 	for (const [index, route] of context.value.routes.entries()) {
 		if (!Object.hasOwn(context.value.services, route.service)) {
--- a/packages/demo/test/helper.ts
+++ b/packages/demo/test/helper.ts
@@ -60,14 +60,19 @@
 	return small;
 }
 
+type ShownLink = {readonly sidecar: string; readonly usable: boolean};
+
+/** The links of each entry, as it shows them; none before it has a configuration. */
+export async function linksOf({entries}: SmallFleet): Promise<ReadonlyArray<readonly ShownLink[]>> {
+	const statuses = await Promise.all(entries.map(async entry => ask(entry.adminPort, '/status')));
+	return statuses.map(status => status?.inForce === undefined ? [] : status.links as ShownLink[]);
+}
+
 /** Waits until every entry has a usable link to `sidecars` sidecars. */
-export async function untilServing({entries}: SmallFleet, sidecars: number): Promise<boolean> {
+export async function untilServing(small: SmallFleet, sidecars: number): Promise<boolean> {
 	return waitUntil(async () => {
-		const statuses = await Promise.all(entries.map(async entry => ask(entry.adminPort, '/status')));
-		return statuses.every(status => {
-			const links = (status?.links ?? []) as Array<{usable: boolean}>;
-			return status?.inForce !== undefined && links.filter(link => link.usable).length >= sidecars;
-		});
+		const links = await linksOf(small);
+		return links.every(list => list.filter(({usable}) => usable).length >= sidecars);
 	}, readyTimeoutMs);
 }
 
--- a/packages/demo/test/streams.test.ts
+++ b/packages/demo/test/streams.test.ts
@@ -3,7 +3,9 @@
 import {
 	after, before, describe, it,
 } from 'mocha';
-import {startSmallFleet, untilServing, type SmallFleet} from './helper.js';
+import {
+	linksOf, startSmallFleet, untilServing, type SmallFleet,
+} from './helper.js';
 import {
 	ask, askModel, waitUntil, type Member, type Result,
 } from '@papayaflow/demo';
@@ -100,6 +102,23 @@
 		await staysWhole('list');
 	}).timeout(60_000);
 
+	it('are all whole while a target leaves by the operator though the list lags by a minute', async () => {
+		const second = await small.fleet.startSidecar('notice-lag', 'new-town', {service: 'notice-drafting', target: small.engine});
+		expect(await untilServing(small, 4)).to.equal(true);
+		await small.fleet.fault(small.fleet.listPort, {lagMs: 60_000});
+		await small.fleet.operate(['drain', 'notice-lag']);
+		const isAvoided = async (): Promise<boolean> => {
+			const links = await linksOf(small);
+			return links.every(list => list.find(({sidecar}) => sidecar === 'notice-lag')?.usable === false);
+		};
+
+		expect(await waitUntil(isAvoided, 3000), 'both entries know within three seconds').to.equal(true);
+		expect(outcomes(await streams('lag', 10))).to.deep.equal(['answered']);
+		second.child.kill('SIGKILL');
+		await small.fleet.fault(small.fleet.listPort, {lagMs: 0});
+		await small.fleet.unlist('notice-lag');
+	}).timeout(60_000);
+
 	it('are retried at another target when a sidecar is killed before they began, and else end visibly', async () => {
 		const second = await small.fleet.startSidecar('notice-killed', 'new-town', {service: 'notice-drafting', target: small.engine});
 		expect(await untilServing(small, 4)).to.equal(true);
--- a/packages/entry/src/front.ts
+++ b/packages/entry/src/front.ts
@@ -8,9 +8,11 @@
 import {type LossReason, type Outcome} from '@papayaflow/outcome';
 import {takeQuota, type Bucket} from '@papayaflow/policy';
 import {type Log} from '@papayaflow/telemetry';
+import {LRUCache} from 'lru-cache';
 import {forward, isKeyed, type ForwardDeps} from './forward.js';
 
 const noConfigRetryMs = 1000;
+const mostOrganisations = 20_000;
 const headersTimeoutMs = 10_000;
 const maxHeaderBytes = 65_536;
 
@@ -37,7 +39,8 @@
 */
 export function createFront(deps: FrontDeps): Front {
 	const {follower, metrics, log} = deps;
-	const buckets = new Map<string, Bucket>();
+	// Callers name their organisation, so what is kept for each is bounded.
+	const buckets = new LRUCache<string, Bucket>({max: mostOrganisations});
 	const open = new Set<AbortController>();
 
 	const serve = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
--- a/packages/entry/src/link.ts
+++ b/packages/entry/src/link.ts
@@ -274,7 +274,9 @@
 				};
 
 				if (signal.aborted) {
-					resolve({kind: 'refused', reason: 'withdrawn', retryAfterMs: unknownRetryMs});
+					resolve({
+						kind: 'refused', reason: 'connectionLost', retryAfterMs: unknownRetryMs, detail: 'given up before it was sent',
+					});
 					return;
 				}
 
--- a/packages/entry/test/forward.test.ts
+++ b/packages/entry/test/forward.test.ts
@@ -54,6 +54,8 @@
 	const sidecars = await Promise.all(replies.map(async () => start()));
 
 	const links = await Promise.all(sidecars.map(async (sidecar, index) => linkTo(sidecar, `sidecar-${index}`)));
+	const controller = new AbortController();
+	let pauses = 0;
 	const answered: string[] = [];
 	let begun = false;
 	const answer: Answer = {
@@ -70,10 +72,16 @@
 	};
 	const deps: ForwardDeps = {
 		links: fakeLinks(links), owners: createOwners(), budget: createRetryBudget(), metrics: createMetrics(), zone: 'z', random: () => 0,
-		monotonicMs: () => performance.now(), sleep: async () => undefined,
+		monotonicMs: () => performance.now(),
+		async sleep() {
+			pauses++;
+			if (pauses > 3) {
+				controller.abort('timeout');
+			}
+		},
 	};
 	const forwarded = await forward({
-		call, answer, signal: AbortSignal.timeout(3000), preset,
+		call, answer, signal: controller.signal, preset,
 	}, deps);
 	for (const [index, link] of links.entries()) {
 		link.close();
@@ -126,6 +134,17 @@
 		expect((await run(chat)).outcome).to.include({kind: 'notRun', reason: 'noTarget'});
 	});
 
+	it('with a key is not "not run" because its time is over while its owner is waited for', async () => {
+		const gone: Reply = ({attempt}, sidecar) => {
+			sidecar.connection().send({
+				kind: 'refused', attempt, reason: 'wrongOwner', retryAfterMs: 700, owner: 'gone', standing: true,
+			});
+		};
+
+		const {outcome} = await run(keyed, ...Array.from({length: 30}, () => gone));
+		expect(outcome.kind).to.equal('unknown');
+	});
+
 	it('with a key follows to the owner that it is sent on to', async () => {
 		const replies: readonly Reply[] = [refused('wrongOwner', 'sidecar-0'), whole];
 		const first = await run(keyed, ...replies);
--- a/packages/peer/src/connection.ts
+++ b/packages/peer/src/connection.ts
@@ -3,12 +3,16 @@
 	encodeFrame, readFrames, type Frame, type FrameFault,
 } from './frame.js';
 
+/** What may wait to be sent to one peer, in bytes. */
+export const maxBacklogBytes = 33_554_432;
+
 /** One end of a connection between two processes. */
 export type Connection = {
-	/** Sends a frame; frames sent in one turn of the event loop leave in one write. */
+	/**
+	Sends a frame; frames sent in one turn of the event loop leave in one write.
+	Where more than `maxBacklogBytes` wait, the connection is closed instead.
+	*/
 	send(frame: Frame): void;
-	/** Bytes that wait to be sent. */
-	backlogBytes(): number;
 	close(): void;
 	readonly closed: boolean;
 };
@@ -33,6 +37,12 @@
 				return;
 			}
 
+			// A peer that reads nothing, such as a frozen one, is let go before it fills this process.
+			if (socket.writableLength > maxBacklogBytes) {
+				socket.destroy();
+				return;
+			}
+
 			if (!isCorked) {
 				isCorked = true;
 				socket.cork();
@@ -44,7 +54,6 @@
 
 			socket.write(encodeFrame(frame));
 		},
-		backlogBytes: () => socket.writableLength,
 		close() {
 			socket.end();
 			socket.destroySoon();
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -1,5 +1,7 @@
 export {createFrameAge} from './age.js';
-export {openConnection, serveFrames, type Connection} from './connection.js';
+export {
+	maxBacklogBytes, openConnection, serveFrames, type Connection,
+} from './connection.js';
 export {
 	encodeFrame, maxFrameBytes, protocolVersion, readFrames,
 	type ConfigUpdate, type Frame, type FrameFault, type LoadReport, type PeerRequest,
--- a/packages/peer/test/frame.test.ts
+++ b/packages/peer/test/frame.test.ts
@@ -1,8 +1,10 @@
+import {once} from 'node:events';
+import {connect, createServer, type AddressInfo} from 'node:net';
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {describe, it} from 'mocha';
 import {
-	createFrameAge, encodeFrame, maxFrameBytes, readFrames, type Frame,
+	createFrameAge, encodeFrame, maxBacklogBytes, maxFrameBytes, openConnection, readFrames, type Frame,
 } from '@papayaflow/peer';
 
 async function read(...chunks: readonly Uint8Array[]): Promise<readonly unknown[]> {
@@ -51,6 +53,26 @@
 	});
 });
 
+describe('a connection', () => {
+	it('is closed when its peer reads nothing', async () => {
+		const server = createServer(socket => {
+			socket.pause();
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+		await once(socket, 'connect');
+		const connection = openConnection(socket);
+		const bytes = new Uint8Array(1_048_576);
+		for (let sent = 0; sent < 4 * maxBacklogBytes && !connection.closed; sent += bytes.length) {
+			connection.send({kind: 'data', attempt: 1, bytes});
+		}
+
+		expect(connection.closed).to.equal(true);
+		server.close();
+	});
+});
+
 describe('the age of a frame', () => {
 	it('is what it took beyond the fastest one, whatever the clocks say', () => {
 		const ageOf = createFrameAge();
--- a/packages/sidecar/src/serve.ts
+++ b/packages/sidecar/src/serve.ts
@@ -130,7 +130,7 @@
 
 // A caller that goes away does not stop keyed work: its outcome is recorded for the next arrival of the key.
 async function runClaimed(arrived: Arrived, claim: Claim, admitted: Extract<Admitted, {kind: 'admitted'}>, deps: ServeDeps): Promise<void> {
-	const recorder = createRecorder(arrived);
+	const recorder = createRecorder(arrived, deps.preset()?.idempotency.maxRecordedBytes ?? 0);
 	const outcome = await dispatch({...arrived, send: recorder.send}, new AbortController().signal, deps);
 	admitted.release(outcome.kind === 'answered');
 	report(arrived, outcome, deps);
@@ -279,18 +279,21 @@
 	send({kind: 'end', attempt, length: answer.body.length});
 }
 
-// Passes an answer's frames on and keeps them for the log.
-function createRecorder(arrived: Arrived): {send: (frame: Frame) => void; answer: () => RecordedAnswer} {
+// Passes an answer's frames on and keeps them for the log, one byte past the most that is recorded at the longest.
+function createRecorder(arrived: Arrived, maxBytes: number): {send: (frame: Frame) => void; answer: () => RecordedAnswer} {
 	let status = 0;
 	let headers: Readonly<Record<string, string>> = {};
 	const chunks: Uint8Array[] = [];
+	let kept = 0;
 	return {
 		send(frame) {
 			if (frame.kind === 'head') {
 				status = frame.status;
 				headers = frame.headers;
 			} else if (frame.kind === 'data') {
-				chunks.push(frame.bytes);
+				const room = maxBytes + 1 - kept;
+				chunks.push(frame.bytes.subarray(0, Math.max(0, room)));
+				kept += frame.bytes.length;
 			}
 
 			arrived.send(frame);
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -98,6 +98,17 @@
 		find: 'if (length > maxFrameBytes) {', replace: 'if (length < 0) {',
 		spec: 'peer/test/frame.test.ts', test: 'too large are not waited for',
 	},
+	{
+		name: 'a peer that reads nothing is let go', file: 'peer/src/connection.ts',
+		find: 'if (socket.writableLength > maxBacklogBytes) {', replace: 'if (socket.writableLength < 0) {',
+		spec: 'peer/test/frame.test.ts', test: 'when its peer reads nothing',
+	},
+	{
+		name: 'what was not sent is not the owner\'s word', file: 'entry/src/link.ts',
+		find: 'resolve({kind: \'refused\', reason: \'connectionLost\', retryAfterMs: unknownRetryMs, detail: \'given up',
+		replace: 'resolve({kind: \'refused\', reason: \'withdrawn\', retryAfterMs: 0, detail: \'given up',
+		spec: 'entry/test/forward.test.ts', test: 'because its time is over while its owner',
+	},
 	{
 		name: 'a frame of another version is turned away', file: 'peer/src/frame.ts',
 		find: 'value.version !== protocolVersion', replace: 'value.version === 0',
