--- a/packages/idempotency/src/claim.ts
+++ b/packages/idempotency/src/claim.ts
@@ -1,7 +1,6 @@
 import {type LogRecord, type RecordedAnswer} from './segment.js';
-import {
-	acquireShard, clearSegments, type KeyState, type OwnedShard, type ShardOptions,
-} from './shard.js';
+import {acquireShard, clearSegments} from './acquire.js';
+import {type KeyState, type OwnedShard, type ShardOptions} from './shard.js';
 
 /** Epochs that one owner goes through in the time that keys are kept. */
 const epochsKept = 4;
--- a/packages/idempotency/src/index.ts
+++ b/packages/idempotency/src/index.ts
@@ -3,4 +3,4 @@
 } from './claim.js';
 export {createLease, type Lease, type LeaseOptions} from './lease.js';
 export {type LogRecord, type RecordedAnswer, type Segment} from './segment.js';
-export {acquireShard, type ShardOptions} from './shard.js';
+export {type ShardOptions} from './shard.js';
--- a/packages/sidecar/src/index.ts
+++ b/packages/sidecar/src/index.ts
@@ -1,7 +1,9 @@
 export {
 	createAdmission, type Admission, type AdmissionOptions, type AdmissionState, type Admitted, type Arrival,
 } from './admission.js';
-export {serveAttempt, type Arrived, type ServeDeps} from './serve.js';
+export {type ServeDeps} from './dispatch.js';
+export {type Arrived} from './reply.js';
+export {serveAttempt} from './serve.js';
 export {createPeerServer, type PeerServer, type ServerDeps} from './server.js';
 export {
 	createGroup, type Group, type GroupDeps, type RankRange,
--- a/packages/sidecar/src/server.ts
+++ b/packages/sidecar/src/server.ts
@@ -6,7 +6,7 @@
 import {type RankOrder, type RankReply} from '@papayaflow/experts';
 import {type LossReason} from '@papayaflow/outcome';
 import {type Metrics} from '@papayaflow/telemetry';
-import {type Arrived} from './serve.js';
+import {type Arrived} from './reply.js';
 
 const loadReportMs = 50;
 const recentUseMs = 2000;
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -14,12 +14,12 @@
 		spec: 'idempotency/test/claim.test.ts', test: 'wakes after another has taken its shard',
 	},
 	{
-		name: 'a new owner seals the epochs before it', file: 'idempotency/src/shard.ts',
+		name: 'a new owner seals the epochs before it', file: 'idempotency/src/acquire.ts',
 		find: 'if (!await sealEpoch(options, epoch))', replace: 'if (epoch < 0)',
 		spec: 'idempotency/test/claim.test.ts', test: 'wakes after another has taken its shard',
 	},
 	{
-		name: 'a new owner seals every epoch back to the last one known sealed', file: 'idempotency/src/shard.ts',
+		name: 'a new owner seals every epoch back to the last one known sealed', file: 'idempotency/src/acquire.ts',
 		find: 'for (let epoch = ownership.sealedThrough + 1; epoch', replace: 'for (let epoch = ownership.epoch - 1; epoch > 0 && epoch',
 		spec: 'idempotency/test/seal.test.ts', test: 'seals every epoch',
 	},
@@ -49,7 +49,7 @@
 		spec: 'idempotency/test/seal.test.ts', test: 'does not overwrite what another owner',
 	},
 	{
-		name: 'a seal is never cleared', file: 'idempotency/src/shard.ts',
+		name: 'a seal is never cleared', file: 'idempotency/src/acquire.ts',
 		find: 'segment.kind === \'records\' && segment.records.every(', replace: '(segment.kind === \'seal\' ? [] : segment.records).every(',
 		spec: 'idempotency/test/seal.test.ts', test: 'clears old segments',
 	},
