Pace the log of claims, and take the number of its parts out of the preset

Cause 1: at 100 keyed calls a second each claim and each outcome cost nearly a write of its own: 200 writes/s against the 30 that are a tenth of the store's rate. Change: a part of the log writes 3.5 times a second beyond a burst of 20. Cause 2: a preset with another number of shards would send a key to another part of the log, where no claim stands: it would run again. The number is now fixed.

--- a/packages/bench/src/capacity.ts
+++ b/packages/bench/src/capacity.ts
@@ -9,10 +9,12 @@
 import {
 	ask, ordinary, startFleet, waitUntil, type Fleet, type Member,
 } from '@papayaflow/demo';
+import {createClaims, createLease} from '@papayaflow/idempotency';
 import {encodeFrame} from '@papayaflow/peer';
 import {
 	initialMap, pickTarget, planMoves, rendezvousOrder,
 } from '@papayaflow/policy';
+import {type Store} from '@papayaflow/store';
 import {fakeEntries, fakeSidecars} from './peers.js';
 import {fitLine, watchProcess} from './process.js';
 
@@ -184,6 +186,44 @@
 	timeOf('plan of one layer, 64 ranks, 256 experts, 64 moves', 50, () => planMoves(map, loads, {maxMoves: 64, goodSkew: 1.01}));
 }
 
+// Memory of an owner for each key, with answers of 300 bytes; the store keeps nothing here.
+async function measureKeys(): Promise<void> {
+	const store: Store = {
+		read: async () => ({kind: 'absent'}),
+		list: async () => ({kind: 'listed', entries: []}),
+		write: async () => ({kind: 'written', revision: 1}),
+		remove: async () => ({kind: 'written', revision: 1}),
+		grantLease: async () => ({kind: 'granted', lease: '1'}),
+		renewLease: async () => ({kind: 'renewed'}),
+		watch: async () => undefined,
+	};
+	const common = {store, holder: 'a', incarnation: 'a'};
+	const lease = createLease({...common, ttlMs: () => 1e9, monotonicMs: () => 0});
+	await lease.tick();
+	const claims = createClaims({
+		...common, service: 'ledger', shard: 0, lease, batchMs: () => 0, writePauseMs: () => 0, nowMs: () => 0, maxRecordedBytes: () => 1000,
+		async sleep() {
+			await Promise.resolve();
+		},
+	});
+	const points: Point[] = [];
+	for (let keys = 0; keys < 60_000; keys++) {
+		if (keys % 20_000 === 0 && keys > 0) {
+			globalThis.gc?.();
+			const {heapUsed, external} = process.memoryUsage();
+			points.push([keys, heapUsed + external]);
+		}
+
+		const result = await claims.claim(`organisation-1/payment-${keys}`, 'fingerprint-0000');
+		if (result.kind === 'claimed') {
+			await result.claim.done({status: 200, headers: {'content-type': 'application/json', date: 'Thu, 03 Dec 2026 20:30:56 GMT'}, body: new Uint8Array(300)});
+		}
+	}
+
+	const {slope} = fitLine(points);
+	process.stdout.write(`owner of a shard: ${slope.toFixed(0)} B of memory for each key kept, answers of 300 B\n`);
+}
+
 function measureFrames(): void {
 	const sizes: ReadonlyArray<readonly [string, Parameters<typeof encodeFrame>[0]]> = [
 		['revision', {
@@ -211,6 +251,7 @@
 	}
 }
 
+await measureKeys();
 measureFrames();
 measureDecisions();
 measureChanges();
--- a/packages/bench/src/events.ts
+++ b/packages/bench/src/events.ts
@@ -6,7 +6,7 @@
 	at(ms: number, run: () => void): void;
 	/** Runs everything up to `endMs`. */
 	runUntil(endMs: number): void;
-	/** The same, with a turn of the event loop's promises after each event. */
+	/** The same, with all that is ready to go on after each event. */
 	runUntilAsync(endMs: number): Promise<void>;
 };
 
@@ -81,9 +81,9 @@
 				const event = pop();
 				nowMs = event.atMs;
 				event.run();
-				for (let turn = 0; turn < 4; turn++) {
-					await Promise.resolve();
-				}
+				await new Promise(resolve => {
+					setImmediate(resolve);
+				});
 			}
 		},
 	};
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -3,7 +3,7 @@
 import {drawCurve} from './plot.js';
 import {isHeld, renderTable, type Table} from './table.js';
 import {
-	limitsTable, paperTable, rebalanceTables, retriesTable, routingTables, weightCurve,
+	claimsTable, limitsTable, paperTable, rebalanceTables, retriesTable, routingTables, weightCurve,
 } from './tables.js';
 
 const knownRedFile = 'KNOWN-RED.txt';
@@ -17,7 +17,7 @@
 	}
 }
 
-const tables: Table[] = [...rebalanceTables(), ...routingTables(), await limitsTable(), retriesTable(), paperTable()];
+const tables: Table[] = [...rebalanceTables(), ...routingTables(), await limitsTable(), await claimsTable(), retriesTable(), paperTable()];
 for (const table of tables) {
 	process.stdout.write(`${renderTable(table)}\n`);
 }
--- a/packages/bench/src/tables.ts
+++ b/packages/bench/src/tables.ts
@@ -1,3 +1,4 @@
+import {runClaims} from './claims.js';
 import {runLimits} from './limits.js';
 import {
 	baselines, driftKinds, runPerfect, runPolicy, weighed, type RebalanceRow,
@@ -18,6 +19,8 @@
 const goodputTarget = 0.95;
 const smallTarget = 1.2;
 const attemptsTarget = 1.1;
+// A tenth of the three hundred writes a second that the store bears.
+const storeWritesTarget = 30;
 
 /** The weights that the worked presets give each user. */
 export const userWeights = {ayamoni: {skewWeight: 4, costWeight: 4}, tisza: {skewWeight: 1, costWeight: 16}} as const;
@@ -148,6 +151,27 @@
 	return {title: 'limits, one target of 32 places, deadline 4 s', baseline: 'in order of arrival', rows};
 }
 
+/** Writes to the store and the wait of keyed calls, beside a write for each claim and each outcome. */
+export async function claimsTable(): Promise<Table> {
+	const rows: Row[] = [];
+	for (const rate of [1, 10, 100, 500]) {
+		const run = await runClaims(rate, seed);
+		rows.push(
+			{
+				what: `${rate} keyed calls/s: writes to the store`, seed, baseline: 2 * rate, ours: run.writes, bound: {most: storeWritesTarget}, unit: 'writes/s',
+			},
+			{
+				what: `${rate} keyed calls/s: wait for the claim p50`, seed, baseline: Number.NaN, ours: run.waitP50, unit: 'ms',
+			},
+			{
+				what: `${rate} keyed calls/s: wait for the claim p95`, seed, baseline: Number.NaN, ours: run.waitP95, unit: 'ms',
+			},
+		);
+	}
+
+	return {title: 'the log of claims of one service', baseline: 'a write each', rows};
+}
+
 /** Attempts for each request, and how a fleet comes back after an outage. */
 export function retriesTable(): Table {
 	const attempts = (failing: number): Row => ({
--- a/packages/cli/src/sidecar-wiring.ts
+++ b/packages/cli/src/sidecar-wiring.ts
@@ -8,7 +8,7 @@
 import {createClaims, createLease, type Claims} from '@papayaflow/idempotency';
 import {connectInstances, followInstances, type Instance} from '@papayaflow/instances';
 import {lossReasons, refusalReasons} from '@papayaflow/outcome';
-import {isReader} from '@papayaflow/policy';
+import {isReader, takeQuota, type Bucket} from '@papayaflow/policy';
 import {
 	nameSetting, portSetting, urlSetting, type SettingsOf,
 } from '@papayaflow/settings';
@@ -29,6 +29,7 @@
 const defaultLeaseMs = 9000;
 const longestLeasePauseMs = 3000;
 const configPauseMs = 100;
+const writeBurst = 20;
 const longestLogPauseMs = 3_600_000;
 const defaultConcurrency = 32;
 const defaultOrderMs = 5000;
@@ -112,9 +113,15 @@
 			return known;
 		}
 
+		let bucket: Bucket | undefined;
 		const claims = createClaims({
 			store, service, shard, holder: instance, incarnation, lease, nowMs: Date.now,
 			batchMs: () => preset()?.idempotency.batchMs ?? 1,
+			writePauseMs() {
+				const taken = takeQuota(bucket, {requestsPerSecond: preset()?.idempotency.writesPerSecond ?? 1, burst: writeBurst, entries: 1}, monotonicMs());
+				bucket = taken.bucket;
+				return taken.kind === 'within' ? 0 : taken.retryAfterMs;
+			},
 			maxRecordedBytes: () => preset()?.idempotency.maxRecordedBytes ?? 0,
 			sleep: pause,
 			onWrite(records) {
--- a/packages/config/src/preset.ts
+++ b/packages/config/src/preset.ts
@@ -79,10 +79,11 @@
 	}).prefault({}),
 	idempotency: z.strictObject({
 		keyHeader: z.string().regex(/^[a-z\-]{1,64}$/v).default('idempotency-key'),
-		shards: count(8, 1, 256),
 		leaseMs: ms(9000, 1000),
 		/** Time over which claims are gathered into one write. */
 		batchMs: ms(5, 1, 1000),
+		/** Writes a second for each part of a service's log, beyond a burst of 20. */
+		writesPerSecond: z.number().min(0.1).max(1000).default(3.5),
 		maxRecordedBytes: count(32_768, 0, 262_144),
 		/** How long a key is kept; one that comes later than that counts as new. */
 		retentionMs: ms(86_400_000, 60_000, 604_800_000),
--- a/packages/entry/src/choose.ts
+++ b/packages/entry/src/choose.ts
@@ -1,7 +1,7 @@
 import {type Call} from '@papayaflow/caller';
 import {type Preset} from '@papayaflow/config';
 import {
-	hashText, pickTarget, rendezvousOrder, withoutEjected,
+	pickTarget, rendezvousOrder, shardOfKey, withoutEjected,
 } from '@papayaflow/policy';
 import {type Link} from './link.js';
 import {type Links} from './links.js';
@@ -9,9 +9,9 @@
 /** What an entry has learned of who owns the shards of the idempotency log. */
 export type Owners = {
 	/** The instance that last showed or was named as the owner of a key's shard. */
-	of(call: Call, shards: number): string | undefined;
+	of(call: Call): string | undefined;
 	/** Notes the owner of a key's shard; `undefined` forgets it. */
-	learn(call: Call, shards: number, owner: string | undefined): void;
+	learn(call: Call, owner: string | undefined): void;
 };
 
 /**
@@ -24,22 +24,17 @@
 export function createOwners(): Owners {
 	const owners = new Map<string, string>();
 	return {
-		of: (call, shards) => owners.get(shardName(call, shards)),
-		learn(call, shards, owner) {
+		of: call => owners.get(shardName(call)),
+		learn(call, owner) {
 			if (owner === undefined) {
-				owners.delete(shardName(call, shards));
+				owners.delete(shardName(call));
 			} else {
-				owners.set(shardName(call, shards), owner);
+				owners.set(shardName(call), owner);
 			}
 		},
 	};
 }
 
-/** The shard of the idempotency log that holds a key. */
-export function shardOf(organisation: string, key: string, shards: number): number {
-	return hashText(`${organisation}/${key}`) % shards;
-}
-
 /**
 Chooses the sidecar to ask about a key: the owner as far as it is known, else the
 first by rendezvous hashing that was not tried, which is the same at every entry,
@@ -47,16 +42,16 @@
 */
 export function chooseOwner(
 	call: Call,
-	{tried, shards}: {readonly tried: ReadonlySet<string>; readonly shards: number},
+	tried: ReadonlySet<string>,
 	{links, owners}: {readonly links: Links; readonly owners: Owners},
 ): Link | undefined {
-	const known = owners.of(call, shards);
+	const known = owners.of(call);
 	const link = known === undefined || tried.has(known) ? undefined : links.to(known);
 	if (link?.connected) {
 		return link;
 	}
 
-	const usable = rendezvousOrder(shardName(call, shards), links.sidecarsOf(call.service))
+	const usable = rendezvousOrder(shardName(call), links.sidecarsOf(call.service))
 		.map(id => links.to(id))
 		.filter(other => other?.usable);
 	return usable.find(other => !tried.has(other!.sidecar.id)) ?? usable.at(0);
@@ -81,6 +76,6 @@
 	return picked && byId.get(picked.id);
 }
 
-function shardName(call: Call, shards: number): string {
-	return `${call.service}/${shardOf(call.organisation, call.key ?? '', shards)}`;
+function shardName(call: Call): string {
+	return `${call.service}/${shardOfKey(call.organisation, call.key ?? '')}`;
 }
--- a/packages/entry/src/forward.ts
+++ b/packages/entry/src/forward.ts
@@ -110,17 +110,17 @@
 
 function chooseLink({call, preset}: Arrival, tried: ReadonlySet<string>, deps: ForwardDeps): Link | undefined {
 	return isKeyed(call)
-		? chooseOwner(call, {tried, shards: preset.idempotency.shards}, deps)
+		? chooseOwner(call, tried, deps)
 		: chooseTarget(call, {tried, preset}, deps);
 }
 
-function learnOwner({call, preset}: Arrival, link: Link, result: AttemptResult, {owners}: ForwardDeps): void {
+function learnOwner({call}: Arrival, link: Link, result: AttemptResult, {owners}: ForwardDeps): void {
 	if (!isKeyed(call)) {
 		return;
 	}
 
 	const isOwner = result.kind === 'answered' || (result.kind === 'refused' && result.reason !== 'wrongOwner' && result.reason !== 'connectionLost');
-	owners.learn(call, preset.idempotency.shards, isOwner ? link.sidecar.id : (result.kind === 'refused' ? result.owner : undefined));
+	owners.learn(call, isOwner ? link.sidecar.id : (result.kind === 'refused' ? result.owner : undefined));
 }
 
 function isSentOn(result: Failed): result is Extract<Failed, {kind: 'refused'}> {
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,4 +1,4 @@
-export {createOwners, shardOf, type Owners} from './choose.js';
+export {createOwners, type Owners} from './choose.js';
 export {
 	forward, isKeyed, type Arrival, type Forwarded, type ForwardDeps,
 } from './forward.js';
--- a/packages/idempotency/src/shard.ts
+++ b/packages/idempotency/src/shard.ts
@@ -47,6 +47,8 @@
 	readonly lease: Lease;
 	/** Time over which lines are gathered into one write, in milliseconds. */
 	readonly batchMs: () => number;
+	/** Takes leave for one write: 0 when it may go now, else how long to wait before asking again, in milliseconds. */
+	readonly writePauseMs: () => number;
 	readonly sleep: (ms: number) => Promise<void>;
 	/** Notes a write that took several records, for the counters. */
 	readonly onWrite?: (records: number) => void;
@@ -156,6 +158,11 @@
 		isWriting = true;
 		while (waiting.length > 0) {
 			await sleep(options.batchMs());
+			// The store's rate is bounded: where calls come faster than writes may, more of them share one.
+			for (let pauseMs = options.writePauseMs(); pauseMs > 0; pauseMs = options.writePauseMs()) {
+				await sleep(pauseMs);
+			}
+
 			const batch = takeBatch(waiting);
 			waiting = waiting.slice(batch.length);
 			const records = batch.map(({record}) => record);
--- a/packages/idempotency/test/claim.test.ts
+++ b/packages/idempotency/test/claim.test.ts
@@ -176,6 +176,30 @@
 		expect(result.kind).to.equal('claimed');
 	});
 
+	it('shares one write between calls that come faster than the store may be written', async () => {
+		const {kv, clock} = platform();
+		let leave = 1;
+		const {claims} = await owner(kv, clock, 'a', {
+			writePauseMs() {
+				leave--;
+				return leave >= 0 ? 0 : 1;
+			},
+		});
+		await claims.look('pay-0', 'f');
+		const segments = (): number => kv.history.filter(({key}) => key.includes('/log/')).length;
+		await claims.claim('pay-1', 'f');
+		expect(segments()).to.equal(1);
+		const rest = Array.from({length: 50}, async (_, index) => claims.claim(`more-${index}`, 'f'));
+		await new Promise(resolve => {
+			setTimeout(resolve, 5);
+		});
+		expect(segments(), 'none while there is no leave').to.equal(1);
+		leave = 1;
+		const results = await Promise.all(rest);
+		expect(results.every(({kind}) => kind === 'claimed')).to.equal(true);
+		expect(segments()).to.equal(2);
+	});
+
 	it('keeps an answer that is too large as run, and does not run it again', async () => {
 		const {kv, clock} = platform();
 		const {claims} = await owner(kv, clock, 'a');
--- a/packages/idempotency/test/helper.ts
+++ b/packages/idempotency/test/helper.ts
@@ -8,9 +8,11 @@
 
 export const answer = (text: string) => ({status: 200, headers: {}, body: new TextEncoder().encode(text)});
 
+type OwnerOptions = StoreFaults & {readonly writePauseMs?: () => number};
+
 /** One owner of shard 0 of a service, on a key-value service that several owners share. */
-export async function owner(kv: ReturnType<typeof createKv>, clock: TestClock, holder: string, faults: StoreFaults = {}): Promise<{claims: Claims; lease: Lease}> {
-	const store = memoryStore(kv, faults);
+export async function owner(kv: ReturnType<typeof createKv>, clock: TestClock, holder: string, options: OwnerOptions = {}): Promise<{claims: Claims; lease: Lease}> {
+	const store = memoryStore(kv, options);
 	const incarnation = `${holder}-incarnation`;
 	const lease = createLease({
 		store, holder, incarnation, ttlMs: () => 9000, monotonicMs: () => clock.nowMs,
@@ -18,7 +20,7 @@
 	await lease.tick();
 	const claims = createClaims({
 		store, service: 'ledger', shard: 0, holder, incarnation, lease, nowMs: () => clock.nowMs,
-		batchMs: () => 0, maxRecordedBytes: () => 100,
+		batchMs: () => 0, maxRecordedBytes: () => 100, writePauseMs: options.writePauseMs ?? (() => 0),
 		async sleep() {
 			await new Promise(resolve => {
 				setImmediate(resolve);
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -13,6 +13,7 @@
 export {
 	hashText, isReader, rendezvousOrder, subset, type Placed,
 } from './rendezvous.js';
+export {claimShards, shardOfKey} from './shard.js';
 export {backoffMs, createRetryBudget, type RetryBudget} from './retry.js';
 export {
 	applyMoves, countCopies, initialMap, isComplete, rankLoads, skewOf, type ExpertMap, type Move,
--- a/packages/sidecar/src/keyed.ts
+++ b/packages/sidecar/src/keyed.ts
@@ -5,7 +5,7 @@
 	type Claim, type ClaimResult, type Claims, type RecordedAnswer,
 } from '@papayaflow/idempotency';
 import {type Frame, type PeerRequest} from '@papayaflow/peer';
-import {hashText} from '@papayaflow/policy';
+import {shardOfKey} from '@papayaflow/policy';
 import {type Admitted} from './admission.js';
 import {
 	admit, dispatch, report, type ServeDeps,
@@ -19,7 +19,7 @@
 /** Serves an attempt that carries a key: looks, claims, and dispatches only what it has claimed. */
 export async function serveKeyed(arrived: Arrived, key: string, {deadlineMs, preset}: {deadlineMs: number; preset: Preset}, deps: ServeDeps): Promise<void> {
 	const {request} = arrived;
-	const claims = deps.claimsOf(hashText(`${request.organisation}/${key}`) % preset.idempotency.shards);
+	const claims = deps.claimsOf(shardOfKey(request.organisation, key));
 	const id = `${request.organisation}/${key}`;
 	const print = fingerprint(request);
 	const keyed: Keyed = {
