Pull a change once, and plan expert maps by layer

Cause 1: a process that heard of a change pulled it from each peer that named it. Change: one pull at a time, another after a second without an answer, and a tick that asks around while behind. Test 'pulls a change once': 100 told, 1 pull; without the guard 100.

--- a/packages/bench/src/capacity.ts
+++ b/packages/bench/src/capacity.ts
@@ -242,7 +242,9 @@
 		}],
 		['order to a rank with 64 moves', {
 			kind: 'order', id: 1, rank: 63, order: {
-				kind: 'prepare', epoch: 3, version: 12, moves: Array.from({length: 64}, (_, index) => ({rank: index, slot: 4, expert: 200 + index})),
+				kind: 'prepare', epoch: 3, version: 12, moves: Array.from({length: 64}, (_, index) => ({
+					layer: index % 60, rank: index, slot: 4, expert: 200 + index,
+				})),
 			},
 		}],
 	];
--- a/packages/cli/src/entry-wiring.ts
+++ b/packages/cli/src/entry-wiring.ts
@@ -16,6 +16,7 @@
 
 const defaultSubsetSize = 20;
 const heartbeatMs = 60_000;
+const catchUpMs = 1000;
 const drainPollMs = 20;
 
 export const entrySettings = {
@@ -100,6 +101,12 @@
 	const heartbeat = setInterval(() => {
 		links.broadcast(revisionMessage(follower, {monotonicMs}));
 	}, heartbeatMs).unref();
+	// A pull that got nothing is made good by asking around once more.
+	const catchUp = setInterval(() => {
+		if (follower.isBehind()) {
+			links.broadcast(revisionMessage(follower, {monotonicMs}));
+		}
+	}, catchUpMs).unref();
 
 	const adminPort = await listen(admin, settings.adminPort, settings.address);
 	const port = await listen(front.server, settings.port, settings.address);
@@ -123,6 +130,7 @@
 			front.giveUpAll();
 			await sleep(drainPollMs);
 			clearInterval(heartbeat);
+			clearInterval(catchUp);
 			ending.abort();
 			links.close();
 		},
--- a/packages/cli/src/sidecar-wiring.ts
+++ b/packages/cli/src/sidecar-wiring.ts
@@ -24,6 +24,7 @@
 import {sharedSettings} from './shared-settings.js';
 
 const heartbeatMs = 60_000;
+const catchUpMs = 1000;
 const drainPollMs = 20;
 const handoffMs = 2000;
 const defaultLeaseMs = 9000;
@@ -260,6 +261,12 @@
 	const heartbeat = setInterval(() => {
 		peers.broadcast(revisionMessage(follower, {monotonicMs}));
 	}, heartbeatMs).unref();
+	// A pull that got nothing is made good by asking around once more.
+	const catchUp = setInterval(() => {
+		if (follower.isBehind()) {
+			peers.broadcast(revisionMessage(follower, {monotonicMs}));
+		}
+	}, catchUpMs).unref();
 
 	const adminPort = await listen(admin, settings.adminPort, settings.address);
 	const port = await listen(peers.server, settings.port, settings.address);
@@ -280,6 +287,7 @@
 			peers.giveUpAll();
 			await sleep(drainPollMs);
 			clearInterval(heartbeat);
+			clearInterval(catchUp);
 			ending.abort();
 		},
 	};
--- a/packages/config/src/exchange.ts
+++ b/packages/config/src/exchange.ts
@@ -31,9 +31,9 @@
 export function onConfigMessage(message: ConfigMessage, follower: Follower, clock: Clock): ConfigMessage | undefined {
 	switch (message.kind) {
 		case 'revision': {
-			const isBehind = follower.heard(message.revision, clock.monotonicMs() - message.ageMs) === 'behind';
-			if (isBehind) {
-				return {kind: 'pullConfig', have: follower.have()};
+			const nowMs = clock.monotonicMs();
+			if (follower.heard(message.revision, nowMs - message.ageMs) === 'behind') {
+				return pull(follower, nowMs);
 			}
 
 			return message.revision < follower.revision() ? revisionMessage(follower, clock) : undefined;
@@ -46,7 +46,15 @@
 
 		case 'config': {
 			const result = follower.offer(message.update);
-			return result === 'incomplete' ? {kind: 'pullConfig', have: []} : undefined;
+			if (result === 'incomplete') {
+				return {kind: 'pullConfig', have: []};
+			}
+
+			return follower.isBehind() ? pull(follower, clock.monotonicMs()) : undefined;
 		}
 	}
 }
+
+function pull(follower: Follower, nowMs: number): ConfigMessage | undefined {
+	return follower.takePull(nowMs) ? {kind: 'pullConfig', have: follower.have()} : undefined;
+}
--- a/packages/config/src/follower.ts
+++ b/packages/config/src/follower.ts
@@ -9,6 +9,8 @@
 } from './head.js';
 import {checkPreset, type Preset} from './preset.js';
 
+const pullTimeoutMs = 1000;
+
 /** What is in force on this process. */
 export type Applied = {readonly revision: number; readonly name: string; readonly preset: Preset};
 
@@ -26,6 +28,13 @@
 	confirmedAtMs(): number;
 	/** Notes that the store held just `revision` at `atMs`; `behind` when that is more than this process knows. */
 	heard(revision: number, atMs: number): 'behind' | 'level';
+	/** Whether some source has named a higher revision than is in force here. */
+	isBehind(): boolean;
+	/**
+	Takes leave for one pull. A process that hears of a change from a hundred peers at
+	once pulls it from one of them, and from another when nothing came within a second.
+	*/
+	takePull(nowMs: number): boolean;
 	/** The hashes held here, so that a peer sends the others alone. */
 	have(): readonly string[];
 	/** Makes the update for a peer that holds `have`; `undefined` when nothing is known here. */
@@ -48,6 +57,8 @@
 	let head: Head = emptyHead;
 	let applied: Applied | undefined;
 	let confirmed = Number.NEGATIVE_INFINITY;
+	let highestHeard = 0;
+	let pullingUntilMs = Number.NEGATIVE_INFINITY;
 	let chunks = new Map<string, Uint8Array>();
 	const listeners: Array<(applied: Applied) => void> = [];
 
@@ -55,7 +66,17 @@
 		applied: () => applied,
 		revision: () => head.revision,
 		confirmedAtMs: () => confirmed,
+		isBehind: () => highestHeard > head.revision,
+		takePull(nowMs) {
+			if (nowMs < pullingUntilMs) {
+				return false;
+			}
+
+			pullingUntilMs = nowMs + pullTimeoutMs;
+			return true;
+		},
 		heard(revision, atMs) {
+			highestHeard = Math.max(highestHeard, revision);
 			if (revision > head.revision) {
 				return 'behind';
 			}
@@ -108,6 +129,7 @@
 			// The other presets' chunks are dropped: this process never serves them.
 			chunks = new Map(needed.map(hash => [hash, merged.get(hash)!]));
 			head = next;
+			pullingUntilMs = Number.NEGATIVE_INFINITY;
 			applied = {revision: next.revision, name: next.inForce!, preset: checked.preset};
 			for (const listener of listeners) {
 				listener(applied);
--- a/packages/config/test/head.test.ts
+++ b/packages/config/test/head.test.ts
@@ -112,6 +112,22 @@
 		expect(behind.applied()?.name).to.equal('ordinary');
 	});
 
+	it('pulls a change once, however many peers tell of it, and again when nothing came', async () => {
+		const {store} = await storeWith('ordinary');
+		await usePreset(store, 'ordinary', 1, author('1'));
+		const [ahead, behind] = [createFollower(), createFollower()];
+		await refreshFromStore(store, ahead, nowMs);
+		let ms = 0;
+		const moving = {monotonicMs: () => ms};
+		const told = Array.from({length: 100}, () => onConfigMessage(revisionMessage(ahead, clock), behind, moving));
+		expect(told.filter(reply => reply?.kind === 'pullConfig').length).to.equal(1);
+		expect(behind.isBehind()).to.equal(true);
+		ms = 1001;
+		expect(onConfigMessage(revisionMessage(ahead, clock), behind, moving)?.kind).to.equal('pullConfig');
+		onConfigMessage({kind: 'config', update: ahead.updateFor([])!}, behind, moving);
+		expect(behind.isBehind()).to.equal(false);
+	});
+
 	it('pulls only the chunks that it lacks', async () => {
 		const kv = createKv(nowMs);
 		const store = memoryStore(kv);
--- a/packages/experts/src/coordinator.ts
+++ b/packages/experts/src/coordinator.ts
@@ -1,4 +1,4 @@
-import {type Move} from '@papayaflow/policy';
+import {type LayerMove} from '@papayaflow/policy';
 import {
 	type RankOrder, type RankReply, type Ranks, type RankState,
 } from './order.js';
@@ -33,7 +33,7 @@
 @example
 const result = await switchMap({version: 4, moves}, options);
 */
-export async function switchMap({version, moves}: {readonly version: number; readonly moves: readonly Move[]}, options: CoordinatorOptions): Promise<SwitchResult> {
+export async function switchMap({version, moves}: {readonly version: number; readonly moves: readonly LayerMove[]}, options: CoordinatorOptions): Promise<SwitchResult> {
 	const {epoch} = options;
 	const prepared = await orderAll({
 		kind: 'prepare', epoch, version, moves,
--- a/packages/experts/src/order.ts
+++ b/packages/experts/src/order.ts
@@ -1,4 +1,4 @@
-import {type Move} from '@papayaflow/policy';
+import {type LayerMove} from '@papayaflow/policy';
 
 /**
 What a coordinator tells a rank. `epoch` is the coordinator's fencing number; a
@@ -8,7 +8,7 @@
 	/** Asks for the rank's state and a promise to refuse lower epochs. */
 	= | {readonly kind: 'promise'; readonly epoch: number}
 	/** Loads the experts that the rank needs for a map, without using them. */
-		| {readonly kind: 'prepare'; readonly epoch: number; readonly version: number; readonly moves: readonly Move[]}
+		| {readonly kind: 'prepare'; readonly epoch: number; readonly version: number; readonly moves: readonly LayerMove[]}
 	/** Promises not to take step `step` before the map is committed or aborted. */
 		| {readonly kind: 'hold'; readonly epoch: number; readonly version: number; readonly step: number}
 	/** Uses the map from the held step on. */
--- a/packages/experts/test/adversary.ts
+++ b/packages/experts/test/adversary.ts
@@ -31,7 +31,7 @@
 */
 export function createAdversary({ranks, checksFencing, random, knownEpoch}: {ranks: number; checksFencing: boolean; random: () => number; knownEpoch: () => number}): Adversary {
 	const group = createRankGroup({
-		ranks, experts: ranks * 2, slots: 3, checksFencing,
+		ranks, layers: 1, experts: ranks * 2, slots: 3, checksFencing,
 	});
 	const gates: RankGate[] = Array.from({length: ranks}, (_, rank) => createRankGate(
 		async order => group.order(rank, order),
--- a/packages/experts/test/coordinator.test.ts
+++ b/packages/experts/test/coordinator.test.ts
@@ -7,11 +7,13 @@
 	createRankGate, recover, switchMap, type CoordinatorOptions, type Ranks,
 } from '@papayaflow/experts';
 
-const moves = [{rank: 0, slot: 0, expert: 1}];
+const moves = [{
+	layer: 0, rank: 0, slot: 0, expert: 1,
+}];
 
 function groupOf(ranks: number): RankGroup {
 	return createRankGroup({
-		ranks, experts: ranks * 2, slots: 3, checksFencing: true,
+		ranks, layers: 1, experts: ranks * 2, slots: 3, checksFencing: true,
 	});
 }
 
@@ -107,7 +109,7 @@
 
 	it('is not committed late by an old coordinator, also on engines that ignore fencing numbers', async () => {
 		const group = createRankGroup({
-			ranks: 2, experts: 4, slots: 3, checksFencing: false,
+			ranks: 2, layers: 1, experts: 4, slots: 3, checksFencing: false,
 		});
 		const gates = [0, 1].map(rank => createRankGate(async order => group.order(rank, order), async () => 0));
 		for (const gate of gates) {
--- a/packages/policy/src/expert-map.ts
+++ b/packages/policy/src/expert-map.ts
@@ -7,6 +7,9 @@
 /** Puts an expert in a slot of a rank, in place of what stood there. */
 export type Move = {readonly rank: number; readonly slot: number; readonly expert: number};
 
+/** A move in one of a model's layers, each of which has a map of its own. */
+export type LayerMove = Move & {readonly layer: number};
+
 /**
 Lays experts out evenly, one slot each, and fills spare slots with the first
 experts again.
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -16,11 +16,12 @@
 export {claimShards, shardOfKey} from './shard.js';
 export {backoffMs, createRetryBudget, type RetryBudget} from './retry.js';
 export {
-	applyMoves, countCopies, initialMap, isComplete, rankLoads, skewOf, type ExpertMap, type Move,
+	applyMoves, countCopies, initialMap, isComplete, rankLoads, skewOf, type ExpertMap, type LayerMove, type Move,
 } from './expert-map.js';
 export {
 	evenPopularity, withReport, type Popularity, type PopularityOptions,
 } from './popularity.js';
+export {planLayers, type Layer} from './layers.js';
 export {
 	movesBetween, planAnew, planMoves, worthMoves, type Plan, type PlanOptions, type WorthOptions,
 } from './rebalance.js';
--- /dev/null
+++ b/packages/policy/src/layers.ts
@@ -0,0 +1,31 @@
+import {
+	rankLoads, skewOf, type ExpertMap, type LayerMove,
+} from './expert-map.js';
+import {
+	planMoves, worthMoves, type PlanOptions, type WorthOptions,
+} from './rebalance.js';
+
+/** One layer as its engine reports it: where its experts stand, and their shares of its load. */
+export type Layer = {readonly map: ExpertMap; readonly shares: readonly number[]};
+
+/**
+Plans the moves of all layers within one budget: the most uneven layer first, each
+as far as its moves pay. A layer's part of a step's time is an even share of it.
+
+@example
+const moves = planLayers(layers, {maxMoves: 64, goodSkew: 1.01}, worth);
+*/
+export function planLayers(layers: readonly Layer[], options: PlanOptions, worth: WorthOptions): readonly LayerMove[] {
+	const order = layers
+		.map(({map, shares}, layer) => ({layer, skew: skewOf(rankLoads(map, shares))}))
+		.toSorted((a, b) => b.skew - a.skew || a.layer - b.layer);
+	const moves: LayerMove[] = [];
+	for (const {layer} of order) {
+		const {map, shares} = layers[layer];
+		const plan = planMoves(map, shares, {...options, maxMoves: options.maxMoves - moves.length});
+		const taken = worthMoves(map, shares, plan, {...worth, loadMs: worth.loadMs / layers.length});
+		moves.push(...taken.map(move => ({...move, layer})));
+	}
+
+	return moves;
+}
--- a/packages/policy/test/policy.test.ts
+++ b/packages/policy/test/policy.test.ts
@@ -4,7 +4,7 @@
 import {seededRandom} from '@papayaflow/standins';
 import {
 	afterFailure, afterSuccess, applyMoves, backoffMs, createFairQueue, createRetryBudget, evenPopularity, healthy, initialMap, isComplete, isReader,
-	movesBetween, pickTarget, planAnew, planMoves, rankLoads, rendezvousOrder, skewOf, subset, takeQuota, withoutEjected, withReport, worthMoves,
+	movesBetween, pickTarget, planAnew, planLayers, planMoves, rankLoads, rendezvousOrder, skewOf, subset, takeQuota, withoutEjected, withReport, worthMoves,
 	type Candidate, type PickOptions,
 } from '@papayaflow/policy';
 
@@ -247,6 +247,18 @@
 		expect(worthMoves(map, loads, plan, {...worth, costWeight: 1e9})).to.deep.equal([]);
 	});
 
+	it('spends its moves on the most uneven layer first', () => {
+		const map = initialMap(16, 64, 5);
+		const even = Array.from({length: 64}, () => 1 / 64);
+		const layers = [{map, shares: even}, {map, shares: zipf(64)}];
+		const worth = {
+			horizonSteps: 1000, loadMs: 2, moveMs: 0, skewWeight: 1, costWeight: 1,
+		};
+		const moves = planLayers(layers, {maxMoves: 8, goodSkew: 1.01}, worth);
+		expect(moves.length).to.be.within(1, 8);
+		expect(new Set(moves.map(({layer}) => layer))).to.deep.equal(new Set([1]));
+	});
+
 	it('finds the moves between two maps', () => {
 		const from = initialMap(8, 16, 3);
 		const to = planAnew(from, zipf(16));
--- a/packages/sidecar/src/rebalancer.ts
+++ b/packages/sidecar/src/rebalancer.ts
@@ -3,7 +3,7 @@
 	recover, switchMap, takeEpoch, type CoordinatorOptions, type Ranks, type SwitchResult,
 } from '@papayaflow/experts';
 import {
-	evenPopularity, planMoves, withReport, worthMoves, type Move, type Popularity,
+	evenPopularity, planLayers, withReport, type LayerMove, type Popularity,
 } from '@papayaflow/policy';
 import {type Store} from '@papayaflow/store';
 import {type ExpertReport} from '@papayaflow/target';
@@ -30,7 +30,7 @@
 	readonly isStopped: () => boolean;
 };
 
-type Watched = {readonly popularity: Popularity; readonly report: ExpertReport; readonly atMs: number};
+type Watched = {readonly popularity: readonly Popularity[]; readonly report: ExpertReport; readonly atMs: number};
 
 /**
 Coordinates the expert map of one group, as one task: takes an epoch, finishes
@@ -97,28 +97,37 @@
 
 // A report that shows no steps since the last one is old, and nothing is decided on it.
 function watch(before: Watched | undefined, report: ExpertReport, atMs: number): Watched | undefined {
-	if (before?.report.counts.length !== report.counts.length || report.step < before.report.step) {
-		return {popularity: evenPopularity(report.counts.length), report, atMs};
+	if (!before || !isSuccessor(before.report, report)) {
+		return {popularity: report.layers.map(({counts}) => evenPopularity(counts.length)), report, atMs};
 	}
 
 	if (report.step === before.report.step) {
 		return undefined;
 	}
 
-	const counts = report.counts.map((count, expert) => count - before.report.counts[expert]);
-	return {popularity: withReport(before.popularity, counts, {weight: reportWeight, jump: reportJump}), report, atMs};
+	const popularity = report.layers.map(({counts}, layer) => {
+		const fresh = counts.map((count, expert) => count - before.report.layers[layer].counts[expert]);
+		return withReport(before.popularity[layer], fresh, {weight: reportWeight, jump: reportJump});
+	});
+	return {popularity, report, atMs};
 }
 
-function plan(before: Watched, now: Watched, settings: Preset['rebalancing']): readonly Move[] {
+// An engine that has started anew counts from zero again.
+function isSuccessor(before: ExpertReport, report: ExpertReport): boolean {
+	return before.layers.length === report.layers.length
+		&& report.step >= before.step
+		&& report.layers.every(({counts}, layer) => counts.length === before.layers[layer].counts.length);
+}
+
+function plan(before: Watched, now: Watched, settings: Preset['rebalancing']): readonly LayerMove[] {
 	const steps = now.report.step - before.report.step;
 	const stepMs = (now.atMs - before.atMs) / Math.max(1, steps);
-	const {shares, reports} = now.popularity;
-	if (reports === 0) {
+	if (now.popularity.some(({reports}) => reports === 0)) {
 		return [];
 	}
 
-	const planned = planMoves(now.report.slots, shares, {maxMoves: settings.maxMoves, goodSkew});
-	return worthMoves(now.report.slots, shares, planned, {...settings, horizonSteps: settings.horizonMs / stepMs});
+	const layers = now.report.layers.map(({slots}, layer) => ({map: slots, shares: now.popularity[layer].shares}));
+	return planLayers(layers, {maxMoves: settings.maxMoves, goodSkew}, {...settings, horizonSteps: settings.horizonMs / stepMs});
 }
 
 function note(result: SwitchResult, moves: number, settings: Preset['rebalancing'], deps: RebalancerDeps): void {
--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -7,6 +7,7 @@
 const defaultMaxTokens = 16;
 const tokensPerStep = 1000;
 const skewMemory = 0.05;
+const layerShift = 3;
 
 /** The switches of the stand-in of a model engine. */
 export type EngineFaults = {
@@ -37,6 +38,7 @@
 	readonly maxBatch: number;
 	/** Whether the ranks refuse orders that carry an old fencing number. */
 	readonly checksFencing: boolean;
+	readonly layers?: number;
 	readonly experts?: number;
 	readonly slots?: number;
 	/** How long a rank takes to load one expert, in milliseconds. */
@@ -63,15 +65,15 @@
 serveEngine({model: 'notice-drafting', ranks: 4, stepMs: 5, maxBatch: 32, checksFencing: true}).listen(8000, '127.0.0.1');
 */
 export function serveEngine(options: EngineOptions): Server {
-	const {experts = options.ranks * 4, slots = 5, loadMs = 5} = options;
+	const {layers = 2, experts = options.ranks * 4, slots = 5, loadMs = 5} = options;
 	const faults: EngineFaults = {
 		cutStreams: 0, stalled: false, deafRank: -1, muteReports: false, popularityShift: 0,
 	};
 	const group = createRankGroup({
-		ranks: options.ranks, experts, slots, checksFencing: options.checksFencing,
+		ranks: options.ranks, layers, experts, slots, checksFencing: options.checksFencing,
 	});
 	const runs: Record<string, number> = {};
-	const counts = Array.from({length: experts}, () => 0);
+	const counts = Array.from({length: layers}, () => Array.from({length: experts}, () => 0));
 	const waiting: Running[] = [];
 	let batch: Running[] = [];
 	let skew = 1;
@@ -131,7 +133,7 @@
 
 			case '/experts': {
 				sendJson(res, faults.muteReports ? 503 : 200, {
-					counts, slots: group.slots(), version: group.version(), step: group.stepNumber(), skew,
+					layers: group.slots().map((held, layer) => ({counts: counts[layer], slots: held})), version: group.version(), step: group.stepNumber(), skew,
 				});
 
 				break;
@@ -152,23 +154,29 @@
 	});
 }
 
-// Spreads a step's tokens over the experts by Zipf's law and gives the skew of the ranks' loads.
-function loadStep(group: RankGroup, counts: number[], shift: number): number {
-	const experts = counts.length;
-	const shares = counts.map((_, expert) => 1 / (((expert + shift) % experts) + 1));
-	const total = shares.reduce((sum, share) => sum + share, 0);
-	const copies = counts.map(() => 0);
-	const slots = group.slots();
-	for (const expert of slots.flat()) {
-		copies[expert]++;
-	}
+// Spreads a step's tokens over each layer's experts by Zipf's law and gives the skew of the ranks' loads over all layers.
+function loadStep(group: RankGroup, counts: readonly number[][], shift: number): number {
+	const layers = group.slots();
+	let heaviest = 0;
+	for (const [layer, slots] of layers.entries()) {
+		const experts = counts[layer].length;
+		const shares = counts[layer].map((_, expert) => 1 / (((expert + shift + (layer * layerShift)) % experts) + 1));
+		const total = shares.reduce((sum, share) => sum + share, 0);
+		const copies = shares.map(() => 0);
+		for (const expert of slots.flat()) {
+			copies[expert]++;
+		}
+
+		const loads = slots.map(held => held.reduce((sum, expert) => sum + (shares[expert] / copies[expert]), 0));
+		for (const [expert, share] of shares.entries()) {
+			counts[layer][expert] += tokensPerStep * share / total;
+		}
 
-	const loads = slots.map(held => held.reduce((sum, expert) => sum + (shares[expert] / copies[expert]), 0));
-	for (const [expert, share] of shares.entries()) {
-		counts[expert] += tokensPerStep * share / total;
+		// The ranks wait for each other in every layer, so the slowest of each counts.
+		heaviest += Math.max(...loads) / (total / slots.length);
 	}
 
-	return Math.max(...loads) / (total / slots.length);
+	return heaviest / layers.length;
 }
 
 async function answerOrder(group: RankGroup, rank: number, order: Record<string, unknown>, {res, faults, loadMs}: {res: ServerResponse; faults: EngineFaults; loadMs: number}): Promise<void> {
--- a/packages/standins/src/ranks.ts
+++ b/packages/standins/src/ranks.ts
@@ -1,8 +1,9 @@
 type Scheduled = {readonly version: number; readonly step: number};
 
-type Move = {readonly rank: number; readonly slot: number; readonly expert: number};
+type Move = {readonly layer: number; readonly rank: number; readonly slot: number; readonly expert: number};
 
-type Slots = ReadonlyArray<readonly number[]>;
+/** For each layer and rank, the expert in each slot. */
+type Slots = ReadonlyArray<ReadonlyArray<readonly number[]>>;
 
 /** What a rank knows of its expert maps. */
 type Rank = {
@@ -20,8 +21,10 @@
 
 export type RankGroupOptions = {
 	readonly ranks: number;
+	readonly layers: number;
+	/** Experts of a layer. */
 	readonly experts: number;
-	/** Slots of a rank. */
+	/** Slots of a rank in each layer. */
 	readonly slots: number;
 	/** Whether a rank refuses an order with a lower epoch than it has promised. */
 	readonly checksFencing: boolean;
@@ -34,7 +37,7 @@
 	stepNumber(): number;
 	order(rank: number, order: Order): {readonly accepted: boolean; readonly state: RankState};
 	show(rank: number): RankState;
-	/** The slots of each rank under the map in use. */
+	/** The slots of each layer and rank under the map in use. */
 	slots(): Slots;
 	version(): number;
 	/** The maps used: the version by rank, at each step where it changed. */
@@ -48,13 +51,15 @@
 `abort`, each with the epoch of who gives it.
 
 @example
-const group = createRankGroup({ranks: 4, experts: 16, slots: 5, checksFencing: true});
+const group = createRankGroup({ranks: 4, layers: 2, experts: 16, slots: 5, checksFencing: true});
 */
 export function createRankGroup(options: RankGroupOptions): RankGroup {
 	const ranks: Rank[] = Array.from({length: options.ranks}, () => ({
 		promised: 0, committed: 0, prepared: 0, held: undefined, next: undefined, aborted: 0,
 	}));
-	const start: Slots = Array.from({length: options.ranks}, (_, rank) => Array.from({length: options.slots}, (__, slot) => ((slot * options.ranks) + rank) % options.experts));
+	const startSlots = (rank: number): readonly number[] => Array.from({length: options.slots}, (_, slot) => ((slot * options.ranks) + rank) % options.experts);
+	const startLayer = (): ReadonlyArray<readonly number[]> => Array.from({length: options.ranks}, (_, rank) => startSlots(rank));
+	const start: Slots = Array.from({length: options.layers}, startLayer);
 	const maps = new Map<number, Slots>([[0, start]]);
 	const used: Array<{step: number; versions: number[]}> = [];
 	let stepNumber = 0;
@@ -177,9 +182,9 @@
 }
 
 function moved(slots: Slots, moves: readonly Move[]): Slots {
-	const next = slots.map(held => [...held]);
-	for (const {rank, slot, expert} of moves) {
-		next[rank][slot] = expert;
+	const next = slots.map(layer => layer.map(held => [...held]));
+	for (const {layer, rank, slot, expert} of moves) {
+		next[layer][rank][slot] = expert;
 	}
 
 	return next;
--- a/packages/target/src/engine.ts
+++ b/packages/target/src/engine.ts
@@ -17,9 +17,12 @@
 });
 
 const expertReportSchema = z.object({
-	/** Tokens by expert since the engine started, summed over the ranks. */
-	counts: z.array(z.number()),
-	slots: z.array(z.array(z.number())),
+	layers: z.array(z.object({
+		/** Tokens by expert since the engine started, summed over the ranks. */
+		counts: z.array(z.number()),
+		/** The expert in each slot of each rank. */
+		slots: z.array(z.array(z.number())),
+	})),
 	version: z.number(),
 	step: z.number(),
 	/** The greatest over the mean of the ranks' recent step times. */
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -58,6 +58,11 @@
 		find: 'if (next.revision <= head.revision) {', replace: 'if (next.revision < 0) {',
 		spec: 'config/test/head.test.ts', test: 'never goes back to a lower revision',
 	},
+	{
+		name: 'a change is pulled from one peer', file: 'config/src/follower.ts',
+		find: 'if (nowMs < pullingUntilMs) {', replace: 'if (nowMs < 0) {',
+		spec: 'config/test/head.test.ts', test: 'pulls a change once',
+	},
 	{
 		name: 'a change that stands is not made again', file: 'config/src/change.ts',
 		find: 'if (present.head.recent.some(change => change.id === author.changeId)) {', replace: 'if (present.storeRevision < 0) {',
