--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -110,8 +110,8 @@
 	},
 	{
 		name: 'what was not sent is not the owner\'s word', file: 'entry/src/link.ts',
-		find: 'resolve({kind: \'refused\', reason: \'connectionLost\', retryAfterMs: unknownRetryMs, detail: \'given up',
-		replace: 'resolve({kind: \'refused\', reason: \'withdrawn\', retryAfterMs: 0, detail: \'given up',
+		find: 'reason: \'connectionLost\', retryAfterMs: unknownRetryMs, detail: \'given up',
+		replace: 'reason: \'withdrawn\', retryAfterMs: unknownRetryMs, detail: \'given up',
 		spec: 'entry/test/forward.test.ts', test: 'because its time is over while its owner',
 	},
 	{
