Say nothing of a key at an entry that did not ask its owner

Cause: a malformed request, or one that came before any configuration, was told 'not run' also when it carried a key, and its key may have run under an earlier, sound request. Now such answers say 'unknown' (400 and 404 keep their status). Test 'says nothing of a key': 400 notRun before, 400 unknown after.

--- a/packages/demo/test/product.test.ts
+++ b/packages/demo/test/product.test.ts
@@ -11,7 +11,7 @@
 import {request} from 'undici';
 import {startSmallFleet, type SmallFleet} from './helper.js';
 import {
-	ask, askModel, orderOnce, waitUntil,
+	ask, askModel, orderOnce, startFleet, waitUntil,
 } from '@papayaflow/demo';
 
 const run = promisify(execFile);
@@ -89,6 +89,17 @@
 		garbage.destroy();
 	});
 
+	it('says nothing of a key that it did not ask about', async () => {
+		const malformed = await send({'x-organisation': 'a b', 'idempotency-key': 'pay-1'}, '{}', '/ledger/payments');
+		expect([malformed.status, malformed.problem.outcome]).to.deep.equal([400, 'unknown']);
+		const bare = await startFleet({dist: path.join(root, 'dist')});
+		const entry = await bare.startEntry('entry-bare', 'salt-lake');
+		const keyed = await orderOnce(entry.port, 'pay-1');
+		const plain = await askModel(entry.port, 'notice-drafting', 'r-1');
+		await bare.stop();
+		expect([keyed.outcome, keyed.reason, plain.outcome]).to.deep.equal(['unknown', 'notAsked', 'notRun']);
+	}).timeout(30_000);
+
 	it('closes a connection that sends what is no frame, and counts it', async () => {
 		const socket = connect(small.notice.port, '127.0.0.1');
 		socket.on('error', () => undefined);
--- a/packages/entry/src/front.ts
+++ b/packages/entry/src/front.ts
@@ -1,8 +1,9 @@
+import {randomUUID} from 'node:crypto';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {
-	openAnswer, readCall, type Answer, type Call,
+	openAnswer, readCall, type Answer, type Call, type CallResult,
 } from '@papayaflow/caller';
 import {organisationOf, type Follower, type Preset} from '@papayaflow/config';
 import {type LossReason, type Outcome} from '@papayaflow/outcome';
@@ -12,6 +13,7 @@
 import {forward, isKeyed, type ForwardDeps} from './forward.js';
 
 const noConfigRetryMs = 1000;
+const usualKeyHeader = 'idempotency-key';
 const mostOrganisations = 20_000;
 const headersTimeoutMs = 10_000;
 const maxHeaderBytes = 65_536;
@@ -47,16 +49,14 @@
 		const startedMs = deps.monotonicMs();
 		const preset = follower.applied()?.preset;
 		if (!preset) {
-			openAnswer(res, '').fail({
-				kind: 'notRun', reason: 'configurationStale', retryAfterMs: noConfigRetryMs, detail: 'no configuration yet',
-			});
 			metrics.count('refusals', {reason: 'configurationStale'});
+			openAnswer(res, randomUUID()).fail(unconfigured(req));
 			return;
 		}
 
 		const read = await readCall(req, preset);
 		if (read.kind === 'bad') {
-			refuseBad(res, read);
+			refuseBad(res, read, req.headers[preset.idempotency.keyHeader] !== undefined);
 			metrics.count('refusals', {reason: read.reason});
 			return;
 		}
@@ -172,9 +172,20 @@
 	}
 }
 
-function refuseBad(res: ServerResponse, {requestId, reason, status, detail}: {requestId: string; reason: string; status: number; detail: string}): void {
+// Without a configuration the header's name is not known either; the usual one is looked for.
+function unconfigured(req: IncomingMessage): Exclude<Outcome, {kind: 'answered'}> {
+	const rest = {retryAfterMs: noConfigRetryMs, detail: 'no configuration yet'};
+	return req.headers[usualKeyHeader] === undefined
+		? {kind: 'notRun', reason: 'configurationStale', ...rest}
+		: {kind: 'unknown', reason: 'notAsked', ...rest};
+}
+
+type BadRequest = Extract<CallResult, {kind: 'bad'}>;
+
+// A malformed request did not run, but its key may have, under a sound one.
+function refuseBad(res: ServerResponse, {requestId, reason, status, detail}: BadRequest, hasKey: boolean): void {
 	res.writeHead(status, {'content-type': 'application/problem+json', 'x-request-id': requestId, connection: status === 413 ? 'close' : 'keep-alive'});
 	res.end(JSON.stringify({
-		type: `urn:papayaflow:${reason}`, title: 'The request was not run.', status, outcome: 'notRun', reason, detail, requestId,
+		type: `urn:papayaflow:${reason}`, title: 'The request is malformed and was not run.', status, outcome: hasKey ? 'unknown' : 'notRun', reason, detail, requestId,
 	}));
 }
