--- a/packages/bench/src/routing.ts
+++ b/packages/bench/src/routing.ts
@@ -53,7 +53,7 @@
 	readonly cache: Set<string>;
 };
 
-type View = {readonly replica: Replica; own: number; report: AgedReport | undefined; health: Health; usedMs: number; isTold: boolean};
+type View = {readonly replica: Replica; ownTokens: number; report: AgedReport | undefined; health: Health; usedMs: number; isTold: boolean};
 
 type Entry = {readonly zone: string; readonly views: readonly View[]; turn: number};
 
@@ -73,7 +73,7 @@
 	const entries: Entry[] = Array.from({length: size.entries}, (_, index) => ({
 		zone: zoneNames[index % zoneNames.length], turn: Math.floor(random() * size.replicas),
 		views: subset(`entry-${index}`, replicas, size.subsetSize).map(replica => ({
-			replica, own: 0, report: undefined, health: healthy, usedMs: Number.NEGATIVE_INFINITY, isTold: false,
+			replica, ownTokens: 0, report: undefined, health: healthy, usedMs: Number.NEGATIVE_INFINITY, isTold: false,
 		})),
 	}));
 	const reportLagMs = condition === 'reports 2 s late' ? 2000 : 1;
@@ -108,9 +108,9 @@
 			}
 
 			case 'ours': {
-				const healthyViews = withoutEjected(usable, view => view.health, events.nowMs, ejection);
-				const picked = pickTarget(healthyViews.map(({replica, own, report}) => ({
-					id: replica.id, zone: replica.zone, ownTokens: own, report, sinceMs: Number.NEGATIVE_INFINITY,
+				const healthyViews = withoutEjected(usable, events.nowMs, ejection);
+				const picked = pickTarget(healthyViews.map(({replica, ownTokens, report}) => ({
+					id: replica.id, zone: replica.zone, ownTokens, report, sinceMs: Number.NEGATIVE_INFINITY,
 				})), {
 					nowMs: events.nowMs, random, zone: entry.zone, reportMaxAgeMs: 2000, zoneBias: 0.3, slowStartMs: 0, affinityKey: prefix, affinityLoadFactor: 1.25,
 				});
@@ -137,7 +137,7 @@
 		events.at(events.nowMs + reportLagMs, () => {
 			for (const view of told) {
 				view.report = {
-					outstandingTokens: replica.tokens, concurrency: slots, atMs: events.nowMs, ownTokensThen: view.own, isSaturated,
+					outstandingTokens: replica.tokens, concurrency: slots, atMs: events.nowMs, ownTokensThen: view.ownTokens, isSaturated,
 				};
 			}
 		});
@@ -150,7 +150,7 @@
 		let hasFirst = false;
 		let isOver = false;
 		replica.tokens += tokens;
-		view.own += tokens;
+		view.ownTokens += tokens;
 		view.usedMs = events.nowMs;
 		const note = (waitedMs: number): void => {
 			if (arrivedMs >= warmUpMs) {
@@ -163,7 +163,7 @@
 		const end = (): void => {
 			if (!isOver) {
 				isOver = true;
-				view.own -= tokens;
+				view.ownTokens -= tokens;
 			}
 		};
 
@@ -194,7 +194,7 @@
 				leave(replica, onLoadChange);
 				end();
 				const report = {
-					outstandingTokens: replica.tokens, concurrency: slots, atMs: events.nowMs, ownTokensThen: view.own, isSaturated: replica.isSaturated,
+					outstandingTokens: replica.tokens, concurrency: slots, atMs: events.nowMs, ownTokensThen: view.ownTokens, isSaturated: replica.isSaturated,
 				};
 				events.at(events.nowMs + reportLagMs, () => {
 					view.report = report;
--- a/packages/entry/src/choose.ts
+++ b/packages/entry/src/choose.ts
@@ -65,7 +65,7 @@
 ): Link | undefined {
 	const nowMs = monotonicMs();
 	const usable = links.of(call.service).filter(link => link.usable && !tried.has(link.sidecar.id));
-	const healthy = withoutEjected(usable, link => link.health, nowMs, preset.routing);
+	const healthy = withoutEjected(usable, nowMs, preset.routing);
 	const byId = new Map(healthy.map(link => [link.sidecar.id, link]));
 	const candidates = healthy.map(link => ({
 		id: link.sidecar.id, zone: link.sidecar.zone, ownTokens: link.ownTokens, report: link.report, sinceMs: link.sinceMs,
--- a/packages/policy/src/eject.ts
+++ b/packages/policy/src/eject.ts
@@ -5,6 +5,9 @@
 
 export type EjectOptions = {readonly ejectAfterFailures: number; readonly ejectMs: number; readonly maxEjectedRatio: number};
 
+/** A target with its health and this process's own work there, in tokens. */
+export type Watched = {readonly health: Health; readonly ownTokens: number};
+
 /** The health after a call that the target answered. */
 export function afterSuccess(): Health {
 	return healthy;
@@ -27,10 +30,13 @@
 /**
 Leaves out the ejected targets, but never more than `maxEjectedRatio` of them:
 when most fail, the cause is not the targets. The ones ejected longest come back
-first. A target whose time is over gets its trial by being in the result again.
+first. A target whose time is over gets its trial by one call at a time: it is left
+out while a call of this process is there.
 */
-export function withoutEjected<T>(targets: readonly T[], healthOf: (target: T) => Health, nowMs: number, options: EjectOptions): readonly T[] {
-	const ejected = targets.filter(target => healthOf(target).ejectedUntilMs > nowMs);
+export function withoutEjected<T extends Watched>(targets: readonly T[], nowMs: number, options: EjectOptions): readonly T[] {
+	const healthOf = ({health}: T): Health => health;
+	const isOut = (target: T): boolean => target.health.ejectedUntilMs > nowMs || (target.health.isTrial && target.ownTokens > 0);
+	const ejected = targets.filter(target => isOut(target));
 	const allowed = Math.floor(targets.length * options.maxEjectedRatio);
 	const out = new Set(ejected.toSorted((a, b) => healthOf(b).ejectedUntilMs - healthOf(a).ejectedUntilMs).slice(0, allowed));
 	return targets.filter(target => !out.has(target));
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,5 +1,5 @@
 export {
-	afterFailure, afterSuccess, healthy, withoutEjected, type EjectOptions, type Health,
+	afterFailure, afterSuccess, healthy, withoutEjected, type EjectOptions, type Health, type Watched,
 } from './eject.js';
 export {
 	createFairQueue, type FairQueue, type PushResult, type Queued,
--- a/packages/policy/test/policy.test.ts
+++ b/packages/policy/test/policy.test.ts
@@ -72,15 +72,22 @@
 	it('leaves a target out after failures in a row, and again after one failed trial', () => {
 		const once = afterFailure(healthy, 0, ejection);
 		const twice = afterFailure(once, 0, ejection);
-		expect(withoutEjected(['x', 'y'], id => id === 'x' ? twice : healthy, 50, ejection)).to.deep.equal(['y']);
-		expect(withoutEjected(['x', 'y'], id => id === 'x' ? twice : healthy, 150, ejection)).to.deep.equal(['x', 'y']);
+		const [x, y] = [{health: twice, ownTokens: 0}, {health: healthy, ownTokens: 10}];
+		expect(withoutEjected([x, y], 50, ejection)).to.deep.equal([y]);
+		expect(withoutEjected([x, y], 150, ejection)).to.deep.equal([x, y]);
 		expect(afterFailure(twice, 150, ejection).ejectedUntilMs).to.equal(250);
 		expect(afterSuccess()).to.deep.equal(healthy);
 	});
 
 	it('never leaves out more than the allowed part', () => {
-		const out = {failures: 9, ejectedUntilMs: 100, isTrial: true};
-		expect(withoutEjected(['a', 'b', 'c', 'd'], () => out, 0, ejection).length).to.equal(2);
+		const out = {health: {failures: 9, ejectedUntilMs: 100, isTrial: true}, ownTokens: 0};
+		expect(withoutEjected([out, out, out, out].map(target => ({...target})), 0, ejection).length).to.equal(2);
+	});
+
+	it('tries a target again by one call at a time', () => {
+		const health = {failures: 9, ejectedUntilMs: 100, isTrial: true};
+		const [trying, other] = [{health, ownTokens: 10}, {health: healthy, ownTokens: 0}];
+		expect(withoutEjected([trying, other], 150, ejection)).to.deep.equal([other]);
 	});
 });
 
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -149,6 +149,11 @@
 		find: 'if (signal.aborted || answer.begun) {', replace: 'if (signal.aborted) {',
 		spec: 'entry/test/forward.test.ts', test: 'while nothing of an answer has gone out',
 	},
+	{
+		name: 'an ejected target is tried by one call at a time', file: 'policy/src/eject.ts',
+		find: '|| (target.health.isTrial && target.ownTokens > 0)', replace: '',
+		spec: 'policy/test/policy.test.ts', test: 'by one call at a time',
+	},
 	{
 		name: 'a target that leaves takes no new work', file: 'sidecar/src/admission.ts',
 		find: 'if (isClosed) {', replace: 'if (running < 0) {',
