Connect to a peer by one function, and name an epoch's keys in one place

Cause: the links of an entry and of a group each had their own openSocket, and sealEpoch padded the epoch with a copy of the width that segment.ts owns; had one changed, a new owner would have listed nothing to seal. Now peer has openSocket and segment.ts epochPrefix.

--- a/packages/entry/src/link.ts
+++ b/packages/entry/src/link.ts
@@ -1,9 +1,9 @@
-import {connect, type Socket} from 'node:net';
+import {type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {onConfigMessage, revisionMessage, type Follower} from '@papayaflow/config';
 import {type LossReason, type RefusalReason} from '@papayaflow/outcome';
 import {
-	openConnection, protocolVersion, serveFrames, type Connection, type Frame, type PeerRequest,
+	openConnection, openSocket, protocolVersion, serveFrames, type Connection, type Frame, type PeerRequest,
 } from '@papayaflow/peer';
 import {
 	afterFailure, afterSuccess, backoffMs, healthy, type AgedReport, type EjectOptions, type Health,
@@ -320,21 +320,3 @@
 
 	return result.kind === 'answered' ? afterSuccess() : health;
 }
-
-async function openSocket({address, port}: SidecarAddress, timeoutMs: number): Promise<Socket | undefined> {
-	return new Promise(resolve => {
-		const socket = connect({host: address, port});
-		const timer = setTimeout(() => {
-			socket.destroy();
-			resolve(undefined);
-		}, timeoutMs);
-		socket.once('connect', () => {
-			clearTimeout(timer);
-			resolve(socket);
-		});
-		socket.once('error', () => {
-			clearTimeout(timer);
-			resolve(undefined);
-		});
-	});
-}
--- a/packages/idempotency/src/acquire.ts
+++ b/packages/idempotency/src/acquire.ts
@@ -1,5 +1,5 @@
 import {
-	decodeOwnership, decodeSegment, encodeValue, livenessKey, ownerKey, segmentKey, segmentPlace, shardPrefix, type Ownership,
+	decodeOwnership, decodeSegment, encodeValue, epochPrefix, livenessKey, ownerKey, segmentKey, segmentPlace, shardPrefix, type Ownership,
 } from './segment.js';
 import {
 	openShard, replay, type OwnedShard, type ShardOptions,
@@ -143,7 +143,7 @@
 
 async function sealEpoch(options: ShardOptions, epoch: number): Promise<boolean> {
 	const {store, service, shard, holder, incarnation} = options;
-	const listed = await store.list(`${shardPrefix(service, shard)}${String(epoch).padStart(10, '0')}/`);
+	const listed = await store.list(epochPrefix(service, shard, epoch));
 	if (listed.kind === 'unavailable') {
 		return false;
 	}
--- a/packages/idempotency/src/segment.ts
+++ b/packages/idempotency/src/segment.ts
@@ -53,9 +53,14 @@
 	return `${root}/log/${service}/${shard}/`;
 }
 
+/** Names the prefix of the segments of one epoch of a shard. */
+export function epochPrefix(service: string, shard: number, epoch: number): string {
+	return `${shardPrefix(service, shard)}${pad(epoch)}/`;
+}
+
 /** Names the key of a segment; the keys of a shard sort by epoch, then index. */
 export function segmentKey(service: string, shard: number, epoch: number, index: number): string {
-	return `${shardPrefix(service, shard)}${pad(epoch)}/${pad(index)}`;
+	return `${epochPrefix(service, shard, epoch)}${pad(index)}`;
 }
 
 /** Reads epoch and index from the key of a segment. */
--- a/packages/peer/src/connection.ts
+++ b/packages/peer/src/connection.ts
@@ -1,4 +1,4 @@
-import {type Socket} from 'node:net';
+import {connect, type Socket} from 'node:net';
 import {
 	encodeFrame, readFrames, type Frame, type FrameFault,
 } from './frame.js';
@@ -64,6 +64,31 @@
 	};
 }
 
+/**
+Connects to a peer by IP number. `undefined` when it can't be reached, or not
+within `timeoutMs` (milliseconds); without one the system's own limit counts.
+
+@example
+const socket = await openSocket({address: '127.0.0.1', port: 9001}, 1000);
+*/
+export async function openSocket({address, port}: {readonly address: string; readonly port: number}, timeoutMs?: number): Promise<Socket | undefined> {
+	return new Promise(resolve => {
+		const socket = connect({host: address, port});
+		const giveUp = (): void => {
+			clearTimeout(timer);
+			socket.destroy();
+			resolve(undefined);
+		};
+
+		const timer = timeoutMs === undefined ? undefined : setTimeout(giveUp, timeoutMs);
+		socket.once('connect', () => {
+			clearTimeout(timer);
+			resolve(socket);
+		});
+		socket.once('error', giveUp);
+	});
+}
+
 /**
 Serves a connection until it ends: calls `onFrame` for each frame in order and
 `onFault` for one that can't be read, after which the socket is closed. Resolves
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -1,6 +1,6 @@
 export {createFrameAge} from './age.js';
 export {
-	maxBacklogBytes, openConnection, serveFrames, type Connection,
+	maxBacklogBytes, openConnection, openSocket, serveFrames, type Connection,
 } from './connection.js';
 export {
 	encodeFrame, maxFrameBytes, protocolVersion, readFrames,
--- a/packages/sidecar/src/group.ts
+++ b/packages/sidecar/src/group.ts
@@ -1,8 +1,7 @@
-import {connect, type Socket} from 'node:net';
 import {type RankOrder, type RankReply, type Ranks} from '@papayaflow/experts';
 import {type Instance} from '@papayaflow/instances';
 import {
-	openConnection, protocolVersion, serveFrames, type Connection, type Frame,
+	openConnection, openSocket, protocolVersion, serveFrames, type Connection, type Frame,
 } from '@papayaflow/peer';
 
 const reconnectMs = 500;
@@ -122,16 +121,3 @@
 		},
 	};
 }
-
-async function openSocket({address, port}: Instance): Promise<Socket | undefined> {
-	return new Promise(resolve => {
-		const socket = connect({host: address, port});
-		socket.once('connect', () => {
-			resolve(socket);
-		});
-		socket.once('error', () => {
-			socket.destroy();
-			resolve(undefined);
-		});
-	});
-}
