--- a/build.js
+++ b/build.js
@@ -10,7 +10,7 @@
 
 await build({
 	entryPoints: programs,
-	outdir: 'dist',
+	outdir: 'target',
 	bundle: true,
 	platform: 'node',
 	target: 'node20',
--- a/packages/bench/src/capacity.ts
+++ b/packages/bench/src/capacity.ts
@@ -18,7 +18,7 @@
 import {fakeEntries, fakeSidecars} from './peers.js';
 import {fitLine, watchProcess} from './process.js';
 
-const distribution = path.resolve(import.meta.dirname, '../../../dist');
+const distribution = path.resolve(import.meta.dirname, '../../../target');
 const peerCounts = [10, 100, 400];
 const organisationCounts = [10, 1000, 3900];
 const watchMs = 8000;
@@ -190,9 +190,11 @@
 async function measureKeys(): Promise<void> {
 	const store: Store = {
 		read: async () => ({kind: 'absent'}),
-		list: async () => ({kind: 'listed', entries: []}),
+		list: async () => ({kind: 'listed', entries: [], revision: 0}),
 		write: async () => ({kind: 'written', revision: 1}),
 		remove: async () => ({kind: 'written', revision: 1}),
+		transact: async () => ({kind: 'written', revision: 1}),
+		changes: async () => ({kind: 'changes', changes: [], revision: 0}),
 		grantLease: async () => ({kind: 'granted', lease: '1'}),
 		renewLease: async () => ({kind: 'renewed'}),
 		watch: async () => undefined,
--- a/packages/bench/src/soak.ts
+++ b/packages/bench/src/soak.ts
@@ -8,7 +8,7 @@
 } from '@papayaflow/demo';
 import {quantile, seededRandom} from '@papayaflow/standins';
 
-const distribution = path.resolve(import.meta.dirname, '../../../dist');
+const distribution = path.resolve(import.meta.dirname, '../../../target');
 const seed = Number(process.argv.at(2) ?? 1);
 const soakMs = Number(process.argv.at(3) ?? 60_000);
 const gapMs = 15;
--- a/packages/bench/src/timed.ts
+++ b/packages/bench/src/timed.ts
@@ -9,7 +9,7 @@
 import {Agent, request} from 'undici';
 import {watchProcess} from './process.js';
 
-const distribution = path.resolve(import.meta.dirname, '../../../dist');
+const distribution = path.resolve(import.meta.dirname, '../../../target');
 const warmUp = 500;
 const counted = 3000;
 const countedKeyed = 40;
--- a/packages/caller/src/call.ts
+++ b/packages/caller/src/call.ts
@@ -2,6 +2,7 @@
 import {randomUUID} from 'node:crypto';
 import {type IncomingMessage} from 'node:http';
 import {lowestPriority, routeOf, type Preset} from '@papayaflow/config';
+import {readBody} from './body.js';
 
 const defaultPriority = 5;
 const charactersPerToken = 4;
@@ -45,7 +46,6 @@
 	= | {readonly kind: 'call'; readonly call: Call}
 		| {readonly kind: 'bad'; readonly requestId: string; readonly reason: 'badRequest' | 'noRoute'; readonly status: number; readonly detail: string};
 
-type Body = {readonly kind: 'read'; readonly bytes: Uint8Array} | {readonly kind: 'tooLarge'} | {readonly kind: 'broken'};
 type Shape = Pick<Call, 'service' | 'idempotent' | 'affinityKey' | 'tokens'>;
 
 /**
@@ -152,29 +152,6 @@
 		: `no route for ${method} ${path.slice(0, 128)}`;
 }
 
-async function readBody(req: IncomingMessage, maxBytes: number): Promise<Body> {
-	if (Number(req.headers['content-length'] ?? 0) > maxBytes) {
-		return {kind: 'tooLarge'};
-	}
-
-	const chunks: Uint8Array[] = [];
-	let length = 0;
-	try {
-		for await (const chunk of req as AsyncIterable<Uint8Array>) {
-			length += chunk.length;
-			if (length > maxBytes) {
-				return {kind: 'tooLarge'};
-			}
-
-			chunks.push(chunk);
-		}
-	} catch {
-		return {kind: 'broken'};
-	}
-
-	return {kind: 'read', bytes: Buffer.concat(chunks)};
-}
-
 // What the target sees of the caller's headers: its content and its name, and not how it reached the entry.
 function passedHeaders(req: IncomingMessage, requestId: string): Record<string, string> {
 	const headers: Record<string, string> = {[headerNames.requestId]: requestId};
--- a/packages/caller/src/index.ts
+++ b/packages/caller/src/index.ts
@@ -1,4 +1,5 @@
 export {openAnswer, type Answer} from './answer.js';
+export {readBody, type Body} from './body.js';
 export {
 	headerNames, readCall, type Call, type CallResult,
 } from './call.js';
--- a/packages/caller/src/problem.ts
+++ b/packages/caller/src/problem.ts
@@ -10,6 +10,7 @@
 	keyReused: 422,
 	keyInProgress: 409,
 	deadlinePassed: 504,
+	unknownKey: 401,
 };
 
 const lossStatus: Readonly<Partial<Record<LossReason, number>>> = {
--- a/packages/cli/bin/papayaflow-entry.js
+++ b/packages/cli/bin/papayaflow-entry.js
@@ -1,3 +1,3 @@
 #!/usr/bin/env node
 // The built program; `npm run build` makes it.
-await import('../../../dist/papayaflow-entry.js');
+await import('../../../target/papayaflow-entry.js');
--- a/packages/demo/src/fleet.ts
+++ b/packages/demo/src/fleet.ts
@@ -63,7 +63,7 @@
 	const children: ChildProcess[] = [];
 
 	const run = (program: string, args: readonly string[]): ChildProcess => {
-		const child = spawn(process.execPath, [path.join(distribution, `${program}.js`), ...args], {stdio: ['ignore', 'ignore', log ?? 'ignore']});
+		const child = spawn(process.execPath, [path.join(distribution, `${program}.js`), ...args], {stdio: ['ignore', log ?? 'ignore', log ?? 'ignore']});
 		children.push(child);
 		return child;
 	};
--- a/packages/demo/test/helper.ts
+++ b/packages/demo/test/helper.ts
@@ -8,7 +8,7 @@
 } from '@papayaflow/demo';
 
 const readyTimeoutMs = 20_000;
-const distribution = path.resolve(import.meta.dirname, '../../../dist');
+const distribution = path.resolve(import.meta.dirname, '../../../target');
 
 /** The preset of the tests: short leases and pauses, so that a failure's whole course fits a test. */
 export const testPreset = {
--- a/packages/demo/test/product.test.ts
+++ b/packages/demo/test/product.test.ts
@@ -23,7 +23,7 @@
 
 async function runProgram(program: string, ...args: readonly string[]): Promise<Ended> {
 	try {
-		const {stdout, stderr} = await run(process.execPath, [path.join(root, 'dist', `${program}.js`), ...args], {timeout: 20_000});
+		const {stdout, stderr} = await run(process.execPath, [path.join(root, 'target', `${program}.js`), ...args], {timeout: 20_000});
 		return {code: 0, output: stdout + stderr};
 	} catch (error) {
 		const {code, stdout, stderr} = error as {code: number; stdout: string; stderr: string};
@@ -92,7 +92,7 @@
 	it('says nothing of a key that it did not ask about', async () => {
 		const malformed = await send({'x-organisation': 'a b', 'idempotency-key': 'pay-1'}, '{}', '/ledger/payments');
 		expect([malformed.status, malformed.problem.outcome]).to.deep.equal([400, 'unknown']);
-		const bare = await startFleet({dist: path.join(root, 'dist')});
+		const bare = await startFleet({dist: path.join(root, 'target')});
 		const entry = await bare.startEntry('entry-bare', 'salt-lake');
 		const keyed = await orderOnce(entry.port, 'pay-1');
 		const plain = await askModel(entry.port, 'notice-drafting', 'r-1');
--- a/packages/outcome/src/outcome.ts
+++ b/packages/outcome/src/outcome.ts
@@ -22,6 +22,9 @@
 	'keyInProgress',
 	'configurationStale',
 	'unsupported',
+	'overloaded',
+	'unknownKey',
+	'resendBudgetSpent',
 ] as const;
 
 export type RefusalReason = typeof refusalReasons[number];
@@ -38,6 +41,8 @@
 	'notOwner',
 	'notAsked',
 	'callerGone',
+	'wrongAnswer',
+	'cancelled',
 ] as const;
 
 export type LossReason = typeof lossReasons[number];
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -14,6 +14,7 @@
 	hashText, isReader, rendezvousOrder, subset, type Placed,
 } from './rendezvous.js';
 export {claimShards, shardOfKey} from './shard.js';
+export {createResendBudget, type ResendBudget, type ResendOptions} from './resend.js';
 export {backoffMs, createRetryBudget, type RetryBudget} from './retry.js';
 export {
 	applyMoves, countCopies, initialMap, isComplete, rankLoads, skewOf, type ExpertMap, type LayerMove, type Move,
--- a/packages/settings/src/common.ts
+++ b/packages/settings/src/common.ts
@@ -41,6 +41,37 @@
 	};
 }
 
+/** An address to listen on or to connect to. */
+export type Address = {readonly host: string; readonly port: number};
+
+/** The schema of `IP:PORT`. */
+export const addressSchema = z.string().transform((text, context): Address => {
+	const at = text.lastIndexOf(':');
+	const host = text.slice(0, at);
+	const port = Number(text.slice(at + 1));
+	if (isIP(host) === 0 || !Number.isInteger(port) || port < 0 || port > highestPort) {
+		context.issues.push({code: 'custom', message: 'not IP:PORT', input: text});
+	}
+
+	return {host, port};
+});
+
+/** Makes an address setting, an IP number with a port. */
+export function addressSetting(description: string, fallback?: string): SettingDef & {schema: typeof addressSchema} {
+	return {
+		schema: addressSchema, description, allowed: 'IP:PORT', default: fallback,
+	};
+}
+
+/** Makes a whole-number setting with its bounds and unit. */
+export function numberSetting(description: string, {least, most, unit, fallback}: {
+	readonly least: number; readonly most: number; readonly unit?: string; readonly fallback?: string;
+}): SettingDef & {schema: z.ZodCoercedNumber} {
+	return {
+		schema: z.coerce.number().min(least).max(most), description, allowed: `${least} to ${most}`, unit, default: fallback,
+	};
+}
+
 /** Makes the setting of a peer that speaks HTTP. */
 export function urlSetting(description: string, fallback?: string): SettingDef & {schema: typeof urlSchema} {
 	return {
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -2,5 +2,5 @@
 	badSettingText, readSettings, type BadSetting, type SettingDef, type SettingDefs, type SettingsOf, type SettingsResult,
 } from './settings.js';
 export {
-	ipSetting, nameSetting, portSetting, urlSetting,
+	addressSetting, ipSetting, nameSetting, numberSetting, portSetting, urlSetting, type Address,
 } from './common.js';
--- a/packages/standins/src/memory-store.ts
+++ b/packages/standins/src/memory-store.ts
@@ -58,7 +58,7 @@
 			return done.kind === 'failed'
 				? unavailable
 				: {
-					kind: 'listed', entries: done.value.map(([key, stored]) => ({key, value: decode(stored.value), revision: stored.revision})),
+					kind: 'listed', entries: done.value.map(([key, stored]) => ({key, value: decode(stored.value), revision: stored.revision})), revision: kv.revision(),
 				};
 		},
 		async write(key, value, options) {
@@ -67,6 +67,43 @@
 		async remove(key, expected) {
 			return swap(key, expected, undefined);
 		},
+		async transact({conditions, puts, removals}) {
+			const done = await call('write', conditions[0]?.key ?? '', () => {
+				const current = conditions.flatMap(({key}) => {
+					const found = kv.get(key);
+					return found ? [{key, value: decode(found.value), revision: found.revision}] : [];
+				});
+				const holds = conditions.every(({key, revision}) => (kv.get(key)?.revision ?? 0) === revision);
+				for (const {key, value, lease} of holds ? puts : []) {
+					kv.swap(key, kv.get(key)?.revision ?? 0, Buffer.from(value).toString('base64'), lease);
+				}
+
+				for (const key of holds ? removals : []) {
+					kv.swap(key, kv.get(key)?.revision ?? 0, undefined);
+				}
+
+				return {holds, current};
+			});
+			if (done.kind === 'failed') {
+				return {kind: 'unknown', detail: 'answer lost'};
+			}
+
+			return done.value.holds ? {kind: 'written', revision: kv.revision()} : {kind: 'conflict', current: done.value.current};
+		},
+		async changes(prefix, afterRevision) {
+			const done = await call('changes', prefix, () => kv.history.filter(({key, revision}) => key.startsWith(prefix) && revision > afterRevision));
+			if (done.kind === 'failed') {
+				return unavailable;
+			}
+
+			return {
+				kind: 'changes',
+				revision: kv.revision(),
+				changes: done.value.map(({key, revision, value}) => value === undefined
+					? {kind: 'removed', key, revision}
+					: {kind: 'written', entry: {key, value: decode(value), revision}}),
+			};
+		},
 		async grantLease(ttlMs) {
 			const done = await call('grant', '', () => kv.grant(ttlMs));
 			return done.kind === 'failed' ? unavailable : {kind: 'granted', lease: done.value};
--- a/packages/store/src/gateway.ts
+++ b/packages/store/src/gateway.ts
@@ -1,20 +1,27 @@
 import {Buffer} from 'node:buffer';
 import {Agent, request} from 'undici';
 import {
-	type Entry, type ListResult, type ReadResult, type Store, type Unavailable, type WriteOptions, type WriteResult,
+	type Change, type ChangesResult, type Entry, type ListResult, type ReadResult, type Store, type Transaction, type TransactionResult, type Unavailable,
+	type WriteOptions, type WriteResult,
 } from './store.js';
 
 const msPerSecond = 1000;
 const watchConnectTimeoutMs = 2000;
 
 type KeyValue = {readonly key: string; readonly value?: string; readonly mod_revision: string};
-type RangeReply = {readonly kvs?: readonly KeyValue[]};
+type RangeReply = {readonly header?: {readonly revision: string}; readonly kvs?: readonly KeyValue[]};
 type TxnReply = {
 	readonly header: {readonly revision: string};
 	readonly succeeded?: boolean;
 	readonly responses?: ReadonlyArray<{readonly response_range?: RangeReply}>;
 };
-type WatchReply = {readonly result?: {readonly events?: ReadonlyArray<{readonly type?: string; readonly kv: KeyValue}>}};
+type WatchReply = {
+	readonly result?: {
+		readonly header?: {readonly revision: string};
+		readonly compact_revision?: string;
+		readonly events?: ReadonlyArray<{readonly type?: string; readonly kv: KeyValue}>;
+	};
+};
 type Called<T> = {readonly kind: 'answered'; readonly body: T} | Unavailable;
 
 export type GatewayOptions = {
@@ -84,7 +91,9 @@
 		},
 		async list(prefix): Promise<ListResult> {
 			const reply = await call<RangeReply>('kv/range', {key: encodeKey(prefix), range_end: encodeKey(rangeEnd(prefix))});
-			return reply.kind === 'unavailable' ? reply : {kind: 'listed', entries: (reply.body.kvs ?? []).map(found => toEntry(found))};
+			return reply.kind === 'unavailable'
+				? reply
+				: {kind: 'listed', entries: (reply.body.kvs ?? []).map(found => toEntry(found)), revision: Number(reply.body.header?.revision ?? 0)};
 		},
 		async write(key, value, options) {
 			const put = {key: encodeKey(key), value: Buffer.from(value).toString('base64'), lease: options.lease ?? '0'};
@@ -93,6 +102,53 @@
 		async remove(key, expected) {
 			return swap(key, {expected}, {request_delete_range: {key: encodeKey(key)}});
 		},
+		async transact({conditions, puts, removals}: Transaction): Promise<TransactionResult> {
+			const reply = await call<TxnReply>('kv/txn', {
+				compare: conditions.map(({key, revision}) => ({
+					target: 'MOD', key: encodeKey(key), result: 'EQUAL', mod_revision: String(revision),
+				})),
+				success: [
+					...puts.map(({key, value, lease}) => ({request_put: {key: encodeKey(key), value: Buffer.from(value).toString('base64'), lease: lease ?? '0'}})),
+					...removals.map(key => ({request_delete_range: {key: encodeKey(key)}})),
+				],
+				failure: conditions.map(({key}) => ({request_range: {key: encodeKey(key)}})),
+			});
+			if (reply.kind === 'unavailable') {
+				return {kind: 'unknown', detail: reply.detail};
+			}
+
+			return reply.body.succeeded
+				? {kind: 'written', revision: Number(reply.body.header.revision)}
+				: {kind: 'conflict', current: (reply.body.responses ?? []).flatMap(({response_range: range}) => (range?.kvs ?? []).map(found => toEntry(found)))};
+		},
+		async changes(prefix, afterRevision, waitMs, signal): Promise<ChangesResult> {
+			const bounded = AbortSignal.any([signal, AbortSignal.timeout(waitMs)]);
+			try {
+				const res = await request(`${url}/v3/watch`, {
+					method: 'POST', signal: bounded, dispatcher, bodyTimeout: 0, headersTimeout: watchConnectTimeoutMs,
+					body: JSON.stringify({
+						create_request: {key: encodeKey(prefix), range_end: encodeKey(rangeEnd(prefix)), start_revision: String(afterRevision + 1)},
+					}),
+				});
+				for await (const line of lines(res.body)) {
+					const {result} = JSON.parse(line) as WatchReply;
+					if (result?.compact_revision !== undefined) {
+						return {kind: 'compacted'};
+					}
+
+					const changes = (result?.events ?? []).map(({type, kv}) => toChange(type, kv));
+					if (changes.length > 0) {
+						return {kind: 'changes', changes, revision: Math.max(...changes.map(change => revisionOf(change)))};
+					}
+				}
+
+				return {kind: 'unavailable', detail: 'the watch ended'};
+			} catch (error) {
+				return bounded.aborted && !signal.aborted
+					? {kind: 'changes', changes: [], revision: afterRevision}
+					: {kind: 'unavailable', detail: error instanceof Error ? error.message : String(error)};
+			}
+		},
 		async grantLease(ttlMs) {
 			const reply = await call<{ID: string}>('lease/grant', {TTL: String(Math.ceil(ttlMs / msPerSecond))});
 			return reply.kind === 'unavailable' ? reply : {kind: 'granted', lease: reply.body.ID};
@@ -143,6 +199,15 @@
 	};
 }
 
+function toChange(type: string | undefined, kv: KeyValue): Change {
+	const entry = toEntry(kv);
+	return type === 'DELETE' ? {kind: 'removed', key: entry.key, revision: entry.revision} : {kind: 'written', entry};
+}
+
+function revisionOf(change: Change): number {
+	return change.kind === 'written' ? change.entry.revision : change.revision;
+}
+
 function encodeKey(key: string): string {
 	return Buffer.from(key).toString('base64');
 }
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,4 +1,4 @@
 export {connectStore, type GatewayOptions} from './gateway.js';
 export type {
-	Entry, LeaseResult, ListResult, ReadResult, RenewResult, Store, Unavailable, WriteOptions, WriteResult,
+	Change, ChangesResult, Entry, LeaseResult, ListResult, ReadResult, RenewResult, Store, Transaction, TransactionResult, Unavailable, WriteOptions, WriteResult,
 } from './store.js';
--- a/packages/telemetry/src/log.ts
+++ b/packages/telemetry/src/log.ts
@@ -1,7 +1,7 @@
 // eslint-disable-next-line import-x/no-unassigned-import, import-x/order
 import './enable-roarr.js';
-import process from 'node:process';
 import {Roarr, type Logger} from 'roarr';
+import {createLineSink} from './sink.js';
 
 export type Log = Logger;
 
@@ -15,8 +15,8 @@
 };
 
 /**
-Makes the log of a program. Each line is one JSON object on standard error;
-lines below `level` are dropped.
+Makes the log of a program. Each line is one JSON object on standard output; lines
+below `level` are dropped, and so are those over the rate that the sink takes.
 
 @example
 const log = createLog({program: 'papayaflow-entry', instance: 'entry-1'}, 'info');
@@ -24,10 +24,11 @@
 */
 export function createLog(context: Readonly<Record<string, string>>, level: LogLevel): Log {
 	const least = roarrLevel[level];
+	const sink = createLineSink();
 	(globalThis as unknown as {ROARR: {write: (line: string) => void}}).ROARR.write = line => {
 		const parsed = JSON.parse(line) as {context: {logLevel?: number}};
 		if ((parsed.context.logLevel ?? least) >= least) {
-			process.stderr.write(`${line}\n`);
+			sink.write(line, parsed.context.logLevel === roarrLevel.error);
 		}
 	};
 
--- a/xo.config.js
+++ b/xo.config.js
@@ -4,7 +4,7 @@
 
 /** @type {import('xo').FlatXoConfig} */
 const config = [
-	{ignores: ['dist/**', 'docs/**']},
+	{ignores: ['target/**', 'docs/**']},
 	{
 		semicolon: true,
 		rules: {
