--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -1,23 +1,44 @@
+import {randomUUID} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	createFront, createPlainPlacer, createTargets, placeAt, type Placer,
+	createFront, createGroupPlacer, createPlainPlacer, createTargets,
 } from '@papayaflow/direct';
-import {createMirror, followStore} from '@papayaflow/mirror';
 import {lossReasons, refusalReasons} from '@papayaflow/outcome';
-import {
-	configurationKey, connectPlatformStore, decodeConfiguration, decodeRegistration, platformDialect, registrationPrefix,
-} from '@papayaflow/platform';
+import {followPeer, type PeerEvents} from '@papayaflow/peer';
+import {connectPlatformStore, platformDialect} from '@papayaflow/platform';
 import {createResendBudget} from '@papayaflow/policy';
-import {createRouteTable, type RouteTable, type TargetRecord} from '@papayaflow/routing';
-import {
-	addressSetting, numberSetting, type SettingsOf,
-} from '@papayaflow/settings';
+import {type EngineModel, type TargetRecord} from '@papayaflow/routing';
+import {addressSetting, numberSetting, type SettingsOf} from '@papayaflow/settings';
 import {createLog, createMetrics, serveAdmin} from '@papayaflow/telemetry';
 import {directSettings} from './direct-settings.js';
+import {openDirectory} from './directory.js';
 import {type Running} from './entry-wiring.js';
 import {listen} from './program.js';
 
+/** How long a connection to a target may take to stand, in milliseconds: some round trips between zones. */
+const connectMs = 300;
+
+/** When a target that fails is left out for a while, judged by what this entry sees of its answers. */
+const ejection = {ejectAfterFailures: 3, ejectMs: 3000, maxEjectedRatio: 0.5};
+
+/** How long an entry goes on as before after it said that it is not ready, in milliseconds: the platform asks each second and believes the second no. */
+const lingerMs = 3000;
+
+/** What is left of the grace for the process to end in, in milliseconds. */
+const endMarginMs = 250;
+
+/** The least time without an answer after which a small call that may be repeated is sent to another target, in milliseconds. */
+const leastSilenceMs = 100;
+
+/** How much longer than a group's own stall a stream may be silent, in milliseconds, before it goes on at another target. */
+const stallMarginMs = 200;
+
+/** Entries that are taken to share the budget of sendings, before sidecars have told of more. */
+const usualEntries = 4;
+
+const pollMs = 20;
+
 export const directEntrySettings = {
 	...directSettings,
 	listen: addressSetting('where callers speak HTTP to'),
@@ -32,8 +53,17 @@
 	}),
 };
 
+/**
+Wires an entry that reaches the targets itself: directory, placers, front, links to
+the sidecars and admin endpoints.
+
+@example
+const running = await startDirectEntry(settings);
+await running.stop();
+*/
 export async function startDirectEntry(settings: SettingsOf<typeof directEntrySettings>): Promise<Running> {
 	const {instance, zone} = settings;
+	const incarnation = randomUUID();
 	const log = createLog({program: 'papayaflow-entry', instance, zone}, settings.logLevel);
 	const metrics = createMetrics();
 	const ending = new AbortController();
@@ -44,111 +74,121 @@
 	};
 
 	let isLeaving = false;
-	let table: RouteTable | undefined;
-	const ejection = {ejectAfterFailures: 3, ejectMs: 3000, maxEjectedRatio: 0.5};
-	const store = connectPlatformStore({address: `${settings.store.host}:${settings.store.port}`, timeoutMs: settings.storeTimeoutMs});
-	const mirror = createMirror({isSame: () => false});
-	const targets = createTargets({connectMs: 500, ejection, nowMs: monotonicMs, onChange(what, {id, service, zone: targetZone, incarnation}) {
-		log.info({target: id, service, zone: targetZone, incarnation, revision: mirror.revision()}, `target ${what}`);
-	}});
-
-	mirror.onChange(({changes, revision}) => {
-		for (const change of changes) {
-			if (change.kind === 'written' && change.entry.key === configurationKey) {
-				const result = decodeConfiguration(change.entry.value);
-				if (result.kind === 'malformed') {
-					log.error({revision: change.entry.revision, detail: result.detail}, 'configuration malformed');
-					continue;
-				}
-
-				table = createRouteTable(result.configuration);
-				front.useLimits(result.configuration.limits);
-				log.info({version: result.configuration.version, revision, routes: result.configuration.routes.length}, 'configuration applied');
-			}
-		}
-
-		const records: TargetRecord[] = [];
-		for (const {key, value} of mirror.entries()) {
-			if (key.startsWith(registrationPrefix)) {
-				const result = decodeRegistration(key, value);
-				if (result.kind === 'target') {
-					records.push(result.target);
-				} else {
-					metrics.count('registrations_malformed');
-				}
-			}
-		}
+	metrics.declare('refusals', 'reason', refusalReasons);
+	metrics.declare('losses', 'reason', lossReasons);
+	metrics.declare('retries', 'reason', [...lossReasons, 'failed', 'notRun']);
+	metrics.declare('retries_denied', 'reason', ['resendBudgetSpent']);
 
-		targets.update(records);
+	const targets = createTargets({
+		connectMs, ejection, nowMs: monotonicMs,
+		onChange(what, {id, service, zone: targetZone, incarnation: started}) {
+			log.info({
+				target: id, service, targetZone, incarnation: started, revision: directory.revision(),
+			}, `target ${what}`);
+		},
 	});
-
+	const directory = openDirectory({
+		store: connectPlatformStore({address: `${settings.store.host}:${settings.store.port}`, timeoutMs: settings.storeTimeoutMs}),
+		pauseMs: settings.storePauseMs, isFed: false, log, metrics, monotonicMs, random, sleep: pause, signal: ending.signal,
+		onTable({configuration}) {
+			front.useLimits(configuration.limits);
+			updateLinks(directory.records());
+		},
+		onRecords(records) {
+			targets.update(records);
+			updateLinks(records);
+		},
+	});
+	const model = (service: string): EngineModel | undefined => directory.table()?.configuration.services.get(service)?.engine;
 	const plain = createPlainPlacer({
 		targets, ejection, nowMs: monotonicMs, random, zone,
 	});
-	const limit = 14;
-	let running = 0;
-	const place: Placer = async need => {
-		const engine = table?.configuration.services.get(need.call.service)?.engine;
-		if (!engine) {
-			return plain(need);
-		}
+	const groups = createGroupPlacer({
+		targets, model, monotonicMs, random, metrics, log,
+	});
 
-		const candidates = targets.of(need.call.service).filter(({record}) => !need.tried.has(record.id));
-		if (candidates.length === 0 || running >= limit) {
-			return {kind: 'refused', reason: 'overloaded', retryAfterMs: 300};
+	const events: PeerEvents = {
+		onUp(peer) {
+			log.info({dependency: 'sidecar', peer: peer.hello.instance}, 'dependency regained');
+			directory.onUp(peer);
+		},
+		onFrame(peer, frame) {
+			if (!groups.onFrame(peer, frame) && !directory.onFrame(peer, frame)) {
+				metrics.count('frame_faults', {reason: 'unexpected'});
+			}
+		},
+		onDown(peer) {
+			log.warn({dependency: 'sidecar', peer: peer.hello.instance}, 'dependency lost');
+			directory.onDown(peer);
+			groups.onDown(peer);
+		},
+		onFault(reason) {
+			metrics.count('frame_faults', {reason});
+		},
+	};
+	const links = new Map<string, AbortController>();
+	// A sidecar stands on the machine of each engine.
+	const updateLinks = (records: readonly TargetRecord[]): void => {
+		const hosts = new Set(records.filter(({service}) => model(service) !== undefined).map(({host}) => host));
+		for (const [host, link] of links) {
+			if (!hosts.has(host)) {
+				link.abort();
+				links.delete(host);
+			}
 		}
 
-		running++;
-		const least = candidates.reduce((a, b) => b.inFlight + (random() * 0.5) < a.inFlight ? b : a);
-		const inner = placeAt(least);
-		return {kind: 'placed', place: {...inner, ended(how) {
-			running--;
-			inner.ended(how);
-		}}};
+		for (const host of hosts) {
+			if (!links.has(host)) {
+				const link = new AbortController();
+				links.set(host, link);
+				void followPeer({address: host, port: settings.peerPort}, {
+					role: 'entry', instance, incarnation, zone, monotonicMs, sleep: pause,
+				}, events, AbortSignal.any([link.signal, ending.signal]));
+			}
+		}
 	};
 
-	metrics.declare('refusals', 'reason', refusalReasons);
-	metrics.declare('losses', 'reason', lossReasons);
 	const front = createFront({
-		dialect: platformDialect, place, metrics, log, monotonicMs, random, table: () => table, isLeaving: () => isLeaving,
-		resends: createResendBudget({ratio: settings.resendRatio, slack: settings.resendSlack, entries: () => 4, windowMs: settings.resendWindowMs, nowMs: monotonicMs}),
-		silenceMs: ({route}) => route.kind === 'stream' ? settings.stallMs + 200 : Math.max(route.objectiveMs, 100),
+		dialect: platformDialect, metrics, log, monotonicMs, random, table: () => directory.table(), isLeaving: () => isLeaving,
+		place: async need => model(need.call.service) ? groups.place(need) : plain(need),
+		resends: createResendBudget({
+			ratio: settings.resendRatio, slack: settings.resendSlack, entries: () => usualEntries, windowMs: settings.resendWindowMs, nowMs: monotonicMs,
+		}),
+		silenceMs: ({route}) => route.kind === 'stream' ? settings.stallMs + stallMarginMs : Math.max(route.objectiveMs, leastSilenceMs),
 	});
-
-	const admin = serveAdmin({
+	const admin = (): ReturnType<typeof serveAdmin> => serveAdmin({
 		metrics,
-		ready: () => isLeaving ? {ready: false, reason: 'stopping'} : (table ? {ready: true} : {ready: false, reason: 'no configuration yet'}),
-		status: () => ({instance, role: 'entry', zone, version: table?.configuration.version, leaving: isLeaving, inFlight: front.inFlight()}),
-	});
-	void followStore(store, mirror, {
-		prefix: '', pauseMs: settings.storePauseMs, waitMs: 3000, returnMs: 2500, isReader: () => true, nowMs: monotonicMs, random, sleep: pause, signal: ending.signal,
-		onLost(detail) {
-			log.warn({dependency: 'store', detail, revision: mirror.revision()}, 'dependency lost');
-		},
-		onRegained(awayMs) {
-			log.warn({dependency: 'store', awayMs: Math.round(awayMs), revision: mirror.revision()}, 'dependency regained');
-		},
+		ready: () => isLeaving ? {ready: false, reason: 'stopping'} : (directory.table() ? {ready: true} : {ready: false, reason: 'no configuration yet'}),
+		status: () => ({
+			instance, role: 'entry', zone, incarnation, leaving: isLeaving, inFlight: front.inFlight(),
+			version: directory.table()?.configuration.version, revision: directory.revision(), groups: groups.status(),
+			targets: targets.all().map(({record, inFlight, latencyMs, health, isServing}) => ({
+				id: record.id, service: record.service, state: record.state, isServing, inFlight, latencyMs: latencyMs === undefined ? null : Math.round(latencyMs), failures: health.failures,
+			})),
+		}),
 	});
 
-	await listen(admin, settings.admin.port, settings.admin.host);
+	const adminPort = await listen(admin(), settings.admin.port, settings.admin.host);
+	await listen(admin(), settings.metricsPort, settings.address);
 	const port = await listen(front.server, settings.listen.port, settings.listen.host);
-	log.info({port}, 'entry started');
+	log.info({port, adminPort}, 'entry started');
 
 	return {
 		port,
-		adminPort: settings.admin.port,
+		adminPort,
 		async stop() {
 			isLeaving = true;
-			log.info({graceMs: settings.graceMs}, 'entry stops');
-			const untilMs = monotonicMs() + settings.graceMs - 300;
-			await sleep(3000);
+			log.info({graceMs: settings.graceMs, inFlight: front.inFlight()}, 'entry stops');
+			const untilMs = monotonicMs() + settings.graceMs - endMarginMs;
+			await sleep(Math.min(lingerMs, Math.max(0, untilMs - monotonicMs())));
 			front.server.close();
 			while (front.inFlight() > 0 && monotonicMs() < untilMs) {
-				await sleep(20);
+				await sleep(pollMs);
 			}
 
 			front.giveUpAll();
-			await sleep(20);
+			await sleep(pollMs);
+			directory.stop();
 			ending.abort();
 			log.info({}, 'entry stopped');
 		},
--- /dev/null
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -0,0 +1,162 @@
+import {randomUUID} from 'node:crypto';
+import {createServer} from 'node:net';
+import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {takeEpoch} from '@papayaflow/experts';
+import {createGroupSidecar, type RankEngine} from '@papayaflow/group';
+import {followPeer, servePeer, type PeerEvents} from '@papayaflow/peer';
+import {connectPlatformStore, connectRank} from '@papayaflow/platform';
+import {type TargetRecord} from '@papayaflow/routing';
+import {addressSetting, numberSetting, type SettingsOf} from '@papayaflow/settings';
+import {createLog, createMetrics, serveAdmin} from '@papayaflow/telemetry';
+import {directSettings} from './direct-settings.js';
+import {openDirectory} from './directory.js';
+import {type Running} from './entry-wiring.js';
+import {listen} from './program.js';
+
+/** How long a call to an engine may take, in milliseconds: it answers in some from its own machine. */
+const engineMs = 300;
+
+export const directSidecarSettings = {
+	...directSettings,
+	target: addressSetting('the engine beside this process'),
+	goodSkew: numberSetting('the skew of a layer at which its experts are left where they are', {least: 1, most: 100, fallback: '1.08'}),
+	copyCost: numberSetting('what the copy of one expert costs, as seconds of passes that take twice as long', {least: 0, most: 100, fallback: '0.012'}),
+	copyMs: numberSetting('how long a rank takes to copy one expert, before the first switch has shown it', {
+		least: 0, most: 600_000, unit: 'milliseconds', fallback: '400',
+	}),
+};
+
+/**
+Wires a sidecar that coordinates with those of its group, and carries no requests.
+
+@example
+const running = await startDirectSidecar(settings);
+await running.stop();
+*/
+export async function startDirectSidecar(settings: SettingsOf<typeof directSidecarSettings>): Promise<Running> {
+	const {instance, zone} = settings;
+	const incarnation = randomUUID();
+	const log = createLog({program: 'papayaflow-sidecar', instance, zone}, settings.logLevel);
+	const metrics = createMetrics();
+	const ending = new AbortController();
+	const monotonicMs = (): number => performance.now();
+	const {random} = Math;
+	const pause = async (ms: number): Promise<void> => {
+		await sleep(ms, undefined, {ref: false});
+	};
+
+	let isLeaving = false;
+	const target = `${settings.target.host}:${settings.target.port}`;
+	const store = connectPlatformStore({address: `${settings.store.host}:${settings.store.port}`, timeoutMs: settings.storeTimeoutMs});
+	const directory = openDirectory({
+		store, pauseMs: settings.storePauseMs, isFed: true, log, metrics, monotonicMs, random, sleep: pause, signal: ending.signal,
+		onTable() {
+			updateLinks();
+		},
+		onRecords() {
+			updateLinks();
+		},
+	});
+	const ownRecord = (): TargetRecord | undefined => directory.records().find(({host, port}) => `${host}:${port}` === target);
+	const siblings = (): readonly TargetRecord[] => {
+		const own = ownRecord();
+		return own ? directory.records().filter(({service}) => service === own.service) : [];
+	};
+
+	const engines = new Map<string, RankEngine>();
+	const connect = (address: string): RankEngine => {
+		const known = engines.get(address) ?? connectRank(address, engineMs);
+		engines.set(address, known);
+		return known;
+	};
+
+	const group = createGroupSidecar({
+		target, engine: connect(target), connect, records: siblings, metrics, log, monotonicMs, random, sleep: pause, signal: ending.signal,
+		weights: {goodSkew: settings.goodSkew, copyCost: settings.copyCost, copyMs: settings.copyMs},
+		model() {
+			const own = ownRecord();
+			return own && directory.table()?.configuration.services.get(own.service)?.engine;
+		},
+		async takeToken(name) {
+			const taken = await takeEpoch(store, name, instance);
+			return taken.kind === 'taken' ? taken.epoch : undefined;
+		},
+	});
+
+	const events: PeerEvents = {
+		onUp(peer) {
+			log.info({dependency: peer.hello.role, peer: peer.hello.instance}, 'dependency regained');
+			directory.onUp(peer);
+			group.onUp(peer);
+		},
+		onFrame(peer, frame) {
+			if (!group.onFrame(peer, frame) && !directory.onFrame(peer, frame)) {
+				metrics.count('frame_faults', {reason: 'unexpected'});
+			}
+		},
+		onDown(peer) {
+			log.warn({dependency: peer.hello.role, peer: peer.hello.instance}, 'dependency lost');
+			directory.onDown(peer);
+			group.onDown(peer);
+		},
+		onFault(reason) {
+			metrics.count('frame_faults', {reason});
+		},
+	};
+	const options = {
+		role: 'sidecar', instance, incarnation, zone, monotonicMs, sleep: pause,
+	} as const;
+	const links = new Map<string, AbortController>();
+	// Only the sidecars that may coordinate reach out to the others; those wait to be called.
+	const updateLinks = (): void => {
+		const hosts = new Set(group.isCandidate() ? siblings().map(({host}) => host).filter(host => host !== settings.address) : []);
+		for (const [host, link] of links) {
+			if (!hosts.has(host)) {
+				link.abort();
+				links.delete(host);
+			}
+		}
+
+		for (const host of hosts) {
+			if (!links.has(host)) {
+				const link = new AbortController();
+				links.set(host, link);
+				void followPeer({address: host, port: settings.peerPort}, options, events, AbortSignal.any([link.signal, ending.signal]));
+			}
+		}
+	};
+
+	const relink = setInterval(updateLinks, relinkMs).unref();
+	const admin = serveAdmin({
+		metrics,
+		ready: () => isLeaving ? {ready: false, reason: 'stopping'} : {ready: true},
+		status: () => ({
+			instance, role: 'sidecar', zone, incarnation, leaving: isLeaving, revision: directory.revision(), group: group.status(),
+		}),
+	});
+	const server = createServer(socket => {
+		void servePeer(socket, options, events);
+	});
+	const adminPort = await listen(admin, settings.metricsPort, settings.address);
+	const port = await listen(server, settings.peerPort, settings.address);
+	log.info({port, adminPort, target}, 'sidecar started');
+
+	return {
+		port,
+		adminPort,
+		async stop() {
+			isLeaving = true;
+			log.info({graceMs: settings.graceMs}, 'sidecar stops');
+			await Promise.race([group.leave(), sleep(settings.graceMs / 2)]);
+			clearInterval(relink);
+			directory.stop();
+			ending.abort();
+			server.close();
+			log.info({}, 'sidecar stopped');
+		},
+	};
+}
+
+/** How often the links to other sidecars are looked at, in milliseconds: a rank can change with each formation. */
+const relinkMs = 500;
--- a/packages/cli/src/papayaflow-sidecar.ts
+++ b/packages/cli/src/papayaflow-sidecar.ts
@@ -1,5 +1,9 @@
+import process from 'node:process';
+import {directSidecarSettings, startDirectSidecar} from './direct-sidecar-wiring.js';
 import {onStopSignal, settingsOrExit} from './program.js';
 import {sidecarSettings, startSidecar} from './sidecar-wiring.js';
 
-const running = await startSidecar(settingsOrExit('papayaflow-sidecar', sidecarSettings));
+const running = process.argv[2] === 'direct'
+	? await startDirectSidecar(settingsOrExit('papayaflow-sidecar', directSidecarSettings))
+	: await startSidecar(settingsOrExit('papayaflow-sidecar', sidecarSettings));
 onStopSignal(running.stop);
--- /dev/null
+++ b/packages/direct/src/group-place.ts
@@ -0,0 +1,281 @@
+import {
+	type Frame, type GroupLoad, type Peer, type PlaceAsk, type RankNotice,
+} from '@papayaflow/peer';
+import {type Log, type Metrics} from '@papayaflow/telemetry';
+import {type EngineModel} from '@papayaflow/routing';
+import {type Call} from './call.js';
+import {type Place, type Placed, type Placer} from './place.js';
+import {type Target, type Targets} from './targets.js';
+
+/** How long a coordinator may take beyond the wait that it was asked for, in milliseconds: a round trip between zones and a busy turn. */
+const replyMarginMs = 80;
+
+/** What a group that says nothing of its load is taken to run at once, as a part of its slots. */
+const unknownRoomShare = 0.4;
+
+/** Entries that are taken to share a group whose coordinator can't be asked and never told. */
+const unknownEntries = 4;
+
+/** The part of the objective that passes between a refusal given here and the caller's return. */
+const returnShare = 0.3;
+
+/** The longest wait for a place that is asked for, as a multiple of the objective. */
+const longestWait = 1;
+
+/** What answers are taken to be of what they may be, where the caller gives no hint. */
+const usualAnswerShare = 0.5;
+
+/** How old a group's word of its load may be, in milliseconds, before it counts as unknown. */
+const loadMaxAgeMs = 2000;
+
+/** A generation of this entry that runs in a group. */
+type Stream = {readonly target: string; readonly ask: PlaceAsk; hasBegun: boolean};
+
+export type GroupPlacerOptions = {
+	readonly targets: Targets;
+	readonly model: (service: string) => EngineModel | undefined;
+	readonly monotonicMs: () => number;
+	readonly random: () => number;
+	readonly metrics: Metrics;
+	readonly log: Log;
+};
+
+/** Places generations by asking the coordinators of their groups. */
+export type GroupPlacer = {
+	readonly place: Placer;
+	onDown(peer: Peer): void;
+	/** Takes a frame of a sidecar; `false` when it is not for placing. */
+	onFrame(peer: Peer, frame: Frame): boolean;
+	status(): unknown;
+};
+
+/**
+Makes the placer for engines. The coordinator of a group knows all that runs there,
+whichever entry it came by, so it is asked for each generation; where it can't be
+asked, this entry lets its share of the group's room run by its own count.
+
+@example
+const placer = createGroupPlacer(options);
+const placed = await placer.place({call, tried, signal});
+*/
+export function createGroupPlacer(options: GroupPlacerOptions): GroupPlacer {
+	const {targets, monotonicMs, random, metrics, log} = options;
+	const notices = new Map<Peer, RankNotice>();
+	const loads = new Map<string, {readonly load: GroupLoad; readonly atMs: number}>();
+	const waiting = new Map<string, (frame: Extract<Frame, {kind: 'placed' | 'turnedAway'}>) => void>();
+	const streams = new Map<string, Stream>();
+	/** The longest that callers of a route say they wait, from which it is seen how long ago a caller began. */
+	const patience = new Map<string, number>();
+
+	const coordinatorOf = (group: string): Peer | undefined => {
+		let best: {peer: Peer; rank: number} | undefined;
+		for (const [peer, notice] of notices) {
+			if (notice.group === group && notice.isCoordinator && (!best || notice.rank < best.rank)) {
+				best = {peer, rank: notice.rank};
+			}
+		}
+
+		return best?.peer;
+	};
+
+	const groupOf = (target: Target): string | undefined => {
+		const address = addressOf(target);
+		return [...notices.values()].find(notice => notice.target === address)?.group;
+	};
+
+	const askOf = (call: Call, tried: ReadonlySet<string>): PlaceAsk => {
+		const {route, generation} = call;
+		const longest = Math.max(patience.get(route.name) ?? 0, call.deadlineMs);
+		patience.set(route.name, longest);
+		const elapsedMs = monotonicMs() - call.arrivedMs;
+		const waitedMs = longest - call.deadlineMs;
+		return {
+			id: call.requestId,
+			promptTokens: generation?.promptTokens ?? options.model(call.service)?.usualPromptTokens ?? 0,
+			answerTokens: answerTokensOf(call),
+			waitedMs: waitedMs + elapsedMs,
+			objectiveMs: route.objectiveMs,
+			gapMs: route.gapObjectiveMs ?? route.objectiveMs,
+			deadlineMs: call.deadlineMs - elapsedMs,
+			priority: route.priority,
+			hasReturned: waitedMs > 0 || tried.size > 0,
+			excluded: [...tried].flatMap(id => {
+				const target = targets.byId(id);
+				return target ? [addressOf(target)] : [];
+			}),
+		};
+	};
+
+	const answerTokensOf = ({generation, service}: Call): number => {
+		const usual = options.model(service)?.usualAnswerTokens ?? 0;
+		if (!generation) {
+			return usual;
+		}
+
+		return Math.min(generation.maxAnswerTokens, generation.hintedAnswerTokens ?? Math.max(usual, generation.maxAnswerTokens * usualAnswerShare));
+	};
+
+	const placeAt = (target: Target, ask: PlaceAsk, coordinator: Peer | undefined): Place => {
+		const end = target.begin();
+		const stream: Stream = {target: addressOf(target), ask, hasBegun: false};
+		streams.set(ask.id, stream);
+		return {
+			target,
+			began() {
+				stream.hasBegun = true;
+				coordinator?.send({kind: 'began', id: ask.id});
+			},
+			ended(how) {
+				end(how);
+				streams.delete(ask.id);
+				coordinator?.send({kind: 'ended', id: ask.id});
+			},
+		};
+	};
+
+	/** Lets this entry's share of a group's room run by its own count. */
+	const placeAlone = (call: Call, candidates: readonly Target[], ask: PlaceAsk): Placed => {
+		metrics.count('placed_alone');
+		const model = options.model(call.service);
+		const group = groupOf(candidates[0]);
+		const known = group === undefined ? undefined : loads.get(group);
+		const fresh = known && monotonicMs() - known.atMs < loadMaxAgeMs ? known.load : undefined;
+		const all = targets.all().filter(({record}) => record.service === call.service);
+		const room = fresh?.room ?? all.length * (model?.slots ?? 1) * unknownRoomShare;
+		const share = Math.max(1, Math.floor(room / Math.max(1, fresh?.entries ?? unknownEntries)));
+		const least = candidates.reduce((a, b) => b.inFlight + (random() / 2) < a.inFlight ? b : a);
+		const own = all.reduce((sum, {inFlight}) => sum + inFlight, 0);
+		return own >= share
+			? {
+				kind: 'refused', reason: 'overloaded', retryAfterMs: retryAfter(ask), detail: `own share ${share}`,
+			}
+			: {kind: 'placed', place: placeAt(least, ask, group === undefined ? undefined : coordinatorOf(group))};
+	};
+
+	const retryAfter = ({objectiveMs}: PlaceAsk): number => objectiveMs * returnShare * (0.75 + (random() / 2));
+
+	const ask = async (coordinator: Peer, question: PlaceAsk, signal: AbortSignal): Promise<Extract<Frame, {kind: 'placed' | 'turnedAway'}> | 'withdrawn' | 'silent'> => new Promise(resolve => {
+		const end = (answer: Extract<Frame, {kind: 'placed' | 'turnedAway'}> | 'withdrawn' | 'silent'): void => {
+			clearTimeout(timer);
+			signal.removeEventListener('abort', withdraw);
+			waiting.delete(question.id);
+			resolve(answer);
+			if (answer === 'withdrawn' || answer === 'silent') {
+				coordinator.send({kind: 'ended', id: question.id});
+			}
+		};
+
+		const withdraw = (): void => {
+			end('withdrawn');
+		};
+
+		const timer = setTimeout(end, (question.objectiveMs * longestWait) + replyMarginMs, 'silent');
+		signal.addEventListener('abort', withdraw, {once: true});
+		waiting.set(question.id, end);
+		coordinator.send({kind: 'place', ask: question});
+	});
+
+	/** The group with the most room among those that serve the service and have a coordinator. */
+	const chooseCoordinator = (candidates: readonly Target[]): Peer | undefined => {
+		const groups = [...new Set(candidates.flatMap(target => groupOf(target) ?? []))];
+		let best: {peer: Peer; fill: number} | undefined;
+		for (const group of groups) {
+			const peer = coordinatorOf(group);
+			const load = loads.get(group)?.load;
+			const fill = (load ? load.running / Math.max(1, load.room) : 0) + (random() / fillSpread);
+			if (peer && (!best || fill < best.fill)) {
+				best = {peer, fill};
+			}
+		}
+
+		return best?.peer;
+	};
+
+	const place: Placer = async ({call, tried, signal}) => {
+		const serving = targets.of(call.service);
+		const fresh = serving.filter(({record}) => !tried.has(record.id));
+		const candidates = fresh.length > 0 ? fresh : serving;
+		const question = askOf(call, tried);
+		if (candidates.length === 0) {
+			return {kind: 'refused', reason: 'noTarget', retryAfterMs: retryAfter(question)};
+		}
+
+		const coordinator = chooseCoordinator(candidates);
+		if (!coordinator) {
+			return placeAlone(call, candidates, question);
+		}
+
+		const answer = await ask(coordinator, question, signal);
+		if (answer === 'withdrawn') {
+			return {kind: 'refused', reason: 'withdrawn', retryAfterMs: retryAfter(question)};
+		}
+
+		if (answer === 'silent') {
+			metrics.count('coordinator_silent');
+			log.warn({requestId: call.requestId, coordinator: coordinator.hello.instance}, 'coordinator did not answer');
+			return placeAlone(call, candidates, question);
+		}
+
+		if (answer.kind === 'turnedAway') {
+			return answer.reason === 'wrongOwner'
+				? placeAlone(call, candidates, question)
+				: {kind: 'refused', reason: answer.reason, retryAfterMs: answer.retryAfterMs};
+		}
+
+		const target = candidates.find(candidate => addressOf(candidate) === answer.target);
+		if (!target) {
+			// The coordinator does not know yet that this target has gone or leaves.
+			coordinator.send({kind: 'ended', id: call.requestId});
+			return placeAlone(call, candidates, question);
+		}
+
+		return {kind: 'placed', place: placeAt(target, question, coordinator)};
+	};
+
+	return {
+		place,
+		onDown(peer) {
+			notices.delete(peer);
+		},
+		onFrame(peer, frame) {
+			switch (frame.kind) {
+				case 'rank': {
+					const before = notices.get(peer);
+					notices.set(peer, frame.notice);
+					if (frame.notice.isCoordinator && !before?.isCoordinator) {
+						for (const [id, {target, ask: {promptTokens, answerTokens}, hasBegun}] of streams) {
+							peer.send({
+								kind: 'running', id, target, promptTokens, answerTokens, hasBegun,
+							});
+						}
+					}
+
+					return true;
+				}
+
+				case 'placed':
+				case 'turnedAway': {
+					waiting.get(frame.id)?.(frame);
+					return true;
+				}
+
+				case 'groupLoad': {
+					loads.set(frame.group, {load: frame.load, atMs: monotonicMs()});
+					return true;
+				}
+
+				default: {
+					return false;
+				}
+			}
+		},
+		status: () => ({streams: streams.size, loads: Object.fromEntries([...loads].map(([group, {load}]) => [group, load]))}),
+	};
+}
+
+/** How much chance decides between groups that are filled alike. */
+const fillSpread = 20;
+
+function addressOf({record}: Target): string {
+	return `${record.host}:${record.port}`;
+}
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -9,3 +9,4 @@
 	createPlainPlacer, placeAt, type Place, type Placed, type PlaceNeed, type Placer,
 } from './place.js';
 export {createTargets, type Target, type TargetOutcome, type Targets} from './targets.js';
+export {createGroupPlacer, type GroupPlacer, type GroupPlacerOptions} from './group-place.js';
--- a/packages/experts/src/index.ts
+++ b/packages/experts/src/index.ts
@@ -6,3 +6,9 @@
 export {
 	type RankOrder, type RankReply, type Ranks, type RankState, type Scheduled,
 } from './order.js';
+export type {
+	CommandReply, CommandResult, GuardedCommand, LayeredMap, PassCommand, PassRanks, RankView,
+} from './pass-order.js';
+export {
+	resolvePass, switchPass, type PassSwitchOptions, type PassSwitchResult, type ResolveResult,
+} from './pass-switch.js';
--- /dev/null
+++ b/packages/group/src/index.ts
@@ -0,0 +1,10 @@
+export {createDemandBoard, type DemandBoard} from './demand-board.js';
+export {createPassMeter, type PassMeter} from './load.js';
+export {keepMap, type MapKeeperDeps, type MapWeights} from './map-keeper.js';
+export {
+	followOwnRank, type OwnRank, type OwnRankOptions, type RankEngine,
+} from './own-rank.js';
+export {
+	createRemoteRanks, type Member, type RemoteRanks, type RemoteRanksOptions,
+} from './remote-ranks.js';
+export {createGroupSidecar, type GroupSidecar, type GroupSidecarDeps} from './sidecar.js';
--- /dev/null
+++ b/packages/group/src/map-keeper.ts
@@ -0,0 +1,228 @@
+import {
+	resolvePass, switchPass, type LayeredMap, type PassSwitchOptions, type RankView,
+} from '@papayaflow/experts';
+import {
+	layeredSkew, spreadExperts, type Demand, type Spread,
+} from '@papayaflow/policy';
+import {type ExpertModel} from '@papayaflow/routing';
+import {type Log, type Metrics} from '@papayaflow/telemetry';
+import {type DemandBoard} from './demand-board.js';
+import {type RemoteRanks} from './remote-ranks.js';
+
+/** Pause between two looks at the demand, in milliseconds. */
+const planMs = 150;
+
+/** Pause before a coordinator that could not take its token, or reach a rank, tries again, in milliseconds. */
+const retryMs = 300;
+
+/** How long a demand is taken to last before two shifts have been seen, in milliseconds. */
+const usualShiftMs = 4000;
+
+/** How long a rank may take to copy its part of a map, in milliseconds, beyond which the switch is abandoned. */
+const prepareTimeoutMs = 6000;
+
+/** How long a held group is worked on before the coordinator looks anew at all ranks, in milliseconds. */
+const decideTimeoutMs = 3000;
+
+/** What passes take longer while a rank copies, as a ratio: the engines' published figure. */
+const copySlowdown = 0.15;
+
+/** The first versions of a coordinator's maps lie this far above its token's multiple, so that each coordinator's are above those before. */
+const versionsPerToken = 10_000;
+
+/** What the keeper's choices weigh. */
+export type MapWeights = {
+	/** The skew at which a layer is left as it is. */
+	readonly goodSkew: number;
+	/** What one copy costs, in seconds of passes at skew 1 that take as long again. */
+	readonly copyCost: number;
+	/** How long one expert takes to copy, in milliseconds, before the first switch has shown it. */
+	readonly copyMs: number;
+	/** The part of a pass that the experts' work is, at skew 1. */
+	readonly workShare: number;
+};
+
+export type MapKeeperDeps = {
+	readonly ranks: RemoteRanks;
+	readonly ownRank: number;
+	readonly board: DemandBoard;
+	readonly model: ExpertModel;
+	readonly weights: MapWeights;
+	readonly takeToken: () => Promise<number | undefined>;
+	/** Reads the map that the ranks use, from the ranks themselves. */
+	readonly readMap: () => Promise<{readonly version: number; readonly map: LayeredMap} | undefined>;
+	readonly formation: number;
+	readonly view: () => RankView | undefined;
+	readonly log: Log;
+	readonly metrics: Metrics;
+	readonly nowMs: () => number;
+	readonly sleep: (ms: number) => Promise<void>;
+	readonly isStopped: () => boolean;
+	/** Told of the map in use, for the prediction of passes. */
+	readonly onMap: (map: LayeredMap) => void;
+};
+
+/**
+Keeps the experts of one formation of a group spread over its ranks until it is
+stopped or superseded: takes a token, resolves what an earlier coordinator left,
+then plans and switches again and again.
+
+@example
+await keepMap(deps);
+*/
+export async function keepMap(deps: MapKeeperDeps): Promise<void> {
+	const {log, metrics} = deps;
+	const token = await tokenOf(deps);
+	if (token === undefined) {
+		return;
+	}
+
+	const options: PassSwitchOptions = {
+		ranks: deps.ranks, fencingToken: token, formation: deps.formation, holder: deps.ownRank, prepareTimeoutMs, decideTimeoutMs,
+		nowMs: deps.nowMs, sleep: deps.sleep, isStopped: deps.isStopped,
+	};
+	let version = token * versionsPerToken;
+	let {copyMs} = deps.weights;
+	let map: LayeredMap | undefined;
+	log.info({token, formation: deps.formation}, 'coordinator took its token');
+
+	while (!deps.isStopped()) {
+		if (!map) {
+			const taken = await takeOver(options, deps);
+			if (taken === 'superseded') {
+				log.info({token, formation: deps.formation}, 'coordinator superseded');
+				return;
+			}
+
+			if (!taken) {
+				await deps.sleep(retryMs);
+				continue;
+			}
+
+			map = taken.map;
+			version = Math.max(version, taken.newest);
+			deps.onMap(map);
+		}
+
+		await deps.sleep(planMs);
+		deps.board.settle(deps.nowMs());
+		const demands = deps.board.demands();
+		const chosen = choose(map, demands, {copyMs, shiftMs: deps.board.meanShiftMs() ?? usualShiftMs, nowMs: deps.nowMs()}, deps);
+		if (!chosen) {
+			continue;
+		}
+
+		version += 2;
+		const next: LayeredMap = chosen.placements;
+		const result = await switchPass({version, map: next, current: map}, options);
+		metrics.count('map_switches', {result: result.kind});
+		log.info({
+			version, formation: deps.formation, token, result, copies: chosen.copies, mostPerRank: chosen.mostPerRank,
+			skewBefore: round(chosen.skewBefore), skewAfter: round(chosen.skewAfter), demandAgeMs: ages(demands, deps.nowMs()),
+		}, 'map switch ended');
+		switch (result.kind) {
+			case 'switched': {
+				metrics.count('experts_moved', {}, chosen.copies);
+				metrics.latency('map_prepare', result.preparedMs);
+				metrics.latency('map_hold', result.heldMs);
+				copyMs = chosen.mostPerRank > 0 ? result.preparedMs / chosen.mostPerRank : copyMs;
+				map = next;
+				deps.onMap(map);
+				break;
+			}
+
+			case 'abandoned': {
+				break;
+			}
+
+			case 'superseded': {
+				return;
+			}
+
+			case 'stuck': {
+				map = undefined;
+				break;
+			}
+		}
+	}
+}
+
+async function tokenOf({takeToken, isStopped, sleep}: MapKeeperDeps): Promise<number | undefined> {
+	while (!isStopped()) {
+		const token = await takeToken();
+		if (token !== undefined) {
+			return token;
+		}
+
+		await sleep(retryMs);
+	}
+
+	return undefined;
+}
+
+async function takeOver(options: PassSwitchOptions, {readMap, log, formation}: MapKeeperDeps): Promise<{readonly map: LayeredMap; readonly newest: number} | 'superseded' | undefined> {
+	const before = await readMap();
+	if (!before) {
+		return undefined;
+	}
+
+	const resolved = await resolvePass(before.map, options);
+	if (resolved.kind !== 'clear') {
+		log.warn({formation, result: resolved.kind, token: options.fencingToken}, 'map could not be resolved');
+		return resolved.kind === 'superseded' ? 'superseded' : undefined;
+	}
+
+	// What was resolved may have ended with another map than was read before it.
+	const after = await readMap();
+	return after && {map: after.map, newest: resolved.newest};
+}
+
+/** Chooses the change that gains most over what is left of the demand, by how much a rank may copy for it. */
+function choose(
+	map: LayeredMap,
+	demands: readonly Demand[],
+	{copyMs, shiftMs, nowMs}: {readonly copyMs: number; readonly shiftMs: number; readonly nowMs: number},
+	{model, weights}: MapKeeperDeps,
+): Spread | undefined {
+	if (demands.some(({reports}) => reports === 0)) {
+		return undefined;
+	}
+
+	const layers = map.map((placement, layer) => ({placement, shares: demands[layer].shares}));
+	if (layeredSkew(layers) <= weights.goodSkew) {
+		return undefined;
+	}
+
+	const oldest = Math.max(...demands.map(({shiftedAtMs = nowMs}) => nowMs - shiftedAtMs));
+	// A demand that has outlasted the mean is as likely to last on as a fresh one is to last half of it.
+	const leftS = Math.max(shiftMs / 2, shiftMs - oldest) / msPerSecond;
+	let best: Spread | undefined;
+	let bestValue = 0;
+	for (let most = 1; most <= model.maxNewPerLayer; most++) {
+		const spread = spreadExperts(layers, {
+			slotsPerRank: model.slotsPerRank, maxNewPerLayer: model.maxNewPerLayer, maxNewPerRank: most, goodSkew: weights.goodSkew, leastGain: leastStepGain,
+		});
+		const copyS = copyMs * spread.mostPerRank / msPerSecond;
+		const gain = (spread.skewBefore - spread.skewAfter) * weights.workShare * Math.max(0, leftS - copyS);
+		const value = gain - (copySlowdown * copyS) - (weights.copyCost * spread.copies);
+		if (spread.copies > 0 && value > bestValue) {
+			best = spread;
+			bestValue = value;
+		}
+	}
+
+	return best;
+}
+
+const msPerSecond = 1000;
+
+/** What one step of a plan must gain of a layer's potential to be planned, as a ratio. */
+const leastStepGain = 0.05;
+
+function ages(demands: readonly Demand[], nowMs: number): ReadonlyArray<number | null> {
+	return demands.map(({shiftedAtMs}) => shiftedAtMs === undefined ? null : Math.round(nowMs - shiftedAtMs));
+}
+
+function round(value: number): number {
+	return Math.round(value * 100) / 100;
+}
--- /dev/null
+++ b/packages/group/src/own-rank.ts
@@ -0,0 +1,76 @@
+import {type CommandReply, type CommandResult, type GuardedCommand, type RankView} from '@papayaflow/experts';
+
+/** How often the own rank is looked at, in milliseconds: a look from its own machine is free, and a pass takes some tens. */
+const lookMs = 80;
+
+/** How often its counts are read, in milliseconds: some passes, so that a shift in demand shows within two of them. */
+const countMs = 160;
+
+/** A rank's engine, as the platform's adapter reaches it. */
+export type RankEngine = {
+	view(): Promise<RankView | undefined>;
+	counts(): Promise<{readonly formation: number; readonly pass: number; readonly counts: readonly number[]} | undefined>;
+	experts(): Promise<{readonly formation: number; readonly version: number; readonly experts: ReadonlyArray<readonly number[]>} | undefined>;
+	command(guarded: GuardedCommand): Promise<CommandResult>;
+};
+
+/** The rank beside this sidecar. */
+export type OwnRank = {
+	/** What it said last; `undefined` while it can't be reached or belongs to no group. */
+	view(): RankView | undefined;
+	/** Looks now, and brings what it says. */
+	look(): Promise<RankView | undefined>;
+	command(guarded: GuardedCommand): Promise<CommandReply>;
+};
+
+export type OwnRankOptions = {
+	readonly engine: RankEngine;
+	readonly sleep: (ms: number) => Promise<void>;
+	readonly monotonicMs: () => number;
+	readonly signal: AbortSignal;
+	readonly onView: (view: RankView | undefined) => void;
+	readonly onCounts: (counts: {readonly formation: number; readonly pass: number; readonly counts: readonly number[]}) => void;
+};
+
+/**
+Follows the rank beside this sidecar: its state, and the counts of its experts.
+
+@example
+const own = followOwnRank(options);
+own.view()?.pass;
+*/
+export function followOwnRank({engine, sleep, monotonicMs, signal, onView, onCounts}: OwnRankOptions): OwnRank {
+	let last: RankView | undefined;
+
+	const look = async (): Promise<RankView | undefined> => {
+		last = await engine.view();
+		onView(last);
+		return last;
+	};
+
+	const follow = async (): Promise<void> => {
+		let countedMs = Number.NEGATIVE_INFINITY;
+		while (!signal.aborted) {
+			const view = await look();
+			if (view && monotonicMs() - countedMs >= countMs) {
+				countedMs = monotonicMs();
+				const counts = await engine.counts();
+				if (counts) {
+					onCounts(counts);
+				}
+			}
+
+			await sleep(lookMs);
+		}
+	};
+
+	void follow();
+	return {
+		view: () => last,
+		look,
+		async command(guarded) {
+			const result = await engine.command(guarded);
+			return {result, view: await look()};
+		},
+	};
+}
--- /dev/null
+++ b/packages/group/src/sidecar.ts
@@ -0,0 +1,426 @@
+import {type LayeredMap, type RankView} from '@papayaflow/experts';
+import {type Frame, type Peer, type RankNotice} from '@papayaflow/peer';
+import {
+	createGroupAdmission, layeredSkew, type GroupAdmission, type GroupNeed,
+} from '@papayaflow/policy';
+import {type EngineModel, type TargetRecord} from '@papayaflow/routing';
+import {type Log, type Metrics} from '@papayaflow/telemetry';
+import {createDemandBoard, type DemandBoard} from './demand-board.js';
+import {createPassMeter} from './load.js';
+import {keepMap, type MapWeights} from './map-keeper.js';
+import {followOwnRank, type RankEngine} from './own-rank.js';
+import {createRemoteRanks, type Member, type RemoteRanks} from './remote-ranks.js';
+
+/** The lowest ranks whose sidecars may coordinate: three, so that two may be down. */
+const candidates = 3;
+
+/** How long a candidate waits for each lower rank's sidecar before it coordinates itself, in milliseconds: some times the silence after which a peer counts as gone. */
+const successionMs = 1500;
+
+/** How often the load is told to entries, in milliseconds. */
+const loadMs = 200;
+
+/** How often waiting requests are looked at again, in milliseconds: several times a pass. */
+const tickMs = 10;
+
+const bytesPerCount = 4;
+
+export type GroupSidecarDeps = {
+	/** The engine beside this sidecar, as `IP:PORT`. */
+	readonly target: string;
+	readonly engine: RankEngine;
+	readonly connect: (target: string) => RankEngine;
+	/** The figures of this engine's service; `undefined` before a configuration names them. */
+	readonly model: () => EngineModel | undefined;
+	/** The registered targets of this engine's service. */
+	readonly records: () => readonly TargetRecord[];
+	readonly takeToken: (group: string) => Promise<number | undefined>;
+	readonly weights: Pick<MapWeights, 'goodSkew' | 'copyCost' | 'copyMs'>;
+	readonly metrics: Metrics;
+	readonly log: Log;
+	readonly monotonicMs: () => number;
+	readonly random: () => number;
+	readonly sleep: (ms: number) => Promise<void>;
+	readonly signal: AbortSignal;
+};
+
+/** A sidecar's part in its group. */
+export type GroupSidecar = {
+	onUp(peer: Peer): void;
+	onDown(peer: Peer): void;
+	/** Takes a frame of a peer; `false` when it is not for the group. */
+	onFrame(peer: Peer, frame: Frame): boolean;
+	/** Whether this sidecar's rank is among those whose sidecars connect to all others of the group. */
+	isCandidate(): boolean;
+	/** Gives the group up to the next candidate; nothing is held afterwards. */
+	leave(): Promise<void>;
+	status(): unknown;
+};
+
+/** What a coordinator has while it is one, for one formation of the group. */
+type Coordination = {
+	readonly formation: number;
+	readonly board: DemandBoard;
+	readonly admission: GroupAdmission;
+	readonly ranks: RemoteRanks;
+	readonly ending: AbortController;
+	readonly done: Promise<void>;
+};
+
+/**
+Takes part in a group of ranks. Each sidecar follows its own rank and obeys the
+commands that a coordinator passes to it; the sidecar of the lowest rank that lives
+coordinates: it places requests and keeps the experts spread.
+
+@example
+const sidecar = createGroupSidecar(deps);
+*/
+export function createGroupSidecar(deps: GroupSidecarDeps): GroupSidecar {
+	const {log, metrics, monotonicMs} = deps;
+	const startedMs = monotonicMs();
+	const entries = new Set<Peer>();
+	const notices = new Map<Peer, RankNotice>();
+	const placed = new Map<string, Peer>();
+	const meter = createPassMeter();
+	let coordination: Coordination | undefined;
+	let map: LayeredMap | undefined;
+	let lastNotice: RankNotice | undefined;
+	let lowerSeenMs = startedMs;
+	let isLeaving = false;
+
+	const own = followOwnRank({
+		engine: deps.engine, sleep: deps.sleep, monotonicMs, signal: deps.signal,
+		onView(view) {
+			onView(view);
+		},
+		onCounts({formation, pass, counts}) {
+			const view = own.view();
+			if (!view) {
+				return;
+			}
+
+			coordination?.board.take(view.rank, formation, counts);
+			for (const [peer, notice] of notices) {
+				if (notice.isCoordinator && notice.group === view.group) {
+					peer.send({
+						kind: 'counts', formation, pass, counts: encodeCounts(counts),
+					});
+				}
+			}
+		},
+	});
+
+	const skew = (): number => {
+		if (!map || !coordination) {
+			return 1;
+		}
+
+		const demands = coordination.board.demands();
+		return layeredSkew(map.map((placement, layer) => ({placement, shares: demands[layer].shares})));
+	};
+
+	const openRanks = (): readonly boolean[] => {
+		const view = own.view();
+		const serving = new Set(deps.records().filter(({state}) => state === 'serving').map(({host, port}) => `${host}:${port}`));
+		return Array.from({length: view?.size ?? 0}, (_, rank) => {
+			const target = targetOf(rank);
+			return view!.isOpen && target !== undefined && serving.has(target);
+		});
+	};
+
+	const targetOf = (rank: number): string | undefined => rank === own.view()?.rank
+		? deps.target
+		: [...notices.values()].find(notice => notice.group === lastNotice?.group && notice.rank === rank)?.target;
+
+	const member = (rank: number): Member | undefined => {
+		for (const [peer, notice] of notices) {
+			if (notice.group === lastNotice?.group && notice.rank === rank) {
+				return {rank, target: notice.target, peer};
+			}
+		}
+
+		return undefined;
+	};
+
+	const onView = (view: RankView | undefined): void => {
+		if (view) {
+			updateRole(view);
+			tellNotice(view);
+			if (coordination) {
+				const model = deps.model();
+				const {passMs} = coordination.admission.state();
+				meter.take(view, model ? passMs / meter.slowdown() : 0, monotonicMs());
+			}
+		} else if (coordination) {
+			stepDown('own rank lost');
+		}
+	};
+
+	const tellNotice = (view: RankView): void => {
+		const notice: RankNotice = {
+			group: view.group, formation: view.formation, rank: view.rank, size: view.size, isOpen: view.isOpen, target: deps.target,
+			isCoordinator: coordination !== undefined,
+		};
+		if (lastNotice && JSON.stringify(lastNotice) === JSON.stringify(notice)) {
+			return;
+		}
+
+		if (lastNotice?.formation !== notice.formation || lastNotice.isOpen !== notice.isOpen) {
+			log.info({
+				group: notice.group, formation: notice.formation, rank: notice.rank, isOpen: notice.isOpen, pass: view.pass,
+			}, 'group state');
+		}
+
+		lastNotice = notice;
+		for (const peer of [...entries, ...notices.keys()]) {
+			peer.send({kind: 'rank', notice});
+		}
+	};
+
+	const updateRole = (view: RankView): void => {
+		const now = monotonicMs();
+		const hasLower = [...notices.values()].some(notice => notice.group === view.group && notice.rank < view.rank && notice.rank < candidates);
+		if (hasLower) {
+			lowerSeenMs = now;
+		}
+
+		const mayCoordinate = !isLeaving && view.rank < candidates && !hasLower && now - lowerSeenMs >= successionMs * view.rank;
+		if (coordination && (!mayCoordinate || coordination.formation !== view.formation)) {
+			stepDown(mayCoordinate ? 'the group formed anew' : 'a lower rank coordinates');
+		}
+
+		if (!coordination && mayCoordinate && view.isOpen) {
+			const model = deps.model();
+			if (model?.experts) {
+				coordination = coordinate(view, model);
+			}
+		}
+	};
+
+	const stepDown = (because: string): void => {
+		log.info({because, formation: coordination?.formation}, 'coordination ends');
+		coordination?.ending.abort();
+		coordination = undefined;
+		map = undefined;
+	};
+
+	const coordinate = (view: RankView, model: EngineModel): Coordination => {
+		log.info({group: view.group, formation: view.formation, rank: view.rank}, 'coordination begins');
+		const experts = model.experts!;
+		const ending = new AbortController();
+		const board = createDemandBoard({layers: experts.layers, experts: experts.expertsPerLayer});
+		const admission = createGroupAdmission({
+			model: () => {
+				const now = deps.model();
+				return now && {...now, expertShare: now.experts?.workShare ?? 0};
+			},
+			open: openRanks, skew, slowdown: () => meter.slowdown(), nowMs: monotonicMs, random: deps.random,
+		});
+		const ranks = createRemoteRanks({
+			own, ownRank: view.rank, size: view.size, member, connect: deps.connect, lagMs: () => deps.model()?.reportLagMs ?? 0, sleep: deps.sleep,
+		});
+		const isStopped = (): boolean => ending.signal.aborted || deps.signal.aborted;
+		const ticker = setInterval(() => {
+			admission.tick();
+		}, tickMs).unref();
+		const teller = setInterval(() => {
+			const {running, room, passMs} = admission.state();
+			metrics.gauge('group_running', running);
+			metrics.gauge('group_pass_ms', Math.round(meter.passMs()));
+			for (const peer of entries) {
+				peer.send({
+					kind: 'groupLoad', group: view.group, load: {
+						running, room, entries: entries.size, passMs: Math.round(passMs),
+					},
+				});
+			}
+		}, loadMs).unref();
+		ending.signal.addEventListener('abort', () => {
+			clearInterval(ticker);
+			clearInterval(teller);
+		}, {once: true});
+		const done = keepMap({
+			ranks, ownRank: view.rank, board, model: experts, formation: view.formation,
+			weights: {...deps.weights, workShare: experts.workShare * usualWorkPart},
+			takeToken: async () => deps.takeToken(view.group),
+			readMap: async () => readMap(view, experts.layers),
+			view: own.view, log, metrics, nowMs: monotonicMs, sleep: deps.sleep, isStopped,
+			onMap(next) {
+				map = next;
+			},
+		});
+		return {
+			formation: view.formation, board, admission, ranks, ending, done,
+		};
+	};
+
+	const readMap = async (view: RankView, layers: number): Promise<{readonly version: number; readonly map: LayeredMap} | undefined> => {
+		const parts = await Promise.all(Array.from({length: view.size}, async (_, rank) => {
+			const target = targetOf(rank);
+			return target === undefined ? undefined : (target === deps.target ? deps.engine : deps.connect(target)).experts();
+		}));
+		if (!parts.every(part => part !== undefined) || parts.some(part => part.version !== parts[0].version || part.formation !== view.formation)) {
+			return undefined;
+		}
+
+		return {version: parts[0].version, map: Array.from({length: layers}, (_, layer) => parts.map(part => part.experts[layer]))};
+	};
+
+	const needOf = (frame: Extract<Frame, {kind: 'place'}>): GroupNeed => {
+		const {excluded, ...need} = frame.ask;
+		const ranks = Array.from({length: own.view()?.size ?? 0}, (_, rank) => rank);
+		return {...need, excluded: new Set(ranks.filter(rank => excluded.includes(targetOf(rank) ?? '')))};
+	};
+
+	const onPlace = (peer: Peer, frame: Extract<Frame, {kind: 'place'}>): void => {
+		const {id} = frame.ask;
+		if (!coordination) {
+			peer.send({
+				kind: 'turnedAway', id, reason: 'wrongOwner', retryAfterMs: 0,
+			});
+			return;
+		}
+
+		coordination.admission.ask(needOf(frame), decision => {
+			metrics.count('group_decisions', {kind: decision.kind});
+			const target = decision.kind === 'placed' ? targetOf(decision.rank) : undefined;
+			if (decision.kind === 'refused' || target === undefined) {
+				peer.send({
+					kind: 'turnedAway', id, reason: decision.kind === 'refused' ? decision.reason : 'noTarget', retryAfterMs: decision.kind === 'refused' ? decision.retryAfterMs : 0,
+				});
+				return;
+			}
+
+			placed.set(id, peer);
+			peer.send({kind: 'placed', id, target});
+		});
+	};
+
+	const rankOf = (target: string): number | undefined => {
+		const size = own.view()?.size ?? 0;
+		const rank = Array.from({length: size}, (_, index) => index).find(index => targetOf(index) === target);
+		return rank;
+	};
+
+	return {
+		onUp(peer) {
+			if (peer.hello.role === 'entry') {
+				entries.add(peer);
+			}
+
+			if (lastNotice) {
+				peer.send({kind: 'rank', notice: lastNotice});
+			}
+		},
+		onDown(peer) {
+			entries.delete(peer);
+			notices.delete(peer);
+			for (const [id, entry] of placed) {
+				if (entry === peer) {
+					// Its streams may go on; it tells of them when it is back, and else they are forgotten in time.
+					placed.delete(id);
+				}
+			}
+		},
+		onFrame(peer, frame) {
+			switch (frame.kind) {
+				case 'rank': {
+					notices.set(peer, frame.notice);
+					return true;
+				}
+
+				case 'place': {
+					onPlace(peer, frame);
+					return true;
+				}
+
+				case 'running': {
+					const rank = rankOf(frame.target);
+					if (rank !== undefined) {
+						coordination?.admission.note(frame.id, {
+							rank, promptTokens: frame.promptTokens, answerTokens: frame.answerTokens, hasBegun: frame.hasBegun,
+						});
+						placed.set(frame.id, peer);
+					}
+
+					return true;
+				}
+
+				case 'began': {
+					coordination?.admission.began(frame.id);
+					return true;
+				}
+
+				case 'ended': {
+					placed.delete(frame.id);
+					coordination?.admission.ended(frame.id);
+					return true;
+				}
+
+				case 'counts': {
+					const notice = notices.get(peer);
+					if (notice) {
+						coordination?.board.take(notice.rank, frame.formation, decodeCounts(frame.counts));
+					}
+
+					return true;
+				}
+
+				case 'command': {
+					void own.command(frame.guarded).then(({result, view}) => {
+						metrics.count('rank_commands', {kind: frame.guarded.command.kind, result});
+						peer.send({
+							kind: 'viewed', id: frame.id, result, view,
+						});
+					});
+					return true;
+				}
+
+				case 'look': {
+					void own.look().then(view => {
+						peer.send({
+							kind: 'viewed', id: frame.id, result: 'obeyed', view,
+						});
+					});
+					return true;
+				}
+
+				default: {
+					return coordination?.ranks.onFrame(frame) ?? false;
+				}
+			}
+		},
+		isCandidate: () => (own.view()?.rank ?? candidates) < candidates,
+		async leave() {
+			isLeaving = true;
+			const {done} = coordination ?? {};
+			if (coordination) {
+				stepDown('this process stops');
+			}
+
+			await done;
+		},
+		status: () => ({
+			view: own.view(), isCoordinator: coordination !== undefined, entries: entries.size, members: notices.size,
+			load: coordination?.admission.state(), slowdown: meter.slowdown(), skew: skew(),
+		}),
+	};
+}
+
+/** The part of a pass that the work for tokens is under usual load; the rest is the steps' own time. */
+const usualWorkPart = 0.6;
+
+function encodeCounts(counts: readonly number[]): Uint8Array {
+	const bytes = new Uint8Array(counts.length * bytesPerCount);
+	const view = new DataView(bytes.buffer);
+	for (const [i, count] of counts.entries()) {
+		view.setUint32(i * bytesPerCount, count);
+	}
+
+	return bytes;
+}
+
+function decodeCounts(bytes: Uint8Array): number[] {
+	const view = new DataView(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+	return Array.from({length: bytes.length / bytesPerCount}, (_, i) => view.getUint32(i * bytesPerCount));
+}
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -1,6 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {Decoder, Encoder} from 'cbor-x';
-import {type RankOrder, type RankReply} from '@papayaflow/experts';
+import {
+	type CommandResult, type GuardedCommand, type RankOrder, type RankReply, type RankView,
+} from '@papayaflow/experts';
 import {type LossReason, type RefusalReason} from '@papayaflow/outcome';
 
 /** The version of the frames; a peer that speaks another one is turned away. */
@@ -52,6 +54,53 @@
 	readonly chunks: Readonly<Record<string, Uint8Array>>;
 };
 
+/** Where a rank stands and whom its group obeys, as its sidecar knows it. */
+export type RankNotice = {
+	readonly group: string;
+	readonly formation: number;
+	readonly rank: number;
+	readonly size: number;
+	readonly isOpen: boolean;
+	/** The rank's engine, as `IP:PORT`. */
+	readonly target: string;
+	/** Whether this sidecar coordinates the group: it places requests and switches maps. */
+	readonly isCoordinator: boolean;
+};
+
+/** A request that asks a group's coordinator for a place. */
+export type PlaceAsk = {
+	readonly id: string;
+	readonly promptTokens: number;
+	readonly answerTokens: number;
+	readonly waitedMs: number;
+	readonly objectiveMs: number;
+	readonly gapMs: number;
+	readonly deadlineMs: number;
+	readonly priority: number;
+	readonly hasReturned: boolean;
+	/** Engines that have failed it, as `IP:PORT`. */
+	readonly excluded: readonly string[];
+};
+
+/** A group's load, for entries that can't ask its coordinator. */
+export type GroupLoad = {
+	readonly running: number;
+	/** Requests that the group can run at once. */
+	readonly room: number;
+	/** Entries that ask this coordinator. */
+	readonly entries: number;
+	readonly passMs: number;
+};
+
+/** A part of the key-value service's keys as one process gives it to another. */
+export type StoreCopy = {
+	readonly revision: number;
+	/** What was written after the revision that the other one has. */
+	readonly entries: ReadonlyArray<{readonly key: string; readonly value: Uint8Array; readonly revision: number}>;
+	/** Every key there is. */
+	readonly keys: readonly string[];
+};
+
 /**
 The messages between two processes of papayaflow, tagged by `kind`. `sentMs` is
 the sender's monotonic clock in milliseconds; only differences of it mean anything.
@@ -88,10 +137,31 @@
 	| {readonly kind: 'config'; readonly update: ConfigUpdate}
 	| {readonly kind: 'order'; readonly id: number; readonly rank: number; readonly order: RankOrder}
 	/** Without a reply the rank did not answer in time. */
-	| {readonly kind: 'orderReply'; readonly id: number; readonly reply?: RankReply};
+	| {readonly kind: 'orderReply'; readonly id: number; readonly reply?: RankReply}
+	/** Shows that the sender lives, where it has nothing else to say. */
+	| {readonly kind: 'alive'}
+	| {readonly kind: 'rank'; readonly notice: RankNotice}
+	| {readonly kind: 'place'; readonly ask: PlaceAsk}
+	| {readonly kind: 'placed'; readonly id: string; readonly target: string}
+	| {readonly kind: 'turnedAway'; readonly id: string; readonly reason: RefusalReason; readonly retryAfterMs: number}
+	/** A request runs at a target: placed by the entry itself, or before this connection. */
+	| {readonly kind: 'running'; readonly id: string; readonly target: string; readonly promptTokens: number; readonly answerTokens: number; readonly hasBegun: boolean}
+	| {readonly kind: 'began'; readonly id: string}
+	| {readonly kind: 'ended'; readonly id: string}
+	| {readonly kind: 'groupLoad'; readonly group: string; readonly load: GroupLoad}
+	/** How often each expert was chosen for one rank's requests, since the rank started. */
+	| {readonly kind: 'counts'; readonly formation: number; readonly pass: number; readonly counts: Uint8Array}
+	| {readonly kind: 'command'; readonly id: number; readonly guarded: GuardedCommand}
+	| {readonly kind: 'look'; readonly id: number}
+	| {readonly kind: 'viewed'; readonly id: number; readonly result: CommandResult; readonly view?: RankView}
+	/** The revision of the last change that the sender knows of, for those who can't ask the service. */
+	| {readonly kind: 'known'; readonly changedAt: number}
+	| {readonly kind: 'pull'; readonly after: number}
+	| {readonly kind: 'copy'; readonly copy: StoreCopy};
 
 const frameKinds: ReadonlySet<string> = new Set<Frame['kind']>([
 	'hello', 'request', 'cancel', 'head', 'data', 'end', 'refused', 'lost', 'load', 'busy', 'leaving', 'revision', 'pullConfig', 'config', 'order', 'orderReply',
+	'alive', 'rank', 'place', 'placed', 'turnedAway', 'running', 'began', 'ended', 'groupLoad', 'counts', 'command', 'look', 'viewed', 'known', 'pull', 'copy',
 ]);
 
 /** Why a connection was closed by the one who reads it. */
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -4,5 +4,8 @@
 } from './connection.js';
 export {
 	encodeFrame, maxFrameBytes, protocolVersion, readFrames,
-	type ConfigUpdate, type Frame, type FrameFault, type LoadReport, type PeerRequest,
+	type ConfigUpdate, type Frame, type FrameFault, type GroupLoad, type LoadReport, type PeerRequest, type PlaceAsk, type RankNotice, type StoreCopy,
 } from './frame.js';
+export {
+	followPeer, servePeer, type Peer, type PeerEvents, type PeerOptions,
+} from './peer.js';
--- /dev/null
+++ b/packages/peer/src/peer.ts
@@ -0,0 +1,117 @@
+import {type Socket} from 'node:net';
+import {
+	openConnection, openSocket, serveFrames, type Connection,
+} from './connection.js';
+import {protocolVersion, type Frame, type FrameFault} from './frame.js';
+
+/** How often a peer shows that it lives where it has nothing else to say, in milliseconds. */
+const aliveMs = 250;
+
+/** How long a peer may be silent before its connection counts as dead, in milliseconds: four times what it promises. */
+const silentMs = 1000;
+
+/** How long a connection may take to stand, in milliseconds. */
+const connectMs = 500;
+
+/** The pause before a peer that was lost is tried again, in milliseconds. */
+const reconnectMs = 200;
+
+type Hello = Extract<Frame, {kind: 'hello'}>;
+
+/** The other end of a connection, once it has said who it is. */
+export type Peer = {
+	readonly hello: Hello;
+	/** Its address, as `IP`. */
+	readonly host: string;
+	send(frame: Frame): void;
+	close(): void;
+};
+
+export type PeerEvents = {
+	onUp(peer: Peer): void;
+	onFrame(peer: Peer, frame: Frame): void;
+	onDown(peer: Peer): void;
+	onFault(fault: FrameFault): void;
+};
+
+export type PeerOptions = {
+	readonly role: 'entry' | 'sidecar';
+	readonly instance: string;
+	readonly incarnation: string;
+	readonly zone: string;
+	readonly monotonicMs: () => number;
+	readonly sleep: (ms: number) => Promise<void>;
+};
+
+/**
+Serves one connection from its greeting to its end. A peer that is silent for a
+second is let go: a cut network says nothing by itself.
+
+@example
+createServer(socket => void servePeer(socket, options, events)).listen(7340);
+*/
+export async function servePeer(socket: Socket, options: PeerOptions, events: PeerEvents): Promise<void> {
+	const connection = openConnection(socket);
+	let heardMs = options.monotonicMs();
+	let peer: Peer | undefined;
+	connection.send({
+		kind: 'hello', version: protocolVersion, role: options.role, instance: options.instance, incarnation: options.incarnation, zone: options.zone, sentMs: options.monotonicMs(),
+	});
+	const beat = setInterval(() => {
+		if (options.monotonicMs() - heardMs > silentMs) {
+			socket.destroy();
+		} else {
+			connection.send({kind: 'alive'});
+		}
+	}, aliveMs).unref();
+	await serveFrames(socket, frame => {
+		heardMs = options.monotonicMs();
+		if (frame.kind === 'hello') {
+			peer = peerOf(frame, socket, connection);
+			events.onUp(peer);
+		} else if (peer && frame.kind !== 'alive') {
+			events.onFrame(peer, frame);
+		}
+	}, events.onFault);
+	clearInterval(beat);
+	if (peer) {
+		events.onDown(peer);
+	}
+}
+
+/**
+Keeps a connection to a peer until `signal` fires: connects, serves, and connects
+again when it is lost.
+
+@example
+void followPeer({address: '10.1.0.42', port: 7340}, options, events, signal);
+*/
+export async function followPeer(at: {readonly address: string; readonly port: number}, options: PeerOptions, events: PeerEvents, signal: AbortSignal): Promise<void> {
+	while (!signal.aborted) {
+		const socket = await openSocket(at, connectMs);
+		if (socket) {
+			const close = (): void => {
+				socket.destroy();
+			};
+
+			signal.addEventListener('abort', close, {once: true});
+			await servePeer(socket, options, events);
+			signal.removeEventListener('abort', close);
+		}
+
+		await options.sleep(reconnectMs);
+	}
+}
+
+function peerOf(hello: Hello, socket: Socket, connection: Connection): Peer {
+	return {
+		hello,
+		host: socket.remoteAddress ?? '',
+		send(frame) {
+			connection.send(frame);
+		},
+		close() {
+			socket.destroy();
+		},
+	};
+}
--- /dev/null
+++ b/packages/policy/src/group-admission.ts
@@ -0,0 +1,275 @@
+import {predictPassMs, type PassModel, type RankWork} from './pass-time.js';
+
+/** A request that asks for a place in a group. */
+export type GroupNeed = {
+	readonly id: string;
+	readonly promptTokens: number;
+	/** The tokens that its answer is expected to have. */
+	readonly answerTokens: number;
+	/** How long ago its caller first asked, in milliseconds. */
+	readonly waitedMs: number;
+	/** Within which the first token should come, from its caller's first asking, in milliseconds. */
+	readonly objectiveMs: number;
+	/** The longest pause between events that counts as on time, in milliseconds. */
+	readonly gapMs: number;
+	/** How much longer it can be served at all, in milliseconds. */
+	readonly deadlineMs: number;
+	/** 0 is served first. */
+	readonly priority: number;
+	/** Whether its caller was refused before, and has come back. */
+	readonly hasReturned: boolean;
+	/** Ranks that have failed it. */
+	readonly excluded: ReadonlySet<number>;
+};
+
+export type GroupDecision
+	= | {readonly kind: 'placed'; readonly rank: number}
+		| {readonly kind: 'refused'; readonly reason: 'overloaded' | 'noTarget'; readonly retryAfterMs: number};
+
+/** A request that runs, or is about to, in the group. */
+type Running = {
+	readonly rank: number;
+	readonly promptTokens: number;
+	readonly answerTokens: number;
+	readonly sinceMs: number;
+	hasBegun: boolean;
+};
+
+type Waiting = {readonly need: GroupNeed; readonly sinceMs: number; readonly untilMs: number; readonly answer: (decision: GroupDecision) => void};
+
+export type GroupAdmissionOptions = {
+	/** The engine's figures; `undefined` while no configuration is known. */
+	readonly model: () => (PassModel & {readonly slots: number; readonly memoryTokens: number}) | undefined;
+	/** Which ranks take new work, by rank; its length is the size of the group. */
+	readonly open: () => readonly boolean[];
+	readonly skew: () => number;
+	/** How much longer passes take than predicted, as measured lately; 1 where they take as long. */
+	readonly slowdown: () => number;
+	readonly nowMs: () => number;
+	readonly random: () => number;
+};
+
+/** The work of one group, and who may add to it. */
+export type GroupAdmission = {
+	/** Decides, at once or as soon as there is room, or no later than the need can wait. */
+	ask(need: GroupNeed, answer: (decision: GroupDecision) => void): void;
+	/** Forgets a need that still waits. */
+	withdraw(id: string): void;
+	/** Notes a request that runs without having been placed here, or was placed by another coordinator. */
+	note(id: string, running: {readonly rank: number; readonly promptTokens: number; readonly answerTokens: number; readonly hasBegun: boolean}): void;
+	began(id: string): void;
+	ended(id: string): void;
+	/** Looks again at what waits. */
+	tick(): void;
+	state(): GroupState;
+};
+
+export type GroupState = {
+	readonly running: number;
+	readonly waiting: number;
+	/** The predicted time of the next pass, in milliseconds. */
+	readonly passMs: number;
+	/** Requests that the group can run at once by the present prediction. */
+	readonly room: number;
+};
+
+/** The part of the allowed pause that a pass may take: the rest is for the way of an event and for what the prediction misses. */
+const passShare = 0.82;
+
+/** The part of the objective that a first request may wait for room; one that waits longer had better come back. */
+const firstWaitShare = 0.12;
+
+/** The part of the objective that a request which came back may wait: another refusal is its last. */
+const returnWaitShare = 1;
+
+/** When a refused caller should come back, as a part of the objective: soon enough to be still on time. */
+const returnShare = 0.3;
+
+/** The part of the memory that may be promised, since answers can be longer than expected. */
+const memoryShare = 0.92;
+
+/** How long a request may be known without any word of it, in milliseconds, before it is forgotten. */
+const forgetMs = 30_000;
+
+/**
+Makes the admission of one group. All ranks make their passes together, so one
+request more slows every stream of the group: what counts is the time of the next
+pass with it, predicted from all that runs. A request that finds no room waits a
+little, then is told to come back; one that came back goes first.
+
+Pattern: more callers than the group can write for at once, through several entries.
+
+@example
+admission.ask(need, decision => reply(decision));
+*/
+export function createGroupAdmission(options: GroupAdmissionOptions): GroupAdmission {
+	const {nowMs} = options;
+	const running = new Map<string, Running>();
+	const waiting = new Map<string, Waiting>();
+	let lastGapMs = Number.POSITIVE_INFINITY;
+
+	const works = (): RankWork[] => {
+		const work = options.open().map(() => ({writers: 0, contextTokens: 0, prefillTokens: 0}));
+		for (const request of running.values()) {
+			const rank = work.at(request.rank);
+			if (!rank) {
+				continue;
+			}
+
+			if (request.hasBegun) {
+				rank.writers++;
+				rank.contextTokens += request.promptTokens + (request.answerTokens / 2);
+			} else {
+				rank.prefillTokens += request.promptTokens;
+			}
+		}
+
+		return work;
+	};
+
+	/** The rank where a request does least harm; `undefined` where none can take it. */
+	const bestRank = ({promptTokens, answerTokens, excluded}: GroupNeed): number | undefined => {
+		const model = options.model();
+		if (!model) {
+			return undefined;
+		}
+
+		const counts = options.open().map(() => ({requests: 0, tokens: 0, prefillTokens: 0}));
+		for (const request of running.values()) {
+			const count = counts.at(request.rank);
+			if (count) {
+				count.requests++;
+				count.tokens += request.promptTokens + request.answerTokens;
+				count.prefillTokens += request.hasBegun ? 0 : request.promptTokens;
+			}
+		}
+
+		let best: number | undefined;
+		let bestCost = Number.POSITIVE_INFINITY;
+		for (const [rank, isOpen] of options.open().entries()) {
+			const {requests, tokens, prefillTokens} = counts[rank];
+			if (!isOpen || excluded.has(rank) || requests >= model.slots || tokens + promptTokens + answerTokens > memoryShare * model.memoryTokens) {
+				continue;
+			}
+
+			const writing = model.stepsPerPass * model.sequenceMs * requests;
+			const cost = writing + ((prefillTokens + promptTokens) / model.prefillTokensPerMs) + (options.random() / tieBreak);
+			if (cost < bestCost) {
+				best = rank;
+				bestCost = cost;
+			}
+		}
+
+		return best;
+	};
+
+	/** The pass time with a request that is read in this pass, and, once it is read, with it among the writers. */
+	const passWith = (need: GroupNeed, rank: number): number => {
+		const model = options.model()!;
+		const reading = works();
+		const before = reading[rank];
+		reading[rank] = {...before, prefillTokens: before.prefillTokens + need.promptTokens};
+		const writing = works().map(({writers, contextTokens, prefillTokens}) => ({
+			writers: writers + (prefillTokens > 0 ? 1 : 0), contextTokens: contextTokens + prefillTokens, prefillTokens: 0,
+		}));
+		writing[rank] = {...writing[rank], writers: writing[rank].writers + 1, contextTokens: writing[rank].contextTokens + need.promptTokens};
+		return options.slowdown() * Math.max(predictPassMs(model, reading, options.skew()), predictPassMs(model, writing, options.skew()));
+	};
+
+	const tryPlace = (need: GroupNeed): GroupDecision | undefined => {
+		if (!options.open().some(Boolean)) {
+			return {kind: 'refused', reason: 'noTarget', retryAfterMs: retryAfter(need)};
+		}
+
+		const rank = bestRank(need);
+		if (rank === undefined || passWith(need, rank) > passShare * need.gapMs) {
+			return undefined;
+		}
+
+		running.set(need.id, {
+			rank, promptTokens: need.promptTokens, answerTokens: need.answerTokens, sinceMs: nowMs(), hasBegun: false,
+		});
+		return {kind: 'placed', rank};
+	};
+
+	const retryAfter = ({objectiveMs}: GroupNeed): number => objectiveMs * returnShare * (0.75 + (options.random() / 2));
+
+	const waitMs = ({objectiveMs, hasReturned, deadlineMs}: GroupNeed): number => Math.min(deadlineMs, objectiveMs * (hasReturned ? returnWaitShare : firstWaitShare));
+
+	const tick = (): void => {
+		const now = nowMs();
+		const order = [...waiting.values()].toSorted((a, b) => Number(b.need.hasReturned) - Number(a.need.hasReturned) || a.need.priority - b.need.priority || a.sinceMs - b.sinceMs);
+		let isFull = false;
+		for (const {need, untilMs, answer} of order) {
+			const decision: GroupDecision | undefined = isFull ? undefined : tryPlace(need);
+			isFull ||= decision === undefined;
+			if (decision) {
+				waiting.delete(need.id);
+				answer(decision);
+			} else if (now >= untilMs) {
+				waiting.delete(need.id);
+				answer({kind: 'refused', reason: 'overloaded', retryAfterMs: retryAfter(need)});
+			}
+		}
+
+		for (const [id, request] of running) {
+			if (now - request.sinceMs > forgetMs) {
+				running.delete(id);
+			}
+		}
+	};
+
+	return {
+		ask(need, answer) {
+			const now = nowMs();
+			lastGapMs = need.gapMs;
+			waiting.set(need.id, {
+				need, sinceMs: now, untilMs: now + waitMs(need), answer,
+			});
+			tick();
+		},
+		withdraw(id) {
+			waiting.delete(id);
+		},
+		note(id, request) {
+			running.set(id, {...request, sinceMs: nowMs()});
+		},
+		began(id) {
+			const request = running.get(id);
+			if (request) {
+				request.hasBegun = true;
+			}
+		},
+		ended(id) {
+			waiting.delete(id);
+			running.delete(id);
+		},
+		tick,
+		state() {
+			const model = options.model();
+			const work = works();
+			return {
+				running: running.size,
+				waiting: waiting.size,
+				passMs: model ? options.slowdown() * predictPassMs(model, work, options.skew()) : 0,
+				room: model ? roomFor(model, work.length) : 0,
+			};
+		},
+	};
+
+	/** Requests that can write at once, spread evenly, within the pause that the last need allowed. */
+	function roomFor(model: PassModel & {readonly slots: number}, ranks: number): number {
+		const most = ranks * model.slots;
+		for (let count = 1; count <= most; count++) {
+			const work = Array.from({length: ranks}, () => ({writers: count / ranks, contextTokens: 0, prefillTokens: 0}));
+			if (options.slowdown() * predictPassMs(model, work, options.skew()) > passShare * lastGapMs) {
+				return count - 1;
+			}
+		}
+
+		return most;
+	}
+}
+
+/** How much chance decides between ranks that are alike. */
+const tieBreak = 1000;
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -26,3 +26,15 @@
 export {
 	movesBetween, planAnew, planMoves, worthMoves, type Plan, type PlanOptions, type WorthOptions,
 } from './rebalance.js';
+export {
+	defaultDemandOptions, evenDemand, withCounts, type Demand, type DemandOptions,
+} from './demand.js';
+export {
+	createGroupAdmission, type GroupAdmission, type GroupAdmissionOptions, type GroupDecision, type GroupNeed, type GroupState,
+} from './group-admission.js';
+export {
+	predictPassMs, tokenWorkMs, type PassModel, type RankWork,
+} from './pass-time.js';
+export {
+	layeredSkew, spreadExperts, type LayerLoad, type Placement, type Spread, type SpreadOptions,
+} from './spread.js';
