Prove the switch between passes; tests of the platform path; mend a reset taken for an end

The specification of the switch (spec/pass-switch.pml) found two faults in the first form before they ran under failures: a resolution that held the group again under its own token met its own late release, and a pass that was held twice could be let go by the release of the first hold.

Tests found: the library takes a reset connection for the end of an answer that is not to be kept, so an unframed body that was cut looked whole (200 in place of 502, now mended); a target that was never tried never got a request while another one answered slowly.

--- a/packages/direct/src/exchange.ts
+++ b/packages/direct/src/exchange.ts
@@ -60,11 +60,12 @@
 		return {kind: 'notSent', detail: 'cancelled'};
 	}
 
-	const client = pool.take(maxRestMs);
+	const connection = pool.take(maxRestMs);
 	return new Promise(resolve => {
 		let isSent = false;
 		let isEnded = false;
 		let hasHead = false;
+		let isFramed = false;
 		let notRun: Exchanged | undefined;
 		let controller: Dispatcher.DispatchController | undefined;
 
@@ -76,9 +77,9 @@
 			isEnded = true;
 			signal.removeEventListener('abort', cancel);
 			if (isClean) {
-				pool.release(client);
+				pool.release(connection);
 			} else {
-				pool.drop(client);
+				pool.drop(connection);
 			}
 
 			resolve(result);
@@ -90,7 +91,7 @@
 		};
 
 		signal.addEventListener('abort', cancel, {once: true});
-		client.dispatch({
+		connection.client.dispatch({
 			method: request.method as Dispatcher.HttpMethod, path: request.path, headers: request.headers, body: request.body.length > 0 ? request.body : null,
 		}, {
 			onRequestStart(started) {
@@ -110,6 +111,7 @@
 				}
 
 				hasHead = true;
+				isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 				const head = dialect.readAnswer(status, headers);
 				if (head.requestId !== undefined && head.requestId !== request.requestId) {
 					end({kind: 'broken', reason: 'wrongAnswer', detail: 'the answer belongs to another request'}, false);
@@ -138,7 +140,12 @@
 				}
 			},
 			onResponseEnd() {
-				end(notRun ?? {kind: 'complete'}, true);
+				const isCut = connection.far === 'failed' || (connection.far === 'ended' && isFramed);
+				if (isCut && !notRun) {
+					end({kind: 'broken', reason: 'truncated', detail: `the connection ${connection.far} before the answer was whole`}, false);
+				} else {
+					end(notRun ?? {kind: 'complete'}, !isCut);
+				}
 			},
 			onResponseError(_current, error) {
 				if (notRun) {
--- a/packages/direct/src/place.ts
+++ b/packages/direct/src/place.ts
@@ -34,7 +34,7 @@
 /**
 Makes the placer for plain services. It takes the target that is likely to answer
 first: the least of requests there, with this one, times the recent latency. A
-target that was never used counts as fast as the fastest, so that it is found out.
+target that was never used counts as faster than the fastest, so that it is found out.
 
 Pattern: few small calls and several entries, where a target that turned slow must
 lose its share within a few answers.
@@ -59,13 +59,16 @@
 		}
 
 		const leastMs = Math.min(...usable.map(({latencyMs}) => latencyMs ?? Number.POSITIVE_INFINITY));
-		const usualMs = Number.isFinite(leastMs) ? leastMs : unknownLatencyMs;
+		const usualMs = Number.isFinite(leastMs) ? leastMs * untriedPart : unknownLatencyMs;
 		const cost = (target: Target): number => (target.inFlight + 1) * (target.latencyMs ?? usualMs) * (target.record.zone === zone ? 1 : farCost) * (1 + (random() * tieSpread));
 		const best = usable.map(target => ({target, cost: cost(target)})).reduce((a, b) => b.cost < a.cost ? b : a);
 		return {kind: 'placed', place: placeAt(best.target)};
 	};
 }
 
+/** What a target that was never used is taken to need of what the fastest does. */
+const untriedPart = 0.5;
+
 /** What a target in another availability zone costs more, as a factor: the bytes between zones are priced, a free target there is still better than a busy near one. */
 const farCost = 1.1;
 
--- /dev/null
+++ b/packages/direct/test/helper.ts
@@ -0,0 +1,135 @@
+import {once} from 'node:events';
+import {connect, type AddressInfo, type Socket} from 'node:net';
+import {
+	createFront, createPlainPlacer, createTargets, type Dialect, type Front, type Targets,
+} from '@papayaflow/direct';
+import {createResendBudget} from '@papayaflow/policy';
+import {createRouteTable, type Configuration, type Route, type TargetRecord} from '@papayaflow/routing';
+import {startReplica, type Replica, type ReplicaRequest} from '@papayaflow/standins';
+import {createLog, createMetrics, type Metrics} from '@papayaflow/telemetry';
+import {platformDialect} from '@papayaflow/platform';
+
+/** An entry before fake replicas, in this process. */
+export type Bed = {
+	readonly front: Front;
+	readonly targets: Targets;
+	readonly metrics: Metrics;
+	readonly port: number;
+	leave(): void;
+	stop(): void;
+};
+
+export const route: Route = {
+	name: 'r', host: 'h.example', pathPrefix: '/a/', shares: [{service: 's', weight: 1}], kind: 'idempotent', maxAttempts: 2, timeoutMs: 1000, objectiveMs: 100,
+	gapObjectiveMs: undefined, priority: 1, isPublic: false, isResumable: false,
+};
+
+export function configurationOf(routes: readonly Route[]): Configuration {
+	return {
+		version: 1, routes, services: new Map(), organisations: new Map([['k', {name: 'acme', priority: 1}]]),
+		limits: {
+			maxHeaderBytes: 16_384, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 5000,
+		},
+	};
+}
+
+export function recordOf(replica: Replica, id: string): TargetRecord {
+	return {
+		id, incarnation: 0, service: 's', ...replica.address, zone: 'z', slots: 4, state: 'serving', warmingMs: 0,
+	};
+}
+
+export async function startBed(routes: readonly Route[], replicas: readonly Replica[], {silenceMs = 150, dialect = platformDialect, slack = 20}: {
+	readonly silenceMs?: number; readonly dialect?: Dialect; readonly slack?: number;
+} = {}): Promise<Bed> {
+	const metrics = createMetrics();
+	const log = createLog({}, 'error');
+	const nowMs = (): number => performance.now();
+	const ejection = {ejectAfterFailures: 3, ejectMs: 1000, maxEjectedRatio: 0.5};
+	const targets = createTargets({
+		connectMs: 300, ejection, nowMs, onChange() {/* Looked at through `targets`. */},
+	});
+	targets.update(replicas.map((replica, i) => recordOf(replica, `i-${i}`)));
+	let isLeaving = false;
+	const table = createRouteTable(configurationOf(routes));
+	const front = createFront({
+		dialect, metrics, log, monotonicMs: nowMs, random: () => 0, table: () => table, isLeaving: () => isLeaving,
+		place: createPlainPlacer({
+			targets, ejection, nowMs, random: () => 0, zone: 'z',
+		}),
+		resends: createResendBudget({
+			ratio: 0.2, slack, entries: () => 1, windowMs: 10_000, nowMs,
+		}),
+		silenceMs: () => silenceMs,
+	});
+	front.useLimits({headerTimeoutMs: 3000, idleTimeoutMs: 5000});
+	front.server.listen(0, '127.0.0.1');
+	await once(front.server, 'listening');
+	return {
+		front, targets, metrics, port: (front.server.address() as AddressInfo).port,
+		leave() {
+			isLeaving = true;
+		},
+		stop() {
+			front.server.closeAllConnections();
+			front.server.close();
+			targets.update([]);
+			for (const replica of replicas) {
+				replica.stop();
+			}
+		},
+	};
+}
+
+/** What a caller got: all that came on its connection until it ended or rested. */
+export type Got = {readonly status: number; readonly headers: string; readonly body: string; readonly ended: 'closed' | 'kept'};
+
+export type Ask = {
+	readonly method?: string; readonly path?: string; readonly id?: string; readonly key?: string; readonly headers?: string; readonly body?: string;
+	readonly deadlineMs?: number; readonly restMs?: number;
+};
+
+export function write(socket: Socket, {method = 'GET', path = '/a/x', id = 'r-1', key = 'k', headers = '', body = '', deadlineMs = 2000}: Ask): void {
+	const length = body === '' ? '' : `content-length: ${body.length}\r\n`;
+	socket.write(`${method} ${path} HTTP/1.1\r\nhost: h.example\r\nx-request-id: ${id}\r\nx-key: ${key}\r\nx-deadline-ms: ${deadlineMs}\r\n${headers}${length}\r\n${body}`);
+}
+
+/** Asks on a connection of its own and reads until the answer is whole or the connection ends. */
+export async function ask(bed: Bed, options: Ask = {}): Promise<Got> {
+	const socket = connect(bed.port, '127.0.0.1');
+	let text = '';
+	socket.on('error', () => undefined);
+	const done = new Promise<'closed' | 'kept'>(resolve => {
+		socket.on('close', () => {
+			resolve('closed');
+		});
+		socket.on('data', chunk => {
+			text += chunk.toString('latin1');
+			if (isWhole(text)) {
+				resolve('kept');
+			}
+		});
+	});
+	write(socket, options);
+	const ended = await done;
+	socket.destroy();
+	const [head, ...rest] = text.split('\r\n\r\n');
+	return {
+		status: Number(head.split(' ')[1]), headers: head.toLowerCase(), body: rest.join('\r\n\r\n'), ended,
+	};
+}
+
+function isWhole(text: string): boolean {
+	const end = text.indexOf('\r\n\r\n');
+	if (end === -1) {
+		return false;
+	}
+
+	const length = /content-length: (\d+)/iv.exec(text.slice(0, end))?.[1];
+	return length === undefined ? text.endsWith('0\r\n\r\n') : text.length >= end + 4 + Number(length);
+}
+
+/** Starts a replica that answers each request as a test says. */
+export async function replica(answer: (request: ReplicaRequest) => void): Promise<Replica> {
+	return startReplica(answer);
+}
--- a/packages/experts/src/pass-switch.ts
+++ b/packages/experts/src/pass-switch.ts
@@ -2,9 +2,6 @@
 	type CommandReply, type LayeredMap, type PassCommand, type PassRanks, type RankView,
 } from './pass-order.js';
 
-/** Passes between the one that was begun and the one that is held: the arms take less than a pass, so the group seldom stops. */
-const passesAhead = 2;
-
 /** Passes that are tried to be held, since one may begin before the command comes. */
 const holdTries = 4;
 
@@ -17,6 +14,12 @@
 	readonly formation: number;
 	/** The rank that holds the group, best the one beside the coordinator. */
 	readonly holder: number;
+	/**
+	Names the pass to hold when `begun` is the last one begun. It must name a higher
+	one each time for the life of a token: the release of an earlier hold may be
+	obeyed late, and would let the group go in the middle of a switch.
+	*/
+	readonly passAfter: (begun: number) => number;
 	readonly prepareTimeoutMs: number;
 	readonly nowMs: () => number;
 	readonly sleep: (ms: number) => Promise<void>;
@@ -87,62 +90,61 @@
 }
 
 export type ResolveResult
-	/** The group is not held and nothing is armed; maps of higher versions than `newest` can be prepared. */
-	= | {readonly kind: 'clear'; readonly newest: number; readonly views: readonly RankView[]}
+	/** The group is not held and nothing is armed; maps of higher versions than `newest` can be prepared, passes after `held` held. */
+	= | {readonly kind: 'clear'; readonly newest: number; readonly held: number}
 		| {readonly kind: 'superseded'}
 		| {readonly kind: 'unreachable'};
 
 /**
 Takes the ranks over from an earlier coordinator, or from an own switch that got
-stuck. Every rank hears of the new token first, so that nothing of before can change
-what is seen after that. Then, if every rank is armed for the held pass, the group
-goes on; else the map is taken back from all of them before it does.
+stuck; the token must be one that was not used before. Every rank hears of the new
+token first, so that nothing of before can change what is seen after that. Then, if
+every rank is armed for the held pass, the group goes on; else the map is taken back
+from all of them before it does.
 
 @example
 const resolved = await resolvePass(current, options);
 */
 export async function resolvePass(current: LayeredMap, options: PassSwitchOptions): Promise<ResolveResult> {
-	for (let round = 0; !options.isStopped(); round++) {
-		const fenced = await fenceAll(options);
-		if (fenced !== 'done') {
-			return fenced === 'superseded' ? {kind: 'superseded'} : {kind: 'unreachable'};
-		}
+	// What is seen before every rank has heard of the token may change by an older order. (pass-switch.pml: fenceFirst)
+	const fenced = await fenceAll(options);
+	if (fenced !== 'done') {
+		return fenced === 'superseded' ? {kind: 'superseded'} : {kind: 'unreachable'};
+	}
 
-		const looked = await lookAll(options);
-		if (!looked) {
+	let heldLast = 0;
+	while (!options.isStopped()) {
+		const views = await lookAll(options);
+		if (!views) {
 			return {kind: 'unreachable'};
 		}
 
-		if (looked.some(view => view.formation !== options.formation)) {
+		if (views.some(view => view.formation !== options.formation)) {
 			return {kind: 'superseded'};
 		}
 
-		const newest = Math.max(...looked.map(view => Math.max(view.mapVersion, view.prepared ?? 0, view.armed?.version ?? 0)));
-		const armed = looked.find(view => view.armed)?.armed;
-		const held = looked.find(view => view.held !== undefined);
-		if (!armed && !held) {
-			return {kind: 'clear', newest, views: looked};
+		const newest = Math.max(...views.map(view => Math.max(view.mapVersion, view.prepared ?? 0, view.armed?.version ?? 0)));
+		const armed = views.find(view => view.armed)?.armed;
+		const holder = views.find(view => view.held !== undefined);
+		if (!holder && !armed) {
+			return {kind: 'clear', newest, held: heldLast};
 		}
 
-		if (!held) {
-			// Let go, but the pass has not begun: it must not begin while the arms differ.
-			await options.ranks.command(options.holder, guard({kind: 'hold', pass: armed!.pass}, options));
+		if (!holder) {
+			// Let go: then every rank is armed, and the pass begins with the next work.
+			await options.sleep(pauseMs);
 			continue;
 		}
 
-		const pass = held.held!;
-		const isUnanimous = armed !== undefined && armed.pass === pass && looked.every(view => isArmed(view, armed.version, pass));
-		if (!isUnanimous) {
-			const withdrawn = await withdrawAll(newest, current, options);
-			if (withdrawn !== 'done') {
-				return withdrawn === 'superseded' ? {kind: 'superseded'} : {kind: 'unreachable'};
-			}
+		const pass = holder.held!;
+		heldLast = Math.max(heldLast, pass);
+		const isUnanimous = armed !== undefined && views.every(view => isArmed(view, armed.version, pass));
+		const decided = isUnanimous ? 'done' : await withdrawAll(newest, current, options);
+		if (decided !== 'done') {
+			return decided === 'superseded' ? {kind: 'superseded'} : {kind: 'unreachable'};
 		}
 
-		await options.ranks.command(held.rank, guard({kind: 'release', pass}, options));
-		if (round > 0) {
-			await options.sleep(pauseMs);
-		}
+		await options.ranks.command(holder.rank, guard({kind: 'release', pass}, options));
 	}
 
 	return {kind: 'superseded'};
@@ -181,7 +183,7 @@
 			return 'failed';
 		}
 
-		const pass = view.pass + passesAhead;
+		const pass = options.passAfter(view.pass);
 		const reply = await options.ranks.command(options.holder, guard({kind: 'hold', pass}, options));
 		if (reply.result === 'fenced' || isOtherFormation(reply.view, options)) {
 			return 'superseded';
--- a/packages/group/src/map-keeper.ts
+++ b/packages/group/src/map-keeper.ts
@@ -9,6 +9,9 @@
 import {type DemandBoard} from './demand-board.js';
 import {type RemoteRanks} from './remote-ranks.js';
 
+/** Passes between the one that was begun and the one that is held: the arms take less than a pass, so the group seldom stops. */
+const passesAhead = 2;
+
 /** Pause between two looks at the demand, in milliseconds. */
 const planMs = 150;
 
@@ -71,40 +74,46 @@
 await keepMap(deps);
 */
 export async function keepMap(deps: MapKeeperDeps): Promise<void> {
-	const {log, metrics} = deps;
-	const token = await tokenOf(deps);
-	if (token === undefined) {
-		return;
+	while (!deps.isStopped()) {
+		const token = await tokenOf(deps);
+		if (token === undefined || await keepWithToken(token, deps) === 'superseded') {
+			return;
+		}
 	}
+}
 
+/** Keeps the map under one token, until a switch gets stuck; then all ranks are looked at anew, under another one. */
+async function keepWithToken(token: number, deps: MapKeeperDeps): Promise<'stuck' | 'superseded'> {
+	const {log, metrics} = deps;
+	let heldLast = 0;
 	const options: PassSwitchOptions = {
 		ranks: deps.ranks, fencingToken: token, formation: deps.formation, holder: deps.ownRank, prepareTimeoutMs, decideTimeoutMs,
 		nowMs: deps.nowMs, sleep: deps.sleep, isStopped: deps.isStopped,
+		passAfter(begun) {
+			heldLast = Math.max(heldLast + 1, begun + passesAhead);
+			return heldLast;
+		},
 	};
-	let version = token * versionsPerToken;
-	let {copyMs} = deps.weights;
-	let map: LayeredMap | undefined;
 	log.info({token, formation: deps.formation}, 'coordinator took its token');
+	const taken = await takeOver(options, deps);
+	if (typeof taken === 'string') {
+		await deps.sleep(retryMs);
+		return taken;
+	}
 
+	let {map} = taken;
+	heldLast = taken.held;
+	let version = Math.max(token * versionsPerToken, taken.newest);
+	let {copyMs} = deps.weights;
+	deps.onMap(map);
 	while (!deps.isStopped()) {
-		if (!map) {
-			const taken = await takeOver(options, deps);
-			if (taken === 'superseded') {
-				log.info({token, formation: deps.formation}, 'coordinator superseded');
-				return;
-			}
-
-			if (!taken) {
-				await deps.sleep(retryMs);
-				continue;
-			}
-
-			map = taken.map;
-			version = Math.max(version, taken.newest);
-			deps.onMap(map);
+		await deps.sleep(planMs);
+		// An order that was given up may still have been obeyed, and hold the group.
+		if (deps.view()?.held !== undefined) {
+			log.warn({token, held: deps.view()?.held}, 'group held outside a switch');
+			return 'stuck';
 		}
 
-		await deps.sleep(planMs);
 		deps.board.settle(deps.nowMs());
 		const demands = deps.board.demands();
 		const chosen = choose(map, demands, {copyMs, shiftMs: deps.board.meanShiftMs() ?? usualShiftMs, nowMs: deps.nowMs()}, deps);
@@ -113,8 +122,7 @@
 		}
 
 		version += 2;
-		const next: LayeredMap = chosen.placements;
-		const result = await switchPass({version, map: next, current: map}, options);
+		const result = await switchPass({version, map: chosen.placements, current: map}, options);
 		metrics.count('map_switches', {result: result.kind});
 		log.info({
 			version, formation: deps.formation, token, result, copies: chosen.copies, mostPerRank: chosen.mostPerRank,
@@ -126,25 +134,24 @@
 				metrics.latency('map_prepare', result.preparedMs);
 				metrics.latency('map_hold', result.heldMs);
 				copyMs = chosen.mostPerRank > 0 ? result.preparedMs / chosen.mostPerRank : copyMs;
-				map = next;
+				map = chosen.placements;
 				deps.onMap(map);
 				break;
 			}
 
 			case 'abandoned': {
+				await deps.sleep(retryMs);
 				break;
 			}
 
-			case 'superseded': {
-				return;
-			}
-
+			case 'superseded':
 			case 'stuck': {
-				map = undefined;
-				break;
+				return result.kind;
 			}
 		}
 	}
+
+	return 'superseded';
 }
 
 async function tokenOf({takeToken, isStopped, sleep}: MapKeeperDeps): Promise<number | undefined> {
@@ -160,21 +167,22 @@
 	return undefined;
 }
 
-async function takeOver(options: PassSwitchOptions, {readMap, log, formation}: MapKeeperDeps): Promise<{readonly map: LayeredMap; readonly newest: number} | 'superseded' | undefined> {
+async function takeOver(options: PassSwitchOptions, {readMap, log, formation}: MapKeeperDeps): Promise<{readonly map: LayeredMap; readonly newest: number; readonly held: number} | 'stuck' | 'superseded'> {
 	const before = await readMap();
 	if (!before) {
-		return undefined;
+		log.warn({formation, token: options.fencingToken}, 'the maps in use could not be read from every rank');
+		return 'stuck';
 	}
 
 	const resolved = await resolvePass(before.map, options);
 	if (resolved.kind !== 'clear') {
 		log.warn({formation, result: resolved.kind, token: options.fencingToken}, 'map could not be resolved');
-		return resolved.kind === 'superseded' ? 'superseded' : undefined;
+		return resolved.kind === 'superseded' ? 'superseded' : 'stuck';
 	}
 
 	// What was resolved may have ended with another map than was read before it.
 	const after = await readMap();
-	return after && {map: after.map, newest: resolved.newest};
+	return after ? {map: after.map, newest: resolved.newest, held: resolved.held} : 'stuck';
 }
 
 /** Chooses the change that gains most over what is left of the demand, by how much a rank may copy for it. */
--- /dev/null
+++ b/packages/policy/test/group.test.ts
@@ -0,0 +1,251 @@
+import {expect} from 'chai';
+import {describe, it} from 'mocha';
+import {
+	createGroupAdmission, createResendBudget, evenDemand, layeredSkew, predictPassMs, spreadExperts, withCounts,
+	type GroupAdmission, type GroupDecision, type GroupNeed, type PassModel,
+} from '@papayaflow/policy';
+
+const model: PassModel & {readonly slots: number; readonly memoryTokens: number} = {
+	stepsPerPass: 4, stepMs: 4, sequenceMs: 1, contextMsPerThousand: 0, prefillTokensPerMs: 50, pairsMsPerMillion: 0, chunkTokens: 500, expertShare: 0.8,
+	slots: 8, memoryTokens: 20_000,
+};
+const idle = {writers: 0, contextTokens: 0, prefillTokens: 0};
+
+describe('the predicted time of a pass', () => {
+	it('is nothing for a group without work', () => {
+		expect(predictPassMs(model, [idle, idle], 2)).to.equal(0);
+	});
+
+	it('adds the slowest rank\'s own part to the most loaded rank\'s experts', () => {
+		// 16 ms of steps; one rank has 4 writers, 16 ms of token work: a fifth its own, four fifths spread over two ranks.
+		expect(predictPassMs(model, [{...idle, writers: 4}, idle], 1)).to.be.closeTo(16 + 3.2 + 6.4, 1e-9);
+		expect(predictPassMs(model, [{...idle, writers: 4}, idle], 2)).to.be.closeTo(16 + 3.2 + 12.8, 1e-9);
+	});
+
+	it('reads no more of a prompt than a pass can', () => {
+		const long = predictPassMs(model, [{...idle, prefillTokens: 100_000}], 1);
+		expect(long).to.be.closeTo(16 + (2000 / 50), 1e-9);
+	});
+});
+
+describe('the admission of a group', () => {
+	type Clock = {nowMs: number};
+
+	const admissionOf = (clock: Clock, ranks = 2): GroupAdmission => createGroupAdmission({
+		model: () => model, open: () => Array.from({length: ranks}, () => true), skew: () => 1, slowdown: () => 1, nowMs: () => clock.nowMs, random: () => 0.5,
+	});
+
+	const need = (id: string, more: Partial<GroupNeed> = {}): GroupNeed => ({
+		id, promptTokens: 100, answerTokens: 100, waitedMs: 0, objectiveMs: 500, gapMs: 40, deadlineMs: 8000, priority: 1, hasReturned: false, excluded: new Set(), ...more,
+	});
+
+	const ask = (admission: GroupAdmission, asked: GroupNeed): GroupDecision[] => {
+		const decisions: GroupDecision[] = [];
+		admission.ask(asked, decision => decisions.push(decision));
+		return decisions;
+	};
+
+	const fill = (admission: GroupAdmission): number => {
+		let placed = 0;
+		for (; placed < 100; placed++) {
+			const [decision] = ask(admission, need(`fill-${placed}`));
+			if (decision?.kind !== 'placed') {
+				admission.ended(`fill-${placed}`);
+				return placed;
+			}
+
+			admission.began(`fill-${placed}`);
+		}
+
+		return placed;
+	};
+
+	it('places on the rank with least work', () => {
+		const admission = admissionOf({nowMs: 0});
+		const ranks = ['a', 'b'].map(id => ask(admission, need(id))[0]);
+		expect(new Set(ranks.map(decision => decision.kind === 'placed' && decision.rank))).to.deep.equal(new Set([0, 1]));
+	});
+
+	it('lets in only what keeps the next pass within the pause that streams may make', () => {
+		const admission = admissionOf({nowMs: 0});
+		const placed = fill(admission);
+		expect(placed).to.be.within(5, 12);
+		expect(admission.state().passMs).to.be.at.most(0.82 * 40);
+	});
+
+	it('refuses soon what finds no room, with a time at which it can still be served in time', () => {
+		const clock = {nowMs: 0};
+		const admission = admissionOf(clock);
+		fill(admission);
+		clock.nowMs = 1000;
+		admission.tick();
+		const decisions = ask(admission, need('late'));
+		expect(decisions).to.deep.equal([]);
+		clock.nowMs += 61;
+		admission.tick();
+		const [decision] = decisions;
+		expect(decision).to.include({kind: 'refused', reason: 'overloaded'});
+		expect(decision.kind === 'refused' && decision.retryAfterMs).to.be.within(50, 250);
+	});
+
+	it('lets one that came back go first, and wait longer', () => {
+		const clock = {nowMs: 0};
+		const admission = admissionOf(clock);
+		fill(admission);
+		const first = ask(admission, need('first'));
+		const returned = ask(admission, need('returned', {hasReturned: true}));
+		admission.ended('fill-0');
+		admission.tick();
+		expect(returned[0]?.kind).to.equal('placed');
+		expect(first).to.deep.equal([]);
+		clock.nowMs = 70;
+		admission.tick();
+		expect(first[0]?.kind).to.equal('refused');
+	});
+
+	it('forgets what ended, also while it waits', () => {
+		const admission = admissionOf({nowMs: 0});
+		const placed = fill(admission);
+		const waiting = ask(admission, need('gone'));
+		admission.ended('gone');
+		for (let i = 0; i < placed; i++) {
+			admission.ended(`fill-${i}`);
+		}
+
+		admission.tick();
+		expect(waiting).to.deep.equal([]);
+		expect(admission.state().running).to.equal(0);
+	});
+
+	it('says at once that a group takes nothing', () => {
+		const admission = createGroupAdmission({
+			model: () => model, open: () => [false, false], skew: () => 1, slowdown: () => 1, nowMs: () => 0, random: () => 0.5,
+		});
+		expect(ask(admission, need('a'))[0]).to.include({kind: 'refused', reason: 'noTarget'});
+	});
+
+	it('puts nothing where a request has failed, nor over a rank\'s slots or memory', () => {
+		const admission = admissionOf({nowMs: 0});
+		const excluded = ask(admission, need('a', {excluded: new Set([0])}));
+		expect(excluded[0]).to.deep.equal({kind: 'placed', rank: 1});
+		const large = ask(admission, need('b', {promptTokens: 30_000}));
+		expect(large).to.deep.equal([]);
+	});
+
+	it('counts what another coordinator or the entry itself had placed', () => {
+		const admission = admissionOf({nowMs: 0});
+		for (let i = 0; i < 12; i++) {
+			admission.note(`other-${i}`, {
+				rank: i % 2, promptTokens: 100, answerTokens: 100, hasBegun: true,
+			});
+		}
+
+		expect(ask(admission, need('a'))).to.deep.equal([]);
+	});
+});
+
+describe('the demand for experts', () => {
+	const options = {weight: 0.1, shift: 0.07};
+
+	it('is averaged while it stays, and followed at once when it shifts', () => {
+		let demand = evenDemand(4);
+		demand = withCounts(demand, [40, 20, 20, 20], 0, options);
+		demand = withCounts(demand, [44, 16, 20, 20], 100, options);
+		expect(demand.shares[0]).to.be.closeTo(0.42, 0.001);
+		expect(demand.shiftedAtMs).to.equal(0);
+		demand = withCounts(demand, [10, 16, 20, 54], 200, options);
+		expect(demand.shares[3]).to.be.closeTo(0.54, 0.001);
+		expect(demand.shiftedAtMs).to.equal(200);
+	});
+
+	it('leaves out a report without counts', () => {
+		const demand = withCounts(evenDemand(2), [3, 1], 0, options);
+		expect(withCounts(demand, [0, 0], 50, options)).to.equal(demand);
+		expect(withCounts(demand, [1, 2, 3], 50, options)).to.equal(demand);
+	});
+});
+
+describe('spreading experts', () => {
+	const ranks = 12;
+	const experts = 96;
+	const placement = Array.from({length: ranks}, (_, rank) => Array.from({length: experts / ranks}, (__, slot) => rank + (slot * ranks)));
+	const options = {
+		slotsPerRank: 11, maxNewPerLayer: 4, maxNewPerRank: 4, goodSkew: 1.05, leastGain: 0.02,
+	};
+
+	/** Shares that fall with their place, as what is liked does, from a first expert. */
+	const zipf = (first: number): number[] => {
+		const weights = Array.from({length: experts}, (_, i) => 1 / (((i - first + experts) % experts) + 1));
+		const sum = weights.reduce((a, b) => a + b, 0);
+		return weights.map(weight => weight / sum);
+	};
+
+	it('levels a layer whose hottest expert has a fifth of the load, with few copies', () => {
+		const layers = [{placement, shares: zipf(18)}];
+		expect(layeredSkew(layers)).to.be.above(2.4);
+		const spread = spreadExperts(layers, options);
+		expect(spread.skewAfter).to.be.at.most(1.2);
+		expect(spread.copies).to.be.at.most(24);
+	});
+
+	it('keeps every expert somewhere, twice nowhere, and every rank within its slots', () => {
+		let layers = [{placement, shares: zipf(18)}, {placement, shares: zipf(70)}];
+		for (let first = 0; first < experts; first += 13) {
+			const spread = spreadExperts(layers, options);
+			for (const held of spread.placements) {
+				expect(new Set(held.flat()).size).to.equal(experts);
+				expect(held.every(list => list.length <= 11 && new Set(list).size === list.length)).to.equal(true);
+			}
+
+			layers = spread.placements.map((next, layer) => ({placement: next as number[][], shares: zipf(first + (layer * 40))}));
+		}
+	});
+
+	it('stays within the copies that a rank may make', () => {
+		for (const maxNewPerRank of [1, 2]) {
+			const spread = spreadExperts([{placement, shares: zipf(5)}, {placement, shares: zipf(50)}], {...options, maxNewPerRank});
+			expect(spread.mostPerRank).to.be.at.most(maxNewPerRank);
+			for (const [layer, held] of spread.placements.entries()) {
+				const fresh = held.map((list, rank) => list.filter(expert => !placement[rank].includes(expert)).length);
+				expect(Math.max(...fresh), `layer ${layer}`).to.be.at.most(maxNewPerRank);
+			}
+		}
+	});
+
+	it('moves nothing that is level', () => {
+		expect(spreadExperts([{placement, shares: Array.from({length: experts}, () => 1 / experts)}], options).copies).to.equal(0);
+	});
+});
+
+describe('the budget of sendings', () => {
+	it('holds over any window, summed over the entries that share it', () => {
+		let now = 0;
+		const entries = Array.from({length: 4}, () => createResendBudget({
+			ratio: 0.2, slack: 90, entries: () => 4, windowMs: 10_000, nowMs: () => now,
+		}));
+		const taken: number[] = [];
+		const asked: number[] = [];
+		for (; now < 40_000; now += 20) {
+			const entry = entries[(now / 20) % 4];
+			entry.onRequest('s');
+			asked.push(now);
+			if (entry.tryTake('s')) {
+				taken.push(now);
+			}
+		}
+
+		for (let from = 0; from < 30_000; from += 500) {
+			const inWindow = (times: number[]): number => times.filter(time => time >= from && time < from + 10_000).length;
+			expect(inWindow(taken)).to.be.at.most((0.2 * inWindow(asked)) + 90);
+		}
+
+		expect(taken.length).to.be.above(100);
+	});
+
+	it('counts each service by itself', () => {
+		const budget = createResendBudget({
+			ratio: 0, slack: 2, entries: () => 1, windowMs: 1000, nowMs: () => 0,
+		});
+		expect([budget.tryTake('a'), budget.tryTake('a'), budget.tryTake('b')]).to.deep.equal([true, false, true]);
+	});
+});
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -10,3 +10,8 @@
 export {
 	exponential, normal, quantile, seededRandom,
 } from './random.js';
+export {createPassGroup, type PassGroup, type PassOrder} from './pass-group.js';
+export {createPlatformStore, type PlatformStore, type PlatformStoreFaults} from './platform-store.js';
+export {
+	chunk, lastChunk, notExecuted, sealed, startReplica, streamEvent, streamHead, type Replica, type ReplicaRequest,
+} from './replica.js';
