--- a/packages/direct/src/answer.ts
+++ b/packages/direct/src/answer.ts
@@ -64,7 +64,12 @@
 			const problem = problemOf(outcome, requestId);
 			const body = Buffer.from(JSON.stringify(problem));
 			res.writeHead(problem.status, [
-				'content-type', 'application/problem+json', 'content-length', String(body.length), 'x-request-id', requestId,
+				'content-type',
+				'application/problem+json',
+				'content-length',
+				String(body.length),
+				'x-request-id',
+				requestId,
 				...(outcome.kind === 'notRun' ? ['retry-after', (outcome.retryAfterMs / msPerSecond).toFixed(3)] : []),
 				...closing(),
 			]);
--- a/packages/direct/src/dialect.ts
+++ b/packages/direct/src/dialect.ts
@@ -60,8 +60,17 @@
 };
 
 const hopHeaders: ReadonlySet<string> = new Set([
-	'connection', 'keep-alive', 'transfer-encoding', 'content-length', 'upgrade', 'te', 'trailer', 'proxy-authorization', 'proxy-authenticate',
-	'proxy-connection', 'expect',
+	'connection',
+	'keep-alive',
+	'transfer-encoding',
+	'content-length',
+	'upgrade',
+	'te',
+	'trailer',
+	'proxy-authorization',
+	'proxy-authenticate',
+	'proxy-connection',
+	'expect',
 ]);
 
 /**
--- a/packages/direct/src/exchange.ts
+++ b/packages/direct/src/exchange.ts
@@ -92,7 +92,7 @@
 
 		signal.addEventListener('abort', cancel, {once: true});
 		connection.client.dispatch({
-			method: request.method as Dispatcher.HttpMethod, path: request.path, headers: request.headers, body: request.body.length > 0 ? request.body : null,
+			method: request.method, path: request.path, headers: request.headers, body: request.body.length > 0 ? request.body : null,
 		}, {
 			onRequestStart(started) {
 				// The library may begin again with a request whose connection failed; this project never does so unasked.
--- a/packages/direct/src/forward.ts
+++ b/packages/direct/src/forward.ts
@@ -107,7 +107,9 @@
 				placed.place.ended('neutral');
 			}
 
-			return giveUp({kind: 'notRun', reason: 'withdrawn', retryAfterMs: refusedRetryMs, detail: String(signal.reason)});
+			return giveUp({
+				kind: 'notRun', reason: 'withdrawn', retryAfterMs: refusedRetryMs, detail: String(signal.reason),
+			});
 		}
 
 		if (placed.kind === 'refused') {
@@ -176,9 +178,11 @@
 	let timer: NodeJS.Timeout | undefined;
 	const listen = (): void => {
 		clearTimeout(timer);
-		timer = limitMs === undefined ? undefined : setTimeout(() => {
-			silence.abort('silent');
-		}, limitMs);
+		timer = limitMs === undefined
+			? undefined
+			: setTimeout(() => {
+				silence.abort('silent');
+			}, limitMs);
 	};
 
 	const receiver = createReceiver(arrival, place, progress, listen);
--- a/packages/direct/src/pool.ts
+++ b/packages/direct/src/pool.ts
@@ -65,25 +65,27 @@
 	};
 
 	const open = (): TargetConnection => {
-		const connection: {client: Client; far: TargetConnection['far']} = {far: 'open', client: new Client(`http://${host}:${port}`, {
-			pipelining: 1, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: restMs, keepAliveTimeoutThreshold: restMarginMs,
-			connect(options, callback) {
-				connect(options, (error, socket) => {
+		const connection: {client: Client; far: TargetConnection['far']} = {
+			far: 'open', client: new Client(`http://${host}:${port}`, {
+				pipelining: 1, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: restMs, keepAliveTimeoutThreshold: restMarginMs,
+				connect(options, callback) {
+					connect(options, (error, socket) => {
 					// These come before the library's own listeners, so that they tell before it ends an answer.
-					socket?.once('end', () => {
-						connection.far = 'ended';
+						socket?.once('end', () => {
+							connection.far = 'ended';
+						});
+						socket?.once('error', () => {
+							connection.far = 'failed';
+						});
+						if (error) {
+							callback(error, null);
+						} else {
+							callback(null, socket);
+						}
 					});
-					socket?.once('error', () => {
-						connection.far = 'failed';
-					});
-					if (error) {
-						callback(error, null);
-					} else {
-						callback(null, socket!);
-					}
-				});
-			},
-		})};
+				},
+			}),
+		};
 		opened++;
 		connection.client.on('disconnect', () => {
 			const at = resting.findIndex(({connection: other}) => other === connection);
--- a/packages/direct/test/calls.test.ts
+++ b/packages/direct/test/calls.test.ts
@@ -21,12 +21,16 @@
 			socket.write(sealed(headers, 'hello', {more: 'x-more: 1\r\n'}));
 		});
 		bed = await startBed([route], [target]);
-		const got = await ask(bed, {method: 'POST', path: '/a/x?y=1', body: 'payload', headers: 'x-tenant: forged\r\n'});
+		const got = await ask(bed, {
+			method: 'POST', path: '/a/x?y=1', body: 'payload', headers: 'x-tenant: forged\r\n',
+		});
 		expect(got).to.include({status: 200, body: 'hello'});
 		expect(got.headers).to.include('x-replica-seal: seal-1').and.include('x-more: 1');
 		const [{method, path, body, headers}] = target.requests;
 		expect({method, path, body}).to.deep.equal({method: 'POST', path: '/a/x?y=1', body: 'payload'});
-		expect(headers).to.include({host: 'h.example', 'x-tenant': 'acme', 'x-expect-replica': 'i-0', 'x-request-id': 'r-1'});
+		expect(headers).to.include({
+			host: 'h.example', 'x-tenant': 'acme', 'x-expect-replica': 'i-0', 'x-request-id': 'r-1',
+		});
 		expect(headers).not.to.have.property('x-key');
 		expect(Number(headers['x-deadline-ms'])).to.be.within(800, 1000);
 	});
--- a/packages/direct/test/helper.ts
+++ b/packages/direct/test/helper.ts
@@ -1,13 +1,15 @@
 import {once} from 'node:events';
 import {connect, type AddressInfo, type Socket} from 'node:net';
-import {
-	createFront, createPlainPlacer, createTargets, type Dialect, type Front, type Targets,
-} from '@papayaflow/direct';
 import {createResendBudget} from '@papayaflow/policy';
-import {createRouteTable, type Configuration, type Route, type TargetRecord} from '@papayaflow/routing';
+import {
+	createRouteTable, type Configuration, type Route, type TargetRecord,
+} from '@papayaflow/routing';
 import {startReplica, type Replica, type ReplicaRequest} from '@papayaflow/standins';
 import {createLog, createMetrics, type Metrics} from '@papayaflow/telemetry';
 import {platformDialect} from '@papayaflow/platform';
+import {
+	createFront, createPlainPlacer, createTargets, type Dialect, type Front, type Targets,
+} from '@papayaflow/direct';
 
 /** An entry before fake replicas, in this process. */
 export type Bed = {
--- a/packages/direct/test/streams.test.ts
+++ b/packages/direct/test/streams.test.ts
@@ -4,12 +4,14 @@
 } from '@papayaflow/standins';
 import {expect} from 'chai';
 import {afterEach, describe, it} from 'mocha';
-import {createEventSplitter} from '@papayaflow/direct';
 import {
 	ask, replica, route, startBed, type Bed,
 } from './helper.js';
+import {createEventSplitter} from '@papayaflow/direct';
 
-const stream = {...route, kind: 'stream' as const, isResumable: true, timeoutMs: 3000};
+const stream = {
+	...route, kind: 'stream' as const, isResumable: true, timeoutMs: 3000,
+};
 const events = (from: number, to: number): string => Array.from({length: to - from + 1}, (_, i) => chunk(streamEvent(from + i))).join('');
 const idsOf = (body: string): number[] => [...body.matchAll(/^id: (\d+)/gmv)].map(([, id]) => Number(id));
 
--- a/packages/experts/src/pass-switch.ts
+++ b/packages/experts/src/pass-switch.ts
@@ -75,9 +75,11 @@
 	// Unanimous, or not at all. (pass-switch.pml: unanimous)
 	if (replies.every(reply => isArmed(reply.view, version, pass))) {
 		const released = await release(pass, options);
-		return released ? {
-			kind: 'switched', pass, preparedMs, heldMs: options.nowMs() - heldAtMs,
-		} : {kind: 'stuck'};
+		return released
+			? {
+				kind: 'switched', pass, preparedMs, heldMs: options.nowMs() - heldAtMs,
+			}
+			: {kind: 'stuck'};
 	}
 
 	const withdrawn = await withdrawAll(version, current, options);
@@ -179,7 +181,7 @@
 async function holdAhead(options: PassSwitchOptions): Promise<number | 'failed' | 'superseded'> {
 	for (let i = 0; i < holdTries && !options.isStopped(); i++) {
 		const view = await options.ranks.look(options.holder);
-		if (!view || !view.isOpen) {
+		if (!view?.isOpen) {
 			return 'failed';
 		}
 
--- a/packages/group/src/map-keeper.ts
+++ b/packages/group/src/map-keeper.ts
@@ -227,7 +227,7 @@
 /** What one step of a plan must gain of a layer's potential to be planned, as a ratio. */
 const leastStepGain = 0.05;
 
-function ages(demands: readonly Demand[], nowMs: number): ReadonlyArray<number | null> {
+function ages(demands: readonly Demand[], nowMs: number): ReadonlyArray<number | undefined> {
 	return demands.map(({shiftedAtMs}) => shiftedAtMs === undefined ? null : Math.round(nowMs - shiftedAtMs));
 }
 
--- a/packages/group/src/own-rank.ts
+++ b/packages/group/src/own-rank.ts
@@ -1,4 +1,6 @@
-import {type CommandReply, type CommandResult, type GuardedCommand, type RankView} from '@papayaflow/experts';
+import {
+	type CommandReply, type CommandResult, type GuardedCommand, type RankView,
+} from '@papayaflow/experts';
 
 /** How often the own rank is looked at, in milliseconds: a look from its own machine is free, and a pass takes some tens. */
 const lookMs = 80;
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -210,7 +210,7 @@
 		const ending = new AbortController();
 		const board = createDemandBoard({layers: experts.layers, experts: experts.expertsPerLayer});
 		const admission = createGroupAdmission({
-			model: () => {
+			model() {
 				const now = deps.model();
 				return now && {...now, expertShare: now.experts?.workShare ?? 0};
 			},
--- a/packages/mirror/test/mirror.test.ts
+++ b/packages/mirror/test/mirror.test.ts
@@ -2,10 +2,12 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {describe, it} from 'mocha';
+import {
+	type ChangesResult, type Entry, type ListResult, type Store,
+} from '@papayaflow/store';
 import {
 	copySince, createMirror, followStore, takeCopy, type FollowOptions, type Mirror,
 } from '@papayaflow/mirror';
-import {type ChangesResult, type Entry, type ListResult, type Store} from '@papayaflow/store';
 
 const entry = (key: string, value: string, revision: number): Entry => ({key, value: Buffer.from(value), revision});
 const keysOf = (mirror: Mirror): string[] => mirror.entries().map(({key}) => key).toSorted();
--- a/packages/policy/src/demand.ts
+++ b/packages/policy/src/demand.ts
@@ -36,8 +36,8 @@
 */
 export function withCounts(demand: Demand, counts: ArrayLike<number>, nowMs: number, {weight, shift}: DemandOptions): Demand {
 	let total = 0;
-	for (let i = 0; i < counts.length; i++) {
-		total += counts[i];
+	for (const count of counts) {
+		total += count;
 	}
 
 	if (counts.length !== demand.shares.length || total <= 0) {
--- a/packages/standins/src/platform-store.ts
+++ b/packages/standins/src/platform-store.ts
@@ -1,5 +1,7 @@
 import {Buffer} from 'node:buffer';
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import {readJson, sendJson} from './http.js';
 
 type Item = {readonly key: string; readonly value: string; readonly revision: number; readonly created: number; readonly lease: number};
--- a/packages/standins/src/replica.ts
+++ b/packages/standins/src/replica.ts
@@ -1,6 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
-import {createServer, type Socket, type AddressInfo, type Server} from 'node:net';
+import {
+	createServer, type Socket, type AddressInfo, type Server,
+} from 'node:net';
 
 /** A request as the stand-in of a replica read it. */
 export type ReplicaRequest = {
--- a/packages/telemetry/src/log.ts
+++ b/packages/telemetry/src/log.ts
@@ -1,4 +1,4 @@
-// eslint-disable-next-line import-x/no-unassigned-import, import-x/order
+// eslint-disable-next-line import-x/no-unassigned-import
 import './enable-roarr.js';
 import {Roarr, type Logger} from 'roarr';
 import {createLineSink} from './sink.js';
