Serve first whoever can still be in time; plan less often; arm again before giving up

Now: most pressed of those who can be in time first, the late take what is left; plans when demand shifts, else each 0.9 s; orders time out in 80 ms, and a rank is told to arm three times before the map is taken back.

--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -14,9 +14,12 @@
 import {type Running} from './entry-wiring.js';
 import {listen} from './program.js';
 
-/** How long a call to an engine may take, in milliseconds: it answers in some from its own machine. */
+/** How long a question to an engine may take, in milliseconds: some round trips between zones. */
 const engineMs = 300;
 
+/** How long an order to an engine may take, in milliseconds: it answers in some, and the group may be held meanwhile. */
+const orderMs = 80;
+
 export const directSidecarSettings = {
 	...directSettings,
 	target: addressSetting('the engine beside this process'),
@@ -66,7 +69,7 @@
 
 	const engines = new Map<string, RankEngine>();
 	const connect = (address: string): RankEngine => {
-		const known = engines.get(address) ?? connectRank(address, engineMs);
+		const known = engines.get(address) ?? connectRank(address, {timeoutMs: engineMs, orderTimeoutMs: orderMs});
 		engines.set(address, known);
 		return known;
 	};
--- a/packages/experts/src/pass-switch.ts
+++ b/packages/experts/src/pass-switch.ts
@@ -1,10 +1,13 @@
 import {
-	type CommandReply, type LayeredMap, type PassCommand, type PassRanks, type RankView,
+	type LayeredMap, type PassCommand, type PassRanks, type RankView,
 } from './pass-order.js';
 
 /** Passes that are tried to be held, since one may begin before the command comes. */
 const holdTries = 4;
 
+/** How often a rank is told to arm that does not answer: the group waits meanwhile. */
+const armTries = 3;
+
 /** Pause between two looks at ranks that copy, and before a command is given again, in milliseconds. */
 const pauseMs = 25;
 
@@ -71,9 +74,8 @@
 	}
 
 	const heldAtMs = options.nowMs();
-	const replies = await commandAll({kind: 'arm', version, pass}, options);
 	// Unanimous, or not at all. (pass-switch.pml: unanimous)
-	if (replies.every(reply => isArmed(reply.view, version, pass))) {
+	if (await armAll(version, pass, options)) {
 		const released = await release(pass, options);
 		return released
 			? {
@@ -256,8 +258,23 @@
 	return false;
 }
 
-async function commandAll(command: PassCommand, options: PassSwitchOptions): Promise<readonly CommandReply[]> {
-	return Promise.all(ranksOf(options).map(async rank => options.ranks.command(rank, guard(command, options))));
+/** Arms every rank, each a few times where it does not show that it is armed. */
+async function armAll(version: number, pass: number, options: PassSwitchOptions): Promise<boolean> {
+	const armed = await Promise.all(ranksOf(options).map(async rank => {
+		for (let i = 0; i < armTries; i++) {
+			const reply = await options.ranks.command(rank, guard({kind: 'arm', version, pass}, options));
+			if (isArmed(reply.view, version, pass)) {
+				return true;
+			}
+
+			if (reply.result === 'refused' || reply.result === 'fenced') {
+				return false;
+			}
+		}
+
+		return false;
+	}));
+	return armed.every(Boolean);
 }
 
 async function lookAll({ranks}: PassSwitchOptions): Promise<readonly RankView[] | undefined> {
--- a/packages/group/src/map-keeper.ts
+++ b/packages/group/src/map-keeper.ts
@@ -15,6 +15,9 @@
 /** Pause between two looks at the demand, in milliseconds. */
 const planMs = 150;
 
+/** How long after a plan that changed nothing the next one is made, in milliseconds, where no demand has shifted: a plan takes some milliseconds of a core. */
+const replanMs = 900;
+
 /** Pause before a coordinator that could not take its token, or reach a rank, tries again, in milliseconds. */
 const retryMs = 300;
 
@@ -105,6 +108,7 @@
 	heldLast = taken.held;
 	let version = Math.max(token * versionsPerToken, taken.newest);
 	let {copyMs} = deps.weights;
+	let plannedMs = Number.NEGATIVE_INFINITY;
 	deps.onMap(map);
 	while (!deps.isStopped()) {
 		await deps.sleep(planMs);
@@ -116,7 +120,13 @@
 
 		deps.board.settle(deps.nowMs());
 		const demands = deps.board.demands();
-		const chosen = choose(map, demands, {copyMs, shiftMs: deps.board.meanShiftMs() ?? usualShiftMs, nowMs: deps.nowMs()}, deps);
+		const hasShifted = demands.some(({shiftedAtMs}) => shiftedAtMs !== undefined && shiftedAtMs > plannedMs);
+		if (!hasShifted && deps.nowMs() - plannedMs < replanMs) {
+			continue;
+		}
+
+		plannedMs = deps.nowMs();
+		const chosen = choose(map, demands, {copyMs, shiftMs: deps.board.meanShiftMs() ?? usualShiftMs, nowMs: plannedMs}, deps);
 		if (!chosen) {
 			continue;
 		}
@@ -206,7 +216,7 @@
 	const leftS = Math.max(shiftMs / 2, shiftMs - oldest) / msPerSecond;
 	let best: Spread | undefined;
 	let bestValue = 0;
-	for (let most = 1; most <= model.maxNewPerLayer; most++) {
+	for (const most of new Set([1, 2, model.maxNewPerLayer])) {
 		const spread = spreadExperts(layers, {
 			slotsPerRank: model.slotsPerRank, maxNewPerLayer: model.maxNewPerLayer, maxNewPerRank: most, goodSkew: weights.goodSkew, leastGain: leastStepGain,
 		});
@@ -228,7 +238,7 @@
 const leastStepGain = 0.05;
 
 function ages(demands: readonly Demand[], nowMs: number): ReadonlyArray<number | undefined> {
-	return demands.map(({shiftedAtMs}) => shiftedAtMs === undefined ? null : Math.round(nowMs - shiftedAtMs));
+	return demands.map(({shiftedAtMs}) => shiftedAtMs === undefined ? undefined : Math.round(nowMs - shiftedAtMs));
 }
 
 function round(value: number): number {
--- a/packages/group/src/own-rank.ts
+++ b/packages/group/src/own-rank.ts
@@ -2,10 +2,13 @@
 	type CommandReply, type CommandResult, type GuardedCommand, type RankView,
 } from '@papayaflow/experts';
 
-/** How often the own rank is looked at, in milliseconds: a look from its own machine is free, and a pass takes some tens. */
-const lookMs = 80;
+/** How often a coordinator looks at its own rank, in milliseconds: about a pass, which it measures. */
+const closeLookMs = 80;
 
-/** How often its counts are read, in milliseconds: some passes, so that a shift in demand shows within two of them. */
+/** How often another sidecar looks at its rank, in milliseconds: it waits for a new formation alone. */
+const lookMs = 240;
+
+/** How often the counts are read, in milliseconds: some passes, so that a shift in demand shows within two of them. */
 const countMs = 160;
 
 /** A rank's engine, as the platform's adapter reaches it. */
@@ -28,8 +31,9 @@
 export type OwnRankOptions = {
 	readonly engine: RankEngine;
 	readonly sleep: (ms: number) => Promise<void>;
-	readonly monotonicMs: () => number;
 	readonly signal: AbortSignal;
+	/** Whether this sidecar coordinates, and looks more often. */
+	readonly isClose: () => boolean;
 	readonly onView: (view: RankView | undefined) => void;
 	readonly onCounts: (counts: {readonly formation: number; readonly pass: number; readonly counts: readonly number[]}) => void;
 };
@@ -41,7 +45,7 @@
 const own = followOwnRank(options);
 own.view()?.pass;
 */
-export function followOwnRank({engine, sleep, monotonicMs, signal, onView, onCounts}: OwnRankOptions): OwnRank {
+export function followOwnRank({engine, sleep, signal, isClose, onView, onCounts}: OwnRankOptions): OwnRank {
 	let last: RankView | undefined;
 
 	const look = async (): Promise<RankView | undefined> => {
@@ -51,21 +55,24 @@
 	};
 
 	const follow = async (): Promise<void> => {
-		let countedMs = Number.NEGATIVE_INFINITY;
 		while (!signal.aborted) {
-			const view = await look();
-			if (view && monotonicMs() - countedMs >= countMs) {
-				countedMs = monotonicMs();
-				const counts = await engine.counts();
-				if (counts) {
-					onCounts(counts);
-				}
+			await look();
+			await sleep(isClose() ? closeLookMs : lookMs);
+		}
+	};
+
+	const count = async (): Promise<void> => {
+		while (!signal.aborted) {
+			const counts = last && await engine.counts();
+			if (counts) {
+				onCounts(counts);
 			}
 
-			await sleep(lookMs);
+			await sleep(countMs);
 		}
 	};
 
+	void count();
 	void follow();
 	return {
 		view: () => last,
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -23,6 +23,9 @@
 /** How often waiting requests are looked at again, in milliseconds: several times a pass. */
 const tickMs = 10;
 
+/** Every how many tellings the load is logged too: once a second. */
+const summaryEvery = 5;
+
 const bytesPerCount = 4;
 
 export type GroupSidecarDeps = {
@@ -89,7 +92,7 @@
 	let isLeaving = false;
 
 	const own = followOwnRank({
-		engine: deps.engine, sleep: deps.sleep, monotonicMs, signal: deps.signal,
+		engine: deps.engine, sleep: deps.sleep, signal: deps.signal, isClose: () => coordination !== undefined,
 		onView(view) {
 			onView(view);
 		},
@@ -110,21 +113,30 @@
 		},
 	});
 
+	let skewNow = 1;
+	let skewOf: readonly unknown[] = [];
+	/** The skew of the map in use under the demand as it is known; worked out anew when either changes. */
 	const skew = (): number => {
-		if (!map || !coordination) {
+		const demands = coordination?.board.demands();
+		if (!map || !demands) {
 			return 1;
 		}
 
-		const demands = coordination.board.demands();
-		return layeredSkew(map.map((placement, layer) => ({placement, shares: demands[layer].shares})));
+		if (skewOf[0] !== map || skewOf[1] !== demands) {
+			skewOf = [map, demands];
+			skewNow = layeredSkew(map.map((placement, layer) => ({placement, shares: demands[layer].shares})));
+		}
+
+		return skewNow;
 	};
 
-	const openRanks = (): readonly boolean[] => {
-		const view = own.view();
+	let open: readonly boolean[] = [];
+	/** Which ranks take work; worked out once for each look at the own rank. */
+	const findOpen = (view: RankView): readonly boolean[] => {
 		const serving = new Set(deps.records().filter(({state}) => state === 'serving').map(({host, port}) => `${host}:${port}`));
-		return Array.from({length: view?.size ?? 0}, (_, rank) => {
+		return Array.from({length: view.size}, (_, rank) => {
 			const target = targetOf(rank);
-			return view!.isOpen && target !== undefined && serving.has(target);
+			return view.isOpen && target !== undefined && serving.has(target);
 		});
 	};
 
@@ -144,6 +156,7 @@
 
 	const onView = (view: RankView | undefined): void => {
 		if (view) {
+			open = findOpen(view);
 			updateRole(view);
 			tellNotice(view);
 			if (coordination) {
@@ -214,7 +227,7 @@
 				const now = deps.model();
 				return now && {...now, expertShare: now.experts?.workShare ?? 0};
 			},
-			open: openRanks, skew, slowdown: () => meter.slowdown(), nowMs: monotonicMs, random: deps.random,
+			open: () => open, skew, slowdown: () => meter.slowdown(), nowMs: monotonicMs, random: deps.random,
 		});
 		const ranks = createRemoteRanks({
 			own, ownRank: view.rank, size: view.size, member, connect: deps.connect, lagMs: () => deps.model()?.reportLagMs ?? 0, sleep: deps.sleep,
@@ -223,8 +236,16 @@
 		const ticker = setInterval(() => {
 			admission.tick();
 		}, tickMs).unref();
+		let told = 0;
 		const teller = setInterval(() => {
-			const {running, room, passMs} = admission.state();
+			const {running, waiting, passMs} = admission.state();
+			const room = admission.room();
+			if (++told % summaryEvery === 0) {
+				log.info({
+					group: view.group, running, waiting, room, passMs: Math.round(meter.passMs()), predictedMs: Math.round(passMs), slowdown: round(meter.slowdown()), skew: round(skew()),
+				}, 'group load');
+			}
+
 			metrics.gauge('group_running', running);
 			metrics.gauge('group_pass_ms', Math.round(meter.passMs()));
 			for (const peer of entries) {
@@ -424,3 +445,7 @@
 	const view = new DataView(bytes.buffer, bytes.byteOffset, bytes.byteLength);
 	return Array.from({length: bytes.length / bytesPerCount}, (_, i) => view.getUint32(i * bytesPerCount));
 }
+
+function round(value: number): number {
+	return Math.round(value * 100) / 100;
+}
--- a/packages/policy/src/demand.ts
+++ b/packages/policy/src/demand.ts
@@ -34,7 +34,7 @@
 @example
 demand = withCounts(demand, counts, nowMs, defaultDemandOptions);
 */
-export function withCounts(demand: Demand, counts: ArrayLike<number>, nowMs: number, {weight, shift}: DemandOptions): Demand {
+export function withCounts(demand: Demand, counts: readonly number[] | Float64Array, nowMs: number, {weight, shift}: DemandOptions): Demand {
 	let total = 0;
 	for (const count of counts) {
 		total += count;
--- a/packages/policy/src/group-admission.ts
+++ b/packages/policy/src/group-admission.ts
@@ -62,6 +62,8 @@
 	/** Looks again at what waits. */
 	tick(): void;
 	state(): GroupState;
+	/** The requests that the group could write for at once, spread evenly, by the present prediction. */
+	room(): number;
 };
 
 export type GroupState = {
@@ -69,8 +71,6 @@
 	readonly waiting: number;
 	/** The predicted time of the next pass, in milliseconds. */
 	readonly passMs: number;
-	/** Requests that the group can run at once by the present prediction. */
-	readonly room: number;
 };
 
 /** The part of the allowed pause that a pass may take: the rest is for the way of an event and for what the prediction misses. */
@@ -79,8 +79,11 @@
 /** The part of the objective that a first request may wait for room; one that waits longer had better come back. */
 const firstWaitShare = 0.12;
 
-/** The part of the objective that a request which came back may wait: another refusal is its last. */
-const returnWaitShare = 1;
+/** The part of the objective that the first token needs once a request has its place: a pass that ends, and one that reads. */
+const startShare = 0.3;
+
+/** How long one that is late anyway may wait for room that the others leave, as a multiple of the objective: another refusal is its last. */
+const lateWait = 2;
 
 /** When a refused caller should come back, as a part of the objective: soon enough to be still on time. */
 const returnShare = 0.3;
@@ -95,9 +98,11 @@
 Makes the admission of one group. All ranks make their passes together, so one
 request more slows every stream of the group: what counts is the time of the next
 pass with it, predicted from all that runs. A request that finds no room waits a
-little, then is told to come back; one that came back goes first.
+little, then is told to come back. Whoever can still be served in time goes before
+those who are late anyway, so that a queue never makes everybody late.
 
-Pattern: more callers than the group can write for at once, through several entries.
+Pattern: more callers than the group can write for at once, through several entries,
+for many seconds.
 
 @example
 admission.ask(need, decision => reply(decision));
@@ -194,11 +199,23 @@
 
 	const retryAfter = ({objectiveMs}: GroupNeed): number => objectiveMs * returnShare * (0.75 + (options.random() / 2));
 
-	const waitMs = ({objectiveMs, hasReturned, deadlineMs}: GroupNeed): number => Math.min(deadlineMs, objectiveMs * (hasReturned ? returnWaitShare : firstWaitShare));
+	/** What is left for waiting if the first token is to come in time; negative where it can't. */
+	const slackMs = ({objectiveMs, waitedMs}: GroupNeed, sinceMs: number, now: number): number => (objectiveMs * (1 - startShare)) - waitedMs - (now - sinceMs);
+
+	const waitMs = (need: GroupNeed): number => {
+		const {objectiveMs, hasReturned, deadlineMs} = need;
+		return Math.min(deadlineMs, objectiveMs * (hasReturned ? lateWait : firstWaitShare));
+	};
+
+	// Whoever can still be served in time goes first, the most pressed before the others; who is late takes what is left.
+	const compare = (a: Waiting, b: Waiting, now: number): number => {
+		const [slackA, slackB] = [slackMs(a.need, a.sinceMs, now), slackMs(b.need, b.sinceMs, now)];
+		return Number(slackB >= 0) - Number(slackA >= 0) || a.need.priority - b.need.priority || slackA - slackB;
+	};
 
 	const tick = (): void => {
 		const now = nowMs();
-		const order = [...waiting.values()].toSorted((a, b) => Number(b.need.hasReturned) - Number(a.need.hasReturned) || a.need.priority - b.need.priority || a.sinceMs - b.sinceMs);
+		const order = [...waiting.values()].toSorted((a, b) => compare(a, b, now));
 		let isFull = false;
 		for (const {need, untilMs, answer} of order) {
 			const decision: GroupDecision | undefined = isFull ? undefined : tryPlace(need);
@@ -247,28 +264,25 @@
 		tick,
 		state() {
 			const model = options.model();
-			const work = works();
 			return {
-				running: running.size,
-				waiting: waiting.size,
-				passMs: model ? options.slowdown() * predictPassMs(model, work, options.skew()) : 0,
-				room: model ? roomFor(model, work.length) : 0,
+				running: running.size, waiting: waiting.size, passMs: model ? options.slowdown() * predictPassMs(model, works(), options.skew()) : 0,
 			};
 		},
-	};
-
-	/** Requests that can write at once, spread evenly, within the pause that the last need allowed. */
-	function roomFor(model: PassModel & {readonly slots: number}, ranks: number): number {
-		const most = ranks * model.slots;
-		for (let count = 1; count <= most; count++) {
-			const work = Array.from({length: ranks}, () => ({writers: count / ranks, contextTokens: 0, prefillTokens: 0}));
-			if (options.slowdown() * predictPassMs(model, work, options.skew()) > passShare * lastGapMs) {
-				return count - 1;
+		room() {
+			const model = options.model();
+			const ranks = options.open().length;
+			const most = model ? ranks * model.slots : 0;
+			const skew = options.skew();
+			for (let count = ranks; model && count <= most; count += ranks) {
+				const work = Array.from({length: ranks}, () => ({writers: count / ranks, contextTokens: 0, prefillTokens: 0}));
+				if (options.slowdown() * predictPassMs(model, work, skew) > passShare * lastGapMs) {
+					return Math.max(ranks, count - ranks);
+				}
 			}
-		}
 
-		return most;
-	}
+			return most;
+		},
+	};
 }
 
 /** How much chance decides between ranks that are alike. */
--- a/packages/policy/src/spread.ts
+++ b/packages/policy/src/spread.ts
@@ -147,7 +147,8 @@
 	let bestGain = options.leastGain * potential(state.loads[heavy], mean);
 	for (const expert of hottest) {
 		for (const to of state.held.keys()) {
-			if (state.held[to].includes(expert) || state.loads[to] >= state.loads[heavy]) {
+			// A rank above the mean has nothing to take.
+			if (state.loads[to] >= mean || state.held[to].includes(expert)) {
 				continue;
 			}
 
