Leave room for shifts of demand; let entries name their streams anew; count one shift once

Now an entry names all its streams when it comes back; a request has to fit the skew of a shift where shifts come often enough to cost more than serving fewer; jumps within a second are one shift.

--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -1,5 +1,5 @@
 import {
-	type Frame, type GroupLoad, type Peer, type PlaceAsk, type RankNotice,
+	type Frame, type GroupLoad, type Peer, type PlaceAsk, type RankNotice, type StreamNotice,
 } from '@papayaflow/peer';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
 import {type EngineModel} from '@papayaflow/routing';
@@ -29,7 +29,7 @@
 const loadMaxAgeMs = 2000;
 
 /** A generation of this entry that runs in a group. */
-type Stream = {readonly target: string; readonly ask: PlaceAsk; hasBegun: boolean};
+type Stream = {readonly group: string | undefined; readonly target: string; readonly ask: PlaceAsk; hasBegun: boolean};
 
 export type GroupPlacerOptions = {
 	readonly targets: Targets;
@@ -115,20 +115,32 @@
 		return Math.min(generation.maxAnswerTokens, generation.hintedAnswerTokens ?? Math.max(usual, generation.maxAnswerTokens * usualAnswerShare));
 	};
 
-	const placeAt = (target: Target, ask: PlaceAsk, coordinator: Peer | undefined): Place => {
+	const noticeOf = (id: string, {target, ask: {promptTokens, answerTokens}, hasBegun}: Stream): StreamNotice => ({
+		id, target, promptTokens, answerTokens, hasBegun,
+	});
+
+	// Whoever coordinates the group when something happens hears of it; a new one has been told of all streams.
+	const placeAt = (target: Target, ask: PlaceAsk): Place => {
 		const end = target.begin();
-		const stream: Stream = {target: addressOf(target), ask, hasBegun: false};
+		const stream: Stream = {
+			group: groupOf(target), target: addressOf(target), ask, hasBegun: false,
+		};
+		const tell = (frame: Frame): void => {
+			const coordinator = stream.group === undefined ? undefined : coordinatorOf(stream.group);
+			coordinator?.send(frame);
+		};
+
 		streams.set(ask.id, stream);
 		return {
 			target,
 			began() {
 				stream.hasBegun = true;
-				coordinator?.send({kind: 'began', id: ask.id});
+				tell({kind: 'began', id: ask.id});
 			},
 			ended(how) {
 				end(how);
 				streams.delete(ask.id);
-				coordinator?.send({kind: 'ended', id: ask.id});
+				tell({kind: 'ended', id: ask.id});
 			},
 		};
 	};
@@ -145,11 +157,18 @@
 		const share = Math.max(1, Math.floor(room / Math.max(1, fresh?.entries ?? unknownEntries)));
 		const least = candidates.reduce((a, b) => b.inFlight + (random() / 2) < a.inFlight ? b : a);
 		const own = all.reduce((sum, {inFlight}) => sum + inFlight, 0);
-		return own >= share
-			? {
+		if (own >= share) {
+			return {
 				kind: 'refused', reason: 'overloaded', retryAfterMs: retryAfter(ask), detail: `own share ${share}`,
-			}
-			: {kind: 'placed', place: placeAt(least, ask, group === undefined ? undefined : coordinatorOf(group))};
+			};
+		}
+
+		const place = placeAt(least, ask);
+		if (group !== undefined) {
+			coordinatorOf(group)?.send({kind: 'running', stream: noticeOf(ask.id, streams.get(ask.id)!)});
+		}
+
+		return {kind: 'placed', place};
 	};
 
 	const retryAfter = ({objectiveMs}: PlaceAsk): number => objectiveMs * returnShare * (0.75 + (random() / 2));
@@ -229,7 +248,7 @@
 			return placeAlone(call, candidates, question);
 		}
 
-		return {kind: 'placed', place: placeAt(target, question, coordinator)};
+		return {kind: 'placed', place: placeAt(target, question)};
 	};
 
 	return {
@@ -243,11 +262,8 @@
 					const before = notices.get(peer);
 					notices.set(peer, frame.notice);
 					if (frame.notice.isCoordinator && !before?.isCoordinator) {
-						for (const [id, {target, ask: {promptTokens, answerTokens}, hasBegun}] of streams) {
-							peer.send({
-								kind: 'running', id, target, promptTokens, answerTokens, hasBegun,
-							});
-						}
+						const own = [...streams].filter(([, {group}]) => group === frame.notice.group);
+						peer.send({kind: 'streams', streams: own.map(([id, stream]) => noticeOf(id, stream))});
 					}
 
 					return true;
--- a/packages/group/src/demand-board.ts
+++ b/packages/group/src/demand-board.ts
@@ -6,9 +6,11 @@
 export type DemandBoard = {
 	/** Takes the counts of a rank since its start; the first ones and those after a restart set the base. */
 	take(rank: number, formation: number, counts: readonly number[]): void;
-	/** Takes what has come since the last call into the estimate of each layer. */
+	/** Takes what has come into the estimate of each layer, once enough has come for one report. */
 	settle(nowMs: number): void;
 	demands(): readonly Demand[];
+	/** When the demand last shifted in any layer, in milliseconds; `undefined` before the first report. */
+	shiftedMs(): number | undefined;
 	/** How long a demand lasts before it shifts, on average, in milliseconds; `undefined` before a second shift. */
 	meanShiftMs(): number | undefined;
 };
@@ -16,6 +18,12 @@
 /** The weight of one more interval between shifts in their mean. */
 const intervalWeight = 0.3;
 
+/** The least time of one report, in milliseconds: in less, the mix of a few requests looks like a shift. */
+const reportMs = 190;
+
+/** Jumps of demand within this time are parts of one shift, in milliseconds: layers and ranks report one after the other. */
+const sameShiftMs = 1000;
+
 /**
 Makes an empty board.
 
@@ -29,6 +37,8 @@
 	const fresh = new Float64Array(layers * experts);
 	let demands: readonly Demand[] = Array.from({length: layers}, () => evenDemand(experts));
 	let meanMs: number | undefined;
+	let settledMs = Number.NEGATIVE_INFINITY;
+	let shiftedMs: number | undefined;
 
 	return {
 		take(rank, formation, counts) {
@@ -47,17 +57,28 @@
 			}
 		},
 		settle(nowMs) {
-			demands = demands.map((demand, layer) => {
-				const next = withCounts(demand, fresh.subarray(layer * experts, (layer + 1) * experts), nowMs, defaultDemandOptions);
-				if (next.shiftedAtMs !== demand.shiftedAtMs && demand.shiftedAtMs !== undefined && next.shiftedAtMs !== undefined) {
-					const interval = next.shiftedAtMs - demand.shiftedAtMs;
-					meanMs = meanMs === undefined ? interval : meanMs + ((interval - meanMs) * intervalWeight);
-				}
+			if (nowMs - settledMs < reportMs || fresh.every(count => count === 0)) {
+				return;
+			}
 
-				return next;
-			});
+			settledMs = nowMs;
+			const before = demands;
+			demands = before.map((demand, layer) => withCounts(demand, fresh.subarray(layer * experts, (layer + 1) * experts), nowMs, defaultDemandOptions));
 			fresh.fill(0);
+			const hasShifted = demands.some(({shiftedAtMs}, layer) => shiftedAtMs !== before[layer].shiftedAtMs);
+			if (!hasShifted) {
+				return;
+			}
+
+			const interval = shiftedMs === undefined ? undefined : nowMs - shiftedMs;
+			if (interval === undefined || interval >= sameShiftMs) {
+				shiftedMs = nowMs;
+				if (interval !== undefined) {
+					meanMs = meanMs === undefined ? interval : meanMs + ((interval - meanMs) * intervalWeight);
+				}
+			}
 		},
+		shiftedMs: () => shiftedMs,
 		demands: () => demands,
 		meanShiftMs: () => meanMs,
 	};
--- a/packages/group/src/map-keeper.ts
+++ b/packages/group/src/map-keeper.ts
@@ -13,7 +13,7 @@
 const passesAhead = 2;
 
 /** Pause between two looks at the demand, in milliseconds. */
-const planMs = 150;
+const planMs = 60;
 
 /** How long after a plan that changed nothing the next one is made, in milliseconds, where no demand has shifted: a plan takes some milliseconds of a core. */
 const replanMs = 900;
@@ -212,7 +212,7 @@
 	}
 
 	const oldest = Math.max(...demands.map(({shiftedAtMs = nowMs}) => nowMs - shiftedAtMs));
-	// A demand that has outlasted the mean is as likely to last on as a fresh one is to last half of it.
+	// A demand that has outlasted the mean may end at any moment, or last on.
 	const leftS = Math.max(shiftMs / 2, shiftMs - oldest) / msPerSecond;
 	let best: Spread | undefined;
 	let bestValue = 0;
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -1,7 +1,9 @@
 import {type LayeredMap, type RankView} from '@papayaflow/experts';
-import {type Frame, type Peer, type RankNotice} from '@papayaflow/peer';
 import {
-	createGroupAdmission, layeredSkew, type GroupAdmission, type GroupNeed,
+	type Frame, type Peer, type RankNotice, type StreamNotice,
+} from '@papayaflow/peer';
+import {
+	createGroupAdmission, layeredSkew, type GroupAdmission, type GroupNeed, type Shifts,
 } from '@papayaflow/policy';
 import {type EngineModel, type TargetRecord} from '@papayaflow/routing';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
@@ -20,12 +22,18 @@
 /** How often the load is told to entries, in milliseconds. */
 const loadMs = 200;
 
+/** How long an entry that lost its connection may take to come back before its streams count as ended, in milliseconds. */
+const returnMs = 1200;
+
 /** How often waiting requests are looked at again, in milliseconds: several times a pass. */
 const tickMs = 10;
 
 /** Every how many tellings the load is logged too: once a second. */
 const summaryEvery = 5;
 
+/** The weight of one more shift in the mean of the skew that shifts bring. */
+const shiftWeight = 0.3;
+
 const bytesPerCount = 4;
 
 export type GroupSidecarDeps = {
@@ -83,7 +91,8 @@
 	const startedMs = monotonicMs();
 	const entries = new Set<Peer>();
 	const notices = new Map<Peer, RankNotice>();
-	const placed = new Map<string, Peer>();
+	/** The entries, by instance, whose requests run in the group. */
+	const placed = new Map<string, string>();
 	const meter = createPassMeter();
 	let coordination: Coordination | undefined;
 	let map: LayeredMap | undefined;
@@ -115,6 +124,8 @@
 
 	let skewNow = 1;
 	let skewOf: readonly unknown[] = [];
+	let shiftSkew: number | undefined;
+	let shiftSeenMs = 0;
 	/** The skew of the map in use under the demand as it is known; worked out anew when either changes. */
 	const skew = (): number => {
 		const demands = coordination?.board.demands();
@@ -125,11 +136,21 @@
 		if (skewOf[0] !== map || skewOf[1] !== demands) {
 			skewOf = [map, demands];
 			skewNow = layeredSkew(map.map((placement, layer) => ({placement, shares: demands[layer].shares})));
+			const shiftedMs = coordination?.board.shiftedMs();
+			if (shiftedMs !== undefined && shiftedMs > shiftSeenMs) {
+				shiftSeenMs = shiftedMs;
+				shiftSkew = shiftSkew === undefined ? skewNow : shiftSkew + ((skewNow - shiftSkew) * shiftWeight);
+			}
 		}
 
 		return skewNow;
 	};
 
+	const shifts = (): Shifts | undefined => {
+		const intervalMs = coordination?.board.meanShiftMs();
+		return shiftSkew === undefined || intervalMs === undefined ? undefined : {skew: shiftSkew, intervalMs};
+	};
+
 	let open: readonly boolean[] = [];
 	/** Which ranks take work; worked out once for each look at the own rank. */
 	const findOpen = (view: RankView): readonly boolean[] => {
@@ -227,7 +248,7 @@
 				const now = deps.model();
 				return now && {...now, expertShare: now.experts?.workShare ?? 0};
 			},
-			open: () => open, skew, slowdown: () => meter.slowdown(), nowMs: monotonicMs, random: deps.random,
+			open: () => open, skew, shifts, slowdown: () => meter.slowdown(), nowMs: monotonicMs, random: deps.random,
 		});
 		const ranks = createRemoteRanks({
 			own, ownRank: view.rank, size: view.size, member, connect: deps.connect, lagMs: () => deps.model()?.reportLagMs ?? 0, sleep: deps.sleep,
@@ -242,7 +263,7 @@
 			const room = admission.room();
 			if (++told % summaryEvery === 0) {
 				log.info({
-					group: view.group, running, waiting, room, passMs: Math.round(meter.passMs()), predictedMs: Math.round(passMs), slowdown: round(meter.slowdown()), skew: round(skew()),
+					group: view.group, running, waiting, room, passMs: Math.round(meter.passMs()), predictedMs: Math.round(passMs), slowdown: round(meter.slowdown()), skew: round(skew()), shiftSkew: round(shiftSkew ?? 0), shiftMs: Math.round(coordination?.board.meanShiftMs() ?? 0),
 				}, 'group load');
 			}
 
@@ -312,7 +333,7 @@
 				return;
 			}
 
-			placed.set(id, peer);
+			placed.set(id, peer.hello.instance);
 			peer.send({kind: 'placed', id, target});
 		});
 	};
@@ -323,6 +344,33 @@
 		return rank;
 	};
 
+	const note = (peer: Peer, {id, target, promptTokens, answerTokens, hasBegun}: StreamNotice): void => {
+		const rank = rankOf(target);
+		if (rank !== undefined) {
+			placed.set(id, peer.hello.instance);
+			coordination?.admission.note(id, {
+				rank, promptTokens, answerTokens, hasBegun,
+			});
+		}
+	};
+
+	const forget = (instance: string, except: ReadonlySet<string>): void => {
+		for (const [id, entry] of placed) {
+			if (entry === instance && !except.has(id)) {
+				placed.delete(id);
+				coordination?.admission.ended(id);
+			}
+		}
+	};
+
+	// An entry whose connection broke comes back and names its streams; one that does not is gone, and they with it.
+	const forgetIfGone = async (instance: string): Promise<void> => {
+		await deps.sleep(returnMs);
+		if (![...entries].some(({hello}) => hello.instance === instance)) {
+			forget(instance, new Set());
+		}
+	};
+
 	return {
 		onUp(peer) {
 			if (peer.hello.role === 'entry') {
@@ -336,11 +384,8 @@
 		onDown(peer) {
 			entries.delete(peer);
 			notices.delete(peer);
-			for (const [id, entry] of placed) {
-				if (entry === peer) {
-					// Its streams may go on; it tells of them when it is back, and else they are forgotten in time.
-					placed.delete(id);
-				}
+			if (peer.hello.role === 'entry') {
+				void forgetIfGone(peer.hello.instance);
 			}
 		},
 		onFrame(peer, frame) {
@@ -356,12 +401,14 @@
 				}
 
 				case 'running': {
-					const rank = rankOf(frame.target);
-					if (rank !== undefined) {
-						coordination?.admission.note(frame.id, {
-							rank, promptTokens: frame.promptTokens, answerTokens: frame.answerTokens, hasBegun: frame.hasBegun,
-						});
-						placed.set(frame.id, peer);
+					note(peer, frame.stream);
+					return true;
+				}
+
+				case 'streams': {
+					forget(peer.hello.instance, new Set(frame.streams.map(({id}) => id)));
+					for (const stream of frame.streams) {
+						note(peer, stream);
 					}
 
 					return true;
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -82,6 +82,16 @@
 	readonly excluded: readonly string[];
 };
 
+/** A request that runs in a group, as its entry knows it. */
+export type StreamNotice = {
+	readonly id: string;
+	/** The engine, as `IP:PORT`. */
+	readonly target: string;
+	readonly promptTokens: number;
+	readonly answerTokens: number;
+	readonly hasBegun: boolean;
+};
+
 /** A group's load, for entries that can't ask its coordinator. */
 export type GroupLoad = {
 	readonly running: number;
@@ -144,8 +154,10 @@
 	| {readonly kind: 'place'; readonly ask: PlaceAsk}
 	| {readonly kind: 'placed'; readonly id: string; readonly target: string}
 	| {readonly kind: 'turnedAway'; readonly id: string; readonly reason: RefusalReason; readonly retryAfterMs: number}
-	/** A request runs at a target: placed by the entry itself, or before this connection. */
-	| {readonly kind: 'running'; readonly id: string; readonly target: string; readonly promptTokens: number; readonly answerTokens: number; readonly hasBegun: boolean}
+	/** A request runs at a target that the entry chose by itself. */
+	| {readonly kind: 'running'; readonly stream: StreamNotice}
+	/** All requests of an entry that run in a group: those that are not named have ended. */
+	| {readonly kind: 'streams'; readonly streams: readonly StreamNotice[]}
 	| {readonly kind: 'began'; readonly id: string}
 	| {readonly kind: 'ended'; readonly id: string}
 	| {readonly kind: 'groupLoad'; readonly group: string; readonly load: GroupLoad}
@@ -182,6 +194,8 @@
 	'placed',
 	'turnedAway',
 	'running',
+	'streams',
+	'streams',
 	'began',
 	'ended',
 	'groupLoad',
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -4,7 +4,7 @@
 } from './connection.js';
 export {
 	encodeFrame, maxFrameBytes, protocolVersion, readFrames,
-	type ConfigUpdate, type Frame, type FrameFault, type GroupLoad, type LoadReport, type PeerRequest, type PlaceAsk, type RankNotice, type StoreCopy,
+	type ConfigUpdate, type Frame, type FrameFault, type GroupLoad, type LoadReport, type PeerRequest, type PlaceAsk, type RankNotice, type StoreCopy, type StreamNotice,
 } from './frame.js';
 export {
 	followPeer, servePeer, type Peer, type PeerEvents, type PeerOptions,
--- a/packages/policy/src/group-admission.ts
+++ b/packages/policy/src/group-admission.ts
@@ -37,12 +37,20 @@
 
 type Waiting = {readonly need: GroupNeed; readonly sinceMs: number; readonly untilMs: number; readonly answer: (decision: GroupDecision) => void};
 
+/** The figures of an engine that decide what a group can take. */
+export type GroupModel = PassModel & {readonly slots: number; readonly memoryTokens: number; readonly usualAnswerTokens: number};
+
+/** How the demand for experts shifts: how uneven the load is until the map follows, and how often that happens. */
+export type Shifts = {readonly skew: number; readonly intervalMs: number};
+
 export type GroupAdmissionOptions = {
 	/** The engine's figures; `undefined` while no configuration is known. */
-	readonly model: () => (PassModel & {readonly slots: number; readonly memoryTokens: number}) | undefined;
+	readonly model: () => GroupModel | undefined;
 	/** Which ranks take new work, by rank; its length is the size of the group. */
 	readonly open: () => readonly boolean[];
 	readonly skew: () => number;
+	/** What is known of shifts; `undefined` before some have been seen. */
+	readonly shifts: () => Shifts | undefined;
 	/** How much longer passes take than predicted, as measured lately; 1 where they take as long. */
 	readonly slowdown: () => number;
 	readonly nowMs: () => number;
@@ -88,6 +96,12 @@
 /** When a refused caller should come back, as a part of the objective: soon enough to be still on time. */
 const returnShare = 0.3;
 
+/** What a stream loses of its worth when a pause makes it late, about. */
+const lateLoss = 0.5;
+
+/** How often it is weighed anew which skew a request has to fit, in milliseconds. */
+const guardMs = 150;
+
 /** The part of the memory that may be promised, since answers can be longer than expected. */
 const memoryShare = 0.92;
 
@@ -112,6 +126,58 @@
 	const running = new Map<string, Running>();
 	const waiting = new Map<string, Waiting>();
 	let lastGapMs = Number.POSITIVE_INFINITY;
+	let guarded = {skew: 1, atMs: Number.NEGATIVE_INFINITY};
+
+	/** Requests that write at once, spread evenly, with passes within the allowed pause. */
+	const roomAt = (model: GroupModel, skew: number): number => {
+		const ranks = options.open().length;
+		const most = ranks * model.slots;
+		for (let count = ranks; count <= most; count += ranks) {
+			if (evenPassMs(model, count, skew) > passShare * lastGapMs) {
+				return Math.max(ranks, count - ranks);
+			}
+		}
+
+		return most;
+	};
+
+	const evenPassMs = (model: GroupModel, count: number, skew: number): number => {
+		const ranks = options.open().length;
+		const work = Array.from({length: ranks}, () => ({
+			writers: count / ranks, contextTokens: count / ranks * (model.usualAnswerTokens / 2), prefillTokens: 0,
+		}));
+		return options.slowdown() * predictPassMs(model, work, skew);
+	};
+
+	/**
+	The skew that a new request has to fit: the present one, or that of a shift where
+	shifts come so often that making many streams late costs more than serving fewer.
+	*/
+	const skewAhead = (): number => {
+		const now = nowMs();
+		if (now - guarded.atMs >= guardMs) {
+			guarded = {skew: findSkewAhead(), atMs: now};
+		}
+
+		return guarded.skew;
+	};
+
+	const findSkewAhead = (): number => {
+		const model = options.model();
+		const shifts = options.shifts();
+		const present = options.skew();
+		if (!model || !shifts || shifts.skew <= present) {
+			return present;
+		}
+
+		const free = roomAt(model, present);
+		const careful = roomAt(model, shifts.skew);
+		const freePassMs = evenPassMs(model, free, present);
+		const streamMs = freePassMs * model.usualAnswerTokens / model.stepsPerPass;
+		const hit = Math.min(1, streamMs / shifts.intervalMs);
+		const fewer = 1 - ((careful / evenPassMs(model, careful, present)) / (free / freePassMs));
+		return hit * lateLoss > fewer ? shifts.skew : present;
+	};
 
 	const works = (): RankWork[] => {
 		const work = options.open().map(() => ({writers: 0, contextTokens: 0, prefillTokens: 0}));
@@ -178,7 +244,7 @@
 			writers: writers + (prefillTokens > 0 ? 1 : 0), contextTokens: contextTokens + prefillTokens, prefillTokens: 0,
 		}));
 		writing[rank] = {...writing[rank], writers: writing[rank].writers + 1, contextTokens: writing[rank].contextTokens + need.promptTokens};
-		return options.slowdown() * Math.max(predictPassMs(model, reading, options.skew()), predictPassMs(model, writing, options.skew()));
+		return options.slowdown() * Math.max(predictPassMs(model, reading, options.skew()), predictPassMs(model, writing, skewAhead()));
 	};
 
 	const tryPlace = (need: GroupNeed): GroupDecision | undefined => {
@@ -270,17 +336,7 @@
 		},
 		room() {
 			const model = options.model();
-			const ranks = options.open().length;
-			const most = model ? ranks * model.slots : 0;
-			const skew = options.skew();
-			for (let count = ranks; model && count <= most; count += ranks) {
-				const work = Array.from({length: ranks}, () => ({writers: count / ranks, contextTokens: 0, prefillTokens: 0}));
-				if (options.slowdown() * predictPassMs(model, work, skew) > passShare * lastGapMs) {
-					return Math.max(ranks, count - ranks);
-				}
-			}
-
-			return most;
+			return model ? roomAt(model, skewAhead()) : 0;
 		},
 	};
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -30,7 +30,7 @@
 	defaultDemandOptions, evenDemand, withCounts, type Demand, type DemandOptions,
 } from './demand.js';
 export {
-	createGroupAdmission, type GroupAdmission, type GroupAdmissionOptions, type GroupDecision, type GroupNeed, type GroupState,
+	createGroupAdmission, type GroupAdmission, type GroupAdmissionOptions, type GroupDecision, type GroupModel, type GroupNeed, type GroupState, type Shifts,
 } from './group-admission.js';
 export {
 	predictPassMs, tokenWorkMs, type PassModel, type RankWork,
--- a/packages/policy/test/group.test.ts
+++ b/packages/policy/test/group.test.ts
@@ -2,12 +2,12 @@
 import {describe, it} from 'mocha';
 import {
 	createGroupAdmission, createResendBudget, evenDemand, layeredSkew, predictPassMs, spreadExperts, withCounts,
-	type GroupAdmission, type GroupDecision, type GroupNeed, type PassModel,
+	type GroupAdmission, type GroupDecision, type GroupModel, type GroupNeed, type Shifts,
 } from '@papayaflow/policy';
 
-const model: PassModel & {readonly slots: number; readonly memoryTokens: number} = {
+const model: GroupModel = {
 	stepsPerPass: 4, stepMs: 4, sequenceMs: 1, contextMsPerThousand: 0, prefillTokensPerMs: 50, pairsMsPerMillion: 0, chunkTokens: 500, expertShare: 0.8,
-	slots: 8, memoryTokens: 20_000,
+	slots: 8, memoryTokens: 20_000, usualAnswerTokens: 100,
 };
 const idle = {writers: 0, contextTokens: 0, prefillTokens: 0};
 
@@ -31,8 +31,8 @@
 describe('the admission of a group', () => {
 	type Clock = {nowMs: number};
 
-	const admissionOf = (clock: Clock, ranks = 2): GroupAdmission => createGroupAdmission({
-		model: () => model, open: () => Array.from({length: ranks}, () => true), skew: () => 1, slowdown: () => 1, nowMs: () => clock.nowMs, random: () => 0.5,
+	const admissionOf = (clock: Clock, ranks = 2, shifts?: Shifts): GroupAdmission => createGroupAdmission({
+		model: () => model, open: () => Array.from({length: ranks}, () => true), skew: () => 1, shifts: () => shifts, slowdown: () => 1, nowMs: () => clock.nowMs, random: () => 0.5,
 	});
 
 	const need = (id: string, more: Partial<GroupNeed> = {}): GroupNeed => ({
@@ -73,6 +73,14 @@
 		expect(admission.state().passMs).to.be.at.most(0.82 * 40);
 	});
 
+	it('leaves room for a shift of demand where shifts come often, and none where they are rare', () => {
+		const calm = fill(admissionOf({nowMs: 0}));
+		const rare = fill(admissionOf({nowMs: 0}, 2, {skew: 1.5, intervalMs: 60_000}));
+		const often = fill(admissionOf({nowMs: 0}, 2, {skew: 1.5, intervalMs: 500}));
+		expect(rare).to.equal(calm);
+		expect(often).to.be.below(calm);
+	});
+
 	it('refuses soon what finds no room, with a time at which it can still be served in time', () => {
 		const clock = {nowMs: 0};
 		const admission = admissionOf(clock);
@@ -181,7 +189,7 @@
 
 	it('says at once that a group takes nothing', () => {
 		const admission = createGroupAdmission({
-			model: () => model, open: () => [false, false], skew: () => 1, slowdown: () => 1, nowMs: () => 0, random: () => 0.5,
+			model: () => model, open: () => [false, false], skew: () => 1, shifts: () => undefined, slowdown: () => 1, nowMs: () => 0, random: () => 0.5,
 		});
 		expect(ask(admission, need('a'))[0]).to.include({kind: 'refused', reason: 'noTarget'});
 	});
