Split the sidecar's part in its group; entries name their streams at each new term

Found while splitting: one look at the own rank that timed out ended the coordination, and the next one began with nothing counted while entries were not asked to name their streams. A coordinator that was superseded but still coordinates takes another token after a second; before, it never moved a map again.

--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -261,7 +261,7 @@
 		rank(peer, {notice}) {
 			const before = notices.get(peer);
 			notices.set(peer, notice);
-			if (notice.isCoordinator && !before?.isCoordinator) {
+			if (notice.isCoordinator && (!before?.isCoordinator || before.term !== notice.term)) {
 				const own = [...streams].filter(([, {group}]) => group === notice.group);
 				peer.send({kind: 'streams', streams: own.map(([id, stream]) => noticeOf(id, stream))});
 			}
--- a/packages/group/src/index.ts
+++ b/packages/group/src/index.ts
@@ -1,3 +1,4 @@
+export {coordinate, type Coordination, type CoordinationDeps} from './coordination.js';
 export {createDemandBoard, type DemandBoard} from './demand-board.js';
 export {createPassMeter, type PassMeter} from './load.js';
 export {keepMap, type MapKeeperDeps, type MapWeights} from './map-keeper.js';
@@ -7,4 +8,5 @@
 export {
 	createRemoteRanks, type Member, type RemoteRanks, type RemoteRanksOptions,
 } from './remote-ranks.js';
+export {watchSkew, type SkewWatch} from './skew-watch.js';
 export {createGroupSidecar, type GroupSidecar, type GroupSidecarDeps} from './sidecar.js';
--- a/packages/group/src/map-keeper.ts
+++ b/packages/group/src/map-keeper.ts
@@ -27,6 +27,9 @@
 /** How long a rank may take to copy its part of a map, in milliseconds, beyond which the switch is abandoned. */
 const prepareTimeoutMs = 6000;
 
+/** How long a superseded coordinator waits before it takes another token, in milliseconds, if it still coordinates. */
+const supersededMs = 1000;
+
 /** How long a held group is worked on before the coordinator looks anew at all ranks, in milliseconds. */
 const decideTimeoutMs = 3000;
 
@@ -79,9 +82,14 @@
 export async function keepMap(deps: MapKeeperDeps): Promise<void> {
 	while (!deps.isStopped()) {
 		const token = await tokenOf(deps);
-		if (token === undefined || await keepWithToken(token, deps) === 'superseded') {
+		if (token === undefined) {
 			return;
 		}
+
+		// Another coordinator that took over steps down when it sees this one; then the work is this one's again.
+		if (await keepWithToken(token, deps) === 'superseded') {
+			await deps.sleep(supersededMs);
+		}
 	}
 }
 
--- /dev/null
+++ b/packages/group/src/roster.ts
@@ -0,0 +1,41 @@
+import {type Peer, type RankNotice} from '@papayaflow/peer';
+import {type Member} from './remote-ranks.js';
+
+/** The lowest ranks whose sidecars may coordinate: three, so that two may be down. */
+export const candidates = 3;
+
+/** The sidecars of a group as they have told of themselves. */
+export type Roster = {
+	set(peer: Peer, notice: RankNotice): void;
+	remove(peer: Peer): void;
+	noticeOf(peer: Peer): RankNotice | undefined;
+	/** Every sidecar that has told, of whatever group. */
+	peers(): readonly Peer[];
+	member(group: string, rank: number): Member | undefined;
+	/** Those that coordinate a group, as they say. */
+	coordinators(group: string): readonly Peer[];
+	/** Whether a candidate of a lower rank is there. */
+	hasLower(group: string, rank: number): boolean;
+};
+
+/** Makes an empty roster. */
+export function createRoster(): Roster {
+	const notices = new Map<Peer, RankNotice>();
+	const of = (group: string): ReadonlyArray<readonly [Peer, RankNotice]> => [...notices].filter(([, notice]) => notice.group === group);
+	return {
+		set(peer, notice) {
+			notices.set(peer, notice);
+		},
+		remove(peer) {
+			notices.delete(peer);
+		},
+		noticeOf: peer => notices.get(peer),
+		peers: () => [...notices.keys()],
+		member(group, rank) {
+			const found = of(group).find(([, notice]) => notice.rank === rank);
+			return found && {rank, target: found[1].target, peer: found[0]};
+		},
+		coordinators: group => of(group).filter(([, {isCoordinator}]) => isCoordinator).map(([peer]) => peer),
+		hasLower: (group, rank) => of(group).some(([, notice]) => notice.rank < rank && notice.rank < candidates),
+	};
+}
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -65,6 +65,8 @@
 	readonly target: string;
 	/** Whether this sidecar coordinates the group: it places requests and switches maps. */
 	readonly isCoordinator: boolean;
+	/** Rises each time that this sidecar begins to coordinate, with nothing known of what runs. */
+	readonly term: number;
 };
 
 /** A request that asks a group's coordinator for a place. */
