--- a/packages/direct/src/forward.ts
+++ b/packages/direct/src/forward.ts
@@ -101,7 +101,9 @@
 	};
 
 	for (let runs = 0; ;) {
-		const placed = await deps.place({call, tried, signal});
+		const placed = await deps.place({
+			call, tried, signal, hasBegun: progress.hasEvents,
+		});
 		if (signal.aborted) {
 			if (placed.kind === 'placed') {
 				placed.place.ended('neutral');
--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -4,7 +4,9 @@
 import {type Log, type Metrics} from '@papayaflow/telemetry';
 import {type EngineModel} from '@papayaflow/routing';
 import {type Call} from './call.js';
-import {type Place, type Placed, type Placer} from './place.js';
+import {
+	type Place, type Placed, type PlaceNeed, type Placer,
+} from './place.js';
 import {type Target, type Targets} from './targets.js';
 
 /** How long a coordinator may take beyond the wait that it was asked for, in milliseconds: a round trip between zones and a busy turn. */
@@ -85,7 +87,7 @@
 		return [...notices.values()].find(notice => notice.target === address)?.group;
 	};
 
-	const askOf = (call: Call, tried: ReadonlySet<string>): PlaceAsk => {
+	const askOf = ({call, tried, hasBegun}: PlaceNeed): PlaceAsk => {
 		const {route, generation} = call;
 		const longest = Math.max(patience.get(route.name) ?? 0, call.deadlineMs);
 		patience.set(route.name, longest);
@@ -101,6 +103,7 @@
 			deadlineMs: call.deadlineMs - elapsedMs,
 			priority: route.priority,
 			hasReturned: waitedMs > 0 || tried.size > 0,
+			isResumed: hasBegun,
 			excluded: [...tried].flatMap(id => {
 				const target = targets.byId(id);
 				return target ? [addressOf(target)] : [];
@@ -159,7 +162,7 @@
 		const share = Math.max(1, Math.floor(room / Math.max(1, fresh?.entries ?? unknownEntries)));
 		const [{target: least}] = candidates.map(target => ({target, load: target.inFlight + (random() / 2)})).toSorted((a, b) => a.load - b.load);
 		const own = all.reduce((sum, {inFlight}) => sum + inFlight, 0);
-		if (own >= share) {
+		if (own >= share && !ask.isResumed) {
 			return {
 				kind: 'refused', reason: 'overloaded', retryAfterMs: retryAfter(ask), detail: `own share ${share}`,
 			};
@@ -212,11 +215,12 @@
 		return best?.peer;
 	};
 
-	const place: Placer = async ({call, tried, signal}) => {
+	const place: Placer = async need => {
+		const {call, tried, signal} = need;
 		const serving = targets.of(call.service);
 		const fresh = serving.filter(({record}) => !tried.has(record.id));
 		const candidates = fresh.length > 0 ? fresh : serving;
-		const question = askOf(call, tried);
+		const question = askOf(need);
 		if (candidates.length === 0) {
 			return {kind: 'refused', reason: 'noTarget', retryAfterMs: retryAfter(question)};
 		}
--- a/packages/direct/src/place.ts
+++ b/packages/direct/src/place.ts
@@ -17,6 +17,8 @@
 
 export type PlaceNeed = {
 	readonly call: Call;
+	/** Whether its caller has a part of the answer already. */
+	readonly hasBegun: boolean;
 	/** Targets that have failed this call. */
 	readonly tried: ReadonlySet<string>;
 	readonly signal: AbortSignal;
--- a/packages/group/src/coordination.ts
+++ b/packages/group/src/coordination.ts
@@ -1,6 +1,6 @@
 import {type LayeredMap, type RankView} from '@papayaflow/experts';
 import {type GroupLoad} from '@papayaflow/peer';
-import {createGroupAdmission, type GroupAdmission} from '@papayaflow/policy';
+import {createGroupAdmission, type GroupAdmission, type GroupState} from '@papayaflow/policy';
 import {type EngineModel} from '@papayaflow/routing';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
 import {createDemandBoard, type DemandBoard} from './demand-board.js';
@@ -44,6 +44,13 @@
 	readonly signal: AbortSignal;
 };
 
+/** What a coordinator's decisions rest on. */
+export type CoordinationStatus = GroupState & {
+	/** How much longer passes take than predicted. */
+	readonly slowdown: number;
+	readonly skew: number;
+};
+
 /** What a sidecar has while it coordinates, for one formation of its group. */
 export type Coordination = {
 	readonly formation: number;
@@ -54,7 +61,8 @@
 	onView(view: RankView): void;
 	/** Begins nothing more; resolves when what holds the group has ended. */
 	stop(): Promise<void>;
-	status(): unknown;
+	/** What its decisions rest on now. */
+	status(): CoordinationStatus;
 };
 
 /**
@@ -141,7 +149,12 @@
 			ending.abort();
 			await done;
 		},
-		status: () => ({...admission.state(), slowdown: meter.slowdown(), skew: watch.skew()}),
+		status() {
+			const {running, waiting, passMs} = admission.state();
+			return {
+				running, waiting, passMs: Math.round(passMs), slowdown: round(meter.slowdown()), skew: round(watch.skew()),
+			};
+		},
 	};
 }
 
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -178,6 +178,11 @@
 		coordination.admission.ask(needOf(frame), decision => {
 			metrics.count('group_decisions', {kind: decision.kind});
 			const target = decision.kind === 'placed' ? targetOf(decision.rank) : undefined;
+			log.info({
+				requestId: id, entry: peer.hello.instance, outcome: decision.kind, reason: decision.kind === 'refused' ? decision.reason : undefined, target,
+				waitedMs: Math.round(frame.ask.waitedMs), hasReturned: frame.ask.hasReturned, isResumed: frame.ask.isResumed, viewAgeMs: Math.round(monotonicMs() - viewedMs),
+				...coordination?.status(),
+			}, 'place decided');
 			if (target !== undefined) {
 				placed.set(id, peer.hello.instance);
 				peer.send({kind: 'placed', id, target});
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -80,6 +80,8 @@
 	readonly deadlineMs: number;
 	readonly priority: number;
 	readonly hasReturned: boolean;
+	/** Whether it is a stream that broke and goes on elsewhere. */
+	readonly isResumed: boolean;
 	/** Engines that have failed it, as `IP:PORT`. */
 	readonly excluded: readonly string[];
 };
--- a/packages/policy/src/group-admission.ts
+++ b/packages/policy/src/group-admission.ts
@@ -18,6 +18,8 @@
 	readonly priority: number;
 	/** Whether its caller was refused before, and has come back. */
 	readonly hasReturned: boolean;
+	/** Whether it is a stream that broke elsewhere and goes on here: its caller waits in the middle of an answer. */
+	readonly isResumed: boolean;
 	/** Ranks that have failed it. */
 	readonly excluded: ReadonlySet<number>;
 };
@@ -113,7 +115,8 @@
 request more slows every stream of the group: what counts is the time of the next
 pass with it, predicted from all that runs. A request that finds no room waits a
 little, then is told to come back. Whoever can still be served in time goes before
-those who are late anyway, so that a queue never makes everybody late.
+those who are late anyway, so that a queue never makes everybody late; a stream that
+broke goes on before all of them.
 
 Pattern: more callers than the group can write for at once, through several entries,
 for many seconds.
@@ -253,7 +256,8 @@
 		}
 
 		const rank = bestRank(need);
-		if (rank === undefined || passWith(need, rank) > passShare * need.gapMs) {
+		// A stream that goes on takes the room that it had before it broke.
+		if (rank === undefined || (!need.isResumed && passWith(need, rank) > passShare * need.gapMs)) {
 			return undefined;
 		}
 
@@ -276,7 +280,7 @@
 	// Whoever can still be served in time goes first, the most pressed before the others; who is late takes what is left.
 	const compare = (a: Waiting, b: Waiting, now: number): number => {
 		const [slackA, slackB] = [slackMs(a.need, a.sinceMs, now), slackMs(b.need, b.sinceMs, now)];
-		return Number(slackB >= 0) - Number(slackA >= 0) || a.need.priority - b.need.priority || slackA - slackB;
+		return Number(b.need.isResumed) - Number(a.need.isResumed) || Number(slackB >= 0) - Number(slackA >= 0) || a.need.priority - b.need.priority || slackA - slackB;
 	};
 
 	const tick = (): void => {
--- a/packages/policy/test/group.test.ts
+++ b/packages/policy/test/group.test.ts
@@ -36,7 +36,7 @@
 	});
 
 	const need = (id: string, more: Partial<GroupNeed> = {}): GroupNeed => ({
-		id, promptTokens: 100, answerTokens: 100, waitedMs: 0, objectiveMs: 500, gapMs: 40, deadlineMs: 8000, priority: 1, hasReturned: false, excluded: new Set(), ...more,
+		id, promptTokens: 100, answerTokens: 100, waitedMs: 0, objectiveMs: 500, gapMs: 40, deadlineMs: 8000, priority: 1, hasReturned: false, isResumed: false, excluded: new Set(), ...more,
 	});
 
 	const ask = (admission: GroupAdmission, asked: GroupNeed): GroupDecision[] => {
@@ -111,6 +111,17 @@
 		expect(first[0]?.kind).to.equal('refused');
 	});
 
+	it('lets a stream that broke go on at once, in the room that it had', () => {
+		const admission = admissionOf({nowMs: 0});
+		fill(admission);
+		const waiting = ask(admission, need('waiting'));
+		admission.ended('fill-0');
+		ask(admission, need('fill-0-again'));
+		const resumed = ask(admission, need('resumed', {isResumed: true, waitedMs: 3000}));
+		expect(resumed[0]?.kind).to.equal('placed');
+		expect(waiting[0]?.kind).to.equal('placed');
+	});
+
 	it('gives room to one that can be in time before one that is late anyway', () => {
 		const clock = {nowMs: 0};
 		const admission = admissionOf(clock);
