Let the next sidecar take over a held group within a third of a second

The next candidate waited 1.5 s, and could not have reached the dead sidecar's rank, whose engine it forgot with the connection.

Now it waits 0.3 s, remembers the engine, and tells all ranks its token without waiting for their lagging reports.

--- a/packages/experts/src/pass-order.ts
+++ b/packages/experts/src/pass-order.ts
@@ -62,6 +62,8 @@
 /** The ranks of a group, wherever they stand. */
 export type PassRanks = {
 	readonly count: number;
+	/** Gives one command to one rank, once, and does not look at what came of it. */
+	order(rank: number, guarded: GuardedCommand): Promise<CommandResult>;
 	/** Gives one command to one rank, once, and brings the rank's state after it. */
 	command(rank: number, guarded: GuardedCommand): Promise<CommandReply>;
 	/** Asks a rank for its state; `undefined` when it can't be reached. */
--- a/packages/experts/src/pass-switch.ts
+++ b/packages/experts/src/pass-switch.ts
@@ -8,6 +8,9 @@
 /** How often a rank is told to arm that does not answer: the group waits meanwhile. */
 const armTries = 3;
 
+/** How often a rank is told a token that does not answer. */
+const fenceTries = 4;
+
 /** Pause between two looks at ranks that copy, and before a command is given again, in milliseconds. */
 const pauseMs = 25;
 
@@ -148,7 +151,7 @@
 			return decided === 'superseded' ? {kind: 'superseded'} : {kind: 'unreachable'};
 		}
 
-		await options.ranks.command(holder.rank, guard({kind: 'release', pass}, options));
+		await options.ranks.order(holder.rank, guard({kind: 'release', pass}, options));
 	}
 
 	return {kind: 'superseded'};
@@ -234,8 +237,18 @@
 /** Tells every rank the token by a command that changes nothing: no pass before the first is held. */
 async function fenceAll(options: PassSwitchOptions): Promise<Step> {
 	const results = await Promise.all(ranksOf(options).map(async (rank): Promise<Step> => {
-		const reply = await options.ranks.command(rank, guard({kind: 'release', pass: 0}, options));
-		return reply.result === 'obeyed' ? 'done' : (reply.result === 'fenced' ? 'superseded' : 'failed');
+		for (let i = 0; i < fenceTries; i++) {
+			const result = await options.ranks.order(rank, guard({kind: 'release', pass: 0}, options));
+			if (result === 'obeyed') {
+				return 'done';
+			}
+
+			if (result === 'fenced') {
+				return 'superseded';
+			}
+		}
+
+		return 'failed';
 	}));
 	return worst(results);
 }
--- a/packages/experts/test/pass-switch.test.ts
+++ b/packages/experts/test/pass-switch.test.ts
@@ -24,6 +24,10 @@
 	return {
 		count: group.ranks.length,
 		late,
+		async order(rank, guarded) {
+			const {result} = await this.command(rank, guarded);
+			return result;
+		},
 		async look(rank) {
 			return viewOf(group, rank);
 		},
@@ -198,6 +202,10 @@
 				async look(rank) {
 					return isDead ? forever() : viewOf(group, rank);
 				},
+				async order(rank, guarded) {
+					const {result} = await this.command(rank, guarded);
+					return result;
+				},
 				async command(rank, {command, fencingToken, formation}) {
 					const diesHere = (death === 'armHalf' && command.kind === 'arm' && rank === 1)
 						|| (death === 'withdraw' && command.kind === 'disarm') || command.kind === death;
--- a/packages/group/src/index.ts
+++ b/packages/group/src/index.ts
@@ -10,3 +10,4 @@
 } from './remote-ranks.js';
 export {watchSkew, type SkewWatch} from './skew-watch.js';
 export {createGroupSidecar, type GroupSidecar, type GroupSidecarDeps} from './sidecar.js';
+export {createRoster, type Roster} from './roster.js';
--- a/packages/group/src/remote-ranks.ts
+++ b/packages/group/src/remote-ranks.ts
@@ -67,6 +67,15 @@
 
 	return {
 		count: options.size,
+		async order(rank, guarded) {
+			const member = options.member(rank);
+			if (rank === options.ownRank || member?.peer) {
+				const {result} = await this.command(rank, guarded);
+				return result;
+			}
+
+			return member ? options.connect(member.target).command(guarded) : 'unknown';
+		},
 		async command(rank, guarded) {
 			if (rank === options.ownRank) {
 				return options.own.command(guarded);
--- a/packages/group/src/roster.ts
+++ b/packages/group/src/roster.ts
@@ -11,6 +11,7 @@
 	noticeOf(peer: Peer): RankNotice | undefined;
 	/** Every sidecar that has told, of whatever group. */
 	peers(): readonly Peer[];
+	/** A rank of a group; without a peer where its sidecar was there and is gone. */
 	member(group: string, rank: number): Member | undefined;
 	/** Those that coordinate a group, as they say. */
 	coordinators(group: string): readonly Peer[];
@@ -21,10 +22,12 @@
 /** Makes an empty roster. */
 export function createRoster(): Roster {
 	const notices = new Map<Peer, RankNotice>();
+	const targets = new Map<string, string>();
 	const of = (group: string): ReadonlyArray<readonly [Peer, RankNotice]> => [...notices].filter(([, notice]) => notice.group === group);
 	return {
 		set(peer, notice) {
 			notices.set(peer, notice);
+			targets.set(`${notice.group}/${notice.rank}`, notice.target);
 		},
 		remove(peer) {
 			notices.delete(peer);
@@ -33,7 +36,12 @@
 		peers: () => [...notices.keys()],
 		member(group, rank) {
 			const found = of(group).find(([, notice]) => notice.rank === rank);
-			return found && {rank, target: found[1].target, peer: found[0]};
+			if (found) {
+				return {rank, target: found[1].target, peer: found[0]};
+			}
+
+			const target = targets.get(`${group}/${rank}`);
+			return target === undefined ? undefined : {rank, target, peer: undefined};
 		},
 		coordinators: group => of(group).filter(([, {isCoordinator}]) => isCoordinator).map(([peer]) => peer),
 		hasLower: (group, rank) => of(group).some(([, notice]) => notice.rank < rank && notice.rank < candidates),
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -10,8 +10,11 @@
 import {type Member} from './remote-ranks.js';
 import {candidates, createRoster} from './roster.js';
 
-/** How long a candidate waits for each lower rank's sidecar before it coordinates itself, in milliseconds: some times the silence after which a peer counts as gone. */
-const successionMs = 1500;
+/** How long a candidate waits for each lower rank's sidecar before it coordinates itself, in milliseconds: time to connect again, as the group may be held meanwhile. */
+const successionMs = 300;
+
+/** How much longer it waits after its own start, in milliseconds, until the others have been reached. */
+const startMs = 2000;
 
 /** How long the own rank may be out of reach before its sidecar gives the coordination up, in milliseconds: some looks that time out. */
 const rankLostMs = 1000;
@@ -58,7 +61,7 @@
 	let terms = 0;
 	let notice: RankNotice | undefined;
 	let open: readonly boolean[] = [];
-	let lowerSeenMs = monotonicMs();
+	let lowerSeenMs = monotonicMs() + startMs;
 	let viewedMs = monotonicMs();
 	let isLeaving = false;
 
