--- a/packages/experts/src/pass-switch.ts
+++ b/packages/experts/src/pass-switch.ts
@@ -6,7 +6,7 @@
 const holdTries = 4;
 
 /** How often a rank is told to arm that does not answer: the group waits meanwhile. */
-const armTries = 3;
+const armTries = 8;
 
 /** How often a rank is told a token that does not answer. */
 const fenceTries = 4;
@@ -21,11 +21,13 @@
 	/** The rank that holds the group, best the one beside the coordinator. */
 	readonly holder: number;
 	/**
-	Names the pass to hold when `begun` is the last one begun. It must name a higher
-	one each time for the life of a token: the release of an earlier hold may be
-	obeyed late, and would let the group go in the middle of a switch.
+	Names the pass to hold when `begun` is the last one begun; further ahead where
+	orders went unanswered, so that ranks can be told again before the group has to
+	wait. It must name a higher one each time for the life of a token: the release of
+	an earlier hold may be obeyed late, and would let the group go in the middle of a
+	switch.
 	*/
-	readonly passAfter: (begun: number) => number;
+	readonly passAfter: (begun: number, hasSilence: boolean) => number;
 	readonly prepareTimeoutMs: number;
 	readonly nowMs: () => number;
 	readonly sleep: (ms: number) => Promise<void>;
@@ -65,13 +67,14 @@
 	options: PassSwitchOptions,
 ): Promise<PassSwitchResult> {
 	const startedMs = options.nowMs();
-	const prepared = await prepareAll(version, map, options);
+	const silence = {isHeard: false};
+	const prepared = await prepareAll(version, map, silence, options);
 	if (prepared !== 'done') {
 		return prepared === 'superseded' ? {kind: 'superseded'} : {kind: 'abandoned', at: 'prepare'};
 	}
 
 	const preparedMs = options.nowMs() - startedMs;
-	const pass = await holdAhead(options);
+	const pass = await holdAhead(silence.isHeard, options);
 	if (typeof pass === 'string') {
 		return pass === 'superseded' ? {kind: 'superseded'} : {kind: 'abandoned', at: 'hold'};
 	}
@@ -157,11 +160,12 @@
 	return {kind: 'superseded'};
 }
 
-async function prepareAll(version: number, map: LayeredMap, options: PassSwitchOptions): Promise<Step> {
+async function prepareAll(version: number, map: LayeredMap, silence: {isHeard: boolean}, options: PassSwitchOptions): Promise<Step> {
 	const untilMs = options.nowMs() + options.prepareTimeoutMs;
 	const results = await Promise.all(ranksOf(options).map(async (rank): Promise<Step> => {
 		let reply = await options.ranks.command(rank, guard({kind: 'prepare', version, map}, options));
 		while (!options.isStopped() && options.nowMs() < untilMs) {
+			silence.isHeard ||= reply.result === 'unknown';
 			if (reply.result === 'fenced' || isOtherFormation(reply.view, options)) {
 				return 'superseded';
 			}
@@ -183,14 +187,14 @@
 	return worst(results);
 }
 
-async function holdAhead(options: PassSwitchOptions): Promise<number | 'failed' | 'superseded'> {
+async function holdAhead(hasSilence: boolean, options: PassSwitchOptions): Promise<number | 'failed' | 'superseded'> {
 	for (let i = 0; i < holdTries && !options.isStopped(); i++) {
 		const view = await options.ranks.look(options.holder);
 		if (!view?.isOpen) {
 			return 'failed';
 		}
 
-		const pass = options.passAfter(view.pass);
+		const pass = options.passAfter(view.pass, hasSilence);
 		const reply = await options.ranks.command(options.holder, guard({kind: 'hold', pass}, options));
 		if (reply.result === 'fenced' || isOtherFormation(reply.view, options)) {
 			return 'superseded';
--- a/packages/experts/test/pass-switch.test.ts
+++ b/packages/experts/test/pass-switch.test.ts
@@ -122,6 +122,24 @@
 		expect(group.mixed()).to.equal(0);
 	});
 
+	it('holds further ahead when orders went unanswered, so that the group need not wait for the arms', async () => {
+		const group = createPassGroup(3);
+		const seen: boolean[] = [];
+		let isFirst = true;
+		const ranks = ranksOf(group, (rank, {command}) => {
+			const isLost = isFirst && rank === 1 && command.kind === 'prepare';
+			isFirst &&= !isLost;
+			return isLost ? 'lost' : 'answered';
+		});
+		await switchPass({version: 4, map, current: map}, optionsOf(group, ranks, {
+			passAfter(begun, hasSilence) {
+				seen.push(hasSilence);
+				return begun + 2;
+			},
+		}));
+		expect(seen).to.deep.equal([true]);
+	});
+
 	it('is abandoned when a rank does not get its copy done', async () => {
 		const group = createPassGroup(3);
 		const result = await switchPass({version: 4, map, current: map}, optionsOf(group, ranksOf(group, (rank, {command}) => rank === 1 && command.kind === 'prepare' ? 'lost' : 'answered')));
--- a/packages/group/src/map-keeper.ts
+++ b/packages/group/src/map-keeper.ts
@@ -12,6 +12,9 @@
 /** Passes between the one that was begun and the one that is held: the arms take less than a pass, so the group seldom stops. */
 const passesAhead = 2;
 
+/** The same where orders go unanswered, and ranks have to be told several times. */
+const passesAheadOfSilence = 10;
+
 /** Pause between two looks at the demand, in milliseconds. */
 const planMs = 60;
 
@@ -100,8 +103,8 @@
 	const options: PassSwitchOptions = {
 		ranks: deps.ranks, fencingToken: token, formation: deps.formation, holder: deps.ownRank, prepareTimeoutMs, decideTimeoutMs,
 		nowMs: deps.nowMs, sleep: deps.sleep, isStopped: deps.isStopped,
-		passAfter(begun) {
-			heldLast = Math.max(heldLast + 1, begun + passesAhead);
+		passAfter(begun, hasSilence) {
+			heldLast = Math.max(heldLast + 1, begun + (hasSilence ? passesAheadOfSilence : passesAhead));
 			return heldLast;
 		},
 	};
