--- a/packages/group/src/roster.ts
+++ b/packages/group/src/roster.ts
@@ -15,6 +15,8 @@
 	member(group: string, rank: number): Member | undefined;
 	/** Those that coordinate a group, as they say. */
 	coordinators(group: string): readonly Peer[];
+	/** Whether a candidate of a lower rank coordinates, as it says. */
+	lowerCoordinates(group: string, rank: number): boolean;
 	/** Whether a candidate of a lower rank is there. */
 	hasLower(group: string, rank: number): boolean;
 };
@@ -44,6 +46,7 @@
 			return target === undefined ? undefined : {rank, target, peer: undefined};
 		},
 		coordinators: group => of(group).filter(([, {isCoordinator}]) => isCoordinator).map(([peer]) => peer),
+		lowerCoordinates: (group, rank) => of(group).some(([, notice]) => notice.rank < rank && notice.isCoordinator),
 		hasLower: (group, rank) => of(group).some(([, notice]) => notice.rank < rank && notice.rank < candidates),
 	};
 }
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -117,12 +117,15 @@
 			lowerSeenMs = now;
 		}
 
-		const mayCoordinate = !isLeaving && view.rank < candidates && !hasLower && now - lowerSeenMs >= successionMs * view.rank;
-		if (coordination && (!mayCoordinate || coordination.formation !== view.formation)) {
-			stepDown(mayCoordinate ? 'the group formed anew' : 'a lower rank coordinates');
+		if (coordination && roster.lowerCoordinates(view.group, view.rank)) {
+			stepDown('a lower rank coordinates');
+		} else if (coordination && coordination.formation !== view.formation) {
+			stepDown('the group formed anew');
 		}
 
-		if (!coordination && mayCoordinate && view.isOpen) {
+		// The lowest rank waits for nobody, so that a group is coordinated as soon as its processes are back.
+		const isDue = view.rank === 0 || (view.rank < candidates && !hasLower && now - lowerSeenMs >= successionMs * view.rank);
+		if (!coordination && isDue && !isLeaving && view.isOpen) {
 			coordination = coordinate({
 				...deps, view, own, member, open: () => open, entries: () => entries.size,
 				takeToken: async () => deps.takeToken(view.group),
--- a/packages/group/test/roster.test.ts
+++ b/packages/group/test/roster.test.ts
@@ -20,6 +20,9 @@
 		expect(roster.coordinators('g')).to.deep.equal([zero]);
 		expect(roster.hasLower('g', 1)).to.equal(true);
 		expect(roster.hasLower('other', 1)).to.equal(false);
+		expect([roster.lowerCoordinates('g', 3), roster.lowerCoordinates('g', 0)]).to.deep.equal([true, false]);
+		roster.set(zero, noticeOf(0, {isCoordinator: false}));
+		expect(roster.lowerCoordinates('g', 3), 'there, but not yet at work').to.equal(false);
 		roster.remove(zero);
 		expect(roster.hasLower('g', 1)).to.equal(false);
 	});
--- /dev/null
+++ b/packages/group/test/sidecar.test.ts
@@ -0,0 +1,134 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import {describe, it} from 'mocha';
+import {type RankView} from '@papayaflow/experts';
+import {type Frame, type Peer, type RankNotice} from '@papayaflow/peer';
+import {createLog, createMetrics} from '@papayaflow/telemetry';
+import {createGroupSidecar, type GroupSidecar, type RankEngine} from '@papayaflow/group';
+
+const size = 3;
+
+const viewOf = (rank: number): RankView => ({
+	group: 'g', formation: 1, isOpen: true, rank, size, pass: 5, isCopying: false, mapVersion: 0, prepared: undefined, armed: undefined, held: undefined, pace: 1,
+	queued: 0, active: 0, usedTokens: 0,
+});
+
+const engineOf = (rank: number): RankEngine => ({
+	view: async () => viewOf(rank),
+	counts: async () => undefined,
+	experts: async () => ({formation: 1, version: 0, experts: [[rank]]}),
+	command: async () => 'obeyed',
+});
+
+const targetOf = (rank: number): string => `10.0.0.${rank}:80`;
+
+/** A sidecar at work, with a clock that a test sets. */
+function startSidecar(rank: number, clock: {nowMs: number}): {sidecar: GroupSidecar; stop: () => void} {
+	const ending = new AbortController();
+	const sidecar = createGroupSidecar({
+		target: targetOf(rank), engine: engineOf(rank), connect: target => engineOf(Number(target.slice(7, 8))),
+		model: () => ({
+			slots: 8, memoryTokens: 100_000, stepsPerPass: 4, stepMs: 4, sequenceMs: 1, contextMsPerThousand: 0, prefillTokensPerMs: 60, pairsMsPerMillion: 0, chunkTokens: 512,
+			reportLagMs: 1, usualPromptTokens: 800, usualAnswerTokens: 100,
+			experts: {
+				layers: 1, expertsPerLayer: 3, slotsPerRank: 2, maxNewPerLayer: 1, workShare: 0.8, formMs: 1,
+			},
+		}),
+		records: () => Array.from({length: size}, (_, index) => ({
+			id: `i-${index}`, incarnation: 1, service: 's', host: `10.0.0.${index}`, port: 80, zone: 'z', slots: 8, state: 'serving' as const, warmingMs: 0,
+		})),
+		takeToken: async () => 1, weights: {goodSkew: 1.1, copyCost: 0, copyMs: 1}, metrics: createMetrics(), log: createLog({}, 'error'),
+		monotonicMs: () => clock.nowMs, random: () => 0.5, signal: ending.signal,
+		async sleep() {
+			await sleep(2);
+		},
+	});
+	return {
+		sidecar,
+		stop() {
+			ending.abort();
+		},
+	};
+}
+
+function peerOf(role: 'entry' | 'sidecar', sent: Frame[]): Peer {
+	return {
+		host: '10.0.0.9', close: () => undefined, send: frame => sent.push(frame),
+		hello: {
+			kind: 'hello', version: 1, role, instance: `${role}-1`, incarnation: 'x', zone: 'z', sentMs: 0,
+		},
+	};
+}
+
+const noticeOf = (rank: number, isCoordinator: boolean): RankNotice => ({
+	group: 'g', formation: 1, rank, size, isOpen: true, target: targetOf(rank), isCoordinator, term: 1,
+});
+
+const isCoordinator = (sidecar: GroupSidecar): boolean => (sidecar.status() as {isCoordinator: boolean}).isCoordinator;
+
+describe('the sidecars of a group', () => {
+	it('are coordinated by the lowest rank at once', async () => {
+		const {sidecar, stop} = startSidecar(0, {nowMs: 0});
+		await sleep(20);
+		expect(isCoordinator(sidecar)).to.equal(true);
+		stop();
+		await sidecar.leave();
+	});
+
+	it('are taken over by the next rank soon after the lowest is gone, and given back when it works again', async () => {
+		const clock = {nowMs: 10_000};
+		const {sidecar, stop} = startSidecar(1, clock);
+		const lower = peerOf('sidecar', []);
+		sidecar.onUp(lower);
+		sidecar.onFrame(lower, {kind: 'rank', notice: noticeOf(0, true)});
+		clock.nowMs = 20_000;
+		await sleep(20);
+		expect(isCoordinator(sidecar), 'while the lower one lives').to.equal(false);
+		sidecar.onDown(lower);
+		clock.nowMs += 100;
+		await sleep(20);
+		expect(isCoordinator(sidecar), 'too soon').to.equal(false);
+		clock.nowMs += 300;
+		await sleep(20);
+		expect(isCoordinator(sidecar), 'taken over').to.equal(true);
+
+		const back = peerOf('sidecar', []);
+		sidecar.onUp(back);
+		sidecar.onFrame(back, {kind: 'rank', notice: noticeOf(0, false)});
+		await sleep(20);
+		expect(isCoordinator(sidecar), 'there, but not yet at work').to.equal(true);
+		sidecar.onFrame(back, {kind: 'rank', notice: noticeOf(0, true)});
+		await sleep(20);
+		expect(isCoordinator(sidecar), 'given back').to.equal(false);
+		stop();
+		await sidecar.leave();
+	});
+
+	it('place a request where the entry finds its engine, and forget an entry\'s streams that it no longer names', async () => {
+		const {sidecar, stop} = startSidecar(0, {nowMs: 0});
+		const sent: Frame[] = [];
+		const entry = peerOf('entry', sent);
+		sidecar.onUp(entry);
+		for (const rank of [1, 2]) {
+			const peer = peerOf('sidecar', []);
+			sidecar.onUp(peer);
+			sidecar.onFrame(peer, {kind: 'rank', notice: noticeOf(rank, false)});
+		}
+
+		await sleep(20);
+		sidecar.onFrame(entry, {
+			kind: 'place', ask: {
+				id: 'r-1', promptTokens: 100, answerTokens: 100, waitedMs: 0, objectiveMs: 500, gapMs: 120, deadlineMs: 8000, priority: 1, hasReturned: false, isResumed: false,
+				excluded: [targetOf(0)],
+			},
+		});
+		const placed = sent.find(frame => frame.kind === 'placed');
+		expect(placed?.target).to.be.oneOf([targetOf(1), targetOf(2)]);
+		const running = (): number => (sidecar.status() as {load: {running: number}}).load.running;
+		expect(running()).to.equal(1);
+		sidecar.onFrame(entry, {kind: 'streams', streams: []});
+		expect(running()).to.equal(0);
+		stop();
+		await sidecar.leave();
+	});
+});
