--- /dev/null
+++ b/packages/cli/test/directory.test.ts
@@ -0,0 +1,124 @@
+import {once} from 'node:events';
+import {type AddressInfo} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {type Peer} from '@papayaflow/peer';
+import {connectPlatformStore} from '@papayaflow/platform';
+import {createPlatformStore, type PlatformStore} from '@papayaflow/standins';
+import {createLog, createMetrics} from '@papayaflow/telemetry';
+import {expect} from 'chai';
+import {
+	afterEach, beforeEach, describe, it,
+} from 'mocha';
+import {openDirectory, type Directory} from '../src/directory.js';
+
+const configuration = (version: number): string => JSON.stringify({
+	version, routes: [], services: [{name: 'llm'}],
+	limits: {
+		max_header_bytes: 1, max_body_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1,
+	},
+});
+
+const registration = (state: string, seq = 1): string => JSON.stringify({
+	service: 'llm', address: '10.0.0.9:80', zone: 'z', slots: 8, state, cold_remaining_ms: 0, seq, born: 7,
+});
+
+describe('the directory of a process', () => {
+	let standin: PlatformStore;
+	let port: number;
+	let ending: AbortController;
+
+	beforeEach(async () => {
+		standin = createPlatformStore(Date.now);
+		standin.server.listen(0, '127.0.0.1');
+		await once(standin.server, 'listening');
+		port = (standin.server.address() as AddressInfo).port;
+		ending = new AbortController();
+		standin.put('op/config', configuration(3));
+		standin.put('servers/i-1', registration('ready'));
+	});
+
+	afterEach(() => {
+		ending.abort();
+		standin.server.closeAllConnections();
+		standin.server.close();
+	});
+
+	const open = (storePort: number, isFed: boolean): {directory: Directory; versions: number[]; states: string[]} => {
+		const versions: number[] = [];
+		const states: string[] = [];
+		const directory = openDirectory({
+			store: connectPlatformStore({address: `127.0.0.1:${storePort}`, timeoutMs: 100}), pauseMs: 10, isFed,
+			log: createLog({}, 'error'), metrics: createMetrics(), monotonicMs: () => performance.now(), random: () => 0.5, signal: ending.signal,
+			async sleep(ms) {
+				await sleep(ms, undefined, {ref: false});
+			},
+			onTable: ({configuration: {version}}) => versions.push(version),
+			onRecords: records => states.push(records.map(({id, state}) => `${id} ${state}`).join(', ')),
+		});
+		return {directory, versions, states};
+	};
+
+	/** Joins two directories, as a connection between their processes does. */
+	const join = (a: Directory, b: Directory): void => {
+		const hello = {instance: 'peer'} as Peer['hello'];
+		const toB: Peer = {
+			hello, host: '', close: () => undefined, send: frame => setImmediate(() => b.onFrame(toA, frame)),
+		};
+		const toA: Peer = {
+			hello, host: '', close: () => undefined, send: frame => setImmediate(() => a.onFrame(toB, frame)),
+		};
+		a.onUp(toB);
+		b.onUp(toA);
+	};
+
+	it('follows configuration and registrations, and tells only of what matters', async () => {
+		const {versions, states} = open(port, false);
+		await sleep(60);
+		standin.put('servers/i-1', registration('ready', 2));
+		standin.put('op/config', configuration(4));
+		await sleep(60);
+		standin.put('servers/i-1', registration('draining', 3));
+		standin.put('servers/junk', 'not JSON');
+		await sleep(60);
+		expect(versions).to.deep.equal([3, 4]);
+		expect([...new Set(states)]).to.deep.equal(['i-1 serving', 'i-1 leaving']);
+	});
+
+	it('learns from a peer what the store does not tell it', async () => {
+		const reading = open(port, false);
+		const cut = open(1, false);
+		join(reading.directory, cut.directory);
+		await sleep(150);
+		expect(cut.versions).to.deep.equal([3]);
+		standin.put('servers/i-1', registration('draining'));
+		standin.put('op/config', configuration(9));
+		await sleep(150);
+		expect(cut.versions).to.deep.equal([3, 9]);
+		expect(cut.states.at(-1)).to.equal('i-1 leaving');
+		reading.directory.stop();
+		cut.directory.stop();
+	});
+
+	it('leaves the store to its peers while they feed it', async () => {
+		const reading = open(port, false);
+		await sleep(60);
+		const fed = open(port, true);
+		join(reading.directory, fed.directory);
+		await sleep(100);
+		const before = standin.calls.get('/papayaflow/kv-range') ?? 0;
+		standin.put('op/config', configuration(5));
+		await sleep(100);
+		expect(fed.versions.at(-1)).to.equal(5);
+		expect(standin.calls.get('/papayaflow/kv-range')).to.equal(before);
+		reading.directory.stop();
+		fed.directory.stop();
+	});
+
+	it('keeps the configuration that it has when the next one can\'t be read', async () => {
+		const {directory} = open(port, false);
+		await sleep(60);
+		standin.put('op/config', '{"version": "x"}');
+		await sleep(60);
+		expect(directory.table()?.configuration.version).to.equal(3);
+	});
+});
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -164,4 +164,94 @@
 		find: 'res.write(`event: error\\ndata: ${JSON.stringify(problem)}\\n\\n`, () => {\n\t\t\t\t\tres.destroy();\n\t\t\t\t});', replace: String.raw`res.end('data: [DONE]\n\n');`,
 		spec: 'caller/test/caller.test.ts', test: 'is a stream ends with an error event',
 	},
+	{
+		name: 'a map is used only when every rank is armed for it', file: 'experts/src/pass-switch.ts',
+		find: 'return armed.every(Boolean);', replace: 'return armed.some(Boolean);',
+		spec: 'experts/test/pass-switch.test.ts', test: 'takes the map back from all',
+	},
+	{
+		name: 'a map that is taken back has a higher version prepared over it', file: 'experts/src/pass-switch.ts',
+		find: 'const sealed = await options.ranks.command(rank, guard({kind: \'prepare\', version: version + 1, map: current}, options));', replace: 'const sealed = disarmed;',
+		spec: 'experts/test/pass-switch.test.ts', test: 'takes the map back from all',
+	},
+	{
+		name: 'a coordinator that takes over is heard by every rank before it looks', file: 'experts/src/pass-switch.ts',
+		find: 'const fenced = await fenceAll(options);', replace: 'const fenced = \'done\' as Step;',
+		spec: 'experts/test/pass-switch.test.ts', test: 'looks only after every rank',
+	},
+	{
+		name: 'an answer counts only with the id of the request', file: 'direct/src/exchange.ts',
+		find: 'head.requestId !== undefined && head.requestId !== request.requestId', replace: 'request.requestId === \'\'',
+		spec: '../platform/test/direct/calls.test.ts', test: 'answer is lost, torn, unproved',
+	},
+	{
+		name: 'a success counts only with the seal of its target', file: 'direct/src/exchange.ts',
+		find: '(status < 300 && !head.isSealed)', replace: 'request.requestId === \'\'',
+		spec: '../platform/test/direct/calls.test.ts', test: 'answer is lost, torn, unproved',
+	},
+	{
+		name: 'a broken connection is not the end of an answer', file: 'direct/src/exchange.ts',
+		find: 'const isCut = connection.far === \'failed\' || (connection.far === \'ended\' && isFramed);', replace: 'const isCut = false;',
+		spec: '../platform/test/direct/calls.test.ts', test: 'without a length only if',
+	},
+	{
+		name: 'what may have run and may not be repeated is not sent again', file: 'direct/src/forward.ts',
+		find: '(sending.kind === \'notRun\' || isRepeatable(call))', replace: 'true',
+		spec: '../platform/test/direct/calls.test.ts', test: 'sent once when its answer is lost',
+	},
+	{
+		name: 'sendings stay within their budget', file: 'direct/src/forward.ts',
+		find: '!deps.resends.tryTake(call.service)', replace: 'call.service === \'\'',
+		spec: '../platform/test/direct/calls.test.ts', test: 'beyond the budget',
+	},
+	{
+		name: 'what may not be repeated has a connection of its own', file: 'direct/src/forward.ts',
+		find: 'isRepeatable(call) ? repeatableRestMs : 0', replace: 'repeatableRestMs',
+		spec: '../platform/test/direct/calls.test.ts', test: 'on a connection of its own',
+	},
+	{
+		name: 'an event that a caller has is not sent twice', file: 'direct/src/forward.ts',
+		find: 'event.id !== undefined && event.id <= progress.lastEvent', replace: 'event.id === -1',
+		spec: '../platform/test/direct/streams.test.ts', test: 'breaks within an event goes on',
+	},
+	{
+		name: 'a stream that ends within an event is not whole', file: 'direct/src/forward.ts',
+		find: 'if (splitter.isTorn) {', replace: 'if (head.status === 0) {',
+		spec: '../platform/test/direct/streams.test.ts', test: 'ends in order but within',
+	},
+	{
+		name: 'an older value does not take the place of a newer one', file: 'mirror/src/mirror.ts',
+		find: 'held && held.revision >= change.entry.revision', replace: 'held && held.revision < 0',
+		spec: 'mirror/test/mirror.test.ts', test: 'never goes back',
+	},
+	{
+		name: 'keys that lapsed in an outage get time to come back', file: 'mirror/src/follow.ts',
+		find: 'mirror.replace(result, () => isSparing);', replace: 'mirror.replace(result);',
+		spec: 'mirror/test/mirror.test.ts', test: 'gives keys that lapsed',
+	},
+	{
+		name: 'an entry\'s streams are forgotten when it no longer names them', file: 'group/src/sidecar.ts',
+		find: 'forget(peer.hello.instance, new Set(streams.map(({id}) => id)));', replace: '',
+		spec: 'group/test/sidecar.test.ts', test: 'place a request where',
+	},
+	{
+		name: 'the next rank waits for the lowest, and no longer', file: 'group/src/sidecar.ts',
+		find: '!hasLower && now - lowerSeenMs >= successionMs * view.rank', replace: 'now < 0',
+		spec: 'group/test/sidecar.test.ts', test: 'taken over by the next rank',
+	},
+	{
+		name: 'a key is not passed on', file: '../platform/src/headers.ts',
+		find: '\'x-key\', \'x-tenant\',', replace: '\'x-tenant\',',
+		spec: '../platform/test/decode.test.ts', test: 'never pass a key on',
+	},
+	{
+		name: 'a request has to leave passes within the allowed pause', file: 'policy/src/group-admission.ts',
+		find: 'passWith(need, rank) > passShare * need.gapMs', replace: 'need.gapMs < 0',
+		spec: 'policy/test/group.test.ts', test: 'lets in only what keeps',
+	},
+	{
+		name: 'who can be in time goes before who is late anyway', file: 'policy/src/group-admission.ts',
+		find: 'Number(slackB >= 0) - Number(slackA >= 0) ||', replace: '',
+		spec: 'policy/test/group.test.ts', test: 'gives room to one that can be in time',
+	},
 ];
--- a/test/guards.js
+++ b/test/guards.js
@@ -16,6 +16,7 @@
 async function copyTree() {
 	const directory = await mkdtemp(path.join(tmpdir(), 'papayaflow-guards-'));
 	await cp(path.join(root, 'packages'), path.join(directory, 'packages'), {recursive: true});
+	await cp(path.join(root, 'platform'), path.join(directory, 'platform'), {recursive: true});
 	await cp(path.join(root, 'package.json'), path.join(directory, 'package.json'));
 	await cp(path.join(root, 'tsconfig.json'), path.join(directory, 'tsconfig.json'));
 	await mkdir(path.join(directory, 'node_modules/@papayaflow'), {recursive: true});
@@ -29,6 +30,7 @@
 		await symlink(path.join(directory, 'packages', name), path.join(directory, 'node_modules/@papayaflow', name));
 	}
 
+	await symlink(path.join(directory, 'platform'), path.join(directory, 'node_modules/@papayaflow/platform'));
 	return directory;
 }
 
