--- a/packages/cli/test/directory.test.ts
+++ b/packages/cli/test/directory.test.ts
@@ -60,7 +60,9 @@
 
 	/** Joins two directories, as a connection between their processes does. */
 	const join = (a: Directory, b: Directory): void => {
-		const hello = {instance: 'peer'} as Peer['hello'];
+		const hello: Peer['hello'] = {
+			kind: 'hello', version: 1, role: 'entry', instance: 'peer', incarnation: 'x', zone: 'z', sentMs: 0,
+		};
 		const toB: Peer = {
 			hello, host: '', close: () => undefined, send: frame => setImmediate(() => b.onFrame(toA, frame)),
 		};
