Tell a reset that comes with the last bytes from an orderly end

Cause: bytes and a reset that arrive together are reported as bytes and an end, since the runtime takes the hang-up for one; the test with a reset in the same turn failed before (200 in place of 502). At the end the far address is asked for: a connection that was reset has none.

Ruled out: a reset that comes later (the error is reported), a cut answer with a length or in chunks (its framing shows it).

--- a/packages/direct/src/pool.ts
+++ b/packages/direct/src/pool.ts
@@ -72,7 +72,8 @@
 					connect(options, (error, socket) => {
 					// These come before the library's own listeners, so that they tell before it ends an answer.
 						socket?.once('end', () => {
-							connection.far = 'ended';
+							// Data and a reset that come together look like an orderly end; a connection that was reset has no far end any more.
+							connection.far = socket.remoteAddress === undefined ? 'failed' : 'ended';
 						});
 						socket?.once('error', () => {
 							connection.far = 'failed';
