--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -11,10 +11,10 @@
 import {type EngineModel, type TargetRecord} from '@papayaflow/routing';
 import {addressSetting, numberSetting, type SettingsOf} from '@papayaflow/settings';
 import {createLog, createMetrics, serveAdmin} from '@papayaflow/telemetry';
-import {directSettings} from './direct-settings.js';
+import {directSettings, logFlushMs} from './direct-settings.js';
 import {openDirectory} from './directory.js';
 import {type Running} from './entry-wiring.js';
-import {listen} from './program.js';
+import {listen, onHangup} from './program.js';
 
 /** How long a connection to a target may take to stand, in milliseconds: some round trips between zones. */
 const connectMs = 300;
@@ -74,6 +74,7 @@
 	};
 
 	let isLeaving = false;
+	onHangup(log);
 	metrics.declare('refusals', 'reason', refusalReasons);
 	metrics.declare('losses', 'reason', lossReasons);
 	metrics.declare('retries', 'reason', [...lossReasons, 'failed', 'notRun']);
@@ -191,6 +192,7 @@
 			directory.stop();
 			ending.abort();
 			log.info({}, 'entry stopped');
+			await sleep(logFlushMs);
 		},
 	};
 }
--- a/packages/cli/src/direct-settings.ts
+++ b/packages/cli/src/direct-settings.ts
@@ -4,6 +4,9 @@
 import {logLevels} from '@papayaflow/telemetry';
 import {z} from 'zod';
 
+/** How long a process that has ended its work waits for its last log lines to be written, in milliseconds. */
+export const logFlushMs = 30;
+
 /** The settings that entry and sidecar share where entries reach the targets themselves. */
 export const directSettings = {
 	instance: nameSetting('the name of this instance'),
--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -9,10 +9,10 @@
 import {type TargetRecord} from '@papayaflow/routing';
 import {addressSetting, numberSetting, type SettingsOf} from '@papayaflow/settings';
 import {createLog, createMetrics, serveAdmin} from '@papayaflow/telemetry';
-import {directSettings} from './direct-settings.js';
+import {directSettings, logFlushMs} from './direct-settings.js';
 import {openDirectory} from './directory.js';
 import {type Running} from './entry-wiring.js';
-import {listen} from './program.js';
+import {listen, onHangup} from './program.js';
 
 /** How long a question to an engine may take, in milliseconds: some round trips between zones. */
 const engineMs = 300;
@@ -50,6 +50,7 @@
 	};
 
 	let isLeaving = false;
+	onHangup(log);
 	const target = `${settings.target.host}:${settings.target.port}`;
 	const store = connectPlatformStore({address: `${settings.store.host}:${settings.store.port}`, timeoutMs: settings.storeTimeoutMs});
 	const directory = openDirectory({
@@ -157,6 +158,7 @@
 			ending.abort();
 			server.close();
 			log.info({}, 'sidecar stopped');
+			await sleep(logFlushMs);
 		},
 	};
 }
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -1,6 +1,7 @@
 import process from 'node:process';
 import {type Server} from 'node:http';
 import {type Server as TcpServer} from 'node:net';
+import {type Log} from '@papayaflow/telemetry';
 import {
 	badSettingText, readSettings, type SettingDefs, type SettingsOf,
 } from '@papayaflow/settings';
@@ -55,6 +56,16 @@
 	});
 }
 
+/**
+Goes on through SIGHUP, which would end the process otherwise. Settings are read at
+the start alone, so there is nothing to read again; the log says so.
+*/
+export function onHangup(log: Log): void {
+	process.on('SIGHUP', () => {
+		log.info({outcome: 'unchanged'}, 'reload asked for; settings are read at the start alone');
+	});
+}
+
 /** Calls `stop` at the first signal to end; a second one ends the process at once. */
 export function onStopSignal(stop: () => Promise<void>): void {
 	let isStopping = false;
