--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -1,5 +1,3 @@
-import {randomUUID} from 'node:crypto';
-import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	createFront, createGroupPlacer, createPlainPlacer, createTargets,
@@ -10,11 +8,12 @@
 import {createResendBudget} from '@papayaflow/policy';
 import {type EngineModel, type TargetRecord} from '@papayaflow/routing';
 import {addressSetting, numberSetting, type SettingsOf} from '@papayaflow/settings';
-import {createLog, createMetrics, serveAdmin} from '@papayaflow/telemetry';
+import {serveAdmin} from '@papayaflow/telemetry';
+import {beginProcess} from './direct-process.js';
 import {directSettings, logFlushMs} from './direct-settings.js';
 import {openDirectory} from './directory.js';
 import {type Running} from './entry-wiring.js';
-import {listen, onHangup} from './program.js';
+import {listen} from './program.js';
 
 /** How long a connection to a target may take to stand, in milliseconds: some round trips between zones. */
 const connectMs = 300;
@@ -63,18 +62,10 @@
 */
 export async function startDirectEntry(settings: SettingsOf<typeof directEntrySettings>): Promise<Running> {
 	const {instance, zone} = settings;
-	const incarnation = randomUUID();
-	const log = createLog({program: 'papayaflow-entry', instance, zone}, settings.logLevel);
-	const metrics = createMetrics();
-	const ending = new AbortController();
-	const monotonicMs = (): number => performance.now();
-	const {random} = Math;
-	const pause = async (ms: number): Promise<void> => {
-		await sleep(ms, undefined, {ref: false});
-	};
-
+	const {
+		incarnation, log, metrics, ending, monotonicMs, random, pause,
+	} = beginProcess('papayaflow-entry', settings);
 	let isLeaving = false;
-	onHangup(log);
 	metrics.declare('refusals', 'reason', refusalReasons);
 	metrics.declare('losses', 'reason', lossReasons);
 	metrics.declare('retries', 'reason', [...lossReasons, 'failed', 'notRun']);
--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -1,6 +1,4 @@
-import {randomUUID} from 'node:crypto';
 import {createServer} from 'node:net';
-import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {takeEpoch} from '@papayaflow/experts';
 import {createGroupSidecar, type RankEngine} from '@papayaflow/group';
@@ -8,11 +6,12 @@
 import {connectPlatformStore, connectRank} from '@papayaflow/platform';
 import {type TargetRecord} from '@papayaflow/routing';
 import {addressSetting, numberSetting, type SettingsOf} from '@papayaflow/settings';
-import {createLog, createMetrics, serveAdmin} from '@papayaflow/telemetry';
+import {serveAdmin} from '@papayaflow/telemetry';
+import {beginProcess} from './direct-process.js';
 import {directSettings, logFlushMs} from './direct-settings.js';
 import {openDirectory} from './directory.js';
 import {type Running} from './entry-wiring.js';
-import {listen, onHangup} from './program.js';
+import {listen} from './program.js';
 
 /** How long a question to an engine may take, in milliseconds: some round trips between zones. */
 const engineMs = 300;
@@ -39,18 +38,10 @@
 */
 export async function startDirectSidecar(settings: SettingsOf<typeof directSidecarSettings>): Promise<Running> {
 	const {instance, zone} = settings;
-	const incarnation = randomUUID();
-	const log = createLog({program: 'papayaflow-sidecar', instance, zone}, settings.logLevel);
-	const metrics = createMetrics();
-	const ending = new AbortController();
-	const monotonicMs = (): number => performance.now();
-	const {random} = Math;
-	const pause = async (ms: number): Promise<void> => {
-		await sleep(ms, undefined, {ref: false});
-	};
-
+	const {
+		incarnation, log, metrics, ending, monotonicMs, random, pause,
+	} = beginProcess('papayaflow-sidecar', settings);
 	let isLeaving = false;
-	onHangup(log);
 	const target = `${settings.target.host}:${settings.target.port}`;
 	const store = connectPlatformStore({address: `${settings.store.host}:${settings.store.port}`, timeoutMs: settings.storeTimeoutMs});
 	const directory = openDirectory({
--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -1,6 +1,7 @@
 import {
 	handleFrame, type Frame, type FrameHandlers, type GroupLoad, type Peer, type PlaceAsk, type RankNotice, type StreamNotice,
 } from '@papayaflow/peer';
+import {returnAfterMs} from '@papayaflow/policy';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
 import {type EngineModel} from '@papayaflow/routing';
 import {type Call} from './call.js';
@@ -18,9 +19,6 @@
 /** Entries that are taken to share a group whose coordinator can't be asked and never told. */
 const unknownEntries = 4;
 
-/** The part of the objective that passes between a refusal given here and the caller's return. */
-const returnShare = 0.3;
-
 /** The longest wait for a place that is asked for, as a multiple of the objective. */
 const longestWait = 1;
 
@@ -176,7 +174,7 @@
 		return {kind: 'placed', place};
 	};
 
-	const retryAfter = ({objectiveMs}: PlaceAsk): number => objectiveMs * returnShare * (0.75 + (random() / 2));
+	const retryAfter = ({objectiveMs}: PlaceAsk): number => returnAfterMs(objectiveMs, random);
 
 	const ask = async (coordinator: Peer, question: PlaceAsk, signal: AbortSignal): Promise<Extract<Frame, {kind: 'placed' | 'turnedAway'}> | 'withdrawn' | 'silent'> => new Promise(resolve => {
 		const end = (answer: Extract<Frame, {kind: 'placed' | 'turnedAway'}> | 'withdrawn' | 'silent'): void => {
--- a/packages/direct/src/pool.ts
+++ b/packages/direct/src/pool.ts
@@ -30,8 +30,6 @@
 	dropResting(): void;
 	/** Closes what rests, and each other connection as it is given back. */
 	close(): void;
-	/** Connections opened so far. */
-	opened(): number;
 };
 
 export type PoolOptions = {
@@ -54,7 +52,6 @@
 	const resting: Array<{readonly connection: TargetConnection; readonly sinceMs: number}> = [];
 	const dropped = new WeakSet<TargetConnection>();
 	const connect = buildConnector({timeout: connectMs, keepAlive: true});
-	let opened = 0;
 	let isClosed = false;
 
 	const drop = (connection: TargetConnection): void => {
@@ -87,7 +84,6 @@
 				},
 			}),
 		};
-		opened++;
 		connection.client.on('disconnect', () => {
 			const at = resting.findIndex(({connection: other}) => other === connection);
 			if (at !== -1) {
@@ -130,6 +126,5 @@
 			isClosed = true;
 			dropResting();
 		},
-		opened: () => opened,
 	};
 }
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -4,6 +4,7 @@
 	type CommandResult, type GuardedCommand, type RankOrder, type RankReply, type RankView,
 } from '@papayaflow/experts';
 import {type LossReason, type RefusalReason} from '@papayaflow/outcome';
+import {type GroupNeed} from '@papayaflow/policy';
 
 /** The version of the frames; a peer that speaks another one is turned away. */
 export const protocolVersion = 1;
@@ -69,19 +70,8 @@
 	readonly term: number;
 };
 
-/** A request that asks a group's coordinator for a place. */
-export type PlaceAsk = {
-	readonly id: string;
-	readonly promptTokens: number;
-	readonly answerTokens: number;
-	readonly waitedMs: number;
-	readonly objectiveMs: number;
-	readonly gapMs: number;
-	readonly deadlineMs: number;
-	readonly priority: number;
-	readonly hasReturned: boolean;
-	/** Whether it is a stream that broke and goes on elsewhere. */
-	readonly isResumed: boolean;
+/** A request that asks a group's coordinator for a place; it names engines where the admission has ranks. */
+export type PlaceAsk = Omit<GroupNeed, 'excluded'> & {
 	/** Engines that have failed it, as `IP:PORT`. */
 	readonly excluded: readonly string[];
 };
--- a/packages/policy/src/group-admission.ts
+++ b/packages/policy/src/group-admission.ts
@@ -1,4 +1,5 @@
 import {predictPassMs, type PassModel, type RankWork} from './pass-time.js';
+import {returnAfterMs} from './retry.js';
 
 /** A request that asks for a place in a group. */
 export type GroupNeed = {
@@ -95,9 +96,6 @@
 /** How long one that is late anyway may wait for room that the others leave, as a multiple of the objective: another refusal is its last. */
 const lateWait = 2;
 
-/** When a refused caller should come back, as a part of the objective: soon enough to be still on time. */
-const returnShare = 0.3;
-
 /** What a stream loses of its worth when a pause makes it late, about. */
 const lateLoss = 0.5;
 
@@ -267,7 +265,7 @@
 		return {kind: 'placed', rank};
 	};
 
-	const retryAfter = ({objectiveMs}: GroupNeed): number => objectiveMs * returnShare * (0.75 + (options.random() / 2));
+	const retryAfter = ({objectiveMs}: GroupNeed): number => returnAfterMs(objectiveMs, options.random);
 
 	/** What is left for waiting if the first token is to come in time; negative where it can't. */
 	const slackMs = ({objectiveMs, waitedMs}: GroupNeed, sinceMs: number, now: number): number => (objectiveMs * (1 - startShare)) - waitedMs - (now - sinceMs);
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -15,7 +15,9 @@
 } from './rendezvous.js';
 export {claimShards, shardOfKey} from './shard.js';
 export {createResendBudget, type ResendBudget, type ResendOptions} from './resend.js';
-export {backoffMs, createRetryBudget, type RetryBudget} from './retry.js';
+export {
+	backoffMs, createRetryBudget, returnAfterMs, type RetryBudget,
+} from './retry.js';
 export {
 	applyMoves, countCopies, initialMap, isComplete, rankLoads, skewOf, type ExpertMap, type LayerMove, type Move,
 } from './expert-map.js';
--- a/packages/policy/src/retry.ts
+++ b/packages/policy/src/retry.ts
@@ -44,3 +44,17 @@
 export function backoffMs(attempt: number, options: {readonly baseMs: number; readonly maxMs: number; readonly random: () => number}): number {
 	return options.random() * Math.min(options.maxMs, options.baseMs * (2 ** attempt));
 }
+
+/** When a refused caller should come back, as a part of the objective: soon enough to be still on time. */
+const returnShare = 0.3;
+
+/**
+When a caller that found no room should come back, in milliseconds: spread around a
+part of its objective, so that it can be in time and callers don't come back together.
+
+@example
+const retryAfterMs = returnAfterMs(500, Math.random); // 112 to 187
+*/
+export function returnAfterMs(objectiveMs: number, random: () => number): number {
+	return objectiveMs * returnShare * (0.75 + (random() / 2));
+}
