Let no call with a key be lost while its owner leaves

A sidecar that ends looked whether anything was in flight, released its lease, and closed its connections; a call that came in between found its connection closed. Its entry then needed a retry, which the budget denied: three milliseconds leave no room for a pause, and the tests before had used the budget up.

Ruled out: attempts used up by fast retries (their pauses are 20 ms and more on average, and both entries would have had to draw nearly none).

Change: the sidecar says that it closes, keeps answering until its entries have closed their connections, and only then ends; entries close when their last answer has come. A refusal because the sidecar owns nothing costs no retry budget, since no work was done. An owner that has given its keys up is waited for like one that is gone. A second caller of the lease's release waits for the first one's write.

Conclusion: mended; two guards keep it.

--- a/packages/cli/src/sidecar-wiring.ts
+++ b/packages/cli/src/sidecar-wiring.ts
@@ -27,6 +27,8 @@
 const catchUpMs = 1000;
 const drainPollMs = 20;
 const handoffMs = 2000;
+// Entries close within a round trip and their last answer; one that is frozen is not waited for longer.
+const longestCloseMs = 1000;
 const defaultLeaseMs = 9000;
 const longestLeasePauseMs = 3000;
 const configPauseMs = 100;
@@ -284,6 +286,8 @@
 			}
 
 			await lease.release();
+			const closed = await peers.closeWhenAnswered(longestCloseMs);
+			log.info({closed, inFlight: peers.inFlight()}, 'callers told to ask others');
 			peers.giveUpAll();
 			await sleep(drainPollMs);
 			clearInterval(heartbeat);
--- a/packages/entry/src/forward.ts
+++ b/packages/entry/src/forward.ts
@@ -57,6 +57,7 @@
 	const {metrics, budget} = deps;
 	const startedMs = deps.monotonicMs();
 	const tried = new Set<string>();
+	const disowned = new Set<string>();
 	let hasLoss = false;
 	let hops = 0;
 	let attempts = 0;
@@ -75,18 +76,22 @@
 		attempts++;
 		const remainingMs = call.deadlineMs - (deps.monotonicMs() - startedMs);
 		const result = await link.attempt(peerRequest(call, remainingMs), answer, signal);
-		learnOwner(arrival, link, result, deps);
+		learnOwner(arrival, {link, result, disowned}, deps);
 		if (result.kind === 'answered') {
 			return {outcome: result, attempts, target};
 		}
 
 		last = result;
 		hasLoss ||= mayHaveRun(call, result);
-		const next = isSentOn(result) ? sentOn(result, {hops, waitedMs: deps.monotonicMs() - startedMs}, arrival, deps) : 'giveUp';
+		const next = isSentOn(result) ? sentOn(result, {hops, disowned, waitedMs: deps.monotonicMs() - startedMs}, arrival, deps) : 'giveUp';
 		if (next !== 'giveUp') {
 			hops += next === 'ask' ? 1 : 0;
 			attempts--;
 			tried.clear();
+			for (const id of disowned) {
+				tried.add(id);
+			}
+
 			metrics.count('retries', {reason: next === 'ask' ? 'wrongOwner' : 'ownerGone'});
 			await deps.sleep(next === 'ask' ? 0 : ownerPauseMs * (0.5 + deps.random()));
 			continue;
@@ -96,7 +101,8 @@
 			break;
 		}
 
-		if (!budget.tryTake()) {
+		// A sidecar that owns no keys has done no work, so the next one is asked whatever is left of the budget.
+		if (result.reason !== 'wrongOwner' && !budget.tryTake()) {
 			metrics.count('retries_denied', {reason: result.reason});
 			break;
 		}
@@ -114,11 +120,17 @@
 		: chooseTarget(call, {tried, preset}, deps);
 }
 
-function learnOwner({call}: Arrival, link: Link, result: AttemptResult, {owners}: ForwardDeps): void {
+type Learned = {readonly link: Link; readonly result: AttemptResult; readonly disowned: Set<string>};
+
+function learnOwner({call}: Arrival, {link, result, disowned}: Learned, {owners}: ForwardDeps): void {
 	if (!isKeyed(call)) {
 		return;
 	}
 
+	if (result.kind === 'refused' && result.reason === 'wrongOwner' && result.owner === undefined) {
+		disowned.add(link.sidecar.id);
+	}
+
 	const isOwner = result.kind === 'answered' || (result.kind === 'refused' && result.reason !== 'wrongOwner' && result.reason !== 'connectionLost');
 	owners.learn(call, isOwner ? link.sidecar.id : (result.kind === 'refused' ? result.owner : undefined));
 }
@@ -127,11 +139,11 @@
 	return result.kind === 'refused' && result.reason === 'wrongOwner' && result.owner !== undefined;
 }
 
-type SentOn = {readonly hops: number; readonly waitedMs: number};
+type SentOn = {readonly hops: number; readonly disowned: ReadonlySet<string>; readonly waitedMs: number};
 
-// An owner that the store still names but that is gone is waited for: its lease ends, and the next one can say what became of the key.
-function sentOn({owner = '', standing}: Extract<Failed, {kind: 'refused'}>, {hops, waitedMs}: SentOn, {preset, signal}: Arrival, {links}: ForwardDeps): 'ask' | 'wait' | 'giveUp' {
-	if (links.to(owner)?.connected) {
+// An owner that the store still names but that is gone, or that has given its keys up, is waited for: its lease ends, and the next one can say what became of the key.
+function sentOn({owner = '', standing}: Extract<Failed, {kind: 'refused'}>, {hops, disowned, waitedMs}: SentOn, {preset, signal}: Arrival, {links}: ForwardDeps): 'ask' | 'wait' | 'giveUp' {
+	if (links.to(owner)?.connected && !disowned.has(owner)) {
 		return hops < maxOwnerHops ? 'ask' : 'giveUp';
 	}
 
--- a/packages/entry/src/link.ts
+++ b/packages/entry/src/link.ts
@@ -42,8 +42,9 @@
 export type Link = {
 	readonly sidecar: SidecarAddress;
 	readonly sinceMs: number;
-	/** Whether work can be sent: connected, greeted and not leaving. */
+	/** Whether work can be sent: connected and not leaving. */
 	readonly usable: boolean;
+	/** Whether the sidecar can be asked about its keys: connected, greeted and not about to close. */
 	readonly connected: boolean;
 	readonly ownTokens: number;
 	readonly report: AgedReport | undefined;
@@ -92,6 +93,7 @@
 	let connection: Connection | undefined;
 	let peerIncarnation: string | undefined;
 	let isLeaving = false;
+	let isClosing = false;
 	let isRetired = false;
 	let isClosed = false;
 	let lastAttempt = 0;
@@ -133,6 +135,8 @@
 
 			case 'leaving': {
 				isLeaving = true;
+				isClosing = frame.isClosing === true;
+				closeIfDone();
 				break;
 			}
 
@@ -218,6 +222,7 @@
 		});
 		connection = undefined;
 		peerIncarnation = undefined;
+		isClosing = false;
 		report = undefined;
 		for (const attempt of attempts.values()) {
 			attempt.finish({kind: 'lost', reason: 'connectionLost', retryAfterMs: unknownRetryMs});
@@ -239,9 +244,15 @@
 		}
 	};
 
+	const isConnected = (): boolean => connection !== undefined && peerIncarnation !== undefined && !isClosing;
+
 	const closeIfDone = (): void => {
-		if (isRetired && attempts.size === 0) {
-			isClosed = true;
+		if (attempts.size > 0) {
+			return;
+		}
+
+		isClosed ||= isRetired;
+		if (isRetired || isClosing) {
 			connection?.close();
 		}
 	};
@@ -252,10 +263,10 @@
 		sidecar,
 		sinceMs,
 		get usable() {
-			return connection !== undefined && peerIncarnation !== undefined && !isLeaving && !isRetired && !isClosed;
+			return isConnected() && !isLeaving && !isRetired && !isClosed;
 		},
 		get connected() {
-			return connection !== undefined && peerIncarnation !== undefined;
+			return isConnected();
 		},
 		get ownTokens() {
 			return ownTokens;
@@ -268,7 +279,7 @@
 		},
 		async attempt(request, sink, signal) {
 			const open = connection;
-			if (!open || peerIncarnation === undefined) {
+			if (!open || peerIncarnation === undefined || isClosing) {
 				return {kind: 'refused', reason: 'connectionLost', retryAfterMs: unknownRetryMs};
 			}
 
--- a/packages/entry/test/forward.test.ts
+++ b/packages/entry/test/forward.test.ts
@@ -3,16 +3,16 @@
 import {type Answer, type Call} from '@papayaflow/caller';
 import {type LossReason, type RefusalReason} from '@papayaflow/outcome';
 import {type Frame} from '@papayaflow/peer';
-import {createRetryBudget} from '@papayaflow/policy';
+import {createRetryBudget, type RetryBudget} from '@papayaflow/policy';
 import {createMetrics} from '@papayaflow/telemetry';
 import {
-	answerWhole, linkTo, preset, startSidecar, type FakeSidecar,
+	answerWhole, linkTo, preset, startSidecar, until, type FakeSidecar,
 } from './helper.js';
 import {
 	createOwners, forward, type ForwardDeps, type Forwarded, type Link, type Links,
 } from '@papayaflow/entry';
 
-type Reply = (frame: Extract<Frame, {kind: 'request'}>, sidecar: FakeSidecar) => void;
+type Reply = (frame: Extract<Frame, {kind: 'request'}>, sidecar: FakeSidecar, id: string) => void;
 
 const chat: Call = {
 	requestId: 'r', organisation: 'o', priority: 5, deadlineMs: 5000, method: 'POST', path: '/', headers: {}, body: new Uint8Array(0),
@@ -42,16 +42,22 @@
 };
 
 /** Forwards a call to sidecars that reply as told; the order of the replies is that of the attempts. */
-async function run(call: Call, ...replies: readonly Reply[]): Promise<Forwarded & {readonly text: string; readonly attempted: number}> {
+async function run(call: Call, ...replies: readonly Reply[]): Promise<Ran> {
+	return runWith(createRetryBudget(), call, ...replies);
+}
+
+type Ran = Forwarded & {readonly text: string; readonly attempted: number};
+
+async function runWith(budget: RetryBudget, call: Call, ...replies: readonly Reply[]): Promise<Ran> {
 	let at = 0;
-	const start = async (): Promise<FakeSidecar> => {
+	const start = async (id: string): Promise<FakeSidecar> => {
 		const sidecar: FakeSidecar = await startSidecar(frame => {
-			replies[at++](frame, sidecar);
+			replies[at++](frame, sidecar, id);
 		});
 		return sidecar;
 	};
 
-	const sidecars = await Promise.all(replies.map(async () => start()));
+	const sidecars = await Promise.all(replies.map(async (_, index) => start(`sidecar-${index}`)));
 
 	const links = await Promise.all(sidecars.map(async (sidecar, index) => linkTo(sidecar, `sidecar-${index}`)));
 	const controller = new AbortController();
@@ -71,7 +77,7 @@
 		},
 	};
 	const deps: ForwardDeps = {
-		links: fakeLinks(links), owners: createOwners(), budget: createRetryBudget(), metrics: createMetrics(), zone: 'z', random: () => 0,
+		links: fakeLinks(links), owners: createOwners(), budget, metrics: createMetrics(), zone: 'z', random: () => 0,
 		monotonicMs: () => performance.now(),
 		async sleep() {
 			pauses++;
@@ -116,7 +122,7 @@
 				kind: 'head', attempt, status: 200, headers: {},
 			});
 			sidecar.connection().send({kind: 'data', attempt, bytes: new Uint8Array([65])});
-			dies({attempt} as never, sidecar);
+			dies({attempt} as never, sidecar, '');
 		};
 
 		expect(await run(chat, half, whole)).to.deep.include({attempted: 1, text: 'A'});
@@ -153,6 +159,34 @@
 		expect(first.attempts).to.equal(1);
 	});
 
+	it('with a key asks the next sidecar when one has given its keys up, also with the retry budget used up', async () => {
+		const usedUp: RetryBudget = {onRequest: () => undefined, tryTake: () => false};
+		expect(await runWith(usedUp, keyed, refused('wrongOwner'), whole)).to.deep.include({outcome: {kind: 'answered'}, attempted: 2});
+		expect(await runWith(usedUp, keyed, refused('targetLeaving'), whole)).to.deep.include({attempted: 1});
+	});
+
+	it('with a key waits while another sidecar still names as owner the one that has given its keys up', async () => {
+		let asked = 0;
+		const leaving: Reply = (frame, sidecar, id) => {
+			if (id === 'sidecar-0') {
+				refused('wrongOwner')(frame, sidecar, id);
+				return;
+			}
+
+			asked++;
+			if (asked > 2) {
+				whole(frame, sidecar, id);
+				return;
+			}
+
+			sidecar.connection().send({
+				kind: 'refused', attempt: frame.attempt, reason: 'wrongOwner', retryAfterMs: 700, owner: 'sidecar-0', standing: true,
+			});
+		};
+
+		expect((await run(keyed, ...Array.from({length: 12}, () => leaving))).outcome).to.deep.equal({kind: 'answered'});
+	});
+
 	it('carries the time to come back of the one who refused', async () => {
 		expect((await run(payment, refused('deadlineTooShort'))).outcome).to.deep.include({kind: 'notRun', retryAfterMs: 700});
 	});
@@ -197,6 +231,24 @@
 		sidecar.stop();
 	});
 
+	it('takes no attempt once the sidecar closes, and closes when its last answer has come', async () => {
+		const sidecar = await startSidecar(() => undefined);
+		const link = await linkTo(sidecar);
+		const sink = {head: () => undefined, data: () => undefined};
+		const running = link.attempt(request, sink, AbortSignal.timeout(3000));
+		await until(() => sidecar.requests.length === 1);
+		const connection = sidecar.connection();
+		connection.send({kind: 'leaving', isClosing: true});
+		await until(() => !link.connected);
+		expect(await link.attempt(request, sink, AbortSignal.timeout(3000))).to.include({kind: 'refused', reason: 'connectionLost'});
+		expect(connection.closed, 'while an answer is awaited').to.equal(false);
+		answerWhole(sidecar.requests[0], connection);
+		expect(await running).to.deep.equal({kind: 'answered'});
+		expect(await until(() => connection.closed)).to.equal(true);
+		link.close();
+		sidecar.stop();
+	});
+
 	it('ends an attempt at once when it is given up, and cancels it', async () => {
 		const sidecar = await startSidecar(() => undefined);
 		const link = await linkTo(sidecar);
@@ -204,13 +256,7 @@
 		const running = link.attempt(request, {head: () => undefined, data: () => undefined}, controller.signal);
 		controller.abort('timeout');
 		expect(await running).to.include({kind: 'lost', reason: 'timeout'});
-		for (let i = 0; i < 100 && !sidecar.frames.some(({kind}) => kind === 'cancel'); i++) {
-			await new Promise(resolve => {
-				setTimeout(resolve, 5);
-			});
-		}
-
-		expect(sidecar.frames.some(({kind}) => kind === 'cancel')).to.equal(true);
+		expect(await until(() => sidecar.frames.some(({kind}) => kind === 'cancel'))).to.equal(true);
 		link.close();
 		sidecar.stop();
 	});
--- a/packages/entry/test/helper.ts
+++ b/packages/entry/test/helper.ts
@@ -57,13 +57,19 @@
 		random: () => 0, monotonicMs: () => performance.now(), connectMs: () => 1000,
 		ejection: () => ({ejectAfterFailures: 5, ejectMs: 1000, maxEjectedRatio: 0.5}),
 	});
-	for (let i = 0; i < 200 && !link.usable; i++) {
+	await until(() => link.usable);
+	return link;
+}
+
+/** Waits for a second at most; says whether it came about. */
+export async function until(isSo: () => boolean): Promise<boolean> {
+	for (let i = 0; i < 200 && !isSo(); i++) {
 		await new Promise(resolve => {
 			setTimeout(resolve, 5);
 		});
 	}
 
-	return link;
+	return isSo();
 }
 
 /** Answers with a whole body. */
--- a/packages/idempotency/src/lease.ts
+++ b/packages/idempotency/src/lease.ts
@@ -11,7 +11,7 @@
 	generation(): number;
 	/** Renews the lease, or takes a new one when there is none. */
 	tick(): Promise<void>;
-	/** Gives the lease up for good, so that others may take the shards at once. */
+	/** Gives the lease up for good, so that others may take the shards at once; resolves when the store has been asked. */
 	release(): Promise<void>;
 };
 
@@ -40,6 +40,7 @@
 	let grantedMs = 0;
 	let isReleased = false;
 	let ticking: Promise<void> | undefined;
+	let releasing: Promise<void> | undefined;
 
 	const take = async (): Promise<void> => {
 		const askedAtMs = monotonicMs();
@@ -85,6 +86,18 @@
 		}
 	};
 
+	const releaseOnce = async (): Promise<void> => {
+		isReleased = true;
+		if (id === undefined) {
+			return;
+		}
+
+		// Disbelieved here first, then taken from the store: at no moment do two processes believe in it.
+		id = undefined;
+		validUntilMs = 0;
+		await store.remove(livenessKey(holder, incarnation), revision);
+	};
+
 	return {
 		isValid: () => id !== undefined && monotonicMs() < validUntilMs,
 		isReleased: () => isReleased,
@@ -97,15 +110,8 @@
 			return ticking;
 		},
 		async release() {
-			isReleased = true;
-			if (id === undefined) {
-				return;
-			}
-
-			// Disbelieved here first, then taken from the store: at no moment do two processes believe in it.
-			id = undefined;
-			validUntilMs = 0;
-			await store.remove(livenessKey(holder, incarnation), revision);
+			releasing ??= releaseOnce();
+			return releasing;
 		},
 	};
 }
--- a/packages/idempotency/test/claim.test.ts
+++ b/packages/idempotency/test/claim.test.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {describe, it} from 'mocha';
 import {memoryStore} from '@papayaflow/standins';
@@ -72,6 +73,22 @@
 		expect(taken.kind).to.equal('claimed');
 	});
 
+	it('is released for every caller of release only once the store has heard of it', async () => {
+		const {kv, clock} = platform();
+		let isReleasing = false;
+		let isHeard = false;
+		const a = await owner(kv, clock, 'a', {
+			async pause(when, call) {
+				await sleep(1);
+				isHeard ||= isReleasing && when === 'after' && call === 'write';
+			},
+		});
+		isReleasing = true;
+		void a.lease.release();
+		await a.lease.release();
+		expect(isHeard).to.equal(true);
+	});
+
 	it('runs nothing at an owner that wakes after another has taken its shard', async () => {
 		const {kv, clock} = platform();
 		let wake = (): void => undefined;
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -131,7 +131,11 @@
 	| {readonly kind: 'load'; readonly load: LoadReport}
 	/** Work begins to wait before the target, or it has room again; sent on its own, so it is kept small. */
 	| {readonly kind: 'busy'; readonly isBusy: boolean; readonly tokens: number}
-	| {readonly kind: 'leaving'}
+	| {
+		readonly kind: 'leaving';
+		/** The sender ends once its callers have closed; what is on the way to it until then is still answered. */
+		readonly isClosing?: boolean;
+	}
 	| {
 		readonly kind: 'revision'; readonly revision: number; readonly sentMs: number;
 		/** How long ago the key-value service was last known to hold just this revision, in milliseconds. */
--- a/packages/sidecar/src/server.ts
+++ b/packages/sidecar/src/server.ts
@@ -1,4 +1,5 @@
 import {createServer, type Server, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {onConfigMessage, revisionMessage, type Follower} from '@papayaflow/config';
 import {
 	createFrameAge, isGroupFrame, openConnection, protocolVersion, serveFrames, type Connection, type Frame, type LoadReport, type PathFrame,
@@ -11,7 +12,9 @@
 const loadReportMs = 50;
 const recentUseMs = 2000;
 
-type Listener = {usedMs: number; isTold: boolean};
+const closePollMs = 5;
+
+type Listener = {usedMs: number; isTold: boolean; isEntry: boolean};
 
 export type ServerDeps = {
 	readonly instance: string;
@@ -36,6 +39,11 @@
 	/** Attempts that have not got their last frame. */
 	inFlight(): number;
 	connections(): number;
+	/**
+	Takes no more connections, tells entries that this process ends, and answers what is still
+	on the way until they have closed theirs or `mostMs` (milliseconds) have passed.
+	*/
+	closeWhenAnswered(mostMs: number): Promise<'closed' | 'timedOut'>;
 	/** Tells each attempt that is left that its outcome is not known, and closes. */
 	giveUpAll(): void;
 };
@@ -58,7 +66,7 @@
 		const mine = new Map<number, AbortController>();
 		const ageOf = createFrameAge();
 		let reportedMs = 0;
-		const listener: Listener = {usedMs: Number.NEGATIVE_INFINITY, isTold: false};
+		const listener: Listener = {usedMs: Number.NEGATIVE_INFINITY, isTold: false, isEntry: false};
 		connections.set(connection, listener);
 		greet(connection);
 
@@ -103,6 +111,13 @@
 			});
 		};
 
+		const onConfig = (frame: Parameters<typeof onConfigMessage>[0]): void => {
+			const reply = onConfigMessage(frame, follower, deps);
+			if (reply) {
+				connection.send(reply);
+			}
+		};
+
 		const onFrame = (frame: PathFrame): void => {
 			switch (frame.kind) {
 				case 'request': {
@@ -116,23 +131,21 @@
 				}
 
 				case 'hello': {
+					listener.isEntry = frame.role === 'entry';
 					ageOf(frame.sentMs, deps.monotonicMs());
 					connection.send(revisionMessage(follower, deps));
 					break;
 				}
 
-				case 'revision':
+				case 'revision': {
+					ageOf(frame.sentMs, deps.monotonicMs());
+					onConfig(frame);
+					break;
+				}
+
 				case 'pullConfig':
 				case 'config': {
-					if (frame.kind === 'revision') {
-						ageOf(frame.sentMs, deps.monotonicMs());
-					}
-
-					const reply = onConfigMessage(frame, follower, deps);
-					if (reply) {
-						connection.send(reply);
-					}
-
+					onConfig(frame);
 					break;
 				}
 
@@ -204,14 +217,29 @@
 		connection.send({kind: 'orderReply', id: frame.id, ...(reply && {reply})});
 	};
 
+	const server = createServer(socket => {
+		void serveConnection(socket);
+	});
+	const broadcast = (frame: Frame): void => {
+		for (const connection of connections.keys()) {
+			connection.send(frame);
+		}
+	};
+
+	const hasEntries = (): boolean => [...connections.values()].some(({isEntry}) => isEntry);
+
 	return {
-		server: createServer(socket => {
-			void serveConnection(socket);
-		}),
-		broadcast(frame) {
-			for (const connection of connections.keys()) {
-				connection.send(frame);
+		server,
+		broadcast,
+		async closeWhenAnswered(mostMs) {
+			server.close();
+			broadcast({kind: 'leaving', isClosing: true});
+			const untilMs = deps.monotonicMs() + mostMs;
+			while (hasEntries() && deps.monotonicMs() < untilMs) {
+				await sleep(closePollMs);
 			}
+
+			return hasEntries() ? 'timedOut' : 'closed';
 		},
 		inFlight: () => attempts.size,
 		connections: () => connections.size,
--- /dev/null
+++ b/packages/sidecar/test/server.test.ts
@@ -0,0 +1,79 @@
+import {once} from 'node:events';
+import {type AddressInfo} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import {describe, it} from 'mocha';
+import {createFollower} from '@papayaflow/config';
+import {
+	openConnection, openSocket, protocolVersion, serveFrames, type Connection, type Frame,
+} from '@papayaflow/peer';
+import {createMetrics} from '@papayaflow/telemetry';
+import {createPeerServer, type PeerServer} from '@papayaflow/sidecar';
+
+type Caller = {readonly connection: Connection; readonly frames: Frame[]};
+
+async function startServer(): Promise<{peers: PeerServer; port: number}> {
+	const peers = createPeerServer({
+		instance: 's', incarnation: 'i', zone: 'z', follower: createFollower(), metrics: createMetrics(),
+		monotonicMs: () => performance.now(), load: () => ({
+			outstandingTokens: 0, concurrency: 1, isBusy: false, queued: 0, running: 0, serviceMs: 0,
+		}), isLeaving: () => true,
+		async serve({attempt, send}) {
+			await sleep(20);
+			send({
+				kind: 'refused', attempt, reason: 'wrongOwner', retryAfterMs: 0,
+			});
+		},
+	});
+	peers.server.listen(0, '127.0.0.1');
+	await once(peers.server, 'listening');
+	return {peers, port: (peers.server.address() as AddressInfo).port};
+}
+
+async function connect(port: number, role: 'entry' | 'sidecar'): Promise<Caller> {
+	const socket = await openSocket({address: '127.0.0.1', port}, 1000);
+	const connection = openConnection(socket!);
+	const frames: Frame[] = [];
+	void serveFrames(socket!, frame => {
+		frames.push(frame);
+	}, () => undefined);
+	connection.send({
+		kind: 'hello', version: protocolVersion, role, instance: 'e', incarnation: 'e1', zone: 'z', sentMs: 0,
+	});
+	await sleep(20);
+	return {connection, frames};
+}
+
+const request = (attempt: number): Frame => ({
+	kind: 'request', attempt, incarnation: 'i', sentMs: 0, request: {
+		service: 'ledger', method: 'POST', path: '/', headers: {}, body: new Uint8Array(0), organisation: 'o', priority: 5,
+		requestId: 'r', idempotent: false, tokens: 1, key: 'pay-1', deadlineMs: 1000,
+	},
+});
+
+describe('a sidecar that closes', () => {
+	it('answers what is still on the way to it and is done when its callers have closed', async () => {
+		const {peers, port} = await startServer();
+		const {connection, frames} = await connect(port, 'entry');
+		await connect(port, 'sidecar');
+		const closing = peers.closeWhenAnswered(1000);
+		connection.send(request(7));
+		while (!frames.some(frame => frame.kind === 'leaving' && frame.isClosing) || !frames.some(({kind}) => kind === 'refused')) {
+			await sleep(5);
+		}
+
+		connection.close();
+		expect(await closing).to.equal('closed');
+		peers.server.close();
+		peers.giveUpAll();
+	});
+
+	it('is done after the given time when a caller keeps its connection', async () => {
+		const {peers, port} = await startServer();
+		const {connection} = await connect(port, 'entry');
+		expect(await peers.closeWhenAnswered(50)).to.equal('timedOut');
+		connection.close();
+		peers.server.close();
+		peers.giveUpAll();
+	});
+});
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -254,4 +254,14 @@
 		find: 'Number(slackB >= 0) - Number(slackA >= 0) ||', replace: '',
 		spec: 'policy/test/group.test.ts', test: 'gives room to one that can be in time',
 	},
+	{
+		name: 'a sidecar that closes is sent nothing more', file: 'entry/src/link.ts',
+		find: 'isClosing = frame.isClosing === true;', replace: '',
+		spec: 'entry/test/forward.test.ts', test: 'takes no attempt once the sidecar closes',
+	},
+	{
+		name: 'an owner that gave its keys up is waited for, not asked again', file: 'entry/src/forward.ts',
+		find: ' && !disowned.has(owner)', replace: '',
+		spec: 'entry/test/forward.test.ts', test: 'waits while another sidecar still names',
+	},
 ];
