Let an organisation's own priority go before its route's

Cause: the configuration's priority of an organisation was decoded and not used. Change: a call carries its organisation's priority, or its route's where it has none, and the coordinator orders what waits by it.

--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -8,6 +8,8 @@
 	/** The service that was drawn among those of the route. */
 	readonly service: string;
 	readonly organisation: string | undefined;
+	/** Its organisation's, else its route's; 0 is served first. */
+	readonly priority: number;
 	/** The version of the configuration by which route and organisation were found. */
 	readonly version: number;
 	readonly method: string;
--- a/packages/direct/src/front.ts
+++ b/packages/direct/src/front.ts
@@ -114,9 +114,9 @@
 			return;
 		}
 
+		const organisation = identified.kind === 'organisation' ? identified.organisation : undefined;
 		const call: Call = {
-			requestId, route, service, version: configuration.version,
-			organisation: identified.kind === 'organisation' ? identified.organisation.name : undefined,
+			requestId, route, service, version: configuration.version, organisation: organisation?.name, priority: organisation?.priority ?? route.priority,
 			method: req.method ?? 'GET', path: req.url ?? '/', rawHeaders: req.rawHeaders, body: body.bytes, generation: caller.generation,
 			deadlineMs: Math.min(caller.deadlineMs ?? route.timeoutMs, route.timeoutMs), arrivedMs,
 		};
--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -99,7 +99,7 @@
 			objectiveMs: route.objectiveMs,
 			gapMs: route.gapObjectiveMs ?? route.objectiveMs,
 			deadlineMs: call.deadlineMs - elapsedMs,
-			priority: route.priority,
+			priority: call.priority,
 			hasReturned: waitedMs > 0 || tried.size > 0,
 			isResumed: hasBegun,
 			excluded: [...tried].flatMap(id => {
--- a/packages/policy/test/group.test.ts
+++ b/packages/policy/test/group.test.ts
@@ -111,6 +111,16 @@
 		expect(first[0]?.kind).to.equal('refused');
 	});
 
+	it('gives room first to the more urgent of two that can be in time', () => {
+		const admission = admissionOf({nowMs: 0});
+		fill(admission);
+		const usual = ask(admission, need('usual', {hasReturned: true, waitedMs: 100}));
+		const urgent = ask(admission, need('urgent', {priority: 0}));
+		admission.ended('fill-0');
+		admission.tick();
+		expect([usual, urgent.map(({kind}) => kind)]).to.deep.equal([[], ['placed']]);
+	});
+
 	it('lets a stream that broke go on at once, in the room that it had', () => {
 		const admission = admissionOf({nowMs: 0});
 		fill(admission);
