Send work to the target that registered last at an address

Change: of registrations at one address only the one that the store took last gets work; an older one comes in again where the younger turns out not to be there. A start time is not told by all targets, the store's revision is.

--- a/packages/cli/src/directory.ts
+++ b/packages/cli/src/directory.ts
@@ -106,7 +106,7 @@
 				continue;
 			}
 
-			const result = decodeRegistration(key, value);
+			const result = decodeRegistration(key, value, revision);
 			if (result.kind === 'target') {
 				next.push(result.target);
 			} else if (malformed.get(key) !== revision) {
@@ -190,7 +190,7 @@
 		return false;
 	}
 
-	const before = decodeRegistration(a.key, a.value);
-	const after = decodeRegistration(b.key, b.value);
+	const before = decodeRegistration(a.key, a.value, a.revision);
+	const after = decodeRegistration(b.key, b.value, b.revision);
 	return before.kind === 'target' && after.kind === 'target' && isSameTarget(before.target, after.target);
 }
--- a/packages/direct/src/targets.ts
+++ b/packages/direct/src/targets.ts
@@ -16,6 +16,8 @@
 	/** The recent mean latency of this entry's requests there, in milliseconds; `undefined` before the first. */
 	readonly latencyMs: number | undefined;
 	readonly health: Health;
+	/** Whether it has left its address without a word. */
+	readonly isGone: boolean;
 	/** Whether new work may go there. */
 	readonly isServing: boolean;
 	/** Notes that a request goes there; call what it returns with the end of it. */
@@ -30,7 +32,7 @@
 export type Targets = {
 	/** Takes the whole list; targets that are gone or start anew are forgotten. */
 	update(records: readonly TargetRecord[]): void;
-	/** The targets of a service that take new work. */
+	/** The targets of a service that take new work; of those registered at one address, the one that is there. */
 	of(service: string): readonly Target[];
 	byId(id: string): Target | undefined;
 	all(): readonly Target[];
@@ -86,12 +88,29 @@
 
 			targets = next;
 		},
-		of: service => [...targets.values()].filter(target => target.record.service === service && target.isServing),
+		of(service) {
+			const present = presentByAddress([...targets.values()]);
+			return present.filter(({record, isServing}) => record.service === service && isServing);
+		},
 		byId: id => targets.get(id),
 		all: () => [...targets.values()],
 	};
 }
 
+// A target that ended without a word stays registered for a while, and another one may have started at its address.
+function presentByAddress(targets: readonly Target[]): readonly Target[] {
+	const latest = new Map<string, Target>();
+	for (const target of targets) {
+		const address = `${target.record.host}:${target.record.port}`;
+		const other = latest.get(address);
+		if (!target.isGone && (!other || other.record.registeredAt < target.record.registeredAt)) {
+			latest.set(address, target);
+		}
+	}
+
+	return [...latest.values()];
+}
+
 function createTarget(first: TargetRecord, {connectMs, ejection, nowMs, onChange}: TargetsOptions): Target & {readonly replaceRecord: (record: TargetRecord) => void} {
 	let record = first;
 	let inFlight = 0;
@@ -115,6 +134,9 @@
 		get health() {
 			return health;
 		},
+		get isGone() {
+			return isGone;
+		},
 		get isServing() {
 			return record.state === 'serving' && !isGone;
 		},
--- /dev/null
+++ b/packages/direct/test/targets.test.ts
@@ -0,0 +1,36 @@
+import {expect} from 'chai';
+import {describe, it} from 'mocha';
+import {type TargetRecord} from '@papayaflow/routing';
+import {createTargets, type Targets} from '@papayaflow/direct';
+
+const record = (id: string, registeredAt: number, more: Partial<TargetRecord> = {}): TargetRecord => ({
+	id, incarnation: 0, registeredAt, service: 's', host: '10.0.0.1', port: 80, zone: 'z', slots: 4, state: 'serving', warmingMs: 0, ...more,
+});
+
+const targetsOf = (...records: readonly TargetRecord[]): Targets => {
+	const targets = createTargets({
+		connectMs: 100, ejection: {ejectAfterFailures: 3, ejectMs: 1000, maxEjectedRatio: 0.5}, nowMs: () => 0, onChange: () => undefined,
+	});
+	targets.update(records);
+	return targets;
+};
+
+const served = (targets: Targets): readonly string[] => targets.of('s').map(({record: {id}}) => id);
+
+describe('targets that are registered at one address', () => {
+	it('take work as the one that registered last, whatever their order', () => {
+		expect(served(targetsOf(record('old', 1), record('new', 2)))).to.deep.equal(['new']);
+		expect(served(targetsOf(record('new', 2), record('old', 1)))).to.deep.equal(['new']);
+		expect(served(targetsOf(record('a', 1), record('b', 2, {port: 81})))).to.deep.equal(['a', 'b']);
+	});
+
+	it('take work as the older one again once the later turns out not to be there', () => {
+		const targets = targetsOf(record('old', 1), record('new', 2));
+		targets.byId('new')?.markGone();
+		expect(served(targets)).to.deep.equal(['old']);
+	});
+
+	it('take none while the one that registered last leaves', () => {
+		expect(served(targetsOf(record('old', 1), record('new', 2, {state: 'leaving'})))).to.deep.equal([]);
+	});
+});
--- a/packages/group/test/sidecar.test.ts
+++ b/packages/group/test/sidecar.test.ts
@@ -35,7 +35,7 @@
 			},
 		}),
 		records: () => Array.from({length: size}, (_, index) => ({
-			id: `i-${index}`, incarnation: 1, service: 's', host: `10.0.0.${index}`, port: 80, zone: 'z', slots: 8, state: 'serving' as const, warmingMs: 0,
+			id: `i-${index}`, incarnation: 1, registeredAt: 1, service: 's', host: `10.0.0.${index}`, port: 80, zone: 'z', slots: 8, state: 'serving' as const, warmingMs: 0,
 		})),
 		takeToken: async () => 1, weights: {goodSkew: 1.1, copyCost: 0, copyMs: 1}, metrics: createMetrics(), log: createLog({}, 'error'),
 		monotonicMs: () => clock.nowMs, random: () => 0.5, signal: ending.signal,
--- a/packages/routing/src/target.ts
+++ b/packages/routing/src/target.ts
@@ -6,6 +6,8 @@
 	readonly id: string;
 	/** When it started, in Unix milliseconds by its own clock. */
 	readonly incarnation: number;
+	/** The store's revision at which it registered last: greater is later. */
+	readonly registeredAt: number;
 	readonly service: string;
 	readonly host: string;
 	readonly port: number;
