Stand-in of a group of ranks over HTTP; sidecars tell each other whenever they can

Pattern: the switch of maps through the users' protocol: reports, counts, lists, orders that are lost, unanswered or carried out late, a coordinator killed at its first prepare, hold, arm and go, a rank lost.

Found by it: sidecars that meet before any of them knows its rank never told each other of themselves, since only those that had told were told. On the users' platform one of two that connect always knows its rank, so it was not seen there. Now every connected sidecar is told. The tests failed before that change (no coordinator could read the others' maps).

--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -54,6 +54,7 @@
 export function createGroupSidecar(deps: GroupSidecarDeps): GroupSidecar {
 	const {log, metrics, monotonicMs} = deps;
 	const entries = new Set<Peer>();
+	const sidecars = new Set<Peer>();
 	const roster = createRoster();
 	/** The entries, by instance, whose requests run in the group. */
 	const placed = new Map<string, string>();
@@ -161,7 +162,7 @@
 		}
 
 		notice = next;
-		for (const peer of [...entries, ...roster.peers()]) {
+		for (const peer of [...entries, ...sidecars]) {
 			peer.send({kind: 'rank', notice: next});
 		}
 	};
@@ -280,9 +281,8 @@
 
 	return {
 		onUp(peer) {
-			if (peer.hello.role === 'entry') {
-				entries.add(peer);
-			}
+			const role = peer.hello.role === 'entry' ? entries : sidecars;
+			role.add(peer);
 
 			if (notice) {
 				peer.send({kind: 'rank', notice});
@@ -290,6 +290,7 @@
 		},
 		onDown(peer) {
 			entries.delete(peer);
+			sidecars.delete(peer);
 			roster.remove(peer);
 			if (peer.hello.role === 'entry') {
 				void forgetIfGone(peer.hello.instance);
@@ -307,7 +308,7 @@
 			await ending?.stop();
 		},
 		status: () => ({
-			view: own.view(), isCoordinator: coordination !== undefined, entries: entries.size, members: roster.peers().length, load: coordination?.status(),
+			view: own.view(), isCoordinator: coordination !== undefined, entries: entries.size, members: sidecars.size, load: coordination?.status(),
 		}),
 	};
 }
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -11,6 +11,9 @@
 	exponential, normal, quantile, seededRandom,
 } from './random.js';
 export {createPassGroup, type PassGroup, type PassOrder} from './pass-group.js';
+export {
+	startPassServers, type OrderFate, type PassServerOptions, type PassServers,
+} from './pass-server.js';
 export {createPlatformStore, type PlatformStore, type PlatformStoreFaults} from './platform-store.js';
 export {
 	chunk, lastChunk, notExecuted, sealed, startReplica, streamEvent, streamHead, type Replica, type ReplicaRequest,
