Keep peers alive at the pace that either end needs

Cause: every connection beat four times a second from both ends.

Change: each beat says how soon the next one comes and whether its sender needs to hear as often. A candidate is near to entries and to the other candidates of its group, a second's silence ends those connections as before; all others beat each two seconds.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -114,6 +114,8 @@
 			directory.onDown(peer);
 			groups.onDown(peer);
 		},
+		// Its answers don't depend on a sidecar that does not coordinate; those that may say so themselves.
+		isNear: () => false,
 		onFault(reason) {
 			metrics.count('frame_faults', {reason});
 		},
--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -95,6 +95,7 @@
 			directory.onDown(peer);
 			group.onDown(peer);
 		},
+		isNear: group.isNear,
 		onFault(reason) {
 			metrics.count('frame_faults', {reason});
 		},
--- a/packages/group/src/roster.ts
+++ b/packages/group/src/roster.ts
@@ -8,6 +8,8 @@
 export type Roster = {
 	set(peer: Peer, notice: RankNotice): void;
 	remove(peer: Peer): void;
+	/** Whether a peer is a candidate of a group; also where it has not told of itself yet. */
+	isCandidate(peer: Peer, group: string | undefined): boolean;
 	/** Every sidecar that has told, of whatever group. */
 	peers(): readonly Peer[];
 	/** A rank of a group; without a peer where its sidecar was there and is gone. */
@@ -33,6 +35,10 @@
 		remove(peer) {
 			notices.delete(peer);
 		},
+		isCandidate(peer, group) {
+			const told = notices.get(peer);
+			return told === undefined || (told.group === group && told.rank < candidates);
+		},
 		peers: () => [...notices.keys()],
 		member(group, rank) {
 			const found = of(group).find(([, notice]) => notice.rank === rank);
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -36,6 +36,8 @@
 	onDown(peer: Peer): void;
 	/** Takes a frame of a peer; `false` when it is not for the group. */
 	onFrame(peer: Peer, frame: Frame): boolean;
+	/** Whether it has to be known soon that a peer is gone: it may coordinate this group, or this sidecar others' work. */
+	isNear(peer: Peer): boolean;
 	/** Whether this sidecar's rank is among those whose sidecars connect to all others of the group. */
 	isCandidate(): boolean;
 	/** Gives the group up to the next candidate; nothing is held afterwards. */
@@ -301,6 +303,10 @@
 			}
 		},
 		onFrame: (peer, frame) => handleFrame(handlers, peer, frame) || (coordination?.ranks.onFrame(frame) ?? false),
+		isNear(peer) {
+			const isCandidate = (notice?.rank ?? 0) < candidates;
+			return isCandidate && (peer.hello.role === 'entry' || roster.isCandidate(peer, notice?.group));
+		},
 		isCandidate: () => (own.view()?.rank ?? candidates) < candidates,
 		async leave() {
 			isLeaving = true;
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -149,8 +149,8 @@
 
 /** The messages of sidecars that coordinate groups, and of the entries that ask them. */
 export type GroupFrame
-	/** Shows that the sender lives, where it has nothing else to say. */
-	= | {readonly kind: 'alive'}
+	/** Shows that the sender lives, that it will show it again within `everyMs` milliseconds, and whether it needs to hear as often itself. */
+	= | {readonly kind: 'alive'; readonly isNear: boolean; readonly everyMs: number}
 		| {readonly kind: 'rank'; readonly notice: RankNotice}
 		| {readonly kind: 'place'; readonly ask: PlaceAsk}
 		| {readonly kind: 'placed'; readonly id: string; readonly target: string}
--- a/packages/peer/src/peer.ts
+++ b/packages/peer/src/peer.ts
@@ -4,11 +4,14 @@
 } from './connection.js';
 import {protocolVersion, type Frame, type FrameFault} from './frame.js';
 
-/** How often a peer shows that it lives where it has nothing else to say, in milliseconds. */
-const aliveMs = 250;
+/** How often a peer shows that it lives where it has nothing else to say and the other waits for its answers, in milliseconds. */
+const nearMs = 250;
 
-/** How long a peer may be silent before its connection counts as dead, in milliseconds: four times what it promises. */
-const silentMs = 1000;
+/** The same where little depends on it: with hundreds of peers the beats would be most of the work. */
+const farMs = 2000;
+
+/** After how many beats that did not come a connection counts as dead. */
+const beatsMissed = 4;
 
 /** How long a connection may take to stand, in milliseconds. */
 const connectMs = 500;
@@ -32,6 +35,8 @@
 	onFrame(peer: Peer, frame: Frame): void;
 	onDown(peer: Peer): void;
 	onFault(fault: FrameFault): void;
+	/** Whether this end needs to know soon that the other one is gone; asked again and again. The other end keeps the same pace. */
+	isNear(peer: Peer): boolean;
 };
 
 /** What a part of a process does with frames, by their kind; one without a handler is not for it. */
@@ -54,8 +59,9 @@
 };
 
 /**
-Serves one connection from its greeting to its end. A peer that is silent for a
-second is let go: a cut network says nothing by itself.
+Serves one connection from its greeting to its end. A peer that is silent for longer
+than it promised is let go: a cut network says nothing by itself. That is a second
+where either end is near to the other, else eight.
 
 @example
 createServer(socket => void servePeer(socket, options, events)).listen(7340);
@@ -67,19 +73,32 @@
 	connection.send({
 		kind: 'hello', version: protocolVersion, role: options.role, instance: options.instance, incarnation: options.incarnation, zone: options.zone, sentMs: options.monotonicMs(),
 	});
+	let promisedMs = nearMs;
+	let toldMs = heardMs;
+	let theirs = {isNear: true, everyMs: nearMs};
 	const beat = setInterval(() => {
-		if (options.monotonicMs() - heardMs > silentMs) {
+		const now = options.monotonicMs();
+		if (now - heardMs > beatsMissed * theirs.everyMs) {
 			socket.destroy();
-		} else {
-			connection.send({kind: 'alive'});
+			return;
+		}
+
+		const isNear = peer === undefined || events.isNear(peer);
+		const everyMs = isNear || theirs.isNear ? nearMs : farMs;
+		if (everyMs !== promisedMs || now - toldMs >= everyMs - (nearMs / 2)) {
+			promisedMs = everyMs;
+			toldMs = now;
+			connection.send({kind: 'alive', isNear, everyMs});
 		}
-	}, aliveMs).unref();
+	}, nearMs).unref();
 	await serveFrames(socket, frame => {
 		heardMs = options.monotonicMs();
 		if (frame.kind === 'hello') {
 			peer = peerOf(frame, socket, connection);
 			events.onUp(peer);
-		} else if (peer && frame.kind !== 'alive') {
+		} else if (frame.kind === 'alive') {
+			theirs = frame;
+		} else if (peer) {
 			events.onFrame(peer, frame);
 		}
 	}, events.onFault);
--- a/packages/peer/test/peer.test.ts
+++ b/packages/peer/test/peer.test.ts
@@ -8,7 +8,7 @@
 	afterEach, beforeEach, describe, it,
 } from 'mocha';
 import {
-	followPeer, handleFrame, openConnection, servePeer, type Frame, type Peer, type PeerEvents, type PeerOptions,
+	followPeer, handleFrame, openConnection, serveFrames, servePeer, type Frame, type Peer, type PeerEvents, type PeerOptions,
 } from '@papayaflow/peer';
 
 const optionsOf = (instance: string): PeerOptions => ({
@@ -18,7 +18,7 @@
 	},
 });
 
-function recorder(): {events: PeerEvents; log: string[]; peers: Peer[]} {
+function recorder(isNear = true): {events: PeerEvents; log: string[]; peers: Peer[]} {
 	const log: string[] = [];
 	const peers: Peer[] = [];
 	return {
@@ -38,6 +38,7 @@
 			onFault(fault) {
 				log.push(fault);
 			},
+			isNear: () => isNear,
 		},
 	};
 }
@@ -94,6 +95,36 @@
 		expect(here.log.slice(0, 3)).to.deep.equal(['up mute', 'down mute', 'up mute']);
 	});
 
+	/** The beats that one end hears of the other within two seconds. */
+	const beatsWithin2s = async (isHereNear: boolean, isThereNear: boolean): Promise<number> => {
+		const here = recorder(isHereNear);
+		let beats = 0;
+		server.on('connection', socket => {
+			const there = openConnection(socket);
+			there.send({
+				kind: 'hello', version: 1, role: 'sidecar', instance: 'there', incarnation: 'x', zone: 'z', sentMs: 0,
+			});
+			there.send({kind: 'alive', isNear: isThereNear, everyMs: 5000});
+			void serveFrames(socket, frame => {
+				beats += frame.kind === 'alive' ? 1 : 0;
+			}, () => undefined);
+		});
+		const link = new AbortController();
+		void followPeer({address: '127.0.0.1', port: port()}, optionsOf('here'), here.events, link.signal);
+		await sleep(2100);
+		link.abort();
+		expect(here.log).to.deep.equal(['up there']);
+		return beats;
+	};
+
+	it('is kept alive often where either end is near to the other', async () => {
+		expect(await beatsWithin2s(false, true)).to.be.at.least(6);
+	}).timeout(4000);
+
+	it('is kept alive seldom where neither is, since beats are most of the work with hundreds of peers', async () => {
+		expect(await beatsWithin2s(false, false)).to.be.at.most(3);
+	}).timeout(4000);
+
 	it('gives frames to their handlers, and says which have none', () => {
 		const got: string[] = [];
 		const handle = (frame: Frame): boolean => handleFrame({
@@ -101,7 +132,7 @@
 				got.push(id);
 			},
 		}, undefined as unknown as Peer, frame);
-		expect([handle({kind: 'ended', id: 'r'}), handle({kind: 'alive'})]).to.deep.equal([true, false]);
+		expect([handle({kind: 'ended', id: 'r'}), handle({kind: 'alive', isNear: true, everyMs: 250})]).to.deep.equal([true, false]);
 		expect(got).to.deep.equal(['r']);
 	});
 });
