--- a/packages/cli/src/direct-settings.ts
+++ b/packages/cli/src/direct-settings.ts
@@ -2,7 +2,7 @@
 	addressSetting, ipSetting, nameSetting, numberSetting, portSetting,
 } from '@papayaflow/settings';
 import {logLevels} from '@papayaflow/telemetry';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** How long a process that has ended its work waits for its last log lines to be written, in milliseconds. */
 export const logFlushMs = 30;
--- a/packages/cli/src/shared-settings.ts
+++ b/packages/cli/src/shared-settings.ts
@@ -2,7 +2,7 @@
 import {
 	ipSetting, nameSetting, portSetting, urlSetting,
 } from '@papayaflow/settings';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const highestMs = 60_000;
 
--- a/packages/cli/src/sidecar-wiring.ts
+++ b/packages/cli/src/sidecar-wiring.ts
@@ -18,7 +18,7 @@
 import {connectStore} from '@papayaflow/store';
 import {askExperts, connectTarget, orderRank} from '@papayaflow/target';
 import {createLog, createMetrics, serveAdmin} from '@papayaflow/telemetry';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type Running} from './entry-wiring.js';
 import {listen} from './program.js';
 import {sharedSettings} from './shared-settings.js';
--- a/packages/config/src/head.ts
+++ b/packages/config/src/head.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** The key of the head in the key-value service. */
 export const headKey = 'papayaflow/config/head';
--- a/packages/config/src/preset.ts
+++ b/packages/config/src/preset.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const highestPriority = 9;
 const ms = (fallback: number, least = 1, most = 86_400_000) => z.number().int().min(least).max(most).default(fallback);
--- a/packages/config/test/documents.test.ts
+++ b/packages/config/test/documents.test.ts
@@ -2,7 +2,7 @@
 import path from 'node:path';
 import {expect} from 'chai';
 import {describe, it} from 'mocha';
-import {z} from 'zod';
+import * as z from 'zod';
 import {checkPreset, presetSchema} from '@papayaflow/config';
 
 const root = path.join(import.meta.dirname, '../../..');
--- a/packages/instances/src/instances.ts
+++ b/packages/instances/src/instances.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Agent, request} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const requestTimeoutMs = 2000;
 
--- a/packages/settings/src/common.ts
+++ b/packages/settings/src/common.ts
@@ -1,5 +1,5 @@
 import {isIP} from 'node:net';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type SettingDef} from './settings.js';
 
 const highestPort = 65_535;
--- a/packages/target/src/engine.ts
+++ b/packages/target/src/engine.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {type Target} from './target.js';
 
 const scheduledSchema = z.object({version: z.number(), step: z.number()});
