--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -23,10 +23,7 @@
 	...directSettings,
 	target: addressSetting('the engine beside this process'),
 	goodSkew: numberSetting('the skew of a layer at which its experts are left where they are', {least: 1, most: 100, fallback: '1.08'}),
-	copyCost: numberSetting('what the copy of one expert costs, as seconds of passes that take twice as long', {least: 0, most: 100, fallback: '0.012'}),
-	copyMs: numberSetting('how long a rank takes to copy one expert, before the first switch has shown it', {
-		least: 0, most: 600_000, unit: 'milliseconds', fallback: '400',
-	}),
+	copyCost: numberSetting('what copying a gigabyte costs, as seconds of one rank\'s passes that take twice as long', {least: 0, most: 100, fallback: '0.065'}),
 };
 
 /**
@@ -68,7 +65,7 @@
 
 	const group = createGroupSidecar({
 		target, engine: connect(target), connect, records: siblings, metrics, log, monotonicMs, random, sleep: pause, signal: ending.signal,
-		weights: {goodSkew: settings.goodSkew, copyCost: settings.copyCost, copyMs: settings.copyMs},
+		weights: {goodSkew: settings.goodSkew, copyCost: settings.copyCost},
 		model() {
 			const own = ownRecord();
 			return own && directory.table()?.configuration.services.get(own.service)?.engine;
--- a/packages/group/src/coordination.ts
+++ b/packages/group/src/coordination.ts
@@ -32,7 +32,7 @@
 	/** Which ranks take new work. */
 	readonly open: () => readonly boolean[];
 	readonly takeToken: () => Promise<number | undefined>;
-	readonly weights: Pick<MapWeights, 'goodSkew' | 'copyCost' | 'copyMs'>;
+	readonly weights: Pick<MapWeights, 'goodSkew' | 'copyCost'>;
 	/** The entries that ask. */
 	readonly entries: () => number;
 	readonly tellLoad: (load: GroupLoad) => void;
--- a/packages/group/src/demand-board.ts
+++ b/packages/group/src/demand-board.ts
@@ -13,6 +13,8 @@
 	shiftedMs(): number | undefined;
 	/** How long a demand lasts before it shifts, on average, in milliseconds; `undefined` before a second shift. */
 	meanShiftMs(): number | undefined;
+	/** The same for the demand of one layer, over all layers; where few shift at once it lasts longer. */
+	layerShiftMs(): number | undefined;
 };
 
 /** The weight of one more interval between shifts in their mean. */
@@ -36,6 +38,7 @@
 	const fresh = new Float64Array(layers * experts);
 	let demands: readonly Demand[] = Array.from({length: layers}, () => evenDemand(experts));
 	let meanMs: number | undefined;
+	let layerMeanMs: number | undefined;
 	let settledMs = Number.NEGATIVE_INFINITY;
 	let shiftedMs: number | undefined;
 
@@ -58,6 +61,11 @@
 			const before = demands;
 			demands = before.map((demand, layer) => withCounts(demand, fresh.subarray(layer * experts, (layer + 1) * experts), nowMs, defaultDemandOptions));
 			fresh.fill(0);
+			const intervals = demands.map(({shiftedAtMs = 0}, layer) => shiftedAtMs - (before[layer].shiftedAtMs ?? shiftedAtMs));
+			for (const interval of intervals.filter(interval => interval >= sameShiftMs)) {
+				layerMeanMs = withInterval(layerMeanMs, interval);
+			}
+
 			const hasShifted = demands.some(({shiftedAtMs}, layer) => shiftedAtMs !== before[layer].shiftedAtMs);
 			if (!hasShifted) {
 				return;
@@ -67,12 +75,17 @@
 			if (interval === undefined || interval >= sameShiftMs) {
 				shiftedMs = nowMs;
 				if (interval !== undefined) {
-					meanMs = meanMs === undefined ? interval : meanMs + ((interval - meanMs) * intervalWeight);
+					meanMs = withInterval(meanMs, interval);
 				}
 			}
 		},
 		shiftedMs: () => shiftedMs,
 		demands: () => demands,
 		meanShiftMs: () => meanMs,
+		layerShiftMs: () => layerMeanMs,
 	};
 }
+
+function withInterval(meanMs: number | undefined, interval: number): number {
+	return meanMs === undefined ? interval : meanMs + ((interval - meanMs) * intervalWeight);
+}
--- a/packages/group/src/map-keeper.ts
+++ b/packages/group/src/map-keeper.ts
@@ -46,10 +46,8 @@
 export type MapWeights = {
 	/** The skew at which a layer is left as it is. */
 	readonly goodSkew: number;
-	/** What one copy costs, in seconds of passes at skew 1 that take as long again. */
+	/** What copying a gigabyte costs, in seconds of one rank's passes at skew 1 that take as long again. */
 	readonly copyCost: number;
-	/** How long one expert takes to copy, in milliseconds, before the first switch has shown it. */
-	readonly copyMs: number;
 	/** The part of a pass that the experts' work is, at skew 1. */
 	readonly workShare: number;
 };
@@ -118,7 +116,7 @@
 	let {map} = taken;
 	heldLast = taken.held;
 	let version = Math.max(token * versionsPerToken, taken.newest);
-	let {copyMs} = deps.weights;
+	let {copyMs} = deps.model;
 	let plannedMs = Number.NEGATIVE_INFINITY;
 	deps.onMap(map);
 	while (!deps.isStopped()) {
@@ -136,7 +134,7 @@
 		}
 
 		plannedMs = deps.nowMs();
-		const chosen = choose(map, demands, {copyMs, shiftMs: deps.board.meanShiftMs() ?? usualShiftMs, nowMs: plannedMs}, deps);
+		const chosen = choose(map, demands, {copyMs, shiftMs: deps.board.layerShiftMs() ?? usualShiftMs, nowMs: plannedMs}, deps);
 		if (!chosen) {
 			continue;
 		}
@@ -228,9 +226,9 @@
 		return undefined;
 	}
 
-	const oldest = Math.max(...demands.map(({shiftedAtMs = nowMs}) => nowMs - shiftedAtMs));
 	// A demand that has outlasted the mean may end at any moment, or last on.
-	const leftS = Math.max(shiftMs / 2, shiftMs - oldest) / msPerSecond;
+	const leftS = demands.map(({shiftedAtMs = nowMs}) => Math.max(shiftMs / 2, shiftMs - (nowMs - shiftedAtMs)) / msPerSecond);
+	const copyCost = weights.copyCost * model.expertGigabytes / map[0].length;
 	let best: Spread | undefined;
 	let bestValue = 0;
 	for (const most of new Set([1, 2, model.maxNewPerLayer])) {
@@ -238,8 +236,9 @@
 			slotsPerRank: model.slotsPerRank, maxNewPerLayer: model.maxNewPerLayer, maxNewPerRank: most, goodSkew: weights.goodSkew, leastGain: leastStepGain,
 		});
 		const copyS = copyMs * spread.mostPerRank / msPerSecond;
-		const gain = (spread.skewBefore - spread.skewAfter) * weights.workShare * Math.max(0, leftS - copyS);
-		const value = gain - (copySlowdown * copyS) - (weights.copyCost * spread.copies);
+		const gains = layers.map((layer, at) => (layeredSkew([layer]) - layeredSkew([{placement: spread.placements[at], shares: layer.shares}])) * Math.max(0, leftS[at] - copyS));
+		const gain = weights.workShare * gains.reduce((sum, one) => sum + one, 0) / layers.length;
+		const value = gain - (copySlowdown * copyS) - (copyCost * spread.copies);
 		if (spread.copies > 0 && value > bestValue) {
 			best = spread;
 			bestValue = value;
--- a/packages/group/test/demand-board.test.ts
+++ b/packages/group/test/demand-board.test.ts
@@ -24,6 +24,19 @@
 		expect(board.demands()[0].shares[2]).to.equal(0.5);
 	});
 
+	it('tells how long the demand of one layer lasts where layers shift at different times', () => {
+		const board = boardOf();
+		const layouts = [[9, 1, 0, 0], [0, 0, 9, 1]];
+		for (let part = 0; part < 160; part++) {
+			const [first, second] = [Math.floor(part / 20) % 2, Math.floor((part + 10) / 20) % 2];
+			board.take([...layouts[first], ...layouts[second]]);
+			board.settle(part * 200);
+		}
+
+		expect(board.meanShiftMs()).to.be.within(1800, 2200);
+		expect(board.layerShiftMs()).to.be.within(3600, 4400);
+	});
+
 	it('takes jumps that follow each other at once for one shift', () => {
 		const board = boardOf();
 		const layouts = [[9, 1, 0, 0], [0, 9, 1, 0], [0, 0, 9, 1], [1, 0, 0, 9]];
@@ -37,5 +50,6 @@
 		}
 
 		expect(board.meanShiftMs()).to.be.within(2500, 3500);
+		expect(board.layerShiftMs()).to.be.within(2500, 3500);
 	});
 });
--- a/packages/routing/src/configuration.ts
+++ b/packages/routing/src/configuration.ts
@@ -68,6 +68,10 @@
 	readonly maxNewPerLayer: number;
 	/** The part of the work for tokens that the experts do, 0 to 1. */
 	readonly workShare: number;
+	/** The size of one expert's weights, in gigabytes. */
+	readonly expertGigabytes: number;
+	/** How long a rank takes to copy one expert, in milliseconds. */
+	readonly copyMs: number;
 	/** How long a group takes to form again after it lost a rank, in milliseconds. */
 	readonly formMs: number;
 };
