Plan the next change of a map as soon as one is in force

Cause: the pause of 0.9 s that is meant for plans that change nothing was kept after each plan. On the grown site one change takes the skew from 2.5 to 1.8 and the next one to 1.5, 0.9 s later.

Change: no pause after a switch.

--- a/packages/group/src/map-keeper.ts
+++ b/packages/group/src/map-keeper.ts
@@ -153,6 +153,7 @@
 				metrics.latency('map_hold', result.heldMs);
 				copyMs = chosen.mostPerRank > 0 ? result.preparedMs / chosen.mostPerRank : copyMs;
 				map = chosen.placements;
+				plannedMs = Number.NEGATIVE_INFINITY;
 				deps.onMap(map);
 				break;
 			}
