Stand-in of the platform's store keeps its rates

Calls beyond the reads and writes of a second are refused with 429, renewals count as a tenth. No program changes.

--- a/packages/standins/src/platform-store.ts
+++ b/packages/standins/src/platform-store.ts
@@ -16,6 +16,9 @@
 	loseAnswers: number;
 	/** The most items of one page. */
 	pageItems: number;
+	/** Calls that are taken in a second, all callers together; those beyond are refused with 429. Renewals of leases count as a tenth of a read. */
+	readsPerSecond: number;
+	writesPerSecond: number;
 };
 
 /** The platform's store in memory, as its protocol describes it. */
@@ -24,6 +27,8 @@
 	readonly faults: PlatformStoreFaults;
 	/** Calls by path. */
 	readonly calls: Map<string, number>;
+	/** Calls that came beyond the rates. */
+	refused(): number;
 	/** Writes as the operator or a target does. */
 	put(key: string, value: string, lease?: number): number;
 	remove(key: string): void;
@@ -35,6 +40,11 @@
 
 const defaultPageItems = 500;
 const emptyWatchMs = 20;
+const msPerSecond = 1000;
+/** More calls a second than any test makes. */
+const unlimited = 1e9;
+const renewalPrice = 0.1;
+const writingCalls: ReadonlySet<string> = new Set(['kv-txn', 'kv-lease']);
 
 /**
 Makes the stand-in: items with revisions, pages, watches with a history that can be
@@ -50,8 +60,10 @@
 	const waiting = new Set<() => void>();
 	const calls = new Map<string, number>();
 	const faults: PlatformStoreFaults = {
-		mode: 'serve', slowMs: 0, loseAnswers: 0, pageItems: defaultPageItems,
+		mode: 'serve', slowMs: 0, loseAnswers: 0, pageItems: defaultPageItems, readsPerSecond: unlimited, writesPerSecond: unlimited,
 	};
+	const buckets = {reads: {left: unlimited, atMs: nowMs()}, writes: {left: unlimited, atMs: nowMs()}};
+	let refused = 0;
 	let history: Event[] = [];
 	let revision = 1;
 	let compactedAt = 0;
@@ -94,6 +106,24 @@
 		}
 	};
 
+	/** Whether a call fits the rates; a second's worth may come at once. */
+	const isWithinRates = (call: string): boolean => {
+		const kind = writingCalls.has(call) ? 'writes' : 'reads';
+		const perSecond = kind === 'writes' ? faults.writesPerSecond : faults.readsPerSecond;
+		const bucket = buckets[kind];
+		const now = nowMs();
+		bucket.left = Math.min(perSecond, bucket.left + ((now - bucket.atMs) * perSecond / msPerSecond));
+		bucket.atMs = now;
+		const price = call === 'kv-keep' ? renewalPrice : 1;
+		if (bucket.left < price) {
+			refused++;
+			return false;
+		}
+
+		bucket.left -= price;
+		return true;
+	};
+
 	const watch = (query: URLSearchParams, res: ServerResponse): void => {
 		const after = Number(query.get('after'));
 		const prefix = query.get('prefix') ?? '';
@@ -166,6 +196,11 @@
 	const serve = (path: string, query: URLSearchParams, body: Record<string, unknown>, res: ServerResponse): void => {
 		expire();
 		const [call, id] = path.replace('/papayaflow/', '').split('/');
+		if (!isWithinRates(call)) {
+			sendJson(res, 429, {});
+			return;
+		}
+
 		switch (call) {
 			case 'kv-key': {
 				const item = items.get(query.get('key') ?? '');
@@ -242,6 +277,7 @@
 		server,
 		faults,
 		calls,
+		refused: () => refused,
 		put: (key, value, lease) => put(key, Buffer.from(value).toString('base64'), lease),
 		remove,
 		compact() {
