--- a/packages/sidecar/src/server.ts
+++ b/packages/sidecar/src/server.ts
@@ -12,6 +12,7 @@
 const loadReportMs = 50;
 const recentUseMs = 2000;
 
+/** How often a closing sidecar looks whether its callers have closed, in milliseconds. */
 const closePollMs = 5;
 
 type Listener = {usedMs: number; isTold: boolean; isEntry: boolean};
