One place for links to a list of hosts, one for an address as text

Read of the whole change: the entry's and the sidecar's wiring kept their links to peers with the same twenty lines, now followHosts of the peer package, with a test; five places wrote host and port as text, now addressOf beside TargetRecord; the roster's list of peers was dead since all connected sidecars are told. No behaviour changes.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -3,10 +3,10 @@
 	createFront, createGroupPlacer, createPlainPlacer, createTargets,
 } from '@papayaflow/direct';
 import {lossReasons, refusalReasons} from '@papayaflow/outcome';
-import {followPeer, type PeerEvents} from '@papayaflow/peer';
+import {followHosts, type PeerEvents} from '@papayaflow/peer';
 import {connectPlatformStore, platformDialect} from '@papayaflow/platform';
 import {createResendBudget} from '@papayaflow/policy';
-import {type EngineModel, type TargetRecord} from '@papayaflow/routing';
+import {addressOf, type EngineModel, type TargetRecord} from '@papayaflow/routing';
 import {addressSetting, numberSetting, type SettingsOf} from '@papayaflow/settings';
 import {serveAdmin} from '@papayaflow/telemetry';
 import {beginProcess} from './direct-process.js';
@@ -80,7 +80,7 @@
 		},
 	});
 	const directory = openDirectory({
-		store: connectPlatformStore({address: `${settings.store.host}:${settings.store.port}`, timeoutMs: settings.storeTimeoutMs}),
+		store: connectPlatformStore({address: addressOf(settings.store), timeoutMs: settings.storeTimeoutMs}),
 		pauseMs: settings.storePauseMs, isFed: false, log, metrics, monotonicMs, random, sleep: pause, signal: ending.signal,
 		onTable({configuration}) {
 			front.useLimits(configuration.limits);
@@ -120,26 +120,15 @@
 			metrics.count('frame_faults', {reason});
 		},
 	};
-	const links = new Map<string, AbortController>();
+	const follow = followHosts({
+		port: settings.peerPort, events, signal: ending.signal,
+		options: {
+			role: 'entry', instance, incarnation, zone, monotonicMs, sleep: pause,
+		},
+	});
 	// A sidecar stands on the machine of each engine.
 	const updateLinks = (records: readonly TargetRecord[]): void => {
-		const hosts = new Set(records.filter(({service}) => model(service) !== undefined).map(({host}) => host));
-		for (const [host, link] of links) {
-			if (!hosts.has(host)) {
-				link.abort();
-				links.delete(host);
-			}
-		}
-
-		for (const host of hosts) {
-			if (!links.has(host)) {
-				const link = new AbortController();
-				links.set(host, link);
-				void followPeer({address: host, port: settings.peerPort}, {
-					role: 'entry', instance, incarnation, zone, monotonicMs, sleep: pause,
-				}, events, AbortSignal.any([link.signal, ending.signal]));
-			}
-		}
+		follow(records.filter(({service}) => model(service) !== undefined).map(({host}) => host));
 	};
 
 	const front = createFront({
--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -2,9 +2,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {takeEpoch} from '@papayaflow/experts';
 import {createGroupSidecar, type RankEngine} from '@papayaflow/group';
-import {followPeer, servePeer, type PeerEvents} from '@papayaflow/peer';
+import {followHosts, servePeer, type PeerEvents} from '@papayaflow/peer';
 import {connectPlatformStore, connectRank} from '@papayaflow/platform';
-import {type TargetRecord} from '@papayaflow/routing';
+import {addressOf, type TargetRecord} from '@papayaflow/routing';
 import {addressSetting, numberSetting, type SettingsOf} from '@papayaflow/settings';
 import {serveAdmin} from '@papayaflow/telemetry';
 import {beginProcess} from './direct-process.js';
@@ -39,8 +39,8 @@
 		incarnation, log, metrics, ending, monotonicMs, random, pause,
 	} = beginProcess('papayaflow-sidecar', settings);
 	let isLeaving = false;
-	const target = `${settings.target.host}:${settings.target.port}`;
-	const store = connectPlatformStore({address: `${settings.store.host}:${settings.store.port}`, timeoutMs: settings.storeTimeoutMs});
+	const target = addressOf(settings.target);
+	const store = connectPlatformStore({address: addressOf(settings.store), timeoutMs: settings.storeTimeoutMs});
 	const directory = openDirectory({
 		store, pauseMs: settings.storePauseMs, isFed: true, log, metrics, monotonicMs, random, sleep: pause, signal: ending.signal,
 		onTable() {
@@ -50,7 +50,7 @@
 			updateLinks();
 		},
 	});
-	const ownRecord = (): TargetRecord | undefined => directory.records().find(({host, port}) => `${host}:${port}` === target);
+	const ownRecord = (): TargetRecord | undefined => directory.records().find(record => addressOf(record) === target);
 	const siblings = (): readonly TargetRecord[] => {
 		const own = ownRecord();
 		return own ? directory.records().filter(({service}) => service === own.service) : [];
@@ -100,24 +100,12 @@
 	const options = {
 		role: 'sidecar', instance, incarnation, zone, monotonicMs, sleep: pause,
 	} as const;
-	const links = new Map<string, AbortController>();
+	const follow = followHosts({
+		port: settings.peerPort, options, events, signal: ending.signal,
+	});
 	// Only the sidecars that may coordinate reach out to the others; those wait to be called.
 	const updateLinks = (): void => {
-		const hosts = new Set(group.isCandidate() ? siblings().map(({host}) => host).filter(host => host !== settings.address) : []);
-		for (const [host, link] of links) {
-			if (!hosts.has(host)) {
-				link.abort();
-				links.delete(host);
-			}
-		}
-
-		for (const host of hosts) {
-			if (!links.has(host)) {
-				const link = new AbortController();
-				links.set(host, link);
-				void followPeer({address: host, port: settings.peerPort}, options, events, AbortSignal.any([link.signal, ending.signal]));
-			}
-		}
+		follow(group.isCandidate() ? siblings().map(({host}) => host).filter(host => host !== settings.address) : []);
 	};
 
 	const relink = setInterval(updateLinks, relinkMs).unref();
--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -3,7 +3,7 @@
 } from '@papayaflow/peer';
 import {returnAfterMs} from '@papayaflow/policy';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
-import {type EngineModel} from '@papayaflow/routing';
+import {addressOf, type EngineModel} from '@papayaflow/routing';
 import {type Call} from './call.js';
 import {
 	type Place, type Placed, type PlaceNeed, type Placer,
@@ -81,7 +81,7 @@
 	};
 
 	const groupOf = (target: Target): string | undefined => {
-		const address = addressOf(target);
+		const address = addressOf(target.record);
 		return [...notices.values()].find(notice => notice.target === address)?.group;
 	};
 
@@ -104,7 +104,7 @@
 			isResumed: hasBegun,
 			excluded: [...tried].flatMap(id => {
 				const target = targets.byId(id);
-				return target ? [addressOf(target)] : [];
+				return target ? [addressOf(target.record)] : [];
 			}),
 		};
 	};
@@ -126,7 +126,7 @@
 	const placeAt = (target: Target, ask: PlaceAsk): Place => {
 		const end = target.begin();
 		const stream: Stream = {
-			group: groupOf(target), target: addressOf(target), ask, hasBegun: false,
+			group: groupOf(target), target: addressOf(target.record), ask, hasBegun: false,
 		};
 		const tell = (frame: Frame): void => {
 			const coordinator = stream.group === undefined ? undefined : coordinatorOf(stream.group);
@@ -245,7 +245,7 @@
 				: {kind: 'refused', reason: answer.reason, retryAfterMs: answer.retryAfterMs};
 		}
 
-		const target = candidates.find(candidate => addressOf(candidate) === answer.target);
+		const target = candidates.find(candidate => addressOf(candidate.record) === answer.target);
 		if (!target) {
 			// The coordinator does not know yet that this target has gone or leaves.
 			coordinator.send({kind: 'ended', id: call.requestId});
@@ -288,7 +288,3 @@
 
 /** How much chance decides between groups that are filled alike. */
 const fillSpread = 20;
-
-function addressOf({record}: Target): string {
-	return `${record.host}:${record.port}`;
-}
--- a/packages/direct/src/targets.ts
+++ b/packages/direct/src/targets.ts
@@ -1,7 +1,7 @@
 import {
 	afterFailure, afterSuccess, healthy, type EjectOptions, type Health,
 } from '@papayaflow/policy';
-import {isSameTarget, type TargetRecord} from '@papayaflow/routing';
+import {addressOf, isSameTarget, type TargetRecord} from '@papayaflow/routing';
 import {createPool, type Pool} from './pool.js';
 
 /** The weight of one more latency in a target's mean. */
@@ -101,7 +101,7 @@
 function presentByAddress(targets: readonly Target[]): readonly Target[] {
 	const latest = new Map<string, Target>();
 	for (const target of targets) {
-		const address = `${target.record.host}:${target.record.port}`;
+		const address = addressOf(target.record);
 		const other = latest.get(address);
 		if (!target.isGone && (!other || other.record.registeredAt < target.record.registeredAt)) {
 			latest.set(address, target);
--- a/packages/group/src/roster.ts
+++ b/packages/group/src/roster.ts
@@ -10,8 +10,6 @@
 	remove(peer: Peer): void;
 	/** Whether a peer is a candidate of a group; also where it has not told of itself yet. */
 	isCandidate(peer: Peer, group: string | undefined): boolean;
-	/** Every sidecar that has told, of whatever group. */
-	peers(): readonly Peer[];
 	/** A rank of a group; without a peer where its sidecar was there and is gone. */
 	member(group: string, rank: number): Member | undefined;
 	/** Those that coordinate a group, as they say. */
@@ -39,7 +37,6 @@
 			const told = notices.get(peer);
 			return told === undefined || (told.group === group && told.rank < candidates);
 		},
-		peers: () => [...notices.keys()],
 		member(group, rank) {
 			const found = of(group).find(([, notice]) => notice.rank === rank);
 			if (found) {
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -3,7 +3,7 @@
 	handleFrame, type Frame, type FrameHandlers, type Peer, type RankNotice, type StreamNotice,
 } from '@papayaflow/peer';
 import {type GroupNeed} from '@papayaflow/policy';
-import {type TargetRecord} from '@papayaflow/routing';
+import {addressOf, type TargetRecord} from '@papayaflow/routing';
 import {coordinate, type Coordination, type CoordinationDeps} from './coordination.js';
 import {packCounts, unpackCounts} from './counts.js';
 import {followOwnRank} from './own-rank.js';
@@ -110,7 +110,7 @@
 	const targetOf = (rank: number): string | undefined => member(rank)?.target;
 
 	const onView = (view: RankView): void => {
-		const serving = new Set(deps.records().filter(({state}) => state === 'serving').map(({host, port}) => `${host}:${port}`));
+		const serving = new Set(deps.records().filter(({state}) => state === 'serving').map(record => addressOf(record)));
 		open = Array.from({length: view.size}, (_, rank) => {
 			const target = targetOf(rank);
 			return view.isOpen && target !== undefined && serving.has(target);
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -7,6 +7,7 @@
 	type ConfigUpdate, type Frame, type FrameFault,
 	type GroupFrame, type GroupLoad, type LoadReport, type PathFrame, type PeerRequest, type PlaceAsk, type RankNotice, type StoreCopy, type StreamNotice,
 } from './frame.js';
+export {followHosts, type LinksOptions} from './links.js';
 export {
 	followPeer, handleFrame, servePeer, type FrameHandlers, type Peer, type PeerEvents, type PeerOptions,
 } from './peer.js';
--- a/packages/peer/test/peer.test.ts
+++ b/packages/peer/test/peer.test.ts
@@ -8,7 +8,7 @@
 	afterEach, beforeEach, describe, it,
 } from 'mocha';
 import {
-	followPeer, handleFrame, openConnection, serveFrames, servePeer, type Frame, type Peer, type PeerEvents, type PeerOptions,
+	followHosts, followPeer, handleFrame, openConnection, serveFrames, servePeer, type Frame, type Peer, type PeerEvents, type PeerOptions,
 } from '@papayaflow/peer';
 
 const optionsOf = (instance: string): PeerOptions => ({
@@ -81,6 +81,26 @@
 		expect(here.log).to.deep.equal(['up there', 'known', 'down there']);
 	});
 
+	it('to each host of a list stands while the list names it', async () => {
+		const [there, here] = [recorder(), recorder()];
+		server.on('connection', socket => {
+			void servePeer(socket, optionsOf('there'), there.events);
+		});
+		const ending = new AbortController();
+		const follow = followHosts({
+			port: port(), options: optionsOf('here'), events: here.events, signal: ending.signal,
+		});
+		follow(['127.0.0.1']);
+		await sleep(60);
+		follow(['127.0.0.1', '127.0.0.1']);
+		await sleep(40);
+		expect(here.log, 'one link').to.deep.equal(['up there']);
+		follow([]);
+		await sleep(300);
+		expect(here.log, 'ended for good').to.deep.equal(['up there', 'down there']);
+		ending.abort();
+	});
+
 	it('that falls silent is let go within about a second, and tried again', async () => {
 		const here = recorder();
 		server.on('connection', socket => {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -4,4 +4,4 @@
 export {
 	createRouteTable, drawService, identify, type Identified, type RouteTable,
 } from './match.js';
-export {isSameTarget, type TargetRecord} from './target.js';
+export {addressOf, isSameTarget, type TargetRecord} from './target.js';
--- a/packages/routing/src/target.ts
+++ b/packages/routing/src/target.ts
@@ -25,3 +25,8 @@
 	return a.id === b.id && a.incarnation === b.incarnation && a.service === b.service && a.host === b.host && a.port === b.port
 		&& a.zone === b.zone && a.slots === b.slots && a.state === b.state;
 }
+
+/** The address of a target, or of what else is reached by host and port, as `IP:PORT`. */
+export function addressOf({host, port}: {readonly host: string; readonly port: number}): string {
+	return `${host}:${port}`;
+}
