Measure event loop delay, send delay and copies of the directory

Cause: neither logs nor metrics could tell whether a request that reached its target late had waited for the coordinator, for the event loop or for its connection, nor what the links were full of.

No decision changes.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -105,6 +105,7 @@
 			directory.onUp(peer);
 		},
 		onFrame(peer, frame) {
+			metrics.count('frames_received', {kind: frame.kind});
 			if (!groupPlacer.onFrame(peer, frame) && !directory.onFrame(peer, frame)) {
 				metrics.count('frame_faults', {reason: 'unexpected'});
 			}
--- a/packages/cli/src/direct-process.ts
+++ b/packages/cli/src/direct-process.ts
@@ -3,7 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type SettingsOf} from '@papayaflow/settings';
 import {
-	createLog, createMetrics, type Log, type Metrics,
+	createLog, createMetrics, sampleLoopDelay, type Log, type Metrics,
 } from '@papayaflow/telemetry';
 import {type directSettings} from './direct-settings.js';
 import {ignoreHangup} from './program.js';
@@ -23,7 +23,7 @@
 };
 
 /**
-Creates the context of a program and makes the process ignore SIGHUP.
+Creates the context of a program, samples its event loop and makes the process ignore SIGHUP.
 
 @example
 const {log, metrics} = createProcessContext('papayaflow-entry', settings);
@@ -31,8 +31,14 @@
 export function createProcessContext(program: string, {instance, zone, logLevel}: SettingsOf<typeof directSettings>): ProcessContext {
 	const log = createLog({program, instance, zone}, logLevel);
 	ignoreHangup(log);
+	const metrics = createMetrics();
+	const shutdown = new AbortController();
+	const monotonicMs = (): number => performance.now();
+	sampleLoopDelay({
+		metrics, log, monotonicMs, signal: shutdown.signal,
+	});
 	return {
-		incarnation: randomUUID(), log, metrics: createMetrics(), shutdown: new AbortController(), monotonicMs: () => performance.now(), random: Math.random,
+		incarnation: randomUUID(), log, metrics, shutdown, monotonicMs, random: Math.random,
 		async pause(ms) {
 			await sleep(ms, undefined, {ref: false});
 		},
--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -84,6 +84,7 @@
 			group.onUp(peer);
 		},
 		onFrame(peer, frame) {
+			metrics.count('frames_received', {kind: frame.kind});
 			if (!group.onFrame(peer, frame) && !directory.onFrame(peer, frame)) {
 				metrics.count('frame_faults', {reason: 'unexpected'});
 			}
--- a/packages/cli/src/directory.ts
+++ b/packages/cli/src/directory.ts
@@ -153,11 +153,15 @@
 
 			// A process that reads the store gets the change from there, so it pulls from the peer only while the store is unavailable.
 			if (changedAt > mirror.revision() && (deps.prefersPeers || isStoreLost)) {
+				metrics.count('pulls');
 				peer.send({kind: 'pull', after: mirror.revision()});
 			}
 		},
 		pull(peer, {after}) {
-			peer.send({kind: 'copy', copy: copySince(mirror, after)});
+			const copy = copySince(mirror, after);
+			metrics.count('copies_sent');
+			metrics.count('copy_bytes_sent', {}, copy.entries.reduce((sum, {value}) => sum + value.length, 0));
+			peer.send({kind: 'copy', copy});
 		},
 		copy(peer, {copy}) {
 			const copyResult = applyCopy(mirror, copy);
--- a/packages/direct/src/exchange.ts
+++ b/packages/direct/src/exchange.ts
@@ -47,6 +47,8 @@
 	readonly maxIdleMs: number;
 	/** Cancels the exchange and closes its connection to the target. */
 	readonly signal: AbortSignal;
+	/** Called when the connection is open and the request is written to it. */
+	readonly onSent: () => void;
 };
 
 /**
@@ -55,9 +57,9 @@
 ends the exchange as `broken` and closes the connection.
 
 @example
-const ended = await exchange(pool, request, sink, {dialect, maxIdleMs: 4000, signal});
+const ended = await exchange(pool, request, sink, {dialect, maxIdleMs: 4000, signal, onSent});
 */
-export async function exchange(pool: Pool, request: TargetRequest, sink: AnswerSink, {dialect, maxIdleMs, signal}: ExchangeOptions): Promise<ExchangeResult> {
+export async function exchange(pool: Pool, request: TargetRequest, sink: AnswerSink, {dialect, maxIdleMs, signal, onSent}: ExchangeOptions): Promise<ExchangeResult> {
 	if (signal.aborted) {
 		return {kind: 'notSent', detail: 'cancelled'};
 	}
@@ -105,6 +107,7 @@
 
 				controller = newController;
 				isSent = true;
+				onSent();
 			},
 			onResponseStart(currentController, status, headers) {
 				// Skips informational (1xx) responses.
--- a/packages/direct/src/forward.ts
+++ b/packages/direct/src/forward.ts
@@ -6,7 +6,9 @@
 import {isRetryable, type Call} from './call.js';
 import {type Dialect} from './dialect.js';
 import {createEventSplitter} from './events.js';
-import {exchange, type ExchangeResult, type TargetAnswerHead} from './exchange.js';
+import {
+	exchange, type ExchangeOptions, type ExchangeResult, type TargetAnswerHead,
+} from './exchange.js';
 import {type Place, type Placer} from './place.js';
 
 /** The longest idle time of a connection that is reused for a retryable call, in milliseconds. Targets close idle connections after some seconds. */
@@ -44,7 +46,16 @@
 export type ForwardResult = {readonly outcome: Outcome; readonly status: number | undefined; readonly attempts: readonly AttemptRecord[]};
 
 /** One attempt, as it is logged. */
-export type AttemptRecord = {readonly target: string; readonly ended: string; readonly ms: number};
+export type AttemptRecord = {
+	readonly target: string;
+	readonly ended: string;
+	/** When the target was chosen, in milliseconds since the request was read. */
+	readonly placedMs: number;
+	/** How long after that the request was written to the connection, in milliseconds; `undefined` if it never was. */
+	readonly sentAfterMs: number | undefined;
+	/** How long the attempt took, in milliseconds. */
+	readonly ms: number;
+};
 
 /** A whole response of a target that is held back while the call is retried at another target. */
 type BufferedAnswer = {readonly head: TargetAnswerHead; readonly body: Uint8Array};
@@ -133,8 +144,17 @@
 
 		tried.add(id);
 		const startedMs = deps.monotonicMs();
-		const result = await sendAttempt(admitted, place, progress, deps);
-		progress.attempts.push({target: id, ended: describeResult(result), ms: Math.round(deps.monotonicMs() - startedMs)});
+		let sentAfterMs: number | undefined;
+		const result = await sendAttempt(admitted, place, progress, {
+			...deps,
+			onSent() {
+				sentAfterMs = Math.round(deps.monotonicMs() - startedMs);
+				deps.metrics.latency('send_delay', sentAfterMs);
+			},
+		});
+		progress.attempts.push({
+			target: id, ended: describeResult(result), placedMs: Math.round(startedMs - call.arrivedMs), sentAfterMs, ms: Math.round(deps.monotonicMs() - startedMs),
+		});
 		if (result.kind === 'done') {
 			return toForwardResult({kind: 'answered'}, result.status);
 		}
@@ -176,7 +196,7 @@
 	}
 }
 
-async function sendAttempt(admitted: AdmittedCall, place: Place, progress: Progress, deps: ForwardDeps): Promise<AttemptResult> {
+async function sendAttempt(admitted: AdmittedCall, place: Place, progress: Progress, deps: ForwardDeps & Pick<ExchangeOptions, 'onSent'>): Promise<AttemptResult> {
 	const {call, answer, signal} = admitted;
 	const silenceController = new AbortController();
 	const silenceLimitMs = silenceLimit(call, deps);
@@ -202,7 +222,7 @@
 			deadlineMs: leftMs, targetId: place.target.record.id, organisation: call.organisation, lastEventId: progress.hasSentEvents ? String(progress.lastEventId) : undefined,
 		}),
 	}, receiver, {
-		dialect: deps.dialect, maxIdleMs: isRetryable(call) ? retryableMaxIdleMs : 0, signal: AbortSignal.any([signal, silenceController.signal]),
+		dialect: deps.dialect, maxIdleMs: isRetryable(call) ? retryableMaxIdleMs : 0, signal: AbortSignal.any([signal, silenceController.signal]), onSent: deps.onSent,
 	});
 	clearTimeout(silenceTimer);
 	const result = receiver.result(exchangeResult, signal.aborted ? String(signal.reason) : undefined);
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -2,4 +2,5 @@
 	createLog, logLevels, type Log, type LogLevel,
 } from './log.js';
 export {createMetrics, type Metrics} from './metrics.js';
+export {sampleLoopDelay, type LoopDelayOptions} from './loop-delay.js';
 export {serveAdmin, type AdminReply, type AdminSources} from './admin.js';
