--- a/packages/cli/test/directory.test.ts
+++ b/packages/cli/test/directory.test.ts
@@ -4,7 +4,7 @@
 import {type Peer} from '@papayaflow/peer';
 import {connectPlatformStore} from '@papayaflow/platform';
 import {createPlatformStore, type PlatformStore} from '@papayaflow/standins';
-import {createLog, createMetrics} from '@papayaflow/telemetry';
+import {createLog, createMetrics, type Metrics} from '@papayaflow/telemetry';
 import {expect} from 'chai';
 import {
 	afterEach, beforeEach, describe, it,
@@ -43,31 +43,34 @@
 		standin.server.close();
 	});
 
-	const open = (storePort: number, prefersPeers: boolean): {directory: Directory; versions: number[]; states: string[]} => {
+	const open = (storePort: number, prefersPeers: boolean, pauseMs = 10): {directory: Directory; versions: number[]; states: string[]; metrics: Metrics} => {
 		const versions: number[] = [];
 		const states: string[] = [];
+		const metrics = createMetrics();
 		const directory = openDirectory({
-			store: connectPlatformStore({address: `127.0.0.1:${storePort}`, timeoutMs: 100}), pauseMs: 10, prefersPeers,
-			log: createLog({}, 'error'), metrics: createMetrics(), monotonicMs: () => performance.now(), random: () => 0.5, signal: ending.signal,
+			store: connectPlatformStore({address: `127.0.0.1:${storePort}`, timeoutMs: 100}), pauseMs, prefersPeers,
+			log: createLog({}, 'error'), metrics, monotonicMs: () => performance.now(), random: () => 0.5, signal: ending.signal,
 			async sleep(ms) {
 				await sleep(ms, undefined, {ref: false});
 			},
 			onTable: ({configuration: {version}}) => versions.push(version),
 			onRecords: records => states.push(records.map(({id, state}) => `${id} ${state}`).join(', ')),
 		});
-		return {directory, versions, states};
+		return {
+			directory, versions, states, metrics,
+		};
 	};
 
 	/** Links two directories like a connection between their processes. */
-	const link = (a: Directory, b: Directory): void => {
-		const hello: Peer['hello'] = {
-			kind: 'hello', version: 1, role: 'entry', instance: 'peer', incarnation: 'x', zone: 'z', sentMs: 0,
-		};
+	const link = (a: Directory, b: Directory, instanceOfA = 'peer-a', instanceOfB = 'peer-b'): void => {
+		const helloOf = (instance: string): Peer['hello'] => ({
+			kind: 'hello', version: 1, role: 'entry', instance, incarnation: 'x', zone: 'z', sentMs: 0,
+		});
 		const toB: Peer = {
-			hello, host: '', close: () => undefined, send: frame => setImmediate(() => b.onFrame(toA, frame)),
+			hello: helloOf(instanceOfB), host: '', close: () => undefined, send: frame => setImmediate(() => b.onFrame(toA, frame)),
 		};
 		const toA: Peer = {
-			hello, host: '', close: () => undefined, send: frame => setImmediate(() => a.onFrame(toB, frame)),
+			hello: helloOf(instanceOfA), host: '', close: () => undefined, send: frame => setImmediate(() => a.onFrame(toB, frame)),
 		};
 		a.onUp(toB);
 		b.onUp(toA);
@@ -116,6 +119,41 @@
 		follower.directory.stop();
 	});
 
+	// Guards against copies from every peer, which filled the links of an entry whose store was available.
+	it('pulls nothing from its peers while the store serves it', async () => {
+		const early = open(port, false);
+		const late = open(port, false, 400);
+		link(early.directory, late.directory);
+		await sleep(100);
+		standin.put('servers/i-1', registration('draining'));
+		await sleep(150);
+		expect(early.states.at(-1)).to.equal('i-1 leaving');
+		expect(late.metrics.read('pulls')).to.equal(0);
+		early.directory.stop();
+		late.directory.stop();
+	});
+
+	// Guards against one copy from each entry, so that a change cost entries × sidecars copies.
+	it('pulls each change from one of the peers that announce it', async () => {
+		const readers = Array.from({length: 8}, () => open(port, false, 20));
+		await sleep(100);
+		const follower = open(1, true);
+		for (const [i, reader] of readers.entries()) {
+			link(reader.directory, follower.directory, `entry-${i}`, 'sidecar');
+		}
+
+		await sleep(300);
+		expect(follower.versions).to.deep.equal([3]);
+		expect(follower.metrics.read('pulls'), 'the first state').to.equal(1);
+		standin.put('op/config', configuration(4));
+		await sleep(300);
+		expect(follower.versions).to.deep.equal([3, 4]);
+		expect(follower.metrics.read('pulls'), 'with the change').to.equal(2);
+		for (const {directory} of [...readers, follower]) {
+			directory.stop();
+		}
+	});
+
 	it('keeps the current configuration when the next one is malformed', async () => {
 		const {directory} = open(port, false);
 		await sleep(60);
