Pull each change of the directory once, from one peer

What callers saw: requests reached targets up to seconds late, after their callers had left (GONE), and streams were refused or late after each change of the configuration (SHORT).

Cause: a process that prefers peers, or whose store is lost, pulled a copy from every peer that announced a newer revision, before the first copy could arrive. An entry counted its store as lost until the first outage had ended, that is for good where there was none. The copies were queued before requests and answers.

Change: the puller has at most one pull in flight. Each instance prefers another entry by rendezvous hash, so the copies are spread; the others are asked after a wait, a time limit or a disconnection. An entry whose store answers pulls only what the store has not delivered after 1.2 s. That also covers a store that is silent but not yet known to be lost.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -80,7 +80,7 @@
 		},
 	});
 	const directory = openDirectory({
-		store: connectPlatformStore({address: addressOf(settings.store), timeoutMs: settings.storeTimeoutMs}),
+		instance, store: connectPlatformStore({address: addressOf(settings.store), timeoutMs: settings.storeTimeoutMs}),
 		pauseMs: settings.storePauseMs, prefersPeers: false, log, metrics, monotonicMs, random, sleep: pause, signal: shutdown.signal,
 		onTable({configuration}) {
 			front.applyTimeouts(configuration.limits);
--- a/packages/cli/src/directory.ts
+++ b/packages/cli/src/directory.ts
@@ -12,6 +12,7 @@
 } from '@papayaflow/routing';
 import {type Entry, type Store} from '@papayaflow/store';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
+import {createPuller} from './pull.js';
 
 /** How long one watch of the store waits for a change, in milliseconds. A connection that breaks without a socket error is detected only after this time. */
 const watchTimeoutMs = 2000;
@@ -26,6 +27,7 @@
 const peerUpdateTimeoutMs = 2500;
 
 export type DirectoryDeps = {
+	readonly instance: string;
 	readonly store: Store;
 	/** The pause between two reads of the store, in milliseconds. */
 	readonly pauseMs: number;
@@ -55,7 +57,7 @@
 
 /**
 Opens a directory. It follows the store, or its peers if it prefers them or while the
-store is unavailable, and announces its revision to its peers. An older revision of a
+store does not deliver what they announce, and announces its revision to its peers. An older revision of a
 key never replaces a newer one.
 
 @example
@@ -68,7 +70,7 @@
 	let table: RouteTable | undefined;
 	let records: readonly TargetRecord[] = [];
 	let lastPeerUpdateMs = deps.prefersPeers ? Number.NEGATIVE_INFINITY : 0;
-	let isStoreLost = true;
+	let isStoreAvailable = false;
 
 	const mirror = createMirror({isEquivalent: isSameEntry});
 	mirror.onChange(({changes}) => {
@@ -133,17 +135,27 @@
 	void followStore(deps.store, mirror, {
 		// One watch covers both configuration and registrations, because each answer to a watch counts as a call to the store.
 		prefix: '', pauseMs: deps.pauseMs, waitMs: watchTimeoutMs, expiredKeyGraceMs: reregistrationGraceMs, isReader, nowMs: monotonicMs, random: deps.random, sleep: deps.sleep, signal: deps.signal,
+		onStoreConnected() {
+			isStoreAvailable = true;
+		},
 		onStoreUnavailable(detail) {
-			isStoreLost = true;
+			isStoreAvailable = false;
 			metrics.count('store_losses');
 			log.warn({dependency: 'store', detail, revision: mirror.revision()}, 'dependency lost');
 		},
 		onStoreAvailable(outageMs) {
-			isStoreLost = false;
+			isStoreAvailable = true;
 			log.warn({dependency: 'store', awayMs: Math.round(outageMs), revision: mirror.revision()}, 'dependency regained');
 		},
 	});
 	const announceTimer = setInterval(announceRevision, announceIntervalMs).unref();
+	const puller = createPuller({
+		instance: deps.instance, revision: () => mirror.revision(), monotonicMs,
+		isStoreAvailable: () => isStoreAvailable && !deps.prefersPeers,
+		onPull() {
+			metrics.count('pulls');
+		},
+	});
 
 	const handlers: FrameHandlers = {
 		known(peer, {changedAt}) {
@@ -151,11 +163,7 @@
 				lastPeerUpdateMs = monotonicMs();
 			}
 
-			// A process that reads the store gets the change from there, so it pulls from the peer only while the store is unavailable.
-			if (changedAt > mirror.revision() && (deps.prefersPeers || isStoreLost)) {
-				metrics.count('pulls');
-				peer.send({kind: 'pull', after: mirror.revision()});
-			}
+			puller.onKnown(peer, changedAt);
 		},
 		pull(peer, {after}) {
 			const copy = copySince(mirror, after);
@@ -169,6 +177,7 @@
 			log.info({
 				peer: peer.hello.instance, revision: copy.revision, entries: copy.entries.length, result: copyResult,
 			}, 'directory copied from a peer');
+			puller.onCopy(peer);
 		},
 	};
 
@@ -182,10 +191,12 @@
 		},
 		onDown(peer) {
 			peers.delete(peer);
+			puller.onDown(peer);
 		},
 		onFrame: (peer, frame) => handleFrame(handlers, peer, frame),
 		stop() {
 			clearInterval(announceTimer);
+			puller.stop();
 		},
 	};
 }
--- a/packages/mirror/src/follow.ts
+++ b/packages/mirror/src/follow.ts
@@ -22,6 +22,8 @@
 	readonly random: () => number;
 	readonly sleep: (ms: number) => Promise<void>;
 	readonly signal: AbortSignal;
+	/** Called when the store has answered for the first time. */
+	readonly onStoreConnected: () => void;
 	/** Called when the store becomes unavailable. */
 	readonly onStoreUnavailable: (detail: string) => void;
 	/** Called when the store is available again, with the length of the outage in milliseconds. */
@@ -39,6 +41,7 @@
 export async function followStore(store: Store, mirror: Mirror, options: FollowOptions): Promise<void> {
 	const {prefix, signal, sleep, nowMs, random} = options;
 	let mustList = true;
+	let hasConnected = false;
 	let disconnectedAtMs: number | undefined;
 	let graceEndsAtMs = 0;
 	let mustRelistAfterGrace = false;
@@ -98,6 +101,11 @@
 		}
 
 		if (pollResult === 'done') {
+			if (!hasConnected) {
+				hasConnected = true;
+				options.onStoreConnected();
+			}
+
 			if (disconnectedAtMs !== undefined && !mustList) {
 				options.onStoreAvailable(nowMs() - disconnectedAtMs);
 				disconnectedAtMs = undefined;
