Copy only entries that changed, not those that heartbeats rewrote

Cause: every target rewrites its registration about once a second. A copy held each entry written since the receiver's revision, that is all registrations, for any single change; the receiver decoded each twice.

Change: a mirror knows at which revision an entry last changed to a value that is not equivalent, and a copy has the entries changed since. A receiver that is complete up to its revision holds an equivalent value of the others.

The test of pulls from a reader waits until both directories have read the store: before that an entry may pull, and once did so in this test.

--- a/packages/cli/test/directory.test.ts
+++ b/packages/cli/test/directory.test.ts
@@ -123,8 +123,9 @@
 	it('pulls nothing from its peers while the store serves it', async () => {
 		const early = open(port, false);
 		const late = open(port, false, 400);
-		link(early.directory, late.directory);
 		await sleep(100);
+		expect(late.versions, 'read from the store').to.deep.equal([3]);
+		link(early.directory, late.directory);
 		standin.put('servers/i-1', registration('draining'));
 		await sleep(150);
 		expect(early.states.at(-1)).to.equal('i-1 leaving');
--- a/packages/mirror/src/copy.ts
+++ b/packages/mirror/src/copy.ts
@@ -4,7 +4,7 @@
 /** The part of a mirror that a peer needs to bring its own mirror up to date. */
 export type MirrorCopy = {
 	readonly revision: number;
-	/** The entries written after the revision that the peer has. */
+	/** The entries changed after the revision that the peer has; entries that were only rewritten with an equivalent value are left out. */
 	readonly entries: readonly Entry[];
 	/** All keys of the mirror, so that the peer can detect removed keys. */
 	readonly keys: readonly string[];
@@ -12,8 +12,7 @@
 
 /** Creates the copy for a peer that has all changes up to `afterRevision`. */
 export function copySince(mirror: Mirror, afterRevision: number): MirrorCopy {
-	const entries = mirror.entries();
-	return {revision: mirror.revision(), entries: entries.filter(({revision}) => revision > afterRevision), keys: entries.map(({key}) => key)};
+	return {revision: mirror.revision(), entries: mirror.changedSince(afterRevision), keys: mirror.entries().map(({key}) => key)};
 }
 
 /**
--- a/packages/mirror/src/mirror.ts
+++ b/packages/mirror/src/mirror.ts
@@ -13,6 +13,8 @@
 	/** The revision of the last change that listeners were notified of; 0 before the first one. */
 	changedAt(): number;
 	entries(): readonly Entry[];
+	/** The entries that were added after a revision or changed after it to a value that is not equivalent. */
+	changedSince(afterRevision: number): readonly Entry[];
 	/** Applies changes in order, up to `revision`. Ignores changes that are older than the mirror's entry of the same key. */
 	apply(changes: readonly Change[], revision: number): void;
 	/**
@@ -39,6 +41,8 @@
 */
 export function createMirror({isEquivalent}: MirrorOptions): Mirror {
 	const entries = new Map<string, Entry>();
+	/** The revision at which each key was added or last changed to a value that is not equivalent. */
+	const changeRevisions = new Map<string, number>();
 	const listeners: Array<(change: MirrorChange) => void> = [];
 	let knownRevision = 0;
 	let lastChangeRevision = 0;
@@ -48,7 +52,13 @@
 		const key = change.kind === 'written' ? change.entry.key : change.key;
 		const held = entries.get(key);
 		if (change.kind === 'removed') {
-			return held !== undefined && change.revision > held.revision && entries.delete(key);
+			if (held === undefined || change.revision <= held.revision) {
+				return false;
+			}
+
+			entries.delete(key);
+			changeRevisions.delete(key);
+			return true;
 		}
 
 		if (held && held.revision >= change.entry.revision) {
@@ -56,7 +66,12 @@
 		}
 
 		entries.set(key, change.entry);
-		return held === undefined || !isEquivalent(held, change.entry);
+		if (held && isEquivalent(held, change.entry)) {
+			return false;
+		}
+
+		changeRevisions.set(key, change.entry.revision);
+		return true;
 	};
 
 	const applyAndNotify = (changes: readonly Change[], revision: number): void => {
@@ -76,6 +91,7 @@
 		revision: () => knownRevision,
 		changedAt: () => lastChangeRevision,
 		entries: () => [...entries.values()],
+		changedSince: afterRevision => [...entries.values()].filter(({key}) => changeRevisions.get(key)! > afterRevision),
 		apply: applyAndNotify,
 		replace(snapshot, isRetained = () => false) {
 			if (snapshot.revision < knownRevision) {
--- a/packages/mirror/test/mirror.test.ts
+++ b/packages/mirror/test/mirror.test.ts
@@ -82,6 +82,34 @@
 	});
 });
 
+describe('copySince', () => {
+	// Guards against copies that carry the registrations of all targets, because their heartbeats rewrite them every second.
+	it('omits entries that were only rewritten with an equivalent value', () => {
+		const from = createMirror({isEquivalent: (a, b) => Buffer.from(a.value).equals(b.value)});
+		const to = createPlainMirror();
+		from.replace({revision: 3, entries: [entry('a', '1', 2), entry('b', '1', 3)]});
+		applyCopy(to, copySince(from, 0));
+		from.apply([{kind: 'written', entry: entry('a', '1', 4)}, {kind: 'written', entry: entry('b', '2', 5)}, {kind: 'written', entry: entry('b', '2', 6)}], 6);
+		const copy = copySince(from, 3);
+		expect(copy.entries.map(({key}) => key)).to.deep.equal(['b']);
+		expect(applyCopy(to, copy)).to.equal('taken');
+		expect(to.entries().map(({key, value}) => `${key} ${Buffer.from(value).toString()}`)).to.deep.equal(['a 1', 'b 2']);
+		expect(to.revision()).to.equal(6);
+	});
+
+	it('has a key again that was removed and written with its old value', () => {
+		const from = createMirror({isEquivalent: (a, b) => Buffer.from(a.value).equals(b.value)});
+		const to = createPlainMirror();
+		from.replace({revision: 3, entries: [entry('a', '1', 2)]});
+		applyCopy(to, copySince(from, 0));
+		from.apply([{kind: 'removed', key: 'a', revision: 4}], 4);
+		applyCopy(to, copySince(from, 3));
+		from.apply([{kind: 'written', entry: entry('a', '1', 5)}], 5);
+		applyCopy(to, copySince(from, 4));
+		expect(keysOf(to)).to.deep.equal(['a']);
+	});
+});
+
 describe('followStore', () => {
 	it('lists the prefix again after the history was compacted and removes missing keys at once', async () => {
 		const mirror = createPlainMirror();
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -100,7 +100,7 @@
 /** An update that one process sends to another for its copy of the key-value service's entries. */
 export type StoreCopy = {
 	readonly revision: number;
-	/** The entries written after the revision that the receiver has. */
+	/** The entries changed after the revision that the receiver has. */
 	readonly entries: ReadonlyArray<{readonly key: string; readonly value: Uint8Array; readonly revision: number}>;
 	/** All keys that exist, from which the receiver finds the removed ones. */
 	readonly keys: readonly string[];
