Announce no change when a malformed registration is rewritten

Cause: two malformed values of a registration never counted as equivalent, so a program that rewrites such an entry with each heartbeat made every entry rebuild its targets and announce a change, which every sidecar then pulled.

Change: all malformed registrations are equivalent, since each is ignored.

Result: the new test failed before with 3 announcements instead of 2.

--- a/packages/cli/src/directory.ts
+++ b/packages/cli/src/directory.ts
@@ -201,7 +201,7 @@
 	};
 }
 
-// Heartbeats rewrite a registration without changing it; only the fields that decide routing are compared.
+// Heartbeats rewrite a registration without changing it; only the fields that decide routing are compared. All malformed registrations are equivalent, since each is ignored.
 function isSameEntry(a: Entry, b: Entry): boolean {
 	if (!a.key.startsWith(registrationPrefix)) {
 		return false;
@@ -209,5 +209,5 @@
 
 	const before = decodeRegistration(a.key, a.value, a.revision);
 	const after = decodeRegistration(b.key, b.value, b.revision);
-	return before.kind === 'target' && after.kind === 'target' && isSameTarget(before.target, after.target);
+	return before.kind === 'target' && after.kind === 'target' ? isSameTarget(before.target, after.target) : before.kind === after.kind;
 }
--- a/packages/cli/test/directory.test.ts
+++ b/packages/cli/test/directory.test.ts
@@ -119,6 +119,31 @@
 		follower.directory.stop();
 	});
 
+	// Guards against announcements and copies for each heartbeat of a program that writes entries under the targets' prefix.
+	it('does not announce the rewriting of a registration that stays malformed', async () => {
+		const {directory} = open(port, false);
+		standin.put('servers/junk', 'not JSON');
+		await sleep(60);
+		const announced: number[] = [];
+		directory.onUp({
+			hello: {
+				kind: 'hello', version: 1, role: 'sidecar', instance: 'peer', incarnation: 'x', zone: 'z', sentMs: 0,
+			},
+			host: '', close: () => undefined,
+			send(frame) {
+				if (frame.kind === 'known') {
+					announced.push(frame.changedAt);
+				}
+			},
+		});
+		standin.put('servers/junk', 'not JSON either');
+		await sleep(60);
+		standin.put('servers/i-1', registration('draining', 3));
+		await sleep(60);
+		expect(announced).to.have.length(2);
+		directory.stop();
+	});
+
 	// Guards against copies from every peer, which filled the links of an entry whose store was available.
 	it('pulls nothing from its peers while the store serves it', async () => {
 		const early = open(port, false);
