Reset the connection of a cancelled request

The second attempt began when the first target had been silent for 1.7 s, a few milliseconds before the caller closed its connection.

Cause: the entry cancelled the second attempt, but closed its connection in order. The kernel then sends what is still queued, however full the link is, and the request arrived seconds later.

Change: an exchange that is cancelled resets its connection, which discards bytes that were not sent yet. Other failed exchanges close it as before.

--- a/packages/direct/src/exchange.ts
+++ b/packages/direct/src/exchange.ts
@@ -45,7 +45,7 @@
 	readonly dialect: Dialect;
 	/** The longest idle time of a connection that may be reused, in milliseconds; 0 opens a new connection. */
 	readonly maxIdleMs: number;
-	/** Cancels the exchange and closes its connection to the target. */
+	/** Cancels the exchange and resets its connection to the target, so that a request still on its way does not arrive after it was cancelled. */
 	readonly signal: AbortSignal;
 	/** Called when the connection is open and the request is written to it. */
 	readonly onSent: () => void;
@@ -82,6 +82,8 @@
 			signal.removeEventListener('abort', cancel);
 			if (canReuse) {
 				pool.release(connection);
+			} else if (signal.aborted) {
+				pool.reset(connection);
 			} else {
 				pool.drop(connection);
 			}
--- a/packages/direct/src/pool.ts
+++ b/packages/direct/src/pool.ts
@@ -1,3 +1,4 @@
+import {type Socket} from 'node:net';
 import {buildConnector, Client} from 'undici';
 
 /** The idle timeout of a connection whose target states none, in milliseconds. It is below the usual 5 s of servers. */
@@ -21,11 +22,14 @@
 export type Pool = {
 	/**
 	Takes a connection that has been idle for at most `maxIdleMs` milliseconds, or opens a
-	new one. Return it with `release` if the exchange ended cleanly, otherwise with `drop`.
+	new one. Return it with `release` if the exchange ended cleanly, with `reset` if it was
+	cancelled, otherwise with `drop`.
 	*/
 	take(maxIdleMs: number): TargetConnection;
 	release(connection: TargetConnection): void;
 	drop(connection: TargetConnection): void;
+	/** Closes a connection and discards the bytes that the target has not received yet. */
+	reset(connection: TargetConnection): void;
 	/** Closes the idle connections, for use after a connection to the same target has proved dead. */
 	dropIdle(): void;
 	/** Closes the idle connections now, and each connection in use when it is returned. */
@@ -54,6 +58,8 @@
 	const connect = buildConnector({timeout: connectMs, keepAlive: true});
 	let isClosed = false;
 
+	const sockets = new WeakMap<TargetConnection, Socket>();
+
 	const drop = (connection: TargetConnection): void => {
 		if (!destroyed.has(connection)) {
 			destroyed.add(connection);
@@ -78,6 +84,7 @@
 						if (error) {
 							callback(error, null);
 						} else {
+							sockets.set(connection, socket);
 							callback(null, socket);
 						}
 					});
@@ -121,6 +128,10 @@
 			idle.push({connection, idleSinceMs: nowMs()});
 		},
 		drop,
+		reset(connection) {
+			sockets.get(connection)?.resetAndDestroy();
+			drop(connection);
+		},
 		dropIdle,
 		close() {
 			isClosed = true;
--- /dev/null
+++ b/packages/direct/test/exchange.test.ts
@@ -0,0 +1,70 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {
+	createServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import {
+	afterEach, beforeEach, describe, it,
+} from 'mocha';
+import {type Dialect} from '../src/dialect.js';
+import {exchange} from '../src/exchange.js';
+import {createPool, type Pool} from '../src/pool.js';
+
+const dialect: Dialect = {
+	readCaller: () => ({
+		requestId: undefined, deadlineMs: undefined, key: undefined, generation: undefined, lastEventId: undefined,
+	}),
+	targetHeaders: () => [],
+	readAnswer: () => ({
+		requestId: 'r-1', isSealed: true, isNotRun: false, isMisdirected: false, culprit: undefined, isEncoded: false,
+	}),
+};
+
+describe('exchange', () => {
+	let server: Server;
+	let pool: Pool;
+	let accepted: Promise<Socket>;
+
+	beforeEach(async () => {
+		server = createServer({pauseOnConnect: true});
+		accepted = new Promise(resolve => {
+			server.once('connection', resolve);
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		pool = createPool({
+			host: '127.0.0.1', port: (server.address() as AddressInfo).port, connectMs: 500, nowMs: () => performance.now(),
+		});
+	});
+
+	afterEach(() => {
+		pool.close();
+		server.close();
+	});
+
+	// Guards against requests that reach a target after their callers have left, because their bytes were still queued on a slow link when they were cancelled.
+	it('discards the bytes of a cancelled request that are still on their way', async () => {
+		const cancelling = new AbortController();
+		const body = Buffer.alloc(4_000_000);
+		const exchanged = exchange(pool, {
+			requestId: 'r-1', method: 'POST', path: '/', headers: [], body,
+		}, {head: () => undefined, data: () => undefined}, {
+			dialect, maxIdleMs: 0, signal: cancelling.signal, onSent: () => undefined,
+		});
+		const socket = await accepted;
+		await sleep(50);
+		cancelling.abort('callerGone');
+		expect(await exchanged).to.deep.equal({kind: 'broken', reason: 'cancelled', detail: 'callerGone'});
+		await sleep(50);
+		let receivedBytes = 0;
+		socket.on('error', () => undefined);
+		socket.on('data', chunk => {
+			receivedBytes += chunk.length;
+		});
+		socket.resume();
+		await once(socket, 'close');
+		expect(receivedBytes).to.be.lessThan(body.length / 2);
+	});
+});
