Find the members of a group without a search through all sidecars

The same class of fault as in the placement: a coordinator searched the notices of the sidecars of all groups for each rank, at each poll of its rank and at each placement, and an entry that lost one of two connections to a sidecar could search for it in vain.

Change: the membership keeps a connected peer for each rank and the notices of each group. When the connection with the latest notice ends, another connection to the same rank takes its place, in the entry's placer as well.

--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -63,7 +63,7 @@
 export function createGroupPlacer(options: GroupPlacerOptions): GroupPlacer {
 	const {targets, monotonicMs, random, metrics, log} = options;
 	const notices = new Map<Peer, RankNotice>();
-	/** The peer that sent the latest notice for each target, by the target's `IP:PORT`. */
+	/** A connected peer for each target, by the target's `IP:PORT`. */
 	const peerByTarget = new Map<string, Peer>();
 	/** `undefined` after a change of the notices. */
 	let coordinators: ReadonlyMap<string, Peer> | undefined;
@@ -310,8 +310,14 @@
 			const notice = notices.get(peer);
 			notices.delete(peer);
 			coordinators = undefined;
+			if (!notice) {
+				return;
+			}
+
 			// The sidecar may have connected again before its older connection ends.
-			if (!notice || peerByTarget.get(notice.target) !== peer) {
+			const other = [...notices].find(([, {target}]) => target === notice.target)?.[0];
+			if (other) {
+				peerByTarget.set(notice.target, other);
 				return;
 			}
 
--- a/packages/group/src/membership.ts
+++ b/packages/group/src/membership.ts
@@ -26,22 +26,49 @@
 /** Creates an empty membership table. */
 export function createMembership(): Membership {
 	const notices = new Map<Peer, RankNotice>();
+	const noticesByGroup = new Map<string, Map<Peer, RankNotice>>();
+	/** A connected peer for each rank, by `GROUP/RANK`. */
+	const peerByRank = new Map<string, Peer>();
 	const lastTargets = new Map<string, string>();
 	/** The ranks, as `GROUP/RANK`, whose sidecars stopped responding (`silent`) and have not connected again. */
 	const silentRanks = new Set<string>();
-	const noticesOf = (group: string): ReadonlyArray<readonly [Peer, RankNotice]> => [...notices].filter(([, notice]) => notice.group === group);
+	const noticesOf = (group: string): ReadonlyArray<readonly [Peer, RankNotice]> => [...noticesByGroup.get(group) ?? []];
+
+	/** Removes the notice of a peer. Returns it if no other connection to the same rank is left. */
+	const takeNotice = (peer: Peer): RankNotice | undefined => {
+		const notice = notices.get(peer);
+		if (!notice) {
+			return undefined;
+		}
+
+		const key = rankKey(notice.group, notice.rank);
+		notices.delete(peer);
+		noticesByGroup.get(notice.group)?.delete(peer);
+		const other = noticesOf(notice.group).find(([, {rank}]) => rank === notice.rank)?.[0];
+		if (other) {
+			peerByRank.set(key, other);
+			return undefined;
+		}
+
+		peerByRank.delete(key);
+		return notice;
+	};
+
 	return {
 		set(peer, notice) {
+			takeNotice(peer);
+			const key = rankKey(notice.group, notice.rank);
 			notices.set(peer, notice);
-			lastTargets.set(`${notice.group}/${notice.rank}`, notice.target);
-			silentRanks.delete(`${notice.group}/${notice.rank}`);
+			noticesByGroup.set(notice.group, (noticesByGroup.get(notice.group) ?? new Map<Peer, RankNotice>()).set(peer, notice));
+			peerByRank.set(key, peer);
+			lastTargets.set(key, notice.target);
+			silentRanks.delete(key);
 		},
 		remove(peer, cause) {
-			const notice = notices.get(peer);
-			notices.delete(peer);
+			const notice = takeNotice(peer);
 			// The sidecar may have connected again before its older connection ends.
-			if (notice && cause === 'silent' && !noticesOf(notice.group).some(([, {rank}]) => rank === notice.rank)) {
-				silentRanks.add(`${notice.group}/${notice.rank}`);
+			if (notice && cause === 'silent') {
+				silentRanks.add(rankKey(notice.group, notice.rank));
 			}
 		},
 		isCandidate(peer, group) {
@@ -49,17 +76,16 @@
 			return notice === undefined || (notice.group === group && notice.rank < candidateCount);
 		},
 		member(group, rank) {
-			const connected = noticesOf(group).find(([, notice]) => notice.rank === rank);
-			if (connected) {
-				return {rank, target: connected[1].target, peer: connected[0]};
-			}
-
-			const target = lastTargets.get(`${group}/${rank}`);
-			return target === undefined ? undefined : {rank, target, peer: undefined};
+			const target = lastTargets.get(rankKey(group, rank));
+			return target === undefined ? undefined : {rank, target, peer: peerByRank.get(rankKey(group, rank))};
 		},
-		isSilent: (group, rank) => silentRanks.has(`${group}/${rank}`),
+		isSilent: (group, rank) => silentRanks.has(rankKey(group, rank)),
 		coordinators: group => noticesOf(group).filter(([, {isCoordinator}]) => isCoordinator).map(([peer]) => peer),
 		hasLowerCoordinator: (group, rank) => noticesOf(group).some(([, notice]) => notice.rank < rank && notice.isCoordinator),
 		hasLowerCandidate: (group, rank) => noticesOf(group).some(([, notice]) => notice.rank < rank && notice.rank < candidateCount),
 	};
 }
+
+function rankKey(group: string, rank: number): string {
+	return `${group}/${rank}`;
+}
--- a/packages/group/test/membership.test.ts
+++ b/packages/group/test/membership.test.ts
@@ -57,6 +57,46 @@
 		expect(membership.isSilent('g', 0)).to.equal(false);
 	});
 
+	it('reaches a rank over its other connection when the one with the latest notice ends', () => {
+		const membership = createMembership();
+		const [older, newer] = [peerOf(), peerOf()];
+		membership.set(older, noticeOf(1));
+		membership.set(newer, noticeOf(1));
+		membership.set(older, noticeOf(1, {formation: 2}));
+		membership.remove(older, 'closed');
+		expect(membership.member('g', 1)?.peer).to.equal(newer);
+		membership.remove(newer, 'closed');
+		expect(membership.member('g', 1)?.peer).to.equal(undefined);
+	});
+
+	// Guards against a search through the sidecars of all groups for each rank at each poll and each placement.
+	it('finds the members of a group in a time that grows no faster than the number of sidecars', () => {
+		const measure = (groups: number): number => {
+			const membership = createMembership();
+			for (let group = 0; group < groups; group++) {
+				for (let rank = 0; rank < 24; rank++) {
+					membership.set(peerOf(), noticeOf(rank, {group: `g${group}`}));
+				}
+			}
+
+			let shortestMs = Number.POSITIVE_INFINITY;
+			for (let batch = 0; batch < 10; batch++) {
+				const startedMs = performance.now();
+				for (let round = 0; round < 200; round++) {
+					for (let rank = 0; rank < 24; rank++) {
+						expect(membership.member('g0', rank) === undefined).to.equal(false);
+					}
+				}
+
+				shortestMs = Math.min(shortestMs, performance.now() - startedMs);
+			}
+
+			return shortestMs;
+		};
+
+		expect(measure(33) / measure(3)).to.be.lessThan(3);
+	});
+
 	it('ignores a sidecar of another group', () => {
 		const membership = createMembership();
 		membership.set(peerOf(), noticeOf(0, {group: 'other'}));
