Check the heartbeats of all connections with one timer

Cause: each connection between processes had a timer of 250 ms, so an entry with 72 sidecars woke 288 times a second and the 88 processes of a grown site some 10,000 times, whatever the traffic.

Change: the connections of a process share one ticker. Intervals and limits are unchanged.

Result: the tests of the peer package pass, with one that a connection has no timer of its own.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -3,7 +3,7 @@
 	createFront, createGroupPlacer, createPlainPlacer, createTargets,
 } from '@papayaflow/direct';
 import {lossReasons, refusalReasons} from '@papayaflow/outcome';
-import {maintainHostLinks, type PeerEvents} from '@papayaflow/peer';
+import {createHeartbeatTicker, maintainHostLinks, type PeerEvents} from '@papayaflow/peer';
 import {connectPlatformStore, platformDialect} from '@papayaflow/platform';
 import {createResendBudget} from '@papayaflow/policy';
 import {addressOf, type EngineModel, type TargetRecord} from '@papayaflow/routing';
@@ -124,7 +124,7 @@
 	const setLinkedHosts = maintainHostLinks({
 		port: settings.peerPort, events, signal: shutdown.signal,
 		options: {
-			role: 'entry', instance, incarnation, zone, monotonicMs, sleep: pause,
+			role: 'entry', instance, incarnation, zone, monotonicMs, sleep: pause, heartbeats: createHeartbeatTicker(),
 		},
 	});
 	// Each engine has a sidecar on the same machine.
--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -2,7 +2,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {acquireEpoch} from '@papayaflow/experts';
 import {createGroupSidecar, type RankEngine} from '@papayaflow/group';
-import {maintainHostLinks, servePeer, type PeerEvents} from '@papayaflow/peer';
+import {
+	createHeartbeatTicker, maintainHostLinks, servePeer, type PeerEvents,
+} from '@papayaflow/peer';
 import {connectPlatformStore, connectRank} from '@papayaflow/platform';
 import {addressOf, type TargetRecord} from '@papayaflow/routing';
 import {addressSetting, numberSetting, type SettingsOf} from '@papayaflow/settings';
@@ -100,7 +102,7 @@
 		},
 	};
 	const options = {
-		role: 'sidecar', instance, incarnation, zone, monotonicMs, sleep: pause,
+		role: 'sidecar', instance, incarnation, zone, monotonicMs, sleep: pause, heartbeats: createHeartbeatTicker(),
 	} as const;
 	const setLinkedHosts = maintainHostLinks({
 		port: settings.peerPort, options, events, signal: shutdown.signal,
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -7,6 +7,7 @@
 	type ConfigUpdate, type Frame, type FrameFault,
 	type GroupFrame, type GroupLoad, type LoadReport, type RequestPathFrame, type PeerRequest, type PeerPlacementRequest, type RankNotice, type StoreCopy, type StreamNotice,
 } from './frame.js';
+export {createHeartbeatTicker, type HeartbeatTicker} from './heartbeat.js';
 export {maintainHostLinks, type LinksOptions} from './links.js';
 export {
 	maintainPeerLink, handleFrame, servePeer, type DownCause, type FrameHandlers, type Peer, type PeerEvents, type PeerOptions,
--- a/packages/peer/src/peer.ts
+++ b/packages/peer/src/peer.ts
@@ -3,9 +3,7 @@
 	openConnection, openSocket, serveFrames, type Connection,
 } from './connection.js';
 import {protocolVersion, type Frame, type FrameFault} from './frame.js';
-
-/** The heartbeat interval where at least one end must detect the loss of the other quickly. */
-const shortHeartbeatIntervalMs = 250;
+import {shortHeartbeatIntervalMs, type HeartbeatTicker} from './heartbeat.js';
 
 /** The heartbeat interval otherwise. With hundreds of peers, short intervals would make heartbeats most of the work. */
 const longHeartbeatIntervalMs = 2000;
@@ -65,6 +63,8 @@
 	readonly zone: string;
 	readonly monotonicMs: () => number;
 	readonly sleep: (ms: number) => Promise<void>;
+	/** Shared by all connections of the process. */
+	readonly heartbeats: HeartbeatTicker;
 };
 
 /**
@@ -88,7 +88,7 @@
 	let announcedIntervalMs = shortHeartbeatIntervalMs;
 	let lastHeartbeatMs = lastReceivedMs;
 	let peerHeartbeat = {isNear: true, everyMs: shortHeartbeatIntervalMs};
-	const heartbeatTimer = setInterval(() => {
+	const stopHeartbeats = options.heartbeats.add(() => {
 		const now = options.monotonicMs();
 		const wasPaused = now - lastCheckMs > maxCheckDelayRatio * shortHeartbeatIntervalMs;
 		lastCheckMs = now;
@@ -105,7 +105,7 @@
 			lastHeartbeatMs = now;
 			connection.send({kind: 'alive', isNear, everyMs});
 		}
-	}, shortHeartbeatIntervalMs).unref();
+	});
 	await serveFrames(socket, frame => {
 		lastReceivedMs = options.monotonicMs();
 		if (frame.kind === 'hello') {
@@ -117,7 +117,7 @@
 			events.onFrame(peer, frame);
 		}
 	}, events.onFault);
-	clearInterval(heartbeatTimer);
+	stopHeartbeats();
 	if (peer) {
 		events.onDown(peer, downCause);
 	}
--- a/packages/peer/test/peer.test.ts
+++ b/packages/peer/test/peer.test.ts
@@ -8,11 +8,11 @@
 	afterEach, beforeEach, describe, it,
 } from 'mocha';
 import {
-	maintainHostLinks, maintainPeerLink, handleFrame, openConnection, serveFrames, servePeer, type Frame, type Peer, type PeerEvents, type PeerOptions,
+	createHeartbeatTicker, maintainHostLinks, maintainPeerLink, handleFrame, openConnection, serveFrames, servePeer, type Frame, type Peer, type PeerEvents, type PeerOptions,
 } from '@papayaflow/peer';
 
-const optionsOf = (instance: string): PeerOptions => ({
-	role: 'sidecar', instance, incarnation: 'x', zone: 'z', monotonicMs: () => performance.now(),
+const optionsOf = (instance: string, heartbeats = createHeartbeatTicker()): PeerOptions => ({
+	role: 'sidecar', instance, incarnation: 'x', zone: 'z', monotonicMs: () => performance.now(), heartbeats,
 	async sleep(ms) {
 		await sleep(ms);
 	},
@@ -163,6 +163,39 @@
 		expect(await countHeartbeatsWithin2s(false, false)).to.be.at.most(3);
 	}).timeout(4000);
 
+	// Guards against one timer for each connection, which woke an entry with 72 sidecars 288 times a second.
+	it('has no heartbeat timer of its own', async () => {
+		const checks = new Set<() => void>();
+		const here = createRecorder();
+		let heartbeats = 0;
+		server.on('connection', socket => {
+			void serveFrames(socket, frame => {
+				heartbeats += frame.kind === 'alive' ? 1 : 0;
+			}, () => undefined);
+			openConnection(socket).send({
+				kind: 'hello', version: 1, role: 'sidecar', instance: 'there', incarnation: 'x', zone: 'z', sentMs: 0,
+			});
+		});
+		const controller = new AbortController();
+		void maintainPeerLink({address: '127.0.0.1', port: port()}, optionsOf('here', {
+			add(check) {
+				checks.add(check);
+				return () => checks.delete(check);
+			},
+		}), here.events, controller.signal);
+		await sleep(600);
+		expect([checks.size, heartbeats], 'before a tick').to.deep.equal([1, 0]);
+		for (const check of checks) {
+			check();
+		}
+
+		await sleep(50);
+		expect(heartbeats, 'after a tick').to.equal(1);
+		controller.abort();
+		await sleep(50);
+		expect(checks.size, 'after the end').to.equal(0);
+	});
+
 	it('passes each frame to the handler of its kind and reports a frame without a handler', () => {
 		const endedIds: string[] = [];
 		const handle = (frame: Frame): boolean => handleFrame({
