Let only processes that read the store announce their revision periodically

Cause: every process announced its revision each second, and a process that prefers its peers took any such announcement for a sign that a peer reads the store. Sidecars without an entry kept each other from reading it for good. The announcements of 72 sidecars were also most of what an entry receives without traffic.

Change: a process that only follows its peers announces changes, but not its state each second. The puller tries again by itself after all peers were asked in vain, as it no longer hears from them each second.

Result: the new test of two such processes failed before (a new configuration had not arrived after 4 s).

--- a/packages/cli/src/directory.ts
+++ b/packages/cli/src/directory.ts
@@ -20,7 +20,7 @@
 /** How long after a store outage a target whose registration lapsed is kept so that it can register again, in milliseconds. Twice the time that the platform guarantees, because timers and calls can be late. */
 const reregistrationGraceMs = 2500;
 
-/** How often a process announces its revision to its peers while nothing changes, in milliseconds. */
+/** How often a process that reads the store announces its revision to its peers while nothing changes, in milliseconds. */
 const announceIntervalMs = 1000;
 
 /** How long a process that prefers its peers goes without an announcement from them before it reads the store itself, in milliseconds. */
@@ -148,7 +148,12 @@
 			log.warn({dependency: 'store', awayMs: Math.round(outageMs), revision: mirror.revision()}, 'dependency regained');
 		},
 	});
-	const announceTimer = setInterval(announceRevision, announceIntervalMs).unref();
+	const announceTimer = setInterval(() => {
+		// A process that only follows its peers announces changes, but must not keep others from reading the store.
+		if (isReader()) {
+			announceRevision();
+		}
+	}, announceIntervalMs).unref();
 	const puller = createPuller({
 		instance: deps.instance, revision: () => mirror.revision(), monotonicMs,
 		isStoreAvailable: () => isStoreAvailable && !deps.prefersPeers,
--- a/packages/cli/src/pull.ts
+++ b/packages/cli/src/pull.ts
@@ -10,6 +10,9 @@
 /** How long a peer may take to send a copy, in milliseconds. A large configuration takes some hundred milliseconds on a thin link. */
 const copyTimeoutMs = 1500;
 
+/** The pause after each peer that is ahead was asked in vain, in milliseconds. */
+const roundPauseMs = 1000;
+
 export type PullOptions = {
 	/** The name of this instance; different instances prefer different peers. */
 	readonly instance: string;
@@ -83,8 +86,8 @@
 
 		const next = ahead.find(peer => !tried.has(peer));
 		if (!next) {
-			// Each peer ahead was asked; their next announcements start another round.
 			tried.clear();
+			callLater(pullIfBehind, roundPauseMs);
 			return;
 		}
 
--- a/packages/cli/test/directory.test.ts
+++ b/packages/cli/test/directory.test.ts
@@ -180,6 +180,18 @@
 		}
 	});
 
+	// Guards against processes that take each other's announcements for news from the store, so that none of them reads it.
+	it('reads the store while all its peers are processes that prefer their peers', async () => {
+		const [first, second] = [open(port, true), open(port, true)];
+		link(first.directory, second.directory);
+		await sleep(100);
+		standin.put('op/config', configuration(4));
+		await sleep(4000);
+		expect([first.versions.at(-1), second.versions.at(-1)]).to.deep.equal([4, 4]);
+		first.directory.stop();
+		second.directory.stop();
+	});
+
 	it('keeps the current configuration when the next one is malformed', async () => {
 		const {directory} = open(port, false);
 		await sleep(60);
--- a/packages/cli/test/pull.test.ts
+++ b/packages/cli/test/pull.test.ts
@@ -104,6 +104,17 @@
 		puller.stop();
 	});
 
+	it('asks again after every peer has sent a copy in vain', async () => {
+		const entry = createPeer('edge-1');
+		const puller = createTestPuller('side-1');
+		puller.onKnown(entry.peer, 6);
+		puller.onCopy(entry.peer);
+		expect(entry.pulls, 'at once').to.have.length(1);
+		await sleep(1200);
+		expect(entry.pulls, 'after a pause').to.have.length(2);
+		puller.stop();
+	});
+
 	it('pulls what the store does not deliver to a process that it serves otherwise', async () => {
 		const entry = createPeer('side-1', 'sidecar');
 		const puller = createTestPuller('edge-1', {isStoreAvailable: () => true});
