--- a/packages/policy/src/spread.ts
+++ b/packages/policy/src/spread.ts
@@ -15,7 +15,7 @@
 	readonly maxNewPerRank: number;
 	/** The skew at or below which a layer is left as it is. */
 	readonly goodSkew: number;
-	/** The minimum gain of a step, as a ratio of the potential of the most loaded rank (see `potentialExponent`). A step with a smaller gain is not worth a copy. */
+	/** The minimum gain of a step, as a ratio of the potential of the most loaded rank (see `potential`). A step with a smaller gain is not worth a copy. */
 	readonly leastGain: number;
 };
 
@@ -31,12 +31,11 @@
 	readonly skewAfter: number;
 };
 
-/** The exponent in the potential of a rank: its load divided by the mean load, raised to this power. The gain of a step is its reduction of the sum of the potentials. The higher the exponent, the more the most loaded ranks dominate the choice of a step. */
-const potentialExponent = 8;
-
 /** How many of the hottest experts of the most loaded rank are considered for a step. */
 const maxCandidateExperts = 4;
 
+const noRanks: readonly number[] = [];
+
 type LayerState = {
 	/** The experts held by each rank. */
 	readonly held: number[][];
@@ -151,8 +150,10 @@
 	const hottest = state.held[heaviest]
 		.toSorted((a, b) => loadPerCopy(state, b) - loadPerCopy(state, a))
 		.slice(0, maxCandidateExperts);
+	const potentials = state.loads.map(load => potential(load, mean));
+	const evictions = state.held.map((held, rank) => held.length < options.slotsPerRank ? undefined : evictionCandidate(state, rank));
 	let best: Step | undefined;
-	let bestGain = options.leastGain * potential(state.loads[heaviest], mean);
+	let bestGain = options.leastGain * potentials[heaviest];
 	for (const expert of hottest) {
 		for (const to of state.held.keys()) {
 			// A rank at or above the mean load does not take over work.
@@ -165,7 +166,7 @@
 				continue;
 			}
 
-			const evicted = state.held[to].length < options.slotsPerRank ? undefined : evictionCandidate(state, to);
+			const evicted = evictions[to];
 			if (state.held[to].length >= options.slotsPerRank && evicted === undefined) {
 				continue;
 			}
@@ -174,7 +175,7 @@
 				const step: Step = {
 					expert, to, evicted, removedFrom,
 				};
-				const gain = potentialGain(state, step, mean);
+				const gain = potentialGain(state, step, {mean, potentials});
 				if (gain > bestGain) {
 					best = step;
 					bestGain = gain;
@@ -202,33 +203,36 @@
 	return candidate;
 }
 
-// Returns the potential of a rank; a step is chosen for the greatest reduction of the sum of potentials.
+// Returns the potential of a rank: its load divided by the mean load, raised to the power of 8. The gain of a step is its reduction of the sum of the potentials; with a high exponent the most loaded ranks dominate the choice.
 function potential(load: number, mean: number): number {
-	return (load / mean) ** potentialExponent;
+	const ratio = load / mean;
+	const ratio2 = ratio * ratio;
+	const ratio4 = ratio2 * ratio2;
+	return ratio4 * ratio4;
 }
 
-function potentialGain(state: LayerState, step: Step, mean: number): number {
-	const deltas = new Map<number, number>();
-	const reassign = (expert: number, from: readonly number[], to: readonly number[]): void => {
-		for (const rank of from) {
-			deltas.set(rank, (deltas.get(rank) ?? 0) - (state.shares[expert] / from.length));
-		}
-
-		for (const rank of to) {
-			deltas.set(rank, (deltas.get(rank) ?? 0) + (state.shares[expert] / to.length));
-		}
+function potentialGain(state: LayerState, {expert, to, evicted, removedFrom}: Step, {mean, potentials}: {readonly mean: number; readonly potentials: readonly number[]}): number {
+	const holders = state.holders[expert];
+	const copyLoadBefore = state.shares[expert] / holders.length;
+	const copyLoadAfter = state.shares[expert] / (holders.length + (removedFrom === undefined ? 1 : 0));
+	const evictedHolders = evicted === undefined ? noRanks : state.holders[evicted];
+	const evictedLoadBefore = evicted === undefined ? 0 : state.shares[evicted] / evictedHolders.length;
+	const evictedLoadAfter = evicted === undefined ? 0 : state.shares[evicted] / (evictedHolders.length - 1);
+	let gain = 0;
+	const addGainOf = (rank: number, delta: number): void => {
+		gain += potentials[rank] - potential(state.loads[rank] + delta, mean);
 	};
 
-	const holders = state.holders[step.expert];
-	reassign(step.expert, holders, [...holders.filter(rank => rank !== step.removedFrom), step.to]);
-	if (step.evicted !== undefined) {
-		const evictedHolders = state.holders[step.evicted];
-		reassign(step.evicted, evictedHolders, evictedHolders.filter(rank => rank !== step.to));
+	const evictedDeltaOf = (rank: number): number => evictedHolders.includes(rank) ? (rank === to ? 0 : evictedLoadAfter) - evictedLoadBefore : 0;
+	for (const rank of holders) {
+		addGainOf(rank, (rank === removedFrom ? 0 : copyLoadAfter) - copyLoadBefore + evictedDeltaOf(rank));
 	}
 
-	let gain = 0;
-	for (const [rank, delta] of deltas) {
-		gain += potential(state.loads[rank], mean) - potential(state.loads[rank] + delta, mean);
+	addGainOf(to, copyLoadAfter + evictedDeltaOf(to));
+	for (const rank of evictedHolders) {
+		if (rank !== to && !holders.includes(rank)) {
+			addGainOf(rank, evictedDeltaOf(rank));
+		}
 	}
 
 	return gain;
--- a/packages/telemetry/src/loop-delay.ts
+++ b/packages/telemetry/src/loop-delay.ts
@@ -2,7 +2,7 @@
 import {type Metrics} from './metrics.js';
 
 /** How often the event loop is sampled, in milliseconds. */
-const sampleIntervalMs = 100;
+const sampleIntervalMs = 250;
 
 /** The delay from which a sample is logged, in milliseconds: callers notice it. */
 const loggedDelayMs = 250;
