--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -290,4 +290,34 @@
 		find: 'if (options.isStalled() && !request.isResumed) {', replace: 'if (request.objectiveMs < 0) {',
 		spec: 'policy/test/group.test.ts', test: 'refuses new requests while the group is stalled',
 	},
+	{
+		name: 'a process has at most one pull in flight', file: 'cli/src/pull.ts',
+		find: 'if (asked) {\n\t\t\treturn;\n\t\t}\n\n\t\tconst next', replace: 'const next',
+		spec: 'cli/test/pull.test.ts', test: 'spreads the copies of one change',
+	},
+	{
+		name: 'each process prefers another peer', file: 'cli/src/pull.ts',
+		find: 'const ordered = rendezvousOrder(instance, [...byInstance.keys()])', replace: 'const ordered = [...byInstance.keys()]',
+		spec: 'cli/test/pull.test.ts', test: 'spreads the copies of one change',
+	},
+	{
+		name: 'a process that the store serves waits for the store', file: 'cli/src/pull.ts',
+		find: 'isStoreAvailable() ? storeWaitMs :', replace: 'announced.size === 0 ? storeWaitMs :',
+		spec: 'cli/test/directory.test.ts', test: 'pulls nothing from its peers',
+	},
+	{
+		name: 'a copy omits what heartbeats rewrote', file: 'mirror/src/copy.ts',
+		find: 'mirror.changedSince(afterRevision)', replace: 'mirror.entries().filter(({revision}) => revision > afterRevision)',
+		spec: 'mirror/test/mirror.test.ts', test: 'omits entries that were only rewritten',
+	},
+	{
+		name: 'only readers of the store announce their revision periodically', file: 'cli/src/directory.ts',
+		find: 'if (isReader()) {\n\t\t\tannounceRevision();', replace: 'if (isReader() || deps.prefersPeers) {\n\t\t\tannounceRevision();',
+		spec: 'cli/test/directory.test.ts', test: 'reads the store while all its peers',
+	},
+	{
+		name: 'the connection of a cancelled request is reset', file: 'direct/src/exchange.ts',
+		find: '} else if (signal.aborted) {\n\t\t\t\tpool.reset(connection);\n\t\t\t} else {', replace: '} else {',
+		spec: 'direct/test/exchange.test.ts', test: 'discards the bytes of a cancelled request',
+	},
 ];
