Keep the notices of sidecars in one table for entries and sidecars

The rule that marks a silent sidecar, the choice of the coordinator and the connection that takes another's place stood in the entry's placer and in the membership of a group. A rank is silent if the target that it has now is, which is the same unless a group formed anew meanwhile.

Result: 56 tests of peer, group, direct and the platform's groups pass unchanged.

--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -1,5 +1,5 @@
 import {
-	handleFrame, type DownCause, type Frame, type FrameHandlers, type GroupLoad, type Peer, type PeerPlacementRequest, type RankNotice, type StreamNotice,
+	createRankNotices, handleFrame, type DownCause, type Frame, type FrameHandlers, type GroupLoad, type Peer, type PeerPlacementRequest, type StreamNotice,
 } from '@papayaflow/peer';
 import {refusalRetryDelayMs} from '@papayaflow/policy';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
@@ -62,13 +62,7 @@
 */
 export function createGroupPlacer(options: GroupPlacerOptions): GroupPlacer {
 	const {targets, monotonicMs, random, metrics, log} = options;
-	const notices = new Map<Peer, RankNotice>();
-	/** A connected peer for each target, by the target's `IP:PORT`. */
-	const peerByTarget = new Map<string, Peer>();
-	/** `undefined` after a change of the notices. */
-	let coordinators: ReadonlyMap<string, Peer> | undefined;
-	/** The targets, as `IP:PORT`, whose sidecars stopped responding (`silent`) and have not connected again. */
-	const silentTargets = new Set<string>();
+	const notices = createRankNotices();
 	const loads = new Map<string, {readonly load: GroupLoad; readonly atMs: number}>();
 	const pendingReplies = new Map<string, (frame: Extract<Frame, {kind: 'placed' | 'turnedAway'}>) => void>();
 	const streams = new Map<string, Stream>();
@@ -79,30 +73,11 @@
 	*/
 	const longestDeadlineMsByRoute = new Map<string, number>();
 
-	/** The coordinator of each group, which is the one of the lowest rank if several sidecars say that they coordinate. */
-	const findCoordinators = (): ReadonlyMap<string, Peer> => {
-		const lowest = new Map<string, {readonly peer: Peer; readonly rank: number}>();
-		for (const [peer, {group, rank, isCoordinator}] of notices) {
-			if (isCoordinator && rank < (lowest.get(group)?.rank ?? Number.POSITIVE_INFINITY)) {
-				lowest.set(group, {peer, rank});
-			}
-		}
-
-		return new Map([...lowest].map(([group, {peer}]) => [group, peer]));
-	};
-
-	const coordinatorOf = (group: string): Peer | undefined => {
-		coordinators ??= findCoordinators();
-		return coordinators.get(group);
-	};
-
-	const noticeOf = (address: string): RankNotice | undefined => {
-		const peer = peerByTarget.get(address);
-		return peer && notices.get(peer);
+	const groupOf = ({address}: Target): string | undefined => {
+		const peer = notices.peerBeside(address);
+		return peer && notices.of(peer)?.group;
 	};
 
-	const groupOf = (target: Target): string | undefined => noticeOf(target.address)?.group;
-
 	const createPlacementRequest = ({call, tried, hasBegun}: PlaceRequest): PeerPlacementRequest => {
 		const {route, generation} = call;
 		const longestDeadlineMs = Math.max(longestDeadlineMsByRoute.get(route.name) ?? 0, call.deadlineMs);
@@ -147,7 +122,7 @@
 			group: groupOf(target), target: target.address, ask: placementRequest, hasBegun: false,
 		};
 		const notifyCoordinator = (frame: Frame): void => {
-			const coordinator = stream.group === undefined ? undefined : coordinatorOf(stream.group);
+			const coordinator = stream.group === undefined ? undefined : notices.coordinatorOf(stream.group);
 			coordinator?.send(frame);
 		};
 
@@ -173,7 +148,7 @@
 	*/
 	const placeWithoutCoordinator = (call: Call, servingTargets: readonly Target[], placementRequest: PeerPlacementRequest, silentCoordinator?: Peer): PlaceResult => {
 		metrics.count('placed_alone');
-		const isSilent = (address: string): boolean => silentTargets.has(address) || (silentCoordinator !== undefined && notices.get(silentCoordinator)?.target === address);
+		const isSilent = (address: string): boolean => notices.isSilent(address) || (silentCoordinator !== undefined && notices.of(silentCoordinator)?.target === address);
 		const responsive = servingTargets.filter(({address}) => !isSilent(address));
 		const candidates = responsive.length > 0 ? responsive : servingTargets;
 		const model = options.model(call.service);
@@ -193,7 +168,7 @@
 
 		const place = reservePlace(leastLoaded, placementRequest);
 		if (group !== undefined) {
-			coordinatorOf(group)?.send({kind: 'running', stream: createStreamNotice(placementRequest.id, streams.get(placementRequest.id)!)});
+			notices.coordinatorOf(group)?.send({kind: 'running', stream: createStreamNotice(placementRequest.id, streams.get(placementRequest.id)!)});
 		}
 
 		return {kind: 'placed', place};
@@ -228,7 +203,7 @@
 		const groups = [...new Set(candidates.flatMap(target => groupOf(target) ?? []))];
 		let best: {peer: Peer; utilization: number} | undefined;
 		for (const group of groups) {
-			const peer = coordinatorOf(group);
+			const peer = notices.coordinatorOf(group);
 			const load = loads.get(group)?.load;
 			const utilization = (load ? load.running / Math.max(1, load.room) : 0) + (random() / utilizationJitterDivisor);
 			if (peer && (!best || utilization < best.utilization)) {
@@ -287,11 +262,8 @@
 
 	const handlers: FrameHandlers = {
 		rank(peer, {notice}) {
-			const previous = notices.get(peer);
+			const previous = notices.of(peer);
 			notices.set(peer, notice);
-			coordinators = undefined;
-			peerByTarget.set(notice.target, peer);
-			silentTargets.delete(notice.target);
 			if (notice.isCoordinator && (!previous?.isCoordinator || previous.term !== notice.term)) {
 				const ownStreams = [...streams].filter(([, {group}]) => group === notice.group);
 				peer.send({kind: 'streams', streams: ownStreams.map(([id, stream]) => createStreamNotice(id, stream))});
@@ -306,26 +278,7 @@
 
 	return {
 		place,
-		onDown(peer, cause) {
-			const notice = notices.get(peer);
-			notices.delete(peer);
-			coordinators = undefined;
-			if (!notice) {
-				return;
-			}
-
-			// The sidecar may have connected again before its older connection ends.
-			const other = [...notices].find(([, {target}]) => target === notice.target)?.[0];
-			if (other) {
-				peerByTarget.set(notice.target, other);
-				return;
-			}
-
-			peerByTarget.delete(notice.target);
-			if (cause === 'silent') {
-				silentTargets.add(notice.target);
-			}
-		},
+		onDown: notices.remove,
 		onFrame: (peer, frame) => handleFrame(handlers, peer, frame),
 		entries: () => loads.size === 0 ? undefined : Math.max(...[...loads.values()].map(({load}) => load.entries)),
 		status: () => ({streams: streams.size, loads: Object.fromEntries([...loads].map(([group, {load}]) => [group, load]))}),
--- a/packages/group/src/membership.ts
+++ b/packages/group/src/membership.ts
@@ -1,4 +1,6 @@
-import {type DownCause, type Peer, type RankNotice} from '@papayaflow/peer';
+import {
+	createRankNotices, type DownCause, type Peer, type RankNotice, type RankNotices,
+} from '@papayaflow/peer';
 import {type Member} from './remote-ranks.js';
 
 /** The number of lowest ranks whose sidecars may coordinate the group: three, so that two may be down. */
@@ -25,67 +27,37 @@
 
 /** Creates an empty membership table. */
 export function createMembership(): Membership {
-	const notices = new Map<Peer, RankNotice>();
-	const noticesByGroup = new Map<string, Map<Peer, RankNotice>>();
-	/** A connected peer for each rank, by `GROUP/RANK`. */
-	const peerByRank = new Map<string, Peer>();
+	const notices = createRankNotices();
+	/** The last known target of each rank, by `GROUP/RANK`. */
 	const lastTargets = new Map<string, string>();
-	/** The ranks, as `GROUP/RANK`, whose sidecars stopped responding (`silent`) and have not connected again. */
-	const silentRanks = new Set<string>();
-	const noticesOf = (group: string): ReadonlyArray<readonly [Peer, RankNotice]> => [...noticesByGroup.get(group) ?? []];
-
-	/** Removes the notice of a peer. Returns it if no other connection to the same rank is left. */
-	const takeNotice = (peer: Peer): RankNotice | undefined => {
-		const notice = notices.get(peer);
-		if (!notice) {
-			return undefined;
-		}
-
-		const key = rankKey(notice.group, notice.rank);
-		notices.delete(peer);
-		noticesByGroup.get(notice.group)?.delete(peer);
-		const other = noticesOf(notice.group).find(([, {rank}]) => rank === notice.rank)?.[0];
-		if (other) {
-			peerByRank.set(key, other);
-			return undefined;
-		}
-
-		peerByRank.delete(key);
-		return notice;
-	};
-
+	const lastTargetOf = (group: string, rank: number): string | undefined => lastTargets.get(`${group}/${rank}`);
 	return {
 		set(peer, notice) {
-			takeNotice(peer);
-			const key = rankKey(notice.group, notice.rank);
 			notices.set(peer, notice);
-			noticesByGroup.set(notice.group, (noticesByGroup.get(notice.group) ?? new Map<Peer, RankNotice>()).set(peer, notice));
-			peerByRank.set(key, peer);
-			lastTargets.set(key, notice.target);
-			silentRanks.delete(key);
-		},
-		remove(peer, cause) {
-			const notice = takeNotice(peer);
-			// The sidecar may have connected again before its older connection ends.
-			if (notice && cause === 'silent') {
-				silentRanks.add(rankKey(notice.group, notice.rank));
-			}
+			lastTargets.set(`${notice.group}/${notice.rank}`, notice.target);
 		},
+		remove: notices.remove,
 		isCandidate(peer, group) {
-			const notice = notices.get(peer);
+			const notice = notices.of(peer);
 			return notice === undefined || (notice.group === group && notice.rank < candidateCount);
 		},
 		member(group, rank) {
-			const target = lastTargets.get(rankKey(group, rank));
-			return target === undefined ? undefined : {rank, target, peer: peerByRank.get(rankKey(group, rank))};
+			const target = lastTargetOf(group, rank);
+			return target === undefined ? undefined : {rank, target, peer: peerOfRank(notices, {group, rank, target})};
+		},
+		isSilent(group, rank) {
+			const target = lastTargetOf(group, rank);
+			return target !== undefined && notices.isSilent(target);
 		},
-		isSilent: (group, rank) => silentRanks.has(rankKey(group, rank)),
-		coordinators: group => noticesOf(group).filter(([, {isCoordinator}]) => isCoordinator).map(([peer]) => peer),
-		hasLowerCoordinator: (group, rank) => noticesOf(group).some(([, notice]) => notice.rank < rank && notice.isCoordinator),
-		hasLowerCandidate: (group, rank) => noticesOf(group).some(([, notice]) => notice.rank < rank && notice.rank < candidateCount),
+		coordinators: group => notices.ofGroup(group).filter(([, {isCoordinator}]) => isCoordinator).map(([peer]) => peer),
+		hasLowerCoordinator: (group, rank) => notices.ofGroup(group).some(([, notice]) => notice.rank < rank && notice.isCoordinator),
+		hasLowerCandidate: (group, rank) => notices.ofGroup(group).some(([, notice]) => notice.rank < rank && notice.rank < candidateCount),
 	};
 }
 
-function rankKey(group: string, rank: number): string {
-	return `${group}/${rank}`;
+// A target may have another rank since the group formed anew; its sidecar must not get commands for the rank that it had before.
+function peerOfRank(notices: RankNotices, {group, rank, target}: {readonly group: string; readonly rank: number; readonly target: string}): Peer | undefined {
+	const peer = notices.peerBeside(target);
+	const notice = peer && notices.of(peer);
+	return notice?.group === group && notice.rank === rank ? peer : undefined;
 }
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -9,6 +9,7 @@
 } from './frame.js';
 export {createHeartbeatTicker, type HeartbeatTicker} from './heartbeat.js';
 export {maintainHostLinks, type LinksOptions} from './links.js';
+export {createRankNotices, type RankNotices} from './rank-notices.js';
 export {
 	maintainPeerLink, handleFrame, servePeer, type DownCause, type FrameHandlers, type Peer, type PeerEvents, type PeerOptions,
 } from './peer.js';
