Rank the peers only when a pull is due

Cause: the puller ordered all peers for each announcement, so a change that 72 sidecars announce cost an entry 72 orders of 72 names although it waits for the store.

Change: the order is made once no pull is in flight and no wait for the store is left.

--- a/packages/cli/src/pull.ts
+++ b/packages/cli/src/pull.ts
@@ -69,9 +69,8 @@
 	};
 
 	const pullIfBehind = (): void => {
-		const order = preferenceOrder();
-		const ahead = order.filter(peer => announced.get(peer)! > revision());
-		if (ahead.length === 0) {
+		const knownRevision = revision();
+		if ([...announced.values()].every(changedAt => changedAt <= knownRevision)) {
 			clearTimeout(timer);
 			tried.clear();
 			behindSinceMs = undefined;
@@ -79,12 +78,19 @@
 			return;
 		}
 
-		behindSinceMs ??= monotonicMs();
+		const now = monotonicMs();
+		behindSinceMs ??= now;
 		if (asked) {
 			return;
 		}
 
-		const next = ahead.find(peer => !tried.has(peer));
+		if (isStoreAvailable() && now - behindSinceMs < storeWaitMs) {
+			callLater(pullIfBehind, behindSinceMs + storeWaitMs - now);
+			return;
+		}
+
+		const order = preferenceOrder();
+		const next = order.find(peer => announced.get(peer)! > knownRevision && !tried.has(peer));
 		if (!next) {
 			tried.clear();
 			callLater(pullIfBehind, roundPauseMs);
@@ -92,10 +98,8 @@
 		}
 
 		const isPreferred = next === order.at(0) || tried.size > 0;
-		const waitMs = isStoreAvailable() ? storeWaitMs : (isPreferred ? 0 : preferredPeerWaitMs);
-		const remainingMs = behindSinceMs + waitMs - monotonicMs();
-		if (remainingMs > 0) {
-			callLater(pullIfBehind, remainingMs);
+		if (!isPreferred && now - behindSinceMs < preferredPeerWaitMs) {
+			callLater(pullIfBehind, behindSinceMs + preferredPeerWaitMs - now);
 			return;
 		}
 
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -292,7 +292,7 @@
 	},
 	{
 		name: 'a process has at most one pull in flight', file: 'cli/src/pull.ts',
-		find: 'if (asked) {\n\t\t\treturn;\n\t\t}\n\n\t\tconst next', replace: 'const next',
+		find: 'if (asked) {\n\t\t\treturn;\n\t\t}\n\n\t\tif (isStore', replace: 'if (isStore',
 		spec: 'cli/test/pull.test.ts', test: 'spreads the copies of one change',
 	},
 	{
@@ -302,7 +302,7 @@
 	},
 	{
 		name: 'a process that the store serves waits for the store', file: 'cli/src/pull.ts',
-		find: 'isStoreAvailable() ? storeWaitMs :', replace: 'announced.size === 0 ? storeWaitMs :',
+		find: 'isStoreAvailable() && now', replace: 'announced.size === 0 && now',
 		spec: 'cli/test/directory.test.ts', test: 'pulls nothing from its peers',
 	},
 	{
