--- a/packages/cli/src/directory.ts
+++ b/packages/cli/src/directory.ts
@@ -27,6 +27,7 @@
 const peerUpdateTimeoutMs = 2500;
 
 export type DirectoryDeps = {
+	/** The name of this instance. */
 	readonly instance: string;
 	readonly store: Store;
 	/** The pause between two reads of the store, in milliseconds. */
@@ -57,8 +58,9 @@
 
 /**
 Opens a directory. It follows the store, or its peers if it prefers them or while the
-store does not deliver what they announce, and announces its revision to its peers. An older revision of a
-key never replaces a newer one.
+store does not deliver what they announce. It announces each change to its peers, and
+its revision periodically while it reads the store. An older revision of a key never
+replaces a newer one.
 
 @example
 const directory = openDirectory(deps);
--- a/packages/cli/src/pull.ts
+++ b/packages/cli/src/pull.ts
@@ -32,6 +32,7 @@
 	/** To be called after a copy of a peer has been applied or rejected. */
 	onCopy(peer: Peer): void;
 	onDown(peer: Peer): void;
+	/** Clears the pending timer when the process stops. */
 	stop(): void;
 };
 
--- a/packages/direct/src/pool.ts
+++ b/packages/direct/src/pool.ts
@@ -56,9 +56,8 @@
 	const idle: Array<{readonly connection: TargetConnection; readonly idleSinceMs: number}> = [];
 	const destroyed = new WeakSet<TargetConnection>();
 	const connect = buildConnector({timeout: connectMs, keepAlive: true});
-	let isClosed = false;
-
 	const sockets = new WeakMap<TargetConnection, Socket>();
+	let isClosed = false;
 
 	const drop = (connection: TargetConnection): void => {
 		if (!destroyed.has(connection)) {
