Find a group's coordinator among the group's notices, without a cache

Cause: RankNotices kept the coordinators of all groups in a map of its own, which each change of a notice discarded and the next look-up made anew from the notices of all groups. The notices of each group are kept already.

Change: coordinatorOf goes through the notices of the one group. The choice is the same: the lowest rank that says that it coordinates.

--- a/packages/peer/src/rank-notices.ts
+++ b/packages/peer/src/rank-notices.ts
@@ -31,8 +31,6 @@
 	const byGroup = new Map<string, Map<Peer, RankNotice>>();
 	const peerByTarget = new Map<string, Peer>();
 	const silentTargets = new Set<string>();
-	/** Made anew when a notice has changed. */
-	let coordinators: ReadonlyMap<string, Peer> | undefined;
 
 	/** Removes the notice of a peer. Returns its target if no other connection to the sidecar beside it is left. */
 	const take = (peer: Peer): string | undefined => {
@@ -43,7 +41,6 @@
 
 		byPeer.delete(peer);
 		byGroup.get(notice.group)?.delete(peer);
-		coordinators = undefined;
 		const other = [...byPeer].find(([, {target}]) => target === notice.target)?.[0];
 		if (other) {
 			peerByTarget.set(notice.target, other);
@@ -54,17 +51,6 @@
 		return notice.target;
 	};
 
-	const findCoordinators = (): ReadonlyMap<string, Peer> => {
-		const lowest = new Map<string, {readonly peer: Peer; readonly rank: number}>();
-		for (const [peer, {group, rank, isCoordinator}] of byPeer) {
-			if (isCoordinator && rank < (lowest.get(group)?.rank ?? Number.POSITIVE_INFINITY)) {
-				lowest.set(group, {peer, rank});
-			}
-		}
-
-		return new Map([...lowest].map(([group, {peer}]) => [group, peer]));
-	};
-
 	return {
 		set(peer, notice) {
 			take(peer);
@@ -84,8 +70,14 @@
 		peerBeside: target => peerByTarget.get(target),
 		isSilent: target => silentTargets.has(target),
 		coordinatorOf(group) {
-			coordinators ??= findCoordinators();
-			return coordinators.get(group);
+			let lowest: {readonly peer: Peer; readonly rank: number} | undefined;
+			for (const [peer, notice] of byGroup.get(group) ?? []) {
+				if (notice.isCoordinator && (!lowest || notice.rank < lowest.rank)) {
+					lowest = {peer, rank: notice.rank};
+				}
+			}
+
+			return lowest?.peer;
 		},
 	};
 }
