Record an attempt where it is sent

Cause: forward copied all of its dependencies for each attempt, only to hand down the function that notes when the request was written, and kept the attempt's start apart from its other times.

Change: sendAttempt notes start, writing and end of its attempt and appends the record. The fields, their values and the order of the records are the same.

--- a/packages/direct/src/forward.ts
+++ b/packages/direct/src/forward.ts
@@ -6,9 +6,7 @@
 import {isRetryable, type Call} from './call.js';
 import {type Dialect} from './dialect.js';
 import {createEventSplitter} from './events.js';
-import {
-	exchange, type ExchangeOptions, type ExchangeResult, type TargetAnswerHead,
-} from './exchange.js';
+import {exchange, type ExchangeResult, type TargetAnswerHead} from './exchange.js';
 import {type Place, type Placer} from './place.js';
 
 /** The longest idle time of a connection that is reused for a retryable call, in milliseconds. Targets close idle connections after some seconds. */
@@ -143,18 +141,7 @@
 		}
 
 		tried.add(id);
-		const startedMs = deps.monotonicMs();
-		let sentAfterMs: number | undefined;
-		const result = await sendAttempt(admitted, place, progress, {
-			...deps,
-			onSent() {
-				sentAfterMs = Math.round(deps.monotonicMs() - startedMs);
-				deps.metrics.latency('send_delay', sentAfterMs);
-			},
-		});
-		progress.attempts.push({
-			target: id, ended: describeResult(result), placedMs: Math.round(startedMs - call.arrivedMs), sentAfterMs, ms: Math.round(deps.monotonicMs() - startedMs),
-		});
+		const result = await sendAttempt(admitted, place, progress, deps);
 		if (result.kind === 'done') {
 			return toForwardResult({kind: 'answered'}, result.status);
 		}
@@ -196,8 +183,10 @@
 	}
 }
 
-async function sendAttempt(admitted: AdmittedCall, place: Place, progress: Progress, deps: ForwardDeps & Pick<ExchangeOptions, 'onSent'>): Promise<AttemptResult> {
+async function sendAttempt(admitted: AdmittedCall, place: Place, progress: Progress, deps: ForwardDeps): Promise<AttemptResult> {
 	const {call, answer, signal} = admitted;
+	const startedMs = deps.monotonicMs();
+	let sentAfterMs: number | undefined;
 	const silenceController = new AbortController();
 	const silenceLimitMs = silenceLimit(call, deps);
 	let silenceTimer: NodeJS.Timeout | undefined;
@@ -211,7 +200,7 @@
 	};
 
 	const receiver = createAnswerReceiver(admitted, place, progress, restartSilenceTimer);
-	const leftMs = Math.max(1, Math.floor(call.deadlineMs - (deps.monotonicMs() - call.arrivedMs)));
+	const leftMs = Math.max(1, Math.floor(call.deadlineMs - (startedMs - call.arrivedMs)));
 	restartSilenceTimer();
 	const exchangeResult = await exchange(place.target.pool, {
 		requestId: call.requestId,
@@ -222,7 +211,11 @@
 			deadlineMs: leftMs, targetId: place.target.record.id, organisation: call.organisation, lastEventId: progress.hasSentEvents ? String(progress.lastEventId) : undefined,
 		}),
 	}, receiver, {
-		dialect: deps.dialect, maxIdleMs: isRetryable(call) ? retryableMaxIdleMs : 0, signal: AbortSignal.any([signal, silenceController.signal]), onSent: deps.onSent,
+		dialect: deps.dialect, maxIdleMs: isRetryable(call) ? retryableMaxIdleMs : 0, signal: AbortSignal.any([signal, silenceController.signal]),
+		onSent() {
+			sentAfterMs = Math.round(deps.monotonicMs() - startedMs);
+			deps.metrics.latency('send_delay', sentAfterMs);
+		},
 	});
 	clearTimeout(silenceTimer);
 	const result = receiver.result(exchangeResult, signal.aborted ? String(signal.reason) : undefined);
@@ -236,6 +229,9 @@
 		answer.end();
 	}
 
+	progress.attempts.push({
+		target: place.target.record.id, ended: describeResult(result), placedMs: Math.round(startedMs - call.arrivedMs), sentAfterMs, ms: Math.round(deps.monotonicMs() - startedMs),
+	});
 	return result;
 }
 
