Make the hello of a test peer in one place

The test of malformed registrations wrote out the hello that the links of the same file already make. Its peer now counts as an entry, which what it checks does not depend on; its assertions are unchanged.

--- a/packages/cli/test/directory.test.ts
+++ b/packages/cli/test/directory.test.ts
@@ -22,6 +22,10 @@
 	service: 'llm', address: '10.0.0.9:80', zone: 'z', slots: 8, state, cold_remaining_ms: 0, seq, born: 7,
 });
 
+const helloOf = (instance: string): Peer['hello'] => ({
+	kind: 'hello', version: 1, role: 'entry', instance, incarnation: 'x', zone: 'z', sentMs: 0,
+});
+
 describe('a directory', () => {
 	let standin: PlatformStore;
 	let port: number;
@@ -63,9 +67,6 @@
 
 	/** Links two directories like a connection between their processes. */
 	const link = (a: Directory, b: Directory, instanceOfA = 'peer-a', instanceOfB = 'peer-b'): void => {
-		const helloOf = (instance: string): Peer['hello'] => ({
-			kind: 'hello', version: 1, role: 'entry', instance, incarnation: 'x', zone: 'z', sentMs: 0,
-		});
 		const toB: Peer = {
 			hello: helloOf(instanceOfB), host: '', close: () => undefined, send: frame => setImmediate(() => b.onFrame(toA, frame)),
 		};
@@ -126,10 +127,7 @@
 		await sleep(60);
 		const announced: number[] = [];
 		directory.onUp({
-			hello: {
-				kind: 'hello', version: 1, role: 'sidecar', instance: 'peer', incarnation: 'x', zone: 'z', sentMs: 0,
-			},
-			host: '', close: () => undefined,
+			hello: helloOf('peer'), host: '', close: () => undefined,
 			send(frame) {
 				if (frame.kind === 'known') {
 					announced.push(frame.changedAt);
