Log and count the limits that targets name

An entry now keeps what it believes about the limit of each target and logs each change with the previous value, its age and its source; limit_changes_total, limits_malformed_total, limited_targets and sent_under_limit_total count them. Nothing is decided by it yet.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -2,6 +2,7 @@
 import {
 	createFront, createGroupPlacer, createPlainPlacer, createTargets,
 } from '@papayaflow/direct';
+import {createBeliefs, limitChanges} from '@papayaflow/limit';
 import {lossReasons, refusalReasons} from '@papayaflow/outcome';
 import {createHeartbeatTicker, maintainHostLinks, type PeerEvents} from '@papayaflow/peer';
 import {connectPlatformStore, platformDialect} from '@papayaflow/platform';
@@ -70,6 +71,7 @@
 	metrics.declare('losses', 'reason', lossReasons);
 	metrics.declare('retries', 'reason', [...lossReasons, 'failed', 'notRun']);
 	metrics.declare('retries_denied', 'reason', ['resendBudgetSpent']);
+	metrics.declare('limit_changes', 'change', limitChanges);
 
 	const targets = createTargets({
 		connectMs: connectTimeoutMs, ejection, nowMs: monotonicMs,
@@ -79,6 +81,7 @@
 			}, `target ${change}`);
 		},
 	});
+	const beliefs = createBeliefs({monotonicMs, metrics, log});
 	const directory = openDirectory({
 		instance, store: connectPlatformStore({address: addressOf(settings.store), timeoutMs: settings.storeTimeoutMs}),
 		pauseMs: settings.storePauseMs, prefersPeers: false, log, metrics, monotonicMs, random, sleep: pause, signal: shutdown.signal,
@@ -88,6 +91,7 @@
 		},
 		onRecords(records) {
 			targets.update(records);
+			beliefs.retain(records);
 			updateLinks(records);
 		},
 	});
@@ -139,6 +143,13 @@
 			ratio: settings.resendRatio, slack: settings.resendSlack, entries: () => Math.max(minAssumedEntries, groupPlacer.entries() ?? 0), windowMs: settings.resendWindowMs, nowMs: monotonicMs,
 		}),
 		silenceTimeoutMs: ({route}) => route.kind === 'stream' ? settings.stallMs + stallMarginMs : Math.max(route.objectiveMs, minSilenceMs),
+		onLimit({record}, limit, sentMs) {
+			if (beliefs.of(record).perSecond !== undefined) {
+				metrics.count('sent_under_limit');
+			}
+
+			beliefs.observe(record, limit, sentMs);
+		},
 	});
 	const createAdminServer = (): ReturnType<typeof serveAdmin> => serveAdmin({
 		metrics,
--- a/packages/direct/src/dialect.ts
+++ b/packages/direct/src/dialect.ts
@@ -1,4 +1,5 @@
 import {type IncomingHttpHeaders} from 'node:http';
+import {type NamedLimit} from '@papayaflow/limit';
 
 /** The size of a generation, as stated by its caller. */
 export type Generation = {
@@ -46,6 +47,8 @@
 	readonly culprit: string | undefined;
 	/** Whether an intermediary encoded the body, so that its bytes differ from those that the target sent. */
 	readonly isEncoded: boolean;
+	/** The rate at which the target says that it takes requests. */
+	readonly limit: NamedLimit;
 };
 
 /**
--- a/packages/direct/src/exchange.ts
+++ b/packages/direct/src/exchange.ts
@@ -49,6 +49,8 @@
 	readonly signal: AbortSignal;
 	/** Called when the connection is open and the request is written to it. */
 	readonly onSent: () => void;
+	/** Called with the head of the target's answer to the request, also if the target did not run it. */
+	readonly onAnswer: (head: AnswerHead) => void;
 };
 
 /**
@@ -57,9 +59,9 @@
 ends the exchange as `broken` and closes the connection.
 
 @example
-const ended = await exchange(pool, request, sink, {dialect, maxIdleMs: 4000, signal, onSent});
+const ended = await exchange(pool, request, sink, {dialect, maxIdleMs: 4000, signal, onSent, onAnswer});
 */
-export async function exchange(pool: Pool, request: TargetRequest, sink: AnswerSink, {dialect, maxIdleMs, signal, onSent}: ExchangeOptions): Promise<ExchangeResult> {
+export async function exchange(pool: Pool, request: TargetRequest, sink: AnswerSink, {dialect, maxIdleMs, signal, onSent, onAnswer}: ExchangeOptions): Promise<ExchangeResult> {
 	if (signal.aborted) {
 		return {kind: 'notSent', detail: 'cancelled'};
 	}
@@ -126,6 +128,10 @@
 					return;
 				}
 
+				if (!head.isMisdirected) {
+					onAnswer(head);
+				}
+
 				if (head.isNotRun || head.isMisdirected) {
 					notRun = {
 						kind: 'notRun', status, isMisdirected: head.isMisdirected, culprit: head.culprit,
--- a/packages/direct/src/forward.ts
+++ b/packages/direct/src/forward.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {type NamedLimit} from '@papayaflow/limit';
 import {type LossReason, type Outcome} from '@papayaflow/outcome';
 import {type ResendBudget} from '@papayaflow/policy';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
@@ -8,6 +9,7 @@
 import {createEventSplitter} from './events.js';
 import {exchange, type ExchangeResult, type TargetAnswerHead} from './exchange.js';
 import {type Place, type Placer} from './place.js';
+import {type Target} from './targets.js';
 
 /** The longest idle time of a connection that is reused for a retryable call, in milliseconds. Targets close idle connections after some seconds. */
 const retryableMaxIdleMs = 3000;
@@ -30,6 +32,8 @@
 	readonly monotonicMs: () => number;
 	/** How long a retryable call may go without a whole event or response before it is retried, or its stream resumed, at another target, in milliseconds. */
 	readonly silenceTimeoutMs: (call: Call) => number;
+	/** Called with the limit in each answer of a target; `sentMs` is when the answered request was sent, in milliseconds of the monotonic clock. */
+	readonly onLimit: (target: Target, limit: NamedLimit, sentMs: number) => void;
 };
 
 /** A call that was admitted, with the writer of its response. */
@@ -216,6 +220,9 @@
 			sentAfterMs = Math.round(deps.monotonicMs() - startedMs);
 			deps.metrics.latency('send_delay', sentAfterMs);
 		},
+		onAnswer({limit}) {
+			deps.onLimit(place.target, limit, startedMs + (sentAfterMs ?? 0));
+		},
 	});
 	clearTimeout(silenceTimer);
 	const result = receiver.result(exchangeResult, signal.aborted ? String(signal.reason) : undefined);
--- a/packages/direct/test/exchange.test.ts
+++ b/packages/direct/test/exchange.test.ts
@@ -18,7 +18,7 @@
 	}),
 	targetHeaders: () => [],
 	readAnswer: () => ({
-		requestId: 'r-1', isSealed: true, isNotRun: false, isMisdirected: false, culprit: undefined, isEncoded: false,
+		requestId: 'r-1', isSealed: true, isNotRun: false, isMisdirected: false, culprit: undefined, isEncoded: false, limit: {kind: 'none'},
 	}),
 };
 
@@ -51,7 +51,7 @@
 		const exchanged = exchange(pool, {
 			requestId: 'r-1', method: 'POST', path: '/', headers: [], body,
 		}, {head: () => undefined, data: () => undefined}, {
-			dialect, maxIdleMs: 0, signal: cancelling.signal, onSent: () => undefined,
+			dialect, maxIdleMs: 0, signal: cancelling.signal, onSent: () => undefined, onAnswer: () => undefined,
 		});
 		const socket = await accepted;
 		await sleep(50);
--- /dev/null
+++ b/packages/limit/src/index.ts
@@ -0,0 +1,6 @@
+export {
+	afterAnswer, unlimited, type Belief, type NamedLimit,
+} from './belief.js';
+export {
+	createBeliefs, limitChanges, type Beliefs, type BeliefSource, type TargetLifetime,
+} from './beliefs.js';
