Failing tests: a target that names a limit gets more than that from all entries

Four entries and three sidecars as processes, with stand-ins of the store, of a group of three engines and of a plain service with three targets.

The stand-in of the ranks can serve requests and have an address for each rank.

--- /dev/null
+++ b/packages/cli/test/site.ts
@@ -0,0 +1,216 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import {
+	Agent, createServer, request, type Server,
+} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import path from 'node:path';
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	createLimitedTarget, createPlatformStore, startPassServers, type LimitedTarget, type PlatformStore,
+} from '@papayaflow/standins';
+
+const programs = path.join(import.meta.dirname, '../../../target');
+const readyTimeoutMs = 15_000;
+
+/** One program of the site. Its lines are the log lines that it has written so far. */
+export type SiteProcess = {readonly name: string; readonly child: ChildProcess; readonly port: number; readonly adminPort: number; readonly lines: string[]};
+
+/** The response to one call: the status, or 0 if there was none, and the suggested delay before a retry. */
+export type CallResult = {readonly status: number; readonly retryAfterMs: number | undefined; readonly reason: string | undefined; readonly tookMs: number};
+
+/** Entries and sidecars as processes, with stand-ins of the platform's store, a group of engines and a plain service. */
+export type Site = {
+	readonly store: PlatformStore;
+	/** The targets of the plain service, with the ids `p-0`, `p-1` and so on. */
+	readonly plains: readonly LimitedTarget[];
+	/** The engines of the group, with the ids `e-0`, `e-1` and so on. */
+	readonly engines: readonly LimitedTarget[];
+	readonly entries: SiteProcess[];
+	readonly sidecars: SiteProcess[];
+	startEntry(name: string): Promise<SiteProcess>;
+	startSidecar(rank: number): Promise<SiteProcess>;
+	/** Sends a call to the plain service (`plain`) or to the group (`model`) through an entry. */
+	call(entry: SiteProcess, service: 'plain' | 'model'): Promise<CallResult>;
+	stop(): Promise<void>;
+};
+
+const routeOf = (service: string, kind: string): unknown => ({
+	name: service, host: 'h.example', prefix: `/${service}/`, route_kind: kind, timeout_ms: 3000, target_latency_ms: 100, target_gap_ms: 200, service, max_attempts: 2, public: true, resumable: true,
+});
+
+const configuration = {
+	version: 1,
+	routes: [routeOf('plain', 'idempotent'), routeOf('model', 'streaming')],
+	services: [{name: 'plain', max_connections: 100}, {
+		name: 'model', max_connections: 100,
+		engine: {
+			slots: 8, kv_capacity: 1_000_000, stride: 4, step_ms: 1, per_seq_ms: 0.1, read_per_s: 60_000, chunk: 512, usual: {prompt: 10, answer: 4},
+			sets: 1, experts: 6, placements: 4, spare: 2, expert_share: 0.8, form_ms: 1, expert_mb: 1000,
+		},
+	}],
+	limits: {
+		max_header_bytes: 16_384, max_body_bytes: 10_000, header_timeout_ms: 3000, idle_timeout_ms: 10_000,
+	},
+};
+
+/**
+Starts a site and waits until every entry is ready and linked to every sidecar. Each
+engine and its sidecar have an address of their own on the loopback network.
+
+@example
+const site = await startSite({entries: 4, ranks: 3, plains: 3});
+const {status} = await site.call(site.entries[0], 'plain');
+*/
+export async function startSite(counts: {readonly entries: number; readonly ranks: number; readonly plains: number}): Promise<Site> {
+	const store = createPlatformStore(Date.now);
+	const storePort = await listenOn(store.server);
+	const peerPort = await findFreePort();
+	const engines = Array.from({length: counts.ranks}, () => createLimitedTarget());
+	const hosts = engines.map((_, rank) => `127.0.0.${rank + 11}`);
+	const ranks = await startPassServers({
+		ranks: counts.ranks, layers: 1, expertsPerLayer: 6, passMs: 5, demand: () => 1, hosts,
+		serve(rank, req, res) {
+			void engines[rank].handle(req, res);
+		},
+	});
+	const plains = Array.from({length: counts.plains}, () => createLimitedTarget());
+	const plainServers = plains.map(({handle}) => createServer(handle));
+	const plainAddresses = await Promise.all(plainServers.map(async server => `127.0.0.1:${await listenOn(server)}`));
+	const register = (id: string, service: string, address: string): void => {
+		store.put(`servers/${id}`, JSON.stringify({
+			service, address, zone: 'z', slots: 8, state: 'ready', cold_remaining_ms: 0, born: 1,
+		}));
+	};
+
+	for (const [index, address] of plainAddresses.entries()) {
+		register(`p-${index}`, 'plain', address);
+	}
+
+	for (const [rank, address] of ranks.addresses.entries()) {
+		register(`e-${rank}`, 'model', address);
+	}
+
+	store.put('op/config', JSON.stringify(configuration));
+
+	const processes: SiteProcess[] = [];
+	const startProgram = async (program: string, name: string, args: readonly string[]): Promise<SiteProcess> => {
+		const child = spawn(process.execPath, [
+			path.join(programs, `${program}.js`),
+			'direct',
+			'--instance',
+			name,
+			'--zone',
+			'z',
+			'--store',
+			`127.0.0.1:${storePort}`,
+			'--store-pause-ms',
+			'100',
+			'--peer-port',
+			String(peerPort),
+			'--metrics-port',
+			'0',
+			'--grace-ms',
+			'4000',
+			...args,
+		], {stdio: ['ignore', 'pipe', 'inherit']});
+		const lines: string[] = [];
+		let rest = '';
+		child.stdout.on('data', chunk => {
+			const parts = (rest + String(chunk)).split('\n');
+			rest = parts.pop()!;
+			lines.push(...parts);
+		});
+		const started = await waitFor(async () => lines.find(line => line.includes(`${program.slice('papayaflow-'.length)} started"`)));
+		const {context} = JSON.parse(started) as {context: {port: number; adminPort: number}};
+		const running: SiteProcess = {
+			name, child, port: context.port, adminPort: context.adminPort, lines,
+		};
+		processes.push(running);
+		return running;
+	};
+
+	const startEntry = async (name: string): Promise<SiteProcess> => startProgram('papayaflow-entry', name, ['--address', '127.0.0.1', '--listen', '127.0.0.1:0', '--admin', '127.0.0.1:0']);
+	const startSidecar = async (rank: number): Promise<SiteProcess> => startProgram('papayaflow-sidecar', `side-${rank}`, ['--address', hosts[rank], '--target', ranks.addresses[rank]]);
+	const sidecars = await Promise.all(engines.map(async (_, rank) => startSidecar(rank)));
+	const entries = await Promise.all(Array.from({length: counts.entries}, async (_, index) => startEntry(`entry-${index}`)));
+	const agent = new Agent({keepAlive: true});
+	let callCount = 0;
+
+	const call = async (entry: SiteProcess, service: 'plain' | 'model'): Promise<CallResult> => new Promise(resolve => {
+		const startedMs = performance.now();
+		const toResult = (status: number, retryAfter?: string, body = ''): CallResult => ({
+			status, retryAfterMs: retryAfter === undefined ? undefined : Number(retryAfter) * 1000, reason: /"reason":"(\w+)"/v.exec(body)?.[1], tookMs: performance.now() - startedMs,
+		});
+		const req = request({
+			agent, host: '127.0.0.1', port: entry.port, path: `/${service}/x`,
+			headers: {host: 'h.example', 'x-request-id': `c-${callCount++}`, 'x-deadline-ms': '3000'},
+		}, res => {
+			let body = '';
+			res.on('data', chunk => {
+				body += String(chunk);
+			});
+			res.on('end', () => {
+				resolve(toResult(res.statusCode ?? 0, res.headers['retry-after'], body));
+			});
+			res.on('error', () => {
+				resolve(toResult(0));
+			});
+		});
+		req.on('error', () => {
+			resolve(toResult(0));
+		});
+		req.end();
+	});
+
+	const isLinked = async (entry: SiteProcess): Promise<true | undefined> => {
+		const connected = entry.lines.filter(line => line.includes('"dependency regained"')).length;
+		return connected >= counts.ranks && (await call(entry, 'plain')).status === 200 ? true : undefined;
+	};
+
+	await Promise.all(entries.map(async entry => waitFor(async () => isLinked(entry))));
+	return {
+		store, plains, engines, entries, sidecars, startEntry, startSidecar, call,
+		async stop() {
+			agent.destroy();
+			for (const {child} of processes) {
+				child.kill('SIGKILL');
+			}
+
+			ranks.stop();
+			for (const server of [...plainServers, store.server]) {
+				server.closeAllConnections();
+				server.close();
+			}
+		},
+	};
+}
+
+/** Waits until a check returns a value, and returns it. Throws after 15 seconds. */
+export async function waitFor<T>(check: () => Promise<T | undefined>): Promise<T> {
+	const deadlineMs = performance.now() + readyTimeoutMs;
+	while (performance.now() < deadlineMs) {
+		const value = await check();
+		if (value !== undefined) {
+			return value;
+		}
+
+		await sleep(20);
+	}
+
+	throw new Error('the site was not ready in time');
+}
+
+async function listenOn(server: Server): Promise<number> {
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	return (server.address() as AddressInfo).port;
+}
+
+async function findFreePort(): Promise<number> {
+	const server = createServer();
+	const port = await listenOn(server);
+	server.close();
+	return port;
+}
--- /dev/null
+++ b/packages/cli/test/target-limit.test.ts
@@ -0,0 +1,73 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {mostArrivals} from '@papayaflow/standins';
+import {expect} from 'chai';
+import {
+	after, before, describe, it,
+} from 'mocha';
+import {startSite, type CallResult, type Site} from './site.js';
+
+/** The time after which all entries must know of a limit, in milliseconds. */
+const spreadMs = 500;
+
+const entryCount = 4;
+
+/** Sends `perSecond` calls a second, dealt to all entries in turn, for `ms` milliseconds. */
+async function load(site: Site, service: 'plain' | 'model', {perSecond, ms}: {readonly perSecond: number; readonly ms: number}): Promise<readonly CallResult[]> {
+	const calls: Array<Promise<CallResult>> = [];
+	const startedMs = performance.now();
+	for (let sent = 0; performance.now() - startedMs < ms; sent++) {
+		calls.push(site.call(site.entries[sent % site.entries.length], service));
+		await sleep(Math.max(0, startedMs + ((sent + 1) * 1000 / perSecond) - performance.now()));
+	}
+
+	return Promise.all(calls);
+}
+
+/** The most requests that a target may get in a span: its rate, a burst of a quarter second or one request, and the time for which a permission is valid. */
+function allowedIn(spanMs: number, perSecond: number): number {
+	const permissionMs = 250;
+	return Math.floor((perSecond * (spanMs + permissionMs) / 1000) + Math.max(1, perSecond / 4));
+}
+
+describe('a target that names a limit', () => {
+	let site: Site;
+
+	before(async () => {
+		site = await startSite({entries: entryCount, ranks: 3, plains: 3});
+	});
+
+	after(async () => {
+		await site.stop();
+	});
+
+	const checkLimit = async (service: 'plain' | 'model'): Promise<void> => {
+		const targets = service === 'plain' ? site.plains : site.engines;
+		await load(site, service, {perSecond: 60, ms: 1000});
+		targets[0].limit = '2';
+		await load(site, service, {perSecond: 60, ms: spreadMs});
+		for (const target of targets) {
+			target.arrivalsMs.length = 0;
+		}
+
+		const ms = 6000;
+		const results = await load(site, service, {perSecond: 60, ms});
+		targets[0].limit = undefined;
+		const [limited, ...others] = targets.map(({arrivalsMs}) => arrivalsMs);
+		for (const spanMs of [250, 1000, 4000]) {
+			expect(mostArrivals(limited, spanMs), `in ${spanMs} ms`).to.be.at.most(allowedIn(spanMs, 2));
+		}
+
+		expect(limited.length, 'the limited target is used').to.be.at.least(2 * ms / 1000 * 0.75);
+		expect(results.filter(({status}) => status !== 200), 'calls that were not answered').to.deep.equal([]);
+		expect(others.reduce((sum, {length}) => sum + length, 0)).to.be.at.least(results.length - limited.length);
+	};
+
+	// These guard against entries that each send what they please to a target that takes only a few requests from all of them.
+	it('gets no more than that rate from all entries together, beside other targets of a plain service', async () => {
+		await checkLimit('plain');
+	});
+
+	it('gets no more than that rate from all entries together, beside other engines of its group', async () => {
+		await checkLimit('model');
+	});
+});
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -19,3 +19,4 @@
 export {
 	chunk, lastChunk, notExecutedResponse, sealedResponse, startReplica, streamEvent, eventStreamHead, type Replica, type ReplicaRequest,
 } from './replica.js';
+export {createLimitedTarget, mostArrivals, type LimitedTarget} from './limited-target.js';
--- /dev/null
+++ b/packages/standins/src/limited-target.ts
@@ -0,0 +1,60 @@
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+/** A target that names a limit in its answers and records what it gets. */
+export type LimitedTarget = {
+	/** The value of `Server-Limit` in each answer; `undefined` sends no such header. */
+	limit: string | undefined;
+	/** The time that each request takes, in milliseconds. */
+	workMs: number;
+	/** When each request arrived, in milliseconds of the monotonic clock. */
+	readonly arrivalsMs: number[];
+	handle(req: IncomingMessage, res: ServerResponse): Promise<void>;
+};
+
+/**
+Creates the request handler of a target that serves every request, whatever limit it
+names. It answers with one event, which is also a valid body of a call that is not a stream.
+
+@example
+const target = createLimitedTarget({limit: '2'});
+createServer(target.handle).listen(8000, '127.0.0.1');
+*/
+export function createLimitedTarget({limit, workMs = 5}: {readonly limit?: string; readonly workMs?: number} = {}): LimitedTarget {
+	const target: LimitedTarget = {
+		limit, workMs, arrivalsMs: [],
+		async handle(req, res) {
+			target.arrivalsMs.push(performance.now());
+			req.resume();
+			await sleep(target.workMs);
+			const body = 'id: 1\ndata: piece\n\n';
+			res.writeHead(200, {
+				'content-type': 'text/event-stream', 'content-length': body.length, 'x-request-id': req.headers['x-request-id'] ?? '', 'x-replica-seal': 's',
+				...(target.limit !== undefined && {'server-limit': target.limit}),
+			});
+			res.end(body);
+		},
+	};
+	return target;
+}
+
+/**
+Returns the most arrivals in any span of `spanMs` milliseconds.
+
+@example
+mostArrivals([0, 10, 500], 100); // 2
+*/
+export function mostArrivals(arrivalsMs: readonly number[], spanMs: number): number {
+	const sorted = arrivalsMs.toSorted((a, b) => a - b);
+	let most = 0;
+	let first = 0;
+	for (const [last, atMs] of sorted.entries()) {
+		while (sorted[first] < atMs - spanMs) {
+			first++;
+		}
+
+		most = Math.max(most, last - first + 1);
+	}
+
+	return most;
+}
--- a/packages/standins/src/pass-server.ts
+++ b/packages/standins/src/pass-server.ts
@@ -28,6 +28,10 @@
 	readonly demand: (layer: number, expert: number) => number;
 	/** Returns how an order to a rank is delivered; `prompt` by default. */
 	readonly orderDelivery?: (rank: number, operation: string) => OrderDelivery;
+	/** The IP address of each rank's server; the loopback address by default. */
+	readonly hosts?: readonly string[];
+	/** Handles requests that are not calls of the platform; status 404 by default. */
+	readonly serve?: (rank: number, req: IncomingMessage, res: ServerResponse) => void;
 };
 
 /** A group of ranks, each with its own server on the loopback address. */
@@ -141,14 +145,17 @@
 			sendJson(res, 200, pickedResponse(rank, url.searchParams.has('lists')));
 		} else if (url.pathname === '/papayaflow/order' && req.method === 'POST') {
 			void handleOrder(rank, req, res);
+		} else if (options.serve) {
+			options.serve(rank, req, res);
 		} else {
 			sendJson(res, 404, {});
 		}
 	};
 
 	const servers: Server[] = [];
-	for (let rank = 0; rank < ranks; rank++) {
-		const server = createServer(handleRequest(rank)).listen(0, '127.0.0.1');
+	const hosts = options.hosts ?? Array.from({length: ranks}, () => '127.0.0.1');
+	for (const [rank, host] of hosts.entries()) {
+		const server = createServer(handleRequest(rank)).listen(0, host);
 		await once(server, 'listening');
 		servers.push(server);
 	}
@@ -156,7 +163,7 @@
 	const passTimer = setInterval(beginPass, options.passMs).unref();
 	return {
 		group,
-		addresses: servers.map(server => `127.0.0.1:${(server.address() as AddressInfo).port}`),
+		addresses: servers.map(server => addressOfServer(server)),
 		experts: () => group.ranks.map(({map}, rank) => expertLists[rank].get(map) ?? []),
 		async breakFor(ms) {
 			isOpen = false;
@@ -174,6 +181,11 @@
 	};
 }
 
+function addressOfServer(server: Server): string {
+	const {address, port} = server.address() as AddressInfo;
+	return `${address}:${port}`;
+}
+
 const httpStatus = {obeyed: 200, refused: 409, fenced: 412} as const;
 
 function parseOrder({operation, version, step}: Record<string, unknown>): PassOrder | undefined {
