Keep the rate that a target names, over all entries together

Cause: an entry decided by its own counts (plain targets) or by the predicted pass time of the group (engines). Neither is a rate, and for plain targets nothing is shared.

A sidecar now grants a permission for each request to a limited target: the one beside the engine, or one chosen by rendezvous among the engines' for a plain target. A permission is valid for 250 ms, on the monotonic clock and by the time of day, and is checked when the request is written to its connection. A target without a permission is left out of the choice, so the work goes to others; if all are left out, the call is refused at once as rateLimited with the time at which one may take it. While the dispenser can't be reached, an entry sends its equal share after 2 s; the dispenser keeps that share back.

Two more freeze, kill and restart the dispenser and restart each entry in turn.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -1,10 +1,14 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	createFront, createGroupPlacer, createPlainPlacer, createTargets,
+	createFront, createGroupPlacer, createLimitedPlacer, createPlainPlacer, createTargets,
 } from '@papayaflow/direct';
-import {createBeliefs, limitChanges} from '@papayaflow/limit';
+import {
+	createBeliefs, createPermits, dispensingEngine, limitChanges, permitResults, type DispenserLink, type TargetLifetime,
+} from '@papayaflow/limit';
 import {lossReasons, refusalReasons} from '@papayaflow/outcome';
-import {createHeartbeatTicker, maintainHostLinks, type PeerEvents} from '@papayaflow/peer';
+import {
+	createHeartbeatTicker, handleFrame, maintainHostLinks, type FrameHandlers, type Peer, type PeerEvents,
+} from '@papayaflow/peer';
 import {connectPlatformStore, platformDialect} from '@papayaflow/platform';
 import {createResendBudget} from '@papayaflow/policy';
 import {addressOf, type EngineModel, type TargetRecord} from '@papayaflow/routing';
@@ -34,7 +38,7 @@
 /** How long a stream may be silent beyond the stall time of its group, in milliseconds, before it is resumed at another target. */
 const stallMarginMs = 200;
 
-/** The number of entries that are assumed to share the resend budget if the sidecars report a smaller number of entries or none yet. */
+/** The number of entries that are assumed to share the resend budget and the rates of limited targets if the sidecars report a smaller number of entries or none yet. */
 const minAssumedEntries = 4;
 
 const drainPollMs = 20;
@@ -72,6 +76,7 @@
 	metrics.declare('retries', 'reason', [...lossReasons, 'failed', 'notRun']);
 	metrics.declare('retries_denied', 'reason', ['resendBudgetSpent']);
 	metrics.declare('limit_changes', 'change', limitChanges);
+	metrics.declare('permits', 'result', permitResults);
 
 	const targets = createTargets({
 		connectMs: connectTimeoutMs, ejection, nowMs: monotonicMs,
@@ -91,7 +96,7 @@
 		},
 		onRecords(records) {
 			targets.update(records);
-			beliefs.retain(records);
+			permits.retain(records);
 			updateLinks(records);
 		},
 	});
@@ -102,25 +107,51 @@
 	const groupPlacer = createGroupPlacer({
 		targets, model, monotonicMs, random, metrics, log,
 	});
+	/** The connected sidecars by the address of their machine. */
+	const sidecars = new Map<string, Peer>();
+	const dispenserOf = ({id}: TargetLifetime): DispenserLink | undefined => {
+		const record = targets.byId(id)?.record;
+		const engine = record && dispensingEngine(record, {targets: directory.records(), isEngine: ({service}) => model(service) !== undefined});
+		const sidecar = engine && sidecars.get(engine.host);
+		return sidecar && createDispenserLink(sidecar);
+	};
+
+	const assumedEntries = (): number => Math.max(minAssumedEntries, groupPlacer.entries() ?? 0);
+	const permits = createPermits({
+		beliefs, dispenserOf, entries: assumedEntries, monotonicMs, wallMs: Date.now, random, metrics, log,
+	});
 
+	const limitHandlers: FrameHandlers = {
+		permit(_peer, {id, isGranted, retryMs}) {
+			permits.onDecision(id, {isGranted, retryMs});
+		},
+		limit(peer, {limit}) {
+			permits.onAnnounced(createDispenserLink(peer), limit);
+		},
+	};
 	const events: PeerEvents = {
 		onUp(peer) {
 			log.info({dependency: 'sidecar', peer: peer.hello.instance}, 'dependency regained');
+			sidecars.set(peer.host, peer);
 			directory.onUp(peer);
 		},
 		onFrame(peer, frame) {
 			metrics.count('frames_received', {kind: frame.kind});
-			if (!groupPlacer.onFrame(peer, frame) && !directory.onFrame(peer, frame)) {
+			if (!groupPlacer.onFrame(peer, frame) && !directory.onFrame(peer, frame) && !handleFrame(limitHandlers, peer, frame)) {
 				metrics.count('frame_faults', {reason: 'unexpected'});
 			}
 		},
 		onDown(peer, cause) {
 			log.warn({dependency: 'sidecar', peer: peer.hello.instance, cause}, 'dependency lost');
+			if (sidecars.get(peer.host) === peer) {
+				sidecars.delete(peer.host);
+			}
+
 			directory.onDown(peer);
 			groupPlacer.onDown(peer, cause);
 		},
-		// The entry's answers depend only on the sidecars that may coordinate a group, and those request short heartbeats themselves.
-		isNear: () => false,
+		// Otherwise the entry's answers depend only on the sidecars that may coordinate a group, and those request short heartbeats themselves.
+		isNear: peer => permits.dispensers().has(peer.hello.instance),
 		onFault(reason) {
 			metrics.count('frame_faults', {reason});
 		},
@@ -138,9 +169,11 @@
 
 	const front = createFront({
 		dialect: platformDialect, metrics, log, monotonicMs, random, table: () => directory.table(), isLeaving: () => isLeaving,
-		place: async need => model(need.call.service) ? groupPlacer.place(need) : placePlain(need),
+		place: createLimitedPlacer({
+			place: async need => model(need.call.service) ? groupPlacer.place(need) : placePlain(need), targets, permits, random,
+		}),
 		resendBudget: createResendBudget({
-			ratio: settings.resendRatio, slack: settings.resendSlack, entries: () => Math.max(minAssumedEntries, groupPlacer.entries() ?? 0), windowMs: settings.resendWindowMs, nowMs: monotonicMs,
+			ratio: settings.resendRatio, slack: settings.resendSlack, entries: assumedEntries, windowMs: settings.resendWindowMs, nowMs: monotonicMs,
 		}),
 		silenceTimeoutMs: ({route}) => route.kind === 'stream' ? settings.stallMs + stallMarginMs : Math.max(route.objectiveMs, minSilenceMs),
 		onLimit({record}, limit, sentMs) {
@@ -148,7 +181,7 @@
 				metrics.count('sent_under_limit');
 			}
 
-			beliefs.observe(record, limit, sentMs);
+			permits.onAnswer(record, limit, sentMs);
 		},
 	});
 	const createAdminServer = (): ReturnType<typeof serveAdmin> => serveAdmin({
@@ -190,3 +223,22 @@
 		},
 	};
 }
+
+function createDispenserLink(sidecar: Peer): DispenserLink {
+	return {
+		instance: sidecar.hello.instance,
+		ask(id, target, perSecond) {
+			sidecar.send({
+				kind: 'askPermit', id, target: lifetimeOf(target), perSecond,
+			});
+		},
+		report(seen) {
+			sidecar.send({kind: 'limitSeen', seen: {...seen, target: lifetimeOf(seen.target)}});
+		},
+	};
+}
+
+/** Leaves out the other fields of a record, so that they are not sent. */
+function lifetimeOf({id, incarnation}: TargetLifetime): TargetLifetime {
+	return {id, incarnation};
+}
--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -2,8 +2,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {acquireEpoch} from '@papayaflow/experts';
 import {createGroupSidecar, type RankEngine} from '@papayaflow/group';
+import {createDispenser, ownedTargets} from '@papayaflow/limit';
 import {
-	createHeartbeatTicker, maintainHostLinks, servePeer, type PeerEvents,
+	createHeartbeatTicker, handleFrame, maintainHostLinks, servePeer, type FrameHandlers, type Peer, type PeerEvents,
 } from '@papayaflow/peer';
 import {connectPlatformStore, connectRank} from '@papayaflow/platform';
 import {addressOf, type TargetRecord} from '@papayaflow/routing';
@@ -47,9 +48,11 @@
 	const directory = openDirectory({
 		instance, store, pauseMs: settings.storePauseMs, prefersPeers: true, log, metrics, monotonicMs, random, sleep: pause, signal: shutdown.signal,
 		onTable() {
+			updateOwnedTargets();
 			updateLinks();
 		},
 		onRecords() {
+			updateOwnedTargets();
 			updateLinks();
 		},
 	});
@@ -79,15 +82,46 @@
 		},
 	});
 
+	const entries = new Set<Peer>();
+	const dispenser = createDispenser({
+		monotonicMs, random, metrics, log,
+		announce(limit) {
+			for (const entry of entries) {
+				entry.send({kind: 'limit', limit});
+			}
+		},
+	});
+	const updateOwnedTargets = (): void => {
+		const isEngine = ({service}: TargetRecord): boolean => directory.table()?.configuration.services.get(service)?.engine !== undefined;
+		dispenser.setOwned(ownedTargets(target, {targets: directory.records(), isEngine}));
+	};
+
+	const limitHandlers: FrameHandlers = {
+		askPermit(peer, {id, target: asked, perSecond}) {
+			peer.send({kind: 'permit', id, ...dispenser.ask(peer.hello.instance, {id, target: asked, perSecond})});
+		},
+		limitSeen(peer, {seen}) {
+			const current = dispenser.onSeen(peer.hello.instance, seen);
+			if (current) {
+				peer.send({kind: 'limit', limit: current});
+			}
+		},
+	};
 	const events: PeerEvents = {
 		onUp(peer) {
 			log.info({dependency: peer.hello.role, peer: peer.hello.instance}, 'dependency regained');
 			directory.onUp(peer);
 			group.onUp(peer);
+			if (peer.hello.role === 'entry') {
+				entries.add(peer);
+				for (const limit of dispenser.onEntryUp(peer.hello.instance)) {
+					peer.send({kind: 'limit', limit});
+				}
+			}
 		},
 		onFrame(peer, frame) {
 			metrics.count('frames_received', {kind: frame.kind});
-			if (!group.onFrame(peer, frame) && !directory.onFrame(peer, frame)) {
+			if (!group.onFrame(peer, frame) && !directory.onFrame(peer, frame) && !handleFrame(limitHandlers, peer, frame)) {
 				metrics.count('frame_faults', {reason: 'unexpected'});
 			}
 		},
@@ -95,6 +129,9 @@
 			log.warn({dependency: peer.hello.role, peer: peer.hello.instance, cause}, 'dependency lost');
 			directory.onDown(peer);
 			group.onDown(peer, cause);
+			if (entries.delete(peer)) {
+				dispenser.onEntryDown(peer.hello.instance);
+			}
 		},
 		isNear: group.isNear,
 		onFault(reason) {
@@ -117,7 +154,7 @@
 		metrics,
 		ready: () => isLeaving ? {ready: false, reason: 'stopping'} : {ready: true},
 		status: () => ({
-			instance, role: 'sidecar', zone, incarnation, leaving: isLeaving, revision: directory.revision(), group: group.status(),
+			instance, role: 'sidecar', zone, incarnation, leaving: isLeaving, revision: directory.revision(), group: group.status(), limits: dispenser.status(),
 		}),
 	});
 	const server = createServer(socket => {
--- a/packages/cli/test/site.ts
+++ b/packages/cli/test/site.ts
@@ -12,6 +12,9 @@
 } from '@papayaflow/standins';
 
 const programs = path.join(import.meta.dirname, '../../../target');
+/** The time that a target takes for each request, in milliseconds: long enough that the load of a test keeps all targets busy. */
+const workMs = 100;
+
 const readyTimeoutMs = 15_000;
 
 /** One program of the site. Its lines are the log lines that it has written so far. */
@@ -37,7 +40,7 @@
 };
 
 const routeOf = (service: string, kind: string): unknown => ({
-	name: service, host: 'h.example', prefix: `/${service}/`, route_kind: kind, timeout_ms: 3000, target_latency_ms: 100, target_gap_ms: 200, service, max_attempts: 2, public: true, resumable: true,
+	name: service, host: 'h.example', prefix: `/${service}/`, route_kind: kind, timeout_ms: 3000, target_latency_ms: 300, target_gap_ms: 200, service, max_attempts: 2, public: true, resumable: true,
 });
 
 const configuration = {
@@ -67,7 +70,7 @@
 	const store = createPlatformStore(Date.now);
 	const storePort = await listenOn(store.server);
 	const peerPort = await findFreePort();
-	const engines = Array.from({length: counts.ranks}, () => createLimitedTarget());
+	const engines = Array.from({length: counts.ranks}, () => createLimitedTarget({workMs}));
 	const hosts = engines.map((_, rank) => `127.0.0.${rank + 11}`);
 	const ranks = await startPassServers({
 		ranks: counts.ranks, layers: 1, expertsPerLayer: 6, passMs: 5, demand: () => 1, hosts,
@@ -75,7 +78,7 @@
 			void engines[rank].handle(req, res);
 		},
 	});
-	const plains = Array.from({length: counts.plains}, () => createLimitedTarget());
+	const plains = Array.from({length: counts.plains}, () => createLimitedTarget({workMs}));
 	const plainServers = plains.map(({handle}) => createServer(handle));
 	const plainAddresses = await Promise.all(plainServers.map(async server => `127.0.0.1:${await listenOn(server)}`));
 	const register = (id: string, service: string, address: string): void => {
--- a/packages/cli/test/target-limit.test.ts
+++ b/packages/cli/test/target-limit.test.ts
@@ -70,4 +70,49 @@
 	it('gets no more than that rate from all entries together, beside other engines of its group', async () => {
 		await checkLimit('model');
 	});
+
+	/** Stops, restarts and freezes the processes that the limit depends on, one after the other, while the load goes on. */
+	const disturb = async (targetId: string): Promise<void> => {
+		const dispenser = site.sidecars.find(({lines}) => lines.some(line => line.includes('limit of an owned target changed') && line.includes(`"target":"${targetId}"`)))!;
+		const rank = Number(dispenser.name.slice('side-'.length));
+		await sleep(1000);
+		dispenser.child.kill('SIGSTOP');
+		await sleep(3500);
+		dispenser.child.kill('SIGCONT');
+		await sleep(1500);
+		dispenser.child.kill('SIGKILL');
+		await sleep(1000);
+		site.sidecars[rank] = await site.startSidecar(rank);
+		for (const [index, entry] of site.entries.entries()) {
+			entry.child.kill(index % 2 === 0 ? 'SIGTERM' : 'SIGKILL');
+			site.entries[index] = await site.startEntry(entry.name);
+		}
+	};
+
+	const checkFaults = async (service: 'plain' | 'model'): Promise<void> => {
+		const targets = service === 'plain' ? site.plains : site.engines;
+		targets[1].limit = '4';
+		await load(site, service, {perSecond: 40, ms: spreadMs});
+		targets[1].arrivalsMs.length = 0;
+		const ms = 14_000;
+		const [results] = await Promise.all([load(site, service, {perSecond: 40, ms}), disturb(service === 'plain' ? 'p-1' : 'e-1')]);
+		targets[1].limit = undefined;
+		const {arrivalsMs} = targets[1];
+		for (const spanMs of [250, 1000, 4000]) {
+			expect(mostArrivals(arrivalsMs, spanMs), `in ${spanMs} ms`).to.be.at.most(allowedIn(spanMs, 4));
+		}
+
+		// The target gets nothing for two seconds after each loss of the dispenser, and its rate at other times.
+		expect(arrivalsMs.length, 'the limited target is used').to.be.at.least(4 * (ms - 6000) / 1000 / 2);
+		expect(results.filter(({status}) => status === 200).length / results.length).to.be.at.least(0.9);
+	};
+
+	// These guard against two processes that both grant permissions, or that act on permissions from before a pause.
+	it('gets no more than that rate while processes are frozen, killed and restarted, beside other targets of a plain service', async () => {
+		await checkFaults('plain');
+	}).timeout(40_000);
+
+	it('gets no more than that rate while processes are frozen, killed and restarted, beside other engines of its group', async () => {
+		await checkFaults('model');
+	}).timeout(40_000);
 });
--- a/packages/direct/src/exchange.ts
+++ b/packages/direct/src/exchange.ts
@@ -47,6 +47,8 @@
 	readonly maxIdleMs: number;
 	/** Cancels the exchange and resets its connection to the target, so that a request still on its way does not arrive after it was cancelled. */
 	readonly signal: AbortSignal;
+	/** Whether the request may still be sent, asked when the connection is open; if not, the exchange ends as `notSent`. */
+	readonly mayStart: () => boolean;
 	/** Called when the connection is open and the request is written to it. */
 	readonly onSent: () => void;
 	/** Called with the head of the target's answer to the request, also if the target did not run it. */
@@ -59,9 +61,9 @@
 ends the exchange as `broken` and closes the connection.
 
 @example
-const ended = await exchange(pool, request, sink, {dialect, maxIdleMs: 4000, signal, onSent, onAnswer});
+const ended = await exchange(pool, request, sink, {dialect, maxIdleMs: 4000, signal, mayStart: () => true, onSent, onAnswer});
 */
-export async function exchange(pool: Pool, request: TargetRequest, sink: AnswerSink, {dialect, maxIdleMs, signal, onSent, onAnswer}: ExchangeOptions): Promise<ExchangeResult> {
+export async function exchange(pool: Pool, request: TargetRequest, sink: AnswerSink, {dialect, maxIdleMs, signal, mayStart, onSent, onAnswer}: ExchangeOptions): Promise<ExchangeResult> {
 	if (signal.aborted) {
 		return {kind: 'notSent', detail: 'cancelled'};
 	}
@@ -109,6 +111,12 @@
 					return;
 				}
 
+				if (!mayStart()) {
+					settle({kind: 'notSent', detail: 'the permission to send has expired'}, false);
+					newController.abort(new Error('permission expired'));
+					return;
+				}
+
 				controller = newController;
 				isSent = true;
 				onSent();
--- a/packages/direct/src/forward.ts
+++ b/packages/direct/src/forward.ts
@@ -20,6 +20,8 @@
 /** The largest number of refusals by targets after which a call is still retried. Each refusal costs the target and the caller time. */
 const maxRefusals = 3;
 
+const noTargets: ReadonlySet<string> = new Set();
+
 /** The least remaining deadline for another attempt, in milliseconds. It covers a round trip and a little work of the target. */
 const minAttemptMs = 15;
 
@@ -117,7 +119,7 @@
 
 	for (let possibleRuns = 0; ;) {
 		const placed = await deps.place({
-			call, tried, signal, hasBegun: progress.hasSentEvents,
+			call, tried, signal, hasBegun: progress.hasSentEvents, excluded: noTargets,
 		});
 		if (signal.aborted) {
 			if (placed.kind === 'placed') {
@@ -216,6 +218,7 @@
 		}),
 	}, receiver, {
 		dialect: deps.dialect, maxIdleMs: isRetryable(call) ? retryableMaxIdleMs : 0, signal: AbortSignal.any([signal, silenceController.signal]),
+		mayStart: place.mayStart,
 		onSent() {
 			sentAfterMs = Math.round(deps.monotonicMs() - startedMs);
 			deps.metrics.latency('send_delay', sentAfterMs);
--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -78,7 +78,7 @@
 		return peer && notices.of(peer)?.group;
 	};
 
-	const createPlacementRequest = ({call, tried, hasBegun}: PlaceRequest): PeerPlacementRequest => {
+	const createPlacementRequest = ({call, tried, excluded, hasBegun}: PlaceRequest): PeerPlacementRequest => {
 		const {route, generation} = call;
 		const longestDeadlineMs = Math.max(longestDeadlineMsByRoute.get(route.name) ?? 0, call.deadlineMs);
 		longestDeadlineMsByRoute.set(route.name, longestDeadlineMs);
@@ -95,7 +95,7 @@
 			priority: call.priority,
 			hasReturned: earlierWaitMs > 0 || tried.size > 0,
 			isResumed: hasBegun,
-			excluded: [...tried].flatMap(id => {
+			excluded: [...tried, ...excluded].flatMap(id => {
 				const target = targets.byId(id);
 				return target ? [target.address] : [];
 			}),
@@ -129,6 +129,7 @@
 		streams.set(placementRequest.id, stream);
 		return {
 			target,
+			mayStart: () => true,
 			began() {
 				stream.hasBegun = true;
 				notifyCoordinator({kind: 'began', id: placementRequest.id});
@@ -215,8 +216,8 @@
 	};
 
 	const place: Placer = async request => {
-		const {call, tried, signal} = request;
-		const serving = targets.servingTargets(call.service);
+		const {call, tried, excluded, signal} = request;
+		const serving = targets.servingTargets(call.service).filter(({record}) => !excluded.has(record.id));
 		const untried = serving.filter(({record}) => !tried.has(record.id));
 		const candidates = untried.length > 0 ? untried : serving;
 		const placementRequest = createPlacementRequest(request);
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -13,4 +13,5 @@
 export {
 	createTargets, type Target, type TargetOutcome, type Targets,
 } from './targets.js';
+export {createLimitedPlacer, type LimitedPlacerOptions} from './limit-place.js';
 export {createGroupPlacer, type GroupPlacer, type GroupPlacerOptions} from './group-place.js';
--- a/packages/direct/src/place.ts
+++ b/packages/direct/src/place.ts
@@ -9,6 +9,8 @@
 	/** Reports that the first event of a stream has arrived. */
 	began(): void;
 	ended(outcome: TargetOutcome): void;
+	/** Whether the request may still be sent. To be checked at the moment of sending. */
+	mayStart(): boolean;
 };
 
 export type PlaceResult
@@ -21,6 +23,8 @@
 	readonly hasBegun: boolean;
 	/** The ids of the targets already tried for this call; they are used again only if no other target is left. */
 	readonly tried: ReadonlySet<string>;
+	/** The ids of the targets that must not be used now. */
+	readonly excluded: ReadonlySet<string>;
 	readonly signal: AbortSignal;
 };
 
@@ -52,8 +56,8 @@
 	readonly random: () => number;
 	readonly zone: string;
 }): Placer {
-	return async ({call, tried}) => {
-		const serving = targets.servingTargets(call.service);
+	return async ({call, tried, excluded}) => {
+		const serving = targets.servingTargets(call.service).filter(({record}) => !excluded.has(record.id));
 		const untried = serving.filter(({record}) => !tried.has(record.id));
 		const candidates = (untried.length > 0 ? untried : serving).map(target => ({target, health: target.health, ownTokens: target.inFlight}));
 		const usable = withoutEjected(candidates, nowMs(), ejection).map(({target}) => target);
@@ -81,5 +85,7 @@
 /** Reserves a target for one attempt, without a coordinator to notify: `began` has no effect. */
 export function reservePlace(target: Target): Place {
 	const endRequest = target.startRequest();
-	return {target, began: () => undefined, ended: endRequest};
+	return {
+		target, began: () => undefined, ended: endRequest, mayStart: () => true,
+	};
 }
--- a/packages/direct/test/exchange.test.ts
+++ b/packages/direct/test/exchange.test.ts
@@ -51,7 +51,7 @@
 		const exchanged = exchange(pool, {
 			requestId: 'r-1', method: 'POST', path: '/', headers: [], body,
 		}, {head: () => undefined, data: () => undefined}, {
-			dialect, maxIdleMs: 0, signal: cancelling.signal, onSent: () => undefined, onAnswer: () => undefined,
+			dialect, maxIdleMs: 0, signal: cancelling.signal, mayStart: () => true, onSent: () => undefined, onAnswer: () => undefined,
 		});
 		const socket = await accepted;
 		await sleep(50);
--- a/packages/direct/test/group-place.test.ts
+++ b/packages/direct/test/group-place.test.ts
@@ -62,7 +62,7 @@
 
 	const placeCalls = async (count: number): Promise<ReadonlySet<string>> => {
 		const results = await Promise.all(Array.from({length: count}, async (_, index) => placer.place({
-			call: callOf(`r-${index}`), hasBegun: false, tried: new Set(), signal: new AbortController().signal,
+			call: callOf(`r-${index}`), hasBegun: false, tried: new Set(), excluded: new Set(), signal: new AbortController().signal,
 		})));
 		return new Set(results.map(result => result.kind === 'placed' ? result.place.target.record.id : result.reason));
 	};
@@ -145,7 +145,7 @@
 
 		const place = async (id: string): Promise<void> => {
 			const result = await placer.place({
-				call: callOf(id), hasBegun: false, tried: new Set(), signal: new AbortController().signal,
+				call: callOf(id), hasBegun: false, tried: new Set(), excluded: new Set(), signal: new AbortController().signal,
 			});
 			expect(result.kind).to.equal('placed');
 			if (result.kind === 'placed') {
--- a/packages/outcome/src/outcome.ts
+++ b/packages/outcome/src/outcome.ts
@@ -25,6 +25,7 @@
 	'overloaded',
 	'unknownKey',
 	'resendBudgetSpent',
+	'rateLimited',
 ] as const;
 
 export type RefusalReason = typeof refusalReasons[number];
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -3,6 +3,7 @@
 import {
 	type CommandResult, type GuardedCommand, type RankOrder, type RankReply, type RankView,
 } from '@papayaflow/experts';
+import {type AnnouncedLimit, type SeenLimit, type TargetLifetime} from '@papayaflow/limit';
 import {type LossReason, type RefusalReason} from '@papayaflow/outcome';
 import {type PlacementRequest} from '@papayaflow/policy';
 
@@ -172,7 +173,15 @@
 	/** The revision of the last change known to the sender, for receivers that do not or cannot read the key-value service themselves. */
 		| {readonly kind: 'known'; readonly changedAt: number}
 		| {readonly kind: 'pull'; readonly after: number}
-		| {readonly kind: 'copy'; readonly copy: StoreCopy};
+		| {readonly kind: 'copy'; readonly copy: StoreCopy}
+	/** An entry asks for the permission to send one request to a target; `perSecond` is the limit that it knows. */
+		| {readonly kind: 'askPermit'; readonly id: string; readonly target: TargetLifetime; readonly perSecond: number}
+	/** The reply to `askPermit`; after a denial the entry may ask again `retryMs` milliseconds later. */
+		| {readonly kind: 'permit'; readonly id: string; readonly isGranted: boolean; readonly retryMs: number}
+	/** A limit that an entry has seen in an answer of a target. */
+		| {readonly kind: 'limitSeen'; readonly seen: SeenLimit}
+	/** A limit in force, from the sidecar that grants the permissions for the target. */
+		| {readonly kind: 'limit'; readonly limit: AnnouncedLimit};
 
 /** Any frame between two processes of papayaflow. */
 export type Frame = RequestPathFrame | GroupFrame;
@@ -214,6 +223,10 @@
 	'known',
 	'pull',
 	'copy',
+	'askPermit',
+	'permit',
+	'limitSeen',
+	'limit',
 ] as const satisfies ReadonlyArray<GroupFrame['kind']>;
 
 const frameKinds: ReadonlySet<string> = new Set<string>([...requestPathKinds, ...groupKinds]);
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -11,7 +11,7 @@
 	consumeQuota, type Bucket, type QuotaOptions, type QuotaResult,
 } from './quota.js';
 export {
-	hashText, isReader, rendezvousOrder, pickSubset, type ZonedNode,
+	hashText, isReader, rendezvousFirst, rendezvousOrder, pickSubset, type ZonedNode,
 } from './rendezvous.js';
 export {claimShards, shardOfKey} from './shard.js';
 export {createResendBudget, type ResendBudget, type ResendOptions} from './resend.js';
--- a/packages/policy/src/rendezvous.ts
+++ b/packages/policy/src/rendezvous.ts
@@ -30,6 +30,25 @@
 		.map(({node}) => node);
 }
 
+/**
+Returns the first node of `rendezvousOrder` without sorting all of them; `undefined` if there is none.
+
+@example
+const owner = rendezvousFirst('shard-3', ['a', 'b', 'c']);
+*/
+export function rendezvousFirst(key: string, nodes: readonly string[]): string | undefined {
+	const prefix = `${hashText(key)}\n`;
+	let first: {readonly node: string; readonly score: number} | undefined;
+	for (const node of nodes) {
+		const score = hashText(prefix + node);
+		if (!first || score > first.score || (score === first.score && node < first.node)) {
+			first = {node, score};
+		}
+	}
+
+	return first?.node;
+}
+
 /** A node in an availability zone. */
 export type ZonedNode = {readonly id: string; readonly zone: string};
 
