--- a/packages/limit/src/dispenser.ts
+++ b/packages/limit/src/dispenser.ts
@@ -5,13 +5,13 @@
 } from './bucket.js';
 import {type OwnedTarget} from './owner.js';
 
-/** How long a process that takes over a target from another one grants nothing, in milliseconds: longer than two processes that get the same changes may disagree about who grants. */
+/** How long a process that takes over a target from another one grants nothing, in milliseconds: the longest time for which two processes may disagree about who grants, and the validity of a permission. */
 const handOverMs = 2500;
 
 /** How long a part of the rate is kept back for an entry that has disconnected, in milliseconds: several times what a restart takes. */
 const absentEntryMs = 30_000;
 
-/** How long an entry that has asked counts as one that will ask again, in milliseconds. */
+/** How long after it may ask again an entry counts as one that will, in milliseconds. */
 const askerMs = 2000;
 
 /** The number of entries that may ask again as soon as there is a permission; with more, each waits for a random multiple of that time. */
@@ -74,8 +74,8 @@
 	readonly grantsFromMs: number;
 	limit: AnnouncedLimit | undefined;
 	bucket: Bucket | undefined;
-	/** When each entry last asked. */
-	readonly askedMs: Map<string, number>;
+	/** When each entry that has asked may ask again. */
+	readonly askAgainMs: Map<string, number>;
 };
 
 /**
@@ -141,17 +141,16 @@
 		return state.bucket;
 	};
 
-	const countAskers = (state: TargetState, instance: string, perSecond: number): number => {
+	/** Returns the number of entries that have asked and will probably ask again. */
+	const countAskers = ({askAgainMs}: TargetState): number => {
 		const now = monotonicMs();
-		state.askedMs.set(instance, now);
-		const maxAgeMs = askerMs + (askersPerPermission * msPerSecond / sendRate(perSecond));
-		for (const [asker, askedMs] of state.askedMs) {
-			if (now - askedMs > maxAgeMs) {
-				state.askedMs.delete(asker);
+		for (const [entry, againMs] of askAgainMs) {
+			if (now - againMs > askerMs) {
+				askAgainMs.delete(entry);
 			}
 		}
 
-		return state.askedMs.size;
+		return askAgainMs.size;
 	};
 
 	const decide = (instance: string, target: TargetLifetime, knownPerSecond: number): PermitDecision => {
@@ -169,15 +168,22 @@
 			return {isGranted: true, retryMs: 0};
 		}
 
-		const bucket = bucketOf(state, perSecond);
-		const askers = countAskers(state, instance, perSecond);
 		const heldMs = state.grantsFromMs - monotonicMs();
-		if (heldMs <= 0 && bucket.tryTake()) {
+		if (heldMs > 0) {
+			return {isGranted: false, retryMs: heldMs};
+		}
+
+		// The bucket is created, and empty, only now: what was granted until now is not known.
+		const bucket = bucketOf(state, perSecond);
+		state.askAgainMs.set(instance, monotonicMs());
+		if (bucket.tryTake()) {
 			return {isGranted: true, retryMs: 0};
 		}
 
-		const competing = Math.max(0, askers - askersPerPermission) / askersPerPermission;
-		return {isGranted: false, retryMs: Math.max(heldMs, bucket.waitMs()) + (random() * competing * msPerSecond / sendRate(perSecond))};
+		const competing = Math.max(0, countAskers(state) - askersPerPermission) / askersPerPermission;
+		const retryMs = bucket.waitMs() + (random() * competing * msPerSecond / sendRate(perSecond));
+		state.askAgainMs.set(instance, monotonicMs() + retryMs);
+		return {isGranted: false, retryMs};
 	};
 
 	return {
@@ -222,7 +228,7 @@
 			for (const [id, {incarnation, isBeside}] of next) {
 				if (!owned.has(id)) {
 					owned.set(id, {
-						incarnation, grantsFromMs: isBeside ? Number.NEGATIVE_INFINITY : monotonicMs() + handOverMs, limit: undefined, bucket: undefined, askedMs: new Map(),
+						incarnation, grantsFromMs: isBeside ? Number.NEGATIVE_INFINITY : monotonicMs() + handOverMs, limit: undefined, bucket: undefined, askAgainMs: new Map(),
 					});
 				}
 			}
