Cancel an answer without a length without ending the process

What callers saw: all calls of an entry would be lost at once. Found while bytes without end were tested: when a call was cancelled (its caller left, its target fell silent, its time was over) while an answer without a length arrived, the process ended with a failed assertion of the HTTP client (Request.onComplete, assert(!this.aborted)).

A socket that is reset closes without an error; the client then takes the close for the end of an answer that has no other end, and completes a request that was aborted. Answers with a length or in chunks are not concerned.

Change: the client is told of the error when the socket is reset. The new test failed with the assertion before.

--- a/packages/direct/src/pool.ts
+++ b/packages/direct/src/pool.ts
@@ -128,7 +128,10 @@
 		},
 		drop,
 		reset(connection) {
-			sockets.get(connection)?.resetAndDestroy();
+			const socket = sockets.get(connection);
+			socket?.resetAndDestroy();
+			// Without an error, undici takes the end of the connection for the end of an answer without a length, and its assertions fail because the request was cancelled.
+			socket?.emit('error', new Error('connection reset after a cancelled request'));
 			drop(connection);
 		},
 		dropIdle,
--- a/packages/direct/test/exchange.test.ts
+++ b/packages/direct/test/exchange.test.ts
@@ -67,4 +67,31 @@
 		await once(socket, 'close');
 		expect(receivedBytes).to.be.lessThan(body.length / 2);
 	});
+
+	// Guards against the end of the whole process when an answer without a length is cancelled: the HTTP client took the reset for the end of the answer.
+	it('cancels an answer without a length that is still arriving', async () => {
+		const cancelling = new AbortController();
+		const exchanged = exchange(pool, {
+			requestId: 'r-1', method: 'GET', path: '/', headers: [], body: Buffer.alloc(0),
+		}, {
+			head: () => undefined,
+			data() {
+				setTimeout(() => {
+					cancelling.abort('callerGone');
+				}, 10);
+			},
+		}, {
+			dialect, maxIdleMs: 0, signal: cancelling.signal, mayStart: () => true, onSent: () => undefined, onAnswer: () => undefined,
+		});
+		const socket = await accepted;
+		socket.on('error', () => undefined);
+		socket.resume();
+		socket.write('HTTP/1.1 200 OK\r\n\r\npart');
+		expect(await exchanged).to.deep.equal({kind: 'broken', reason: 'cancelled', detail: 'callerGone'});
+		while (!socket.closed) {
+			await sleep(10);
+		}
+
+		await sleep(20);
+	});
 });
