Cut off answers that do not end

What callers saw, if a target in trouble sent bytes without end: the entry took in what the link carried until the call's deadline and held the bytes of a body; 232 to 272 MB in the one second of the tests, against 200 MB of heap and 350 MB in all.

Cause: nothing limited the length of an answer that is held until it is whole, of an event, of a chunk extension or of a body that is discarded; parts of an event were joined each time bytes arrived, which takes time that grows with the square.

Change: an answer held in memory may have 4 MB, all of them together 64 MB, an event 1 MB, each part counted with 128 bytes more; what is no body at all (status line, informational answers, framing, an unused body) 256 KB plus eight bytes for each of the body. Beyond that the connection is closed and the attempt is lost as answerTooLong: 502 and no resend for a call that must not run twice, another target otherwise.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	createFront, createGroupPlacer, createLimitedPlacer, createPlainPlacer, createTargets,
+	createAnswerBuffers, createFront, createGroupPlacer, createLimitedPlacer, createPlainPlacer, createTargets,
 } from '@papayaflow/direct';
 import {
 	createBeliefs, createPermits, dispensingEngine, limitChanges, permitResults, type DispenserLink, type TargetLifetime,
@@ -41,6 +41,9 @@
 /** The number of entries that are assumed to share the resend budget and the rates of limited targets if the sidecars report a smaller number of entries or none yet. */
 const minAssumedEntries = 4;
 
+/** The most bytes of answers that an entry holds until they are whole: a part of the memory that a small instance has. */
+const maxBufferedAnswerBytes = 67_108_864;
+
 const drainPollMs = 20;
 
 export const directEntrySettings = {
@@ -175,6 +178,7 @@
 		resendBudget: createResendBudget({
 			ratio: settings.resendRatio, slack: settings.resendSlack, entries: assumedEntries, windowMs: settings.resendWindowMs, nowMs: monotonicMs,
 		}),
+		answerBuffers: createAnswerBuffers(maxBufferedAnswerBytes),
 		silenceTimeoutMs: ({route}) => route.kind === 'stream' ? settings.stallMs + stallMarginMs : Math.max(route.objectiveMs, minSilenceMs),
 		onLimit({record}, limit, sentMs) {
 			if (beliefs.of(record).perSecond !== undefined) {
--- a/packages/direct/src/exchange.ts
+++ b/packages/direct/src/exchange.ts
@@ -22,7 +22,8 @@
 /** Receives a response as it arrives. */
 export type AnswerSink = {
 	head(head: TargetAnswerHead): void;
-	data(bytes: Uint8Array): void;
+	/** Takes a part of the body; returns `false` if the answer is longer than this sink accepts. */
+	data(bytes: Uint8Array): boolean;
 };
 
 /**
@@ -39,7 +40,13 @@
 		| {readonly kind: 'notRun'; readonly status: number; readonly isMisdirected: boolean; readonly culprit: string | undefined}
 		| {readonly kind: 'broken'; readonly reason: BrokenReason; readonly detail: string};
 
-export type BrokenReason = 'targetLost' | 'truncated' | 'wrongAnswer' | 'cancelled';
+export type BrokenReason = 'targetLost' | 'truncated' | 'wrongAnswer' | 'answerTooLong' | 'cancelled';
+
+/** The most bytes of an answer that belong to no body: its head, informational answers, the framing of its body and a body that is not used. */
+const maxOverheadBytes = 262_144;
+
+/** How many bytes of framing may come with each byte of a body. A body in chunks of one byte has five. */
+const maxFramingRatio = 8;
 
 export type ExchangeOptions = {
 	readonly dialect: Dialect;
@@ -58,7 +65,8 @@
 /**
 Sends a request to a target at most once. A response counts only if it echoes the id
 of the request. A late or duplicate response to an earlier request on the connection
-ends the exchange as `broken` and closes the connection.
+ends the exchange as `broken` and closes the connection, and so does an answer that is
+longer than the sink accepts or whose head or framing does not end.
 
 @example
 const ended = await exchange(pool, request, sink, {dialect, maxIdleMs: 4000, signal, mayStart: () => true, onSent, onAnswer});
@@ -75,6 +83,8 @@
 		let hasHead = false;
 		let hasFraming = false;
 		let notRun: ExchangeResult | undefined;
+		let bodyBytes = 0;
+		const bytesBefore = connection.bytesRead();
 		let controller: Dispatcher.DispatchController | undefined;
 
 		const settle = (result: ExchangeResult, canReuse: boolean): void => {
@@ -84,6 +94,7 @@
 
 			isEnded = true;
 			signal.removeEventListener('abort', cancel);
+			connection.onReadable(() => undefined);
 			if (canReuse) {
 				pool.release(connection);
 			} else if (signal.aborted) {
@@ -100,7 +111,17 @@
 			controller?.abort(new Error('cancelled'));
 		};
 
+		const cutOff = (): void => {
+			settle(notRun ?? {kind: 'broken', reason: 'answerTooLong', detail: `${connection.bytesRead() - bytesBefore} bytes, ${bodyBytes} of them in the body`}, false);
+			controller?.abort(new Error('answer too long'));
+		};
+
 		signal.addEventListener('abort', cancel, {once: true});
+		connection.onReadable(() => {
+			if (connection.bytesRead() - bytesBefore > maxOverheadBytes + (maxFramingRatio * bodyBytes)) {
+				cutOff();
+			}
+		});
 		connection.client.dispatch({
 			method: request.method, path: request.path, headers: request.headers, body: request.body.length > 0 ? request.body : null,
 		}, {
@@ -156,8 +177,13 @@
 				sink.head({...head, status, rawHeaders: decodeHeaders(currentController.rawHeaders)});
 			},
 			onResponseData(_current, chunk) {
-				if (!notRun && !isEnded) {
-					sink.data(chunk);
+				if (notRun !== undefined || isEnded) {
+					return;
+				}
+
+				bodyBytes += chunk.length;
+				if (!sink.data(chunk)) {
+					cutOff();
 				}
 			},
 			onResponseEnd() {
--- a/packages/direct/src/forward.ts
+++ b/packages/direct/src/forward.ts
@@ -4,9 +4,10 @@
 import {type ResendBudget} from '@papayaflow/policy';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
 import {type CallerAnswer} from './answer.js';
+import {type AnswerBuffers} from './buffers.js';
 import {isRetryable, type Call} from './call.js';
 import {type Dialect} from './dialect.js';
-import {createEventSplitter} from './events.js';
+import {createEventSplitter, partOverheadBytes} from './events.js';
 import {exchange, type ExchangeResult, type TargetAnswerHead} from './exchange.js';
 import {type Place, type Placer} from './place.js';
 import {type Target} from './targets.js';
@@ -20,6 +21,12 @@
 /** The largest number of refusals by targets after which a call is still retried. Each refusal costs the target and the caller time. */
 const maxRefusals = 3;
 
+/** The longest answer that is held until it is whole, in bytes. */
+const maxAnswerBytes = 4_194_304;
+
+/** The longest event of a stream, in bytes. */
+const maxEventBytes = 1_048_576;
+
 const noTargets: ReadonlySet<string> = new Set();
 
 /** The least remaining deadline for another attempt, in milliseconds. It covers a round trip and a little work of the target. */
@@ -32,6 +39,8 @@
 	readonly metrics: Metrics;
 	readonly log: Log;
 	readonly monotonicMs: () => number;
+	/** Counts the bytes of all answers that are held until they are whole. */
+	readonly answerBuffers: AnswerBuffers;
 	/** How long a retryable call may go without a whole event or response before it is retried, or its stream resumed, at another target, in milliseconds. */
 	readonly silenceTimeoutMs: (call: Call) => number;
 	/** Called with the limit in each answer of a target; `sentMs` is when the answered request was sent, in milliseconds of the monotonic clock. */
@@ -205,7 +214,9 @@
 			}, silenceLimitMs);
 	};
 
-	const receiver = createAnswerReceiver(admitted, place, progress, restartSilenceTimer);
+	const receiver = createAnswerReceiver(admitted, {
+		place, progress, answerBuffers: deps.answerBuffers, onEvent: restartSilenceTimer,
+	});
 	const leftMs = Math.max(1, Math.floor(call.deadlineMs - (startedMs - call.arrivedMs)));
 	restartSilenceTimer();
 	const exchangeResult = await exchange(place.target.pool, {
@@ -229,6 +240,7 @@
 	});
 	clearTimeout(silenceTimer);
 	const result = receiver.result(exchangeResult, signal.aborted ? String(signal.reason) : undefined);
+	receiver.release();
 	if (silenceController.signal.aborted && !signal.aborted) {
 		// The idle connections to a target that stopped sending are probably dead too.
 		place.target.pool.dropIdle();
@@ -273,13 +285,18 @@
 
 type AnswerReceiver = {
 	head(head: TargetAnswerHead): void;
-	data(bytes: Uint8Array): void;
+	data(bytes: Uint8Array): boolean;
+	/** Ends the accounting of the buffered bytes; to be called when the attempt has ended. */
+	release(): void;
 	result(exchangeResult: ExchangeResult, cancelReason: string | undefined): AttemptResult;
 };
 
-function createAnswerReceiver({call, answer}: AdmittedCall, place: Place, progress: Progress, onEvent: () => void): AnswerReceiver {
+function createAnswerReceiver({call, answer}: AdmittedCall, {place, progress, answerBuffers, onEvent}: {
+	readonly place: Place; readonly progress: Progress; readonly answerBuffers: AnswerBuffers; readonly onEvent: () => void;
+}): AnswerReceiver {
 	const splitter = createEventSplitter();
 	const chunks: Uint8Array[] = [];
+	let bufferedBytes = 0;
 	let head: TargetAnswerHead | undefined;
 	const isStreaming = (): boolean => call.route.kind === 'stream' && head !== undefined && head.status < 300;
 
@@ -312,9 +329,18 @@
 		data(bytes) {
 			if (isStreaming()) {
 				relayEvents(bytes);
-			} else {
-				chunks.push(bytes);
+				return splitter.partialBytes <= maxEventBytes;
 			}
+
+			const usedBytes = bytes.length + partOverheadBytes;
+			const isAccepted = answerBuffers.add(usedBytes);
+			bufferedBytes += usedBytes;
+			chunks.push(bytes);
+			return isAccepted && bufferedBytes <= maxAnswerBytes;
+		},
+		release() {
+			answerBuffers.remove(bufferedBytes);
+			bufferedBytes = 0;
 		},
 		result(exchangeResult, cancelReason) {
 			switch (exchangeResult.kind) {
@@ -343,7 +369,7 @@
 		}
 
 		if (isStreaming()) {
-			if (splitter.hasPartialEvent) {
+			if (splitter.partialBytes > 0) {
 				return {kind: 'lost', reason: 'truncated', detail: 'ends within an event'};
 			}
 
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -1,3 +1,4 @@
+export {createAnswerBuffers, type AnswerBuffers} from './buffers.js';
 export {isRetryable, type Call} from './call.js';
 export {
 	endToEndHeaders, type AnswerHead, type CallerHead, type Dialect, type Generation, type TargetHeaderOptions,
--- a/packages/direct/src/pool.ts
+++ b/packages/direct/src/pool.ts
@@ -16,6 +16,10 @@
 	the end of the response, even if the response is truncated.
 	*/
 	readonly remoteState: 'open' | 'ended' | 'failed';
+	/** The bytes received from the target so far, including those of heads and of the framing of bodies. */
+	bytesRead(): number;
+	/** Sets the function that is called when more bytes have arrived. */
+	onReadable(listener: () => void): void;
 };
 
 /** The connections to one target, each used for one request at a time. */
@@ -67,8 +71,14 @@
 	};
 
 	const openConnection = (): TargetConnection => {
-		const connection: {client: Client; remoteState: TargetConnection['remoteState']} = {
-			remoteState: 'open', client: new Client(`http://${host}:${port}`, {
+		let notify: () => void = () => undefined;
+		const connection: {-readonly [K in keyof TargetConnection]: TargetConnection[K]} = {
+			remoteState: 'open',
+			bytesRead: () => sockets.get(connection)?.bytesRead ?? 0,
+			onReadable(listener) {
+				notify = listener;
+			},
+			client: new Client(`http://${host}:${port}`, {
 				pipelining: 1, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: defaultIdleMs, keepAliveTimeoutThreshold: idleMarginMs,
 				connect(options, callback) {
 					connect(options, (error, socket) => {
@@ -84,6 +94,9 @@
 							callback(error, null);
 						} else {
 							sockets.set(connection, socket);
+							socket.on('readable', () => {
+								notify();
+							});
 							callback(null, socket);
 						}
 					});
--- a/packages/direct/test/exchange.test.ts
+++ b/packages/direct/test/exchange.test.ts
@@ -50,7 +50,7 @@
 		const body = Buffer.alloc(4_000_000);
 		const exchanged = exchange(pool, {
 			requestId: 'r-1', method: 'POST', path: '/', headers: [], body,
-		}, {head: () => undefined, data: () => undefined}, {
+		}, {head: () => undefined, data: () => true}, {
 			dialect, maxIdleMs: 0, signal: cancelling.signal, mayStart: () => true, onSent: () => undefined, onAnswer: () => undefined,
 		});
 		const socket = await accepted;
@@ -79,6 +79,7 @@
 				setTimeout(() => {
 					cancelling.abort('callerGone');
 				}, 10);
+				return true;
 			},
 		}, {
 			dialect, maxIdleMs: 0, signal: cancelling.signal, mayStart: () => true, onSent: () => undefined, onAnswer: () => undefined,
--- a/packages/outcome/src/outcome.ts
+++ b/packages/outcome/src/outcome.ts
@@ -43,6 +43,7 @@
 	'notAsked',
 	'callerGone',
 	'wrongAnswer',
+	'answerTooLong',
 	'cancelled',
 ] as const;
 
