--- /dev/null
+++ b/packages/cli/test/planned-stop.test.ts
@@ -0,0 +1,38 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import {
+	after, before, describe, it,
+} from 'mocha';
+import {startSite, type CallResult, type Site} from './site.js';
+
+describe('a planned stop of an entry under load', () => {
+	let site: Site;
+
+	before(async () => {
+		site = await startSite({entries: 2, ranks: 3, plains: 3});
+	});
+
+	after(async () => {
+		await site.stop();
+	});
+
+	// Guards against requests that were accepted and then cut off without an answer. Callers use their open connections until the process is gone.
+	it('answers every request that it has accepted, until its process is gone', async () => {
+		const [entry] = site.entries;
+		const calls: Array<Promise<CallResult>> = [];
+		let isStopping = false;
+		for (let sent = 0; entry.child.exitCode === null && sent < 2000; sent++) {
+			calls.push(site.call(entry, sent % 2 === 0 ? 'plain' : 'model'));
+			await sleep(5);
+			if (sent > 100 && !isStopping) {
+				isStopping = true;
+				entry.child.kill('SIGTERM');
+			}
+		}
+
+		const results = await Promise.all(calls);
+		expect(entry.child.exitCode).to.equal(0);
+		expect(results.filter(({isAccepted, status}) => isAccepted && status === 0)).to.deep.equal([]);
+		expect(results.filter(({status}) => status === 200).length).to.be.at.least(300);
+	}).timeout(40_000);
+});
--- a/packages/cli/test/site.ts
+++ b/packages/cli/test/site.ts
@@ -21,7 +21,14 @@
 export type SiteProcess = {readonly name: string; readonly child: ChildProcess; readonly port: number; readonly adminPort: number; readonly lines: string[]};
 
 /** The response to one call: the status, or 0 if there was none, and the suggested delay before a retry. */
-export type CallResult = {readonly status: number; readonly retryAfterMs: number | undefined; readonly reason: string | undefined; readonly tookMs: number};
+export type CallResult = {
+	readonly status: number;
+	/** Whether the entry accepted the connection. */
+	readonly isAccepted: boolean;
+	readonly retryAfterMs: number | undefined;
+	readonly reason: string | undefined;
+	readonly tookMs: number;
+};
 
 /** Entries and sidecars as processes, with stand-ins of the platform's store, a group of engines and a plain service. */
 export type Site = {
@@ -143,8 +150,9 @@
 
 	const call = async (entry: SiteProcess, service: 'plain' | 'model'): Promise<CallResult> => new Promise(resolve => {
 		const startedMs = performance.now();
+		let isAccepted = true;
 		const toResult = (status: number, retryAfter?: string, body = ''): CallResult => ({
-			status, retryAfterMs: retryAfter === undefined ? undefined : Number(retryAfter) * 1000, reason: /"reason":"(\w+)"/v.exec(body)?.[1], tookMs: performance.now() - startedMs,
+			status, isAccepted, retryAfterMs: retryAfter === undefined ? undefined : Number(retryAfter) * 1000, reason: /"reason":"(\w+)"/v.exec(body)?.[1], tookMs: performance.now() - startedMs,
 		});
 		const req = request({
 			agent, host: '127.0.0.1', port: entry.port, path: `/${service}/x`,
@@ -161,7 +169,8 @@
 				resolve(toResult(0));
 			});
 		});
-		req.on('error', () => {
+		req.on('error', (error: NodeJS.ErrnoException) => {
+			isAccepted = error.code !== 'ECONNREFUSED';
 			resolve(toResult(0));
 		});
 		req.end();
--- a/packages/direct/test/exchange.test.ts
+++ b/packages/direct/test/exchange.test.ts
@@ -95,4 +95,26 @@
 
 		await sleep(20);
 	});
+
+	// Guards against a request that is sent with a permission that ended while its connection was being opened or its process was paused.
+	it('sends nothing if the permission has ended when the connection is open', async () => {
+		let receivedBytes = 0;
+		const exchanged = exchange(pool, {
+			requestId: 'r-1', method: 'GET', path: '/', headers: [], body: Buffer.alloc(0),
+		}, {head: () => undefined, data: () => true}, {
+			dialect, maxIdleMs: 0, signal: new AbortController().signal, mayStart: () => false, onSent: () => undefined, onAnswer: () => undefined,
+		});
+		const socket = await accepted;
+		socket.on('data', chunk => {
+			receivedBytes += chunk.length;
+		});
+		socket.on('error', () => undefined);
+		socket.resume();
+		expect(await exchanged).to.deep.equal({kind: 'notSent', detail: 'the permission to send has expired'});
+		while (!socket.closed) {
+			await sleep(10);
+		}
+
+		expect(receivedBytes).to.equal(0);
+	});
 });
