Test the placer with limits, and measure what the limits cost

npm run bench:capacity prints asks and grants of competing entries, the time of a decision and of a change of the list, and the sizes of the frames.

--- a/packages/bench/src/capacity.ts
+++ b/packages/bench/src/capacity.ts
@@ -17,6 +17,7 @@
 import {type Store} from '@papayaflow/store';
 import {fakeEntries, fakeSidecars} from './peers.js';
 import {fitLine, measureProcess} from './process.js';
+import {measureTargetLimits} from './target-limits.js';
 
 const distributionDirectory = path.resolve(import.meta.dirname, '../../../target');
 const peerCounts = [10, 100, 400];
@@ -258,6 +259,7 @@
 await measureClaimMemory();
 measureFrameSizes();
 measureDecisions();
+measureTargetLimits();
 measureConfigurationUpdates();
 await measureOrganisations();
 await measureEntries();
