--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -320,4 +320,64 @@
 		find: '} else if (signal.aborted) {\n\t\t\t\tpool.reset(connection);\n\t\t\t} else {', replace: '} else {',
 		spec: 'direct/test/exchange.test.ts', test: 'discards the bytes of a cancelled request',
 	},
+	{
+		name: 'a dispenser\'s bucket starts empty', file: 'limit/src/dispenser.ts',
+		find: 'perSecond: rate, capacity, tokens: 0, monotonicMs,', replace: 'perSecond: rate, capacity, tokens: 1, monotonicMs,',
+		spec: 'limit/test/dispenser.test.ts', test: 'starts empty, so that a restart',
+	},
+	{
+		name: 'a chosen dispenser waits until its predecessor has stopped granting', file: 'limit/src/dispenser.ts',
+		find: 'monotonicMs() + handOverMs', replace: 'monotonicMs()',
+		spec: 'limit/test/dispenser.test.ts', test: 'grants nothing for 2.5 s',
+	},
+	{
+		name: 'a dispenser grants only for what it owns', file: 'limit/src/dispenser.ts',
+		find: 'state?.incarnation === incarnation ? state : undefined', replace: 'state',
+		spec: 'limit/test/dispenser.test.ts', test: 'denies what it does not own',
+	},
+	{
+		name: 'a higher limit counts only from an entry that knew the limit in force', file: 'limit/src/dispenser.ts',
+		find: 'limit !== undefined && basis === limit.version && perSecond', replace: 'limit !== undefined && perSecond',
+		spec: 'limit/test/dispenser.test.ts', test: 'takes a lower limit from any entry',
+	},
+	{
+		name: 'the share of a disconnected entry is kept back', file: 'limit/src/dispenser.ts',
+		find: 'sendRate(perSecond) * connectedRatio()', replace: 'sendRate(perSecond)',
+		spec: 'limit/test/dispenser.test.ts', test: 'keeps back the share',
+	},
+	{
+		name: 'a permission ends', file: 'limit/src/permits.ts',
+		find: 'monotonicMs() - startMs < permitMs && ', replace: '',
+		spec: 'limit/test/permits.test.ts', test: 'end after 250 ms',
+	},
+	{
+		name: 'a permission ends while its process is suspended', file: 'limit/src/permits.ts',
+		find: ' && Math.abs(wallMs() - startWallMs) < permitMs', replace: '',
+		spec: 'limit/test/permits.test.ts', test: 'end after 250 ms',
+	},
+	{
+		name: 'a share waits until its dispenser must have noticed the lost connection', file: 'limit/src/permits.ts',
+		find: 'sinceMs + shareDelayMs - monotonicMs()', replace: 'sinceMs - monotonicMs()',
+		spec: 'limit/test/permits.test.ts', test: 'come from an equal share',
+	},
+	{
+		name: 'an unused turn of a share is lost', file: 'limit/src/share.ts',
+		find: 'if (now >= nextMs + turnMs) {', replace: 'if (now < 0) {',
+		spec: 'limit/test/permits.test.ts', test: 'are not saved up',
+	},
+	{
+		name: 'a permission is checked when the connection is open', file: 'direct/src/exchange.ts',
+		find: 'if (!mayStart()) {', replace: 'if (isEnded) {',
+		spec: 'direct/test/exchange.test.ts', test: 'sends nothing if the permission has ended',
+	},
+	{
+		name: 'a target at its limit is left out of the choice', file: 'direct/src/limit-place.ts',
+		find: '...blocked.map(({id}) => id)', replace: '',
+		spec: 'direct/test/limit-place.test.ts', test: 'chooses another target after a denial',
+	},
+	{
+		name: 'the reset of a cancelled request is an error to the HTTP client', file: 'direct/src/pool.ts',
+		find: 'socket?.emit(\'error\', new Error(\'connection reset after a cancelled request\'));', replace: '',
+		spec: 'direct/test/exchange.test.ts', test: 'cancels an answer without a length',
+	},
 ];
