Choose the dispenser of a plain target once for each list of targets

While a plain target had a limit, an entry chose its dispenser again for each peer at each heartbeat check, four times a second: with 790 peers and engines that is 790 × 4 times 0.3 ms of hashing, a whole core (calculated, not run). The choice is now kept until the list or the configuration changes. The guard for truncated streams follows the renamed property.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -3,7 +3,7 @@
 	createAnswerBuffers, createFront, createGroupPlacer, createLimitedPlacer, createPlainPlacer, createTargets,
 } from '@papayaflow/direct';
 import {
-	createBeliefs, createPermits, dispensingEngine, limitChanges, permitResults, type DispenserLink, type TargetLifetime,
+	createBeliefs, createEngineChoice, createPermits, limitChanges, permitResults, type DispenserLink, type TargetLifetime,
 } from '@papayaflow/limit';
 import {lossReasons, refusalReasons} from '@papayaflow/outcome';
 import {
@@ -95,11 +95,13 @@
 		pauseMs: settings.storePauseMs, prefersPeers: false, log, metrics, monotonicMs, random, sleep: pause, signal: shutdown.signal,
 		onTable({configuration}) {
 			front.applyTimeouts(configuration.limits);
+			updateEngineChoice();
 			updateLinks(directory.records());
 		},
 		onRecords(records) {
 			targets.update(records);
 			permits.retain(records);
+			updateEngineChoice();
 			updateLinks(records);
 		},
 	});
@@ -112,9 +114,14 @@
 	});
 	/** The connected sidecars by the address of their machine. */
 	const sidecars = new Map<string, Peer>();
+	let engineOf = createEngineChoice({targets: [], isEngine: () => false});
+	const updateEngineChoice = (): void => {
+		engineOf = createEngineChoice({targets: directory.records(), isEngine: ({service}) => model(service) !== undefined});
+	};
+
 	const dispenserOf = ({id}: TargetLifetime): DispenserLink | undefined => {
 		const record = targets.byId(id)?.record;
-		const engine = record && dispensingEngine(record, {targets: directory.records(), isEngine: ({service}) => model(service) !== undefined});
+		const engine = record && engineOf(record);
 		const sidecar = engine && sidecars.get(engine.host);
 		return sidecar && createDispenserLink(sidecar);
 	};
--- a/packages/cli/test/target-limit.test.ts
+++ b/packages/cli/test/target-limit.test.ts
@@ -83,6 +83,10 @@
 		dispenser.child.kill('SIGKILL');
 		await sleep(1000);
 		site.sidecars[rank] = await site.startSidecar(rank);
+		const paused = site.entries.at(-1)!;
+		paused.child.kill('SIGSTOP');
+		await sleep(1500);
+		paused.child.kill('SIGCONT');
 		for (const [index, entry] of site.entries.entries()) {
 			entry.child.kill(index % 2 === 0 ? 'SIGTERM' : 'SIGKILL');
 			site.entries[index] = await site.startEntry(entry.name);
--- a/packages/limit/src/index.ts
+++ b/packages/limit/src/index.ts
@@ -9,7 +9,7 @@
 	createDispenser, type AnnouncedLimit, type Dispenser, type DispenserOptions, type PermitDecision, type SeenLimit,
 } from './dispenser.js';
 export {
-	dispensingEngine, ownedTargets, type Fleet, type OwnedTarget,
+	createEngineChoice, ownedTargets, type Fleet, type OwnedTarget,
 } from './owner.js';
 export {createShare, type Share} from './share.js';
 export {
--- a/packages/limit/src/owner.ts
+++ b/packages/limit/src/owner.ts
@@ -8,16 +8,30 @@
 export type OwnedTarget = {readonly incarnation: number; readonly isBeside: boolean};
 
 /**
-Returns the engine whose sidecar grants the permissions for a target: the target itself
-if it is an engine, otherwise an engine chosen by rendezvous hashing, so that all
-processes with the same list of targets choose the same one. Returns `undefined` if
-there is no engine.
+Creates the choice of the engine whose sidecar grants the permissions for a target: the
+target itself if it is an engine, otherwise an engine chosen by rendezvous hashing, so
+that all processes with the same list of targets choose the same one. The choice is
+`undefined` if there is no engine. Each plain target is hashed once; create a new choice
+when the list of targets changes.
 
 @example
-const engine = dispensingEngine(ledger, {targets: records, isEngine: ({service}) => service === 'llm'});
+const engineOf = createEngineChoice({targets: records, isEngine: ({service}) => service === 'llm'});
+engineOf(ledger);
 */
-export function dispensingEngine(target: TargetRecord, {targets, isEngine}: Fleet): TargetRecord | undefined {
-	return isEngine(target) ? target : chooseEngine(target, servingEngines({targets, isEngine}));
+export function createEngineChoice(fleet: Fleet): (target: TargetRecord) => TargetRecord | undefined {
+	const chosen = new Map<string, TargetRecord | undefined>();
+	const engines = servingEngines(fleet);
+	return target => {
+		if (fleet.isEngine(target)) {
+			return target;
+		}
+
+		if (!chosen.has(target.id)) {
+			chosen.set(target.id, chooseEngine(target, engines));
+		}
+
+		return chosen.get(target.id);
+	};
 }
 
 /**
@@ -28,13 +42,12 @@
 const owned = ownedTargets('10.1.0.42:8228', {targets: records, isEngine});
 */
 export function ownedTargets(address: string, fleet: Fleet): ReadonlyMap<string, OwnedTarget> {
-	const engines = servingEngines(fleet);
+	const engineOf = createEngineChoice(fleet);
 	const owned = new Map<string, OwnedTarget>();
 	for (const target of fleet.targets) {
-		const isBeside = fleet.isEngine(target);
-		const engine = isBeside ? target : chooseEngine(target, engines);
+		const engine = engineOf(target);
 		if (engine && addressOf(engine) === address) {
-			owned.set(target.id, {incarnation: target.incarnation, isBeside});
+			owned.set(target.id, {incarnation: target.incarnation, isBeside: engine === target});
 		}
 	}
 
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -216,7 +216,7 @@
 	},
 	{
 		name: 'a stream that ends within an event counts as truncated', file: 'direct/src/forward.ts',
-		find: 'if (splitter.hasPartialEvent) {', replace: 'if (head.status === 0) {',
+		find: 'if (splitter.partialBytes > 0) {', replace: 'if (head.status === 0) {',
 		spec: '../platform/test/direct/streams.test.ts', test: 'complete response that ends within an event',
 	},
 	{
