Take limits only from their dispenser, and start empty after a lifted limit

Two cases found by reading: a sidecar that was chosen before and does not know it yet could raise a limit at an entry that connects to it; and a bucket from before a limit was lifted held tokens that were used without being counted. Both have a test.

--- a/packages/limit/src/dispenser.ts
+++ b/packages/limit/src/dispenser.ts
@@ -123,6 +123,8 @@
 	const setLimit = (target: TargetLifetime, state: TargetState, perSecond: number | undefined, instance: string): void => {
 		const before = state.limit;
 		state.limit = {target, version: (before?.version ?? 0) + 1, ...(perSecond !== undefined && {perSecond})};
+		// Without a limit nothing is counted, so a bucket from before would hold tokens that were used meanwhile.
+		state.bucket = perSecond === undefined ? undefined : state.bucket;
 		log.info({
 			target: target.id, incarnation: target.incarnation, before: before?.perSecond ?? null, perSecond: perSecond ?? null, version: state.limit.version, source: instance,
 			grantsInMs: Math.max(0, Math.round(state.grantsFromMs - monotonicMs())),
--- a/packages/limit/src/permits.ts
+++ b/packages/limit/src/permits.ts
@@ -228,13 +228,14 @@
 			const state = stateOf(target);
 			const believed = beliefs.of(target).perSecond;
 			const isHigher = (perSecond ?? Number.POSITIVE_INFINITY) > (believed ?? Number.POSITIVE_INFINITY);
-			// The dispenser may have been cut off since the target named the lower limit to this entry.
-			if (isHigher && state.version === undefined) {
+			const isDispenser = dispenserOf(target)?.instance === link.instance;
+			// The dispenser may have been cut off since the target named the lower limit to this entry; and a sidecar that grants no longer may not know it yet.
+			if (isHigher && (!isDispenser || state.version === undefined)) {
 				report(target, undefined);
 				return;
 			}
 
-			state.version = version;
+			state.version = isDispenser ? version : state.version;
 			beliefs.adopt(target, perSecond, link.instance);
 		},
 		onDecision(id, decision) {
--- a/packages/limit/test/dispenser.test.ts
+++ b/packages/limit/test/dispenser.test.ts
@@ -137,6 +137,15 @@
 		expect(run(2, 0, 60_000).grantsMs.length).to.be.within(5, 6);
 	});
 
+	it('starts empty again when a limit that was lifted is named again', () => {
+		ask('a', 2);
+		dispenser.onSeen('a', {target, basis: 1});
+		nowMs = 60_000;
+		expect(ask('a', 2), 'without a limit').to.equal(true);
+		dispenser.onSeen('a', {target, perSecond: 2});
+		expect(ask('a', 2)).to.equal(false);
+	});
+
 	it('grants no burst beyond the capacity after an idle time or a pause', () => {
 		ask('a', 2);
 		nowMs = 60_000;
--- a/packages/limit/test/permits.test.ts
+++ b/packages/limit/test/permits.test.ts
@@ -139,6 +139,14 @@
 		expect(reports).to.deep.equal([{target, perSecond: 1, basis: 1}, {target, perSecond: 1}]);
 	});
 
+	it('do not follow a higher limit of a sidecar that is no longer the dispenser', () => {
+		permits.onAnnounced(link!, {target, perSecond: 1, version: 1});
+		permits.onAnnounced({...link!, instance: 'side-2'}, {target, perSecond: 3, version: 9});
+		expect(beliefs.of(target).perSecond).to.equal(1);
+		permits.onAnnounced({...link!, instance: 'side-2'}, {target, perSecond: 0.5, version: 10});
+		expect(beliefs.of(target).perSecond, 'a lower limit may come from any sidecar').to.equal(0.5);
+	});
+
 	it('are free again for a target that has restarted or that is no longer listed', async () => {
 		name(1);
 		expect(permits.dispensers()).to.deep.equal(new Set(['side-1']));
