Take limits only from answers to the request, and ask a target at most once for a call

Found by reading the diff: bytes without a request id that are no answer counted as an answer that names no limit, and could lift it; and a placer that ignored the excluded targets would have been asked without end (seen when a guard was removed, whose test then hung).

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -160,7 +160,7 @@
 			directory.onDown(peer);
 			groupPlacer.onDown(peer, cause);
 		},
-		// Otherwise the entry's answers depend only on the sidecars that may coordinate a group, and those request short heartbeats themselves.
+		// The entry depends on the dispensers of limited targets, and on the sidecars that may coordinate a group, which request short heartbeats themselves.
 		isNear: peer => permits.dispensers().has(peer.hello.instance),
 		onFault(reason) {
 			metrics.count('frame_faults', {reason});
--- a/packages/direct/src/exchange.ts
+++ b/packages/direct/src/exchange.ts
@@ -157,7 +157,7 @@
 					return;
 				}
 
-				if (!head.isMisdirected) {
+				if (!head.isMisdirected && (head.requestId !== undefined || head.isNotRun)) {
 					onAnswer(head);
 				}
 
--- a/packages/direct/src/limit-place.ts
+++ b/packages/direct/src/limit-place.ts
@@ -31,9 +31,10 @@
 	};
 
 	return async request => {
+		const denied = new Set<string>();
 		for (;;) {
 			const waits = targets.servingTargets(request.call.service).map(({record}) => ({id: record.id, waitMs: permits.waitMs(record)}));
-			const blocked = waits.filter(({waitMs}) => waitMs > 0);
+			const blocked = waits.filter(({id, waitMs}) => waitMs > 0 || denied.has(id));
 			if (waits.length > 0 && blocked.length === waits.length) {
 				return refuse(blocked.map(({waitMs}) => waitMs));
 			}
@@ -43,15 +44,18 @@
 				return placed;
 			}
 
-			const permit = await permits.acquire(placed.place.target.record, request.call.requestId);
+			const {record} = placed.place.target;
+			const permit = denied.has(record.id) ? undefined : await permits.acquire(record, request.call.requestId);
 			if (permit) {
 				return {kind: 'placed', place: {...placed.place, mayStart: permit.isValid}};
 			}
 
 			placed.place.ended('neutral');
-			if (request.signal.aborted) {
-				return {kind: 'refused', reason: 'withdrawn', retryAfterMs: 0};
+			if (request.signal.aborted || denied.has(record.id)) {
+				return request.signal.aborted ? {kind: 'refused', reason: 'withdrawn', retryAfterMs: 0} : refuse([permits.waitMs(record)]);
 			}
+
+			denied.add(record.id);
 		}
 	};
 }
