Receive the answer to an attempt in a file of its own

The code is moved, not changed; the state of a call that the receiver needs, its stream's progress, has a type. Two guards follow the code.

--- a/packages/direct/src/forward.ts
+++ b/packages/direct/src/forward.ts
@@ -1,14 +1,15 @@
-import {Buffer} from 'node:buffer';
 import {type NamedLimit} from '@papayaflow/limit';
 import {type LossReason, type Outcome} from '@papayaflow/outcome';
 import {type ResendBudget} from '@papayaflow/policy';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
+import {
+	createAnswerReceiver, type AttemptResult, type BufferedAnswer, type StreamProgress,
+} from './answer-receiver.js';
 import {type CallerAnswer} from './answer.js';
 import {type AnswerBuffers} from './buffers.js';
 import {isRetryable, type Call} from './call.js';
 import {type Dialect} from './dialect.js';
-import {createEventSplitter, partOverheadBytes} from './events.js';
-import {exchange, type ExchangeResult, type TargetAnswerHead} from './exchange.js';
+import {exchange} from './exchange.js';
 import {type Place, type Placer} from './place.js';
 import {type Target} from './targets.js';
 
@@ -21,12 +22,6 @@
 /** The largest number of refusals by targets after which a call is still retried. Each refusal costs the target and the caller time. */
 const maxRefusals = 3;
 
-/** The longest answer that is held until it is whole, in bytes. */
-const maxAnswerBytes = 4_194_304;
-
-/** The longest event of a stream, in bytes. */
-const maxEventBytes = 1_048_576;
-
 const noTargets: ReadonlySet<string> = new Set();
 
 /** The least remaining deadline for another attempt, in milliseconds. It covers a round trip and a little work of the target. */
@@ -70,23 +65,8 @@
 	readonly ms: number;
 };
 
-/** A whole response of a target that is held back while the call is retried at another target. */
-type BufferedAnswer = {readonly head: TargetAnswerHead; readonly body: Uint8Array};
-
-/** The result of one attempt. */
-type AttemptResult
-	/** The caller has its whole response. */
-	= | {readonly kind: 'done'; readonly status: number}
-		/** The target ran the request and failed; its response can still be passed on. */
-		| {readonly kind: 'failed'; readonly bufferedAnswer: BufferedAnswer}
-		| {readonly kind: 'lost'; readonly reason: LossReason; readonly detail: string}
-		| {readonly kind: 'notRun'; readonly detail: string; readonly isMisdirected: boolean};
-
 /** The state of a call across its attempts. */
-type Progress = {
-	/** The id of the last event sent to the caller; 0 before the first. */
-	lastEventId: number;
-	hasSentEvents: boolean;
+type Progress = StreamProgress & {
 	hasLostAttempt: boolean;
 	lastLossReason: LossReason;
 	failedAnswer: BufferedAnswer | undefined;
@@ -283,118 +263,6 @@
 	}
 }
 
-type AnswerReceiver = {
-	head(head: TargetAnswerHead): void;
-	data(bytes: Uint8Array): boolean;
-	/** Ends the accounting of the buffered bytes; to be called when the attempt has ended. */
-	release(): void;
-	result(exchangeResult: ExchangeResult, cancelReason: string | undefined): AttemptResult;
-};
-
-function createAnswerReceiver({call, answer}: AdmittedCall, {place, progress, answerBuffers, onEvent}: {
-	readonly place: Place; readonly progress: Progress; readonly answerBuffers: AnswerBuffers; readonly onEvent: () => void;
-}): AnswerReceiver {
-	const splitter = createEventSplitter();
-	const chunks: Uint8Array[] = [];
-	let bufferedBytes = 0;
-	let head: TargetAnswerHead | undefined;
-	const isStreaming = (): boolean => call.route.kind === 'stream' && head !== undefined && head.status < 300;
-
-	const relayEvents = (bytes: Uint8Array): void => {
-		for (const event of splitter.push(bytes)) {
-			onEvent();
-			// A target that resumes a stream may repeat events that the caller already has.
-			if (event.id !== undefined && event.id <= progress.lastEventId) {
-				continue;
-			}
-
-			if (!progress.hasSentEvents) {
-				place.began();
-			}
-
-			if (!answer.headersSent) {
-				answer.head(head!.status, head!.rawHeaders);
-			}
-
-			progress.hasSentEvents = true;
-			progress.lastEventId = event.id ?? progress.lastEventId;
-			answer.data(event.bytes);
-		}
-	};
-
-	return {
-		head(targetHead) {
-			head = targetHead;
-		},
-		data(bytes) {
-			if (isStreaming()) {
-				relayEvents(bytes);
-				return splitter.partialBytes <= maxEventBytes;
-			}
-
-			const usedBytes = bytes.length + partOverheadBytes;
-			const isAccepted = answerBuffers.add(usedBytes);
-			bufferedBytes += usedBytes;
-			chunks.push(bytes);
-			return isAccepted && bufferedBytes <= maxAnswerBytes;
-		},
-		release() {
-			answerBuffers.remove(bufferedBytes);
-			bufferedBytes = 0;
-		},
-		result(exchangeResult, cancelReason) {
-			switch (exchangeResult.kind) {
-				case 'notSent': {
-					return {kind: 'notRun', detail: exchangeResult.detail, isMisdirected: false};
-				}
-
-				case 'notRun': {
-					return {kind: 'notRun', detail: `status ${exchangeResult.status}`, isMisdirected: exchangeResult.isMisdirected};
-				}
-
-				case 'broken': {
-					return {kind: 'lost', reason: cancelReason as LossReason ?? (exchangeResult.reason === 'cancelled' ? 'timeout' : exchangeResult.reason), detail: exchangeResult.detail};
-				}
-
-				case 'complete': {
-					return finishComplete();
-				}
-			}
-		},
-	};
-
-	function finishComplete(): AttemptResult {
-		if (!head) {
-			return {kind: 'lost', reason: 'truncated', detail: 'no head'};
-		}
-
-		if (isStreaming()) {
-			if (splitter.partialBytes > 0) {
-				return {kind: 'lost', reason: 'truncated', detail: 'ends within an event'};
-			}
-
-			if (!answer.headersSent) {
-				answer.head(head.status, head.rawHeaders);
-			}
-
-			return {kind: 'done', status: head.status};
-		}
-
-		const bufferedAnswer: BufferedAnswer = {head, body: Buffer.concat(chunks)};
-		// After the first event was sent to the caller, the error response to a resumption can't be passed on.
-		if (head.status >= 500 && (isRetryable(call) || answer.headersSent)) {
-			return {kind: 'failed', bufferedAnswer};
-		}
-
-		if (answer.headersSent) {
-			return {kind: 'lost', reason: 'wrongAnswer', detail: `status ${head.status} to a resumption`};
-		}
-
-		answer.sendWhole(head.status, head.rawHeaders, bufferedAnswer.body);
-		return {kind: 'done', status: head.status};
-	}
-}
-
 function describeResult(result: AttemptResult): string {
 	switch (result.kind) {
 		case 'done': {
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -210,12 +210,12 @@
 		spec: '../platform/test/direct/calls.test.ts', test: 'non-idempotent call on a new connection',
 	},
 	{
-		name: 'an event that the caller already has is not sent to it again', file: 'direct/src/forward.ts',
+		name: 'an event that the caller already has is not sent to it again', file: 'direct/src/answer-receiver.ts',
 		find: 'event.id !== undefined && event.id <= progress.lastEventId', replace: 'event.id === -1',
 		spec: '../platform/test/direct/streams.test.ts', test: 'breaks within an event at another target',
 	},
 	{
-		name: 'a stream that ends within an event counts as truncated', file: 'direct/src/forward.ts',
+		name: 'a stream that ends within an event counts as truncated', file: 'direct/src/answer-receiver.ts',
 		find: 'if (splitter.partialBytes > 0) {', replace: 'if (head.status === 0) {',
 		spec: '../platform/test/direct/streams.test.ts', test: 'complete response that ends within an event',
 	},
