Ask a denied target only once, and end a guard's test that hangs

Cause: the check that a placer does not return a denied target twice had moved to the set that the guard's removal empties, so that the removal made a loop of microtasks, in which mocha's own time limit never fires.

Change: a target that was denied once is never asked for again within a call, whatever the placer returns. The guards run mocha in one process with a time limit of 120 s; a test that does not end counts as a failed guard, not as a detected removal.

--- a/packages/direct/src/limit-place.ts
+++ b/packages/direct/src/limit-place.ts
@@ -46,8 +46,8 @@
 
 			const {record} = placed.place.target;
 			// A placer must not return an excluded target; if it does, the target is not asked for again.
-			const isExcluded = excluded.has(record.id);
-			const permit = isExcluded ? undefined : await permits.acquire(record, request.call.requestId);
+			const isDenied = denied.has(record.id);
+			const permit = isDenied ? undefined : await permits.acquire(record, request.call.requestId);
 			if (permit) {
 				return {kind: 'placed', place: {...placed.place, mayStart: permit.isValid}};
 			}
@@ -57,7 +57,7 @@
 				return {kind: 'refused', reason: 'withdrawn', retryAfterMs: 0};
 			}
 
-			if (isExcluded) {
+			if (isDenied) {
 				return refuse([permits.waitMs(record)]);
 			}
 
--- a/test/guards.js
+++ b/test/guards.js
@@ -10,6 +10,10 @@
 
 const run = promisify(execFile);
 const workerCount = 4;
+
+/** The longest run of a test, in milliseconds: several times what the slowest one takes. A test in an endless loop can't end itself. */
+const testTimeoutMs = 120_000;
+
 const root = path.join(import.meta.dirname, '..');
 
 /** Copies the packages into a temporary directory with links to the installed libraries, so that guards can be removed there. */
@@ -36,9 +40,16 @@
 
 async function runTest(directory, {spec, test}) {
 	try {
-		await run('npx', ['mocha', '--no-config', '--node-option', 'import=tsx', '--exit', '--timeout', '8000', '-f', test, path.join('packages', spec)], {cwd: directory, maxBuffer: 64_000_000});
+		// Mocha runs in this one process, so that ending it at its time limit leaves nothing behind.
+		await run(process.execPath, ['--import', 'tsx', path.join(root, 'node_modules/mocha/lib/cli/cli.js'), '--no-config', '--exit', '--timeout', '8000', '-f', test, path.join('packages', spec)], {
+			cwd: directory, maxBuffer: 64_000_000, timeout: testTimeoutMs, killSignal: 'SIGKILL',
+		});
 		return {isPassed: true, failure: ''};
 	} catch (error) {
+		if (error.killed) {
+			return {isPassed: false, hasRun: false, failure: `the test did not end within ${testTimeoutMs} ms`};
+		}
+
 		const failure = /(?:AssertionError|Error): (.*)/v.exec(String(error.stdout))?.[1] ?? 'no output';
 		return {isPassed: false, hasRun: /\d+ failing/v.test(String(error.stdout)), failure: failure.slice(0, 120)};
 	}
@@ -60,7 +71,13 @@
 		return {isConfirmed: false, line: `${guard.name}: the test fails with the guard in place: ${original.failure}`};
 	}
 
-	return {isConfirmed: !mutated.isPassed && mutated.hasRun, line: `${guard.name}: ${mutated.isPassed ? 'the test passes without the guard' : `detected by "${guard.test}": ${mutated.failure}`}`};
+	if (mutated.isPassed) {
+		return {isConfirmed: false, line: `${guard.name}: the test passes without the guard`};
+	}
+
+	return mutated.hasRun
+		? {isConfirmed: true, line: `${guard.name}: detected by "${guard.test}": ${mutated.failure}`}
+		: {isConfirmed: false, line: `${guard.name}: without the guard, "${guard.test}" did not run to its end: ${mutated.failure}`};
 }
 
 const queue = [...guards];
