Count requests to limited targets when they are sent, and use each permission once

`sent_under_limit_total` counted answers, so requests that a limited target never answered, which are the ones an operator looks for, were missing. A permission could also be checked several times; nothing did, but nothing prevented a second request either.

Change: `Permit.use` replaces `isValid`. It returns true at most once, and counts the request as sent or the permission as expired. The test of the validity takes a permission for each check, with the same bounds, and reads both counters; a new one uses a permission twice.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -188,10 +188,6 @@
 		answerBuffers: createAnswerBuffers(maxBufferedAnswerBytes),
 		silenceTimeoutMs: ({route}) => route.kind === 'stream' ? settings.stallMs + stallMarginMs : Math.max(route.objectiveMs, minSilenceMs),
 		onLimit({record}, limit, sentMs) {
-			if (beliefs.of(record).perSecond !== undefined) {
-				metrics.count('sent_under_limit');
-			}
-
 			permits.onAnswer(record, limit, sentMs);
 		},
 	});
--- a/packages/direct/src/limit-place.ts
+++ b/packages/direct/src/limit-place.ts
@@ -49,7 +49,7 @@
 			const isDenied = denied.has(record.id);
 			const permit = isDenied ? undefined : await permits.acquire(record, request.call.requestId);
 			if (permit) {
-				return {kind: 'placed', place: {...placed.place, mayStart: permit.isValid}};
+				return {kind: 'placed', place: {...placed.place, mayStart: permit.use}};
 			}
 
 			placed.place.ended('neutral');
--- a/packages/limit/src/permits.ts
+++ b/packages/limit/src/permits.ts
@@ -32,8 +32,8 @@
 
 /** The permission to send one request. */
 export type Permit = {
-	/** Whether the request may still be sent. To be checked at the moment of sending. */
-	isValid(): boolean;
+	/** Uses the permission for the request that is about to be written. Returns `false` if the permission has ended or was used before. */
+	use(): boolean;
 };
 
 export type PermitsOptions = {
@@ -83,7 +83,7 @@
 	share: {readonly sinceMs: number; readonly turns: Share} | undefined;
 };
 
-const always: Permit = {isValid: () => true};
+const always: Permit = {use: () => true};
 
 /**
 Creates the entry's side of the limits. While the dispenser of a target can't be
@@ -92,7 +92,7 @@
 @example
 const permits = createPermits(options);
 const permit = await permits.acquire(target, 'r-1');
-if (permit?.isValid()) send();
+if (permit?.use()) send();
 */
 export function createPermits({beliefs, dispenserOf, entries, monotonicMs, wallMs, random, metrics, log}: PermitsOptions): Permits {
 	const targets = createLifetimeTable<LimitedTarget>();
@@ -126,10 +126,18 @@
 	const createPermit = (): Permit => {
 		const startMs = monotonicMs();
 		const startWallMs = wallMs();
+		let isUsed = false;
 		return {
-			isValid() {
+			use() {
+				if (isUsed) {
+					return false;
+				}
+
+				isUsed = true;
 				const isValid = monotonicMs() - startMs < permitMs && Math.abs(wallMs() - startWallMs) < permitMs;
-				if (!isValid) {
+				if (isValid) {
+					metrics.count('sent_under_limit');
+				} else {
 					metrics.count('permits', {result: 'expired'});
 				}
 
--- a/packages/limit/test/permits.test.ts
+++ b/packages/limit/test/permits.test.ts
@@ -1,4 +1,4 @@
-import {createLog, createMetrics} from '@papayaflow/telemetry';
+import {createLog, createMetrics, type Metrics} from '@papayaflow/telemetry';
 import {expect} from 'chai';
 import {beforeEach, describe, it} from 'mocha';
 import {
@@ -15,11 +15,13 @@
 	let asked: string[];
 	let beliefs: Beliefs;
 	let permits: Permits;
+	let metrics: Metrics;
 
 	const createEntry = (random: () => number): Permits => {
-		beliefs = createBeliefs({monotonicMs: () => nowMs, metrics: createMetrics(), log: createLog({}, 'error')});
+		metrics = createMetrics();
+		beliefs = createBeliefs({monotonicMs: () => nowMs, metrics, log: createLog({}, 'error')});
 		return createPermits({
-			beliefs, dispenserOf: () => link, entries: () => 4, monotonicMs: () => nowMs, wallMs: () => wallMs, random, metrics: createMetrics(), log: createLog({}, 'error'),
+			beliefs, dispenserOf: () => link, entries: () => 4, monotonicMs: () => nowMs, wallMs: () => wallMs, random, metrics, log: createLog({}, 'error'),
 		});
 	};
 
@@ -44,7 +46,7 @@
 		permits = createEntry(() => 0.5);
 	});
 
-	const grantNext = async (): Promise<{isValid(): boolean} | undefined> => {
+	const grantNext = async (): Promise<{use(): boolean} | undefined> => {
 		const acquired = permits.acquire(target, 'r');
 		await Promise.resolve();
 		await Promise.resolve();
@@ -53,7 +55,7 @@
 	};
 
 	it('are free for a target without a limit, and asked for one by one as soon as it names one', async () => {
-		expect((await permits.acquire(target, 'r'))?.isValid()).to.equal(true);
+		expect((await permits.acquire(target, 'r'))?.use()).to.equal(true);
 		name(1);
 		expect(reports).to.deep.equal([{target, perSecond: 1}]);
 		const first = permits.acquire(target, 'r-1');
@@ -69,16 +71,24 @@
 	// Guards against a process that acts on a permission that ran out while it was paused or while its connection was being opened.
 	it('end after 250 ms, also if the process was suspended meanwhile and its monotonic clock stood still', async () => {
 		name(1);
-		const permit = await grantNext();
-		expect(permit?.isValid()).to.equal(true);
+		const [atOnce, late, tooLate] = [await grantNext(), await grantNext(), await grantNext()];
+		expect(atOnce?.use()).to.equal(true);
 		nowMs += 249;
-		expect(permit?.isValid()).to.equal(true);
+		expect(late?.use()).to.equal(true);
 		nowMs += 1;
-		expect(permit?.isValid()).to.equal(false);
+		expect(tooLate?.use()).to.equal(false);
 
 		const suspended = await grantNext();
 		wallMs += 5000;
-		expect(suspended?.isValid()).to.equal(false);
+		expect(suspended?.use()).to.equal(false);
+		expect([metrics.read('sent_under_limit'), metrics.read('permits', {result: 'expired'})]).to.deep.equal([2, 2]);
+	});
+
+	it('are for one request each', async () => {
+		name(1);
+		const permit = await grantNext();
+		expect([permit?.use(), permit?.use()]).to.deep.equal([true, false]);
+		expect(metrics.read('sent_under_limit')).to.equal(1);
 	});
 
 	it('are not granted by a reply that comes after the time limit', async () => {
