Wait for the store's first answer in the test of a process that the store serves

The run printed no message of an assertion, which fits only the check with a text of its own: the first configuration had 100 ms to arrive.

The test waits for that configuration and for the change, then as long as before for a pull that must not come. With the guard removed it fails as before.

--- a/packages/cli/test/directory.test.ts
+++ b/packages/cli/test/directory.test.ts
@@ -147,12 +147,12 @@
 	it('pulls nothing from its peers while the store serves it', async () => {
 		const early = open(port, false);
 		const late = open(port, false, 400);
-		await sleep(100);
+		await waitFor(async () => late.versions.at(0));
 		expect(late.versions, 'read from the store').to.deep.equal([3]);
 		link(early.directory, late.directory);
 		standin.put('servers/i-1', registration('draining'));
+		await waitFor(async () => early.states.at(-1) === 'i-1 leaving' || undefined);
 		await sleep(150);
-		expect(early.states.at(-1)).to.equal('i-1 leaving');
 		expect(late.metrics.read('pulls')).to.equal(0);
 		early.directory.stop();
 		late.directory.stop();
