--- a/packages/cli/src/directory.ts
+++ b/packages/cli/src/directory.ts
@@ -75,7 +75,13 @@
 	let lastPeerUpdateMs = deps.prefersPeers ? Number.NEGATIVE_INFINITY : 0;
 	let isStoreAvailable = false;
 
-	const mirror = createMirror({isEquivalent: isSameEntry, isEarlierState});
+	const mirror = createMirror({
+		isEquivalent: isSameEntry, isEarlierState,
+		onEarlierState(next, held) {
+			metrics.count('earlier_states');
+			log.warn({key: next.key, revision: next.revision, heldRevision: held.revision}, 'earlier state of a key ignored');
+		},
+	});
 	mirror.onChange(({changes}) => {
 		for (const change of changes) {
 			if (change.kind === 'written' && change.entry.key === configurationKey) {
--- a/packages/cli/test/directory.test.ts
+++ b/packages/cli/test/directory.test.ts
@@ -250,6 +250,7 @@
 			standin.put('op/config', configuration(3));
 			await isUpToDateInEra(directory, 1);
 			expect(versions.at(-1)).to.equal(4);
+			expect(metrics.read('earlier_states'), 'two in the list, then the lower version').to.equal(3);
 			standin.put('op/config', configuration(4));
 			standin.put('servers/i-1', registration('draining', 3));
 			standin.put('op/config', configuration(6));
--- a/packages/mirror/src/mirror.ts
+++ b/packages/mirror/src/mirror.ts
@@ -35,6 +35,8 @@
 	entries until their owners have written again; the mirror keeps the content that it holds.
 	*/
 	readonly isEarlierState?: (next: Entry, held: Entry) => boolean;
+	/** Called when the mirror ignores the content of an entry because it is an earlier state. */
+	readonly onEarlierState?: (next: Entry, held: Entry) => void;
 };
 
 /**
@@ -45,7 +47,7 @@
 const mirror = createMirror({isEquivalent: () => false});
 mirror.replace({revision: 7, entries: []});
 */
-export function createMirror({isEquivalent, isEarlierState = () => false}: MirrorOptions): Mirror {
+export function createMirror({isEquivalent, isEarlierState = () => false, onEarlierState = () => undefined}: MirrorOptions): Mirror {
 	const entries = new Map<string, Entry>();
 	/** The revision at which each key was added or last changed to a value that is not equivalent. */
 	const changeRevisions = new Map<string, number>();
@@ -73,6 +75,7 @@
 
 		if (held && isEarlierState(change.entry, held)) {
 			entries.set(key, {...held, revision: change.entry.revision});
+			onEarlierState(change.entry, held);
 			return false;
 		}
 
