--- a/packages/cli/test/restored-store.test.ts
+++ b/packages/cli/test/restored-store.test.ts
@@ -3,6 +3,7 @@
 import {
 	after, before, describe, it,
 } from 'mocha';
+import {type LimitedTarget} from '@papayaflow/standins';
 import {
 	startSite, waitFor, type CallResult, type Site, type SiteProcess,
 } from './site.js';
@@ -10,6 +11,9 @@
 /** The time in which a change of the configuration is in force everywhere, in milliseconds. */
 const configurationMs = 2000;
 
+/** The time after which a target that is leaving gets no more requests, in milliseconds. */
+const drainMs = 2000;
+
 /** A tenth of the read calls a second that the platform's store allows. */
 const storeReadsPerSecond = 200;
 
@@ -58,4 +62,62 @@
 		expect(results.filter(({status}) => status !== 200)).to.deep.equal([]);
 		expect(results.length).to.be.at.least(500);
 	});
+
+	/** Writes the registration of a target again with other fields, as the target itself does. */
+	const reregister = (id: string, fields: Readonly<Record<string, unknown>>): void => {
+		const key = `servers/${id}`;
+		site.store.put(key, JSON.stringify({...JSON.parse(site.store.get(key)!) as Record<string, unknown>, ...fields}));
+	};
+
+	/** Calls both services through all entries, and counts the requests that arrive at targets within `ms` milliseconds. */
+	const countArrivals = async (targets: readonly LimitedTarget[], ms: number): Promise<readonly number[]> => {
+		const before = targets.map(({arrivalsMs}) => arrivalsMs.length);
+		const endMs = performance.now() + ms;
+		const calls: Array<Promise<CallResult>> = [];
+		while (performance.now() < endMs) {
+			for (const entry of site.entries) {
+				calls.push(site.call(entry, 'plain'), site.call(entry, 'model'));
+			}
+
+			await sleep(50);
+		}
+
+		const results = await Promise.all(calls);
+		expect(results.filter(({status}) => status !== 200), 'calls that were not answered').to.deep.equal([]);
+		return targets.map(({arrivalsMs}, index) => arrivalsMs.length - before[index]);
+	};
+
+	// Guards against processes that compare revisions of the store from before and after, so that a target that leaves later still gets requests.
+	it('sends nothing to targets that begin to leave afterwards', async () => {
+		const {store} = site;
+		const copy = store.copy();
+		for (let i = 0; i < 100; i++) {
+			store.put('papayaflow/other', String(i));
+		}
+
+		await sleep(1000);
+		store.restore(copy);
+		reregister('p-0', {seq: 1, state: 'draining'});
+		reregister('e-0', {seq: 1, state: 'draining'});
+		await sleep(drainMs);
+		expect(await countArrivals([site.plains[0], site.engines[0]], 1000)).to.deep.equal([0, 0]);
+		reregister('p-0', {seq: 2, state: 'ready'});
+		reregister('e-0', {seq: 2, state: 'ready'});
+		await sleep(1000);
+	});
+
+	// Guards against a registration in the copy that brings back a target which has said that it leaves and has left the list.
+	it('sends nothing to targets that had left before, although the copy lists them as ready', async () => {
+		const {store} = site;
+		const copy = store.copy();
+		reregister('p-1', {seq: 3, state: 'draining'});
+		reregister('e-1', {seq: 3, state: 'draining'});
+		await sleep(drainMs);
+		store.remove('servers/p-1');
+		store.remove('servers/e-1');
+		await sleep(500);
+		expect(await countArrivals([site.plains[1], site.engines[1]], 500)).to.deep.equal([0, 0]);
+		store.restore(copy);
+		expect(await countArrivals([site.plains[1], site.engines[1]], 4000)).to.deep.equal([0, 0]);
+	});
 });
