--- a/packages/cli/src/directory.ts
+++ b/packages/cli/src/directory.ts
@@ -5,7 +5,7 @@
 	handleFrame, type Frame, type FrameHandlers, type Peer,
 } from '@papayaflow/peer';
 import {
-	configurationKey, decodeConfiguration, decodeRegistration, isEarlierState, registrationPrefix,
+	configurationKey, decodeConfiguration, decodeRegistration, isEarlierState, isRemovedState, registrationPrefix,
 } from '@papayaflow/platform';
 import {
 	createRouteTable, isSameTarget, type RouteTable, type TargetRecord,
@@ -76,7 +76,7 @@
 	let isStoreAvailable = false;
 
 	const mirror = createMirror({
-		isEquivalent: isSameEntry, isEarlierState,
+		isEquivalent: isSameEntry, isEarlierState, isRemovedState,
 		onEarlierState(next, held) {
 			metrics.count('earlier_states');
 			log.warn({key: next.key, revision: next.revision, heldRevision: held.revision}, 'earlier state of a key ignored');
--- a/packages/cli/test/directory.test.ts
+++ b/packages/cli/test/directory.test.ts
@@ -276,6 +276,40 @@
 			directory.stop();
 		}).timeout(20_000);
 
+		// Guards against a registration in the copy that brings back a target which has left.
+		it('lists a target that had left again only when it has written to the store', async () => {
+			const {directory, states, metrics} = open(port, false);
+			standin.put('servers/i-2', registration('ready', 2));
+			await isUpToDate(directory);
+			const copy = standin.copy();
+			standin.put('servers/i-2', registration('draining', 3));
+			standin.remove('servers/i-2');
+			await isUpToDate(directory);
+			expect(states.at(-1)).to.equal('i-1 serving');
+			const statesBefore = states.length;
+			standin.restore(copy);
+			await until(() => metrics.read('store_restorations') === 1);
+			await sleep(200);
+			expect(states.slice(statesBefore).every(state => state === 'i-1 serving'), 'as the copy has it').to.equal(true);
+			standin.put('servers/i-2', registration('ready', 4));
+			await until(() => states.at(-1) === 'i-1 serving, i-2 serving');
+			directory.stop();
+		});
+
+		it('does not tell a target that had left from one that writes no sequence numbers', async () => {
+			const {directory, states} = open(port, false);
+			const unnumbered = registration('ready').replace('"seq":1,', '');
+			standin.put('servers/i-2', unnumbered);
+			await isUpToDate(directory);
+			const copy = standin.copy();
+			standin.remove('servers/i-2');
+			await isUpToDate(directory);
+			expect(states.at(-1)).to.equal('i-1 serving');
+			standin.restore(copy);
+			await until(() => states.at(-1) === 'i-1 serving, i-2 serving');
+			directory.stop();
+		});
+
 		it('passes on to a peer that has no store what the store holds now, and takes nothing back from it', async () => {
 			const reader = open(port, false);
 			const follower = open(1, true);
--- a/packages/mirror/src/mirror.ts
+++ b/packages/mirror/src/mirror.ts
@@ -1,4 +1,8 @@
 import {type Change, type Entry} from '@papayaflow/store';
+import {LRUCache} from 'lru-cache';
+
+/** How many removed entries are remembered: more than the targets that leave a large fleet within the age of a copy of its store. */
+const maxRemovedEntries = 1000;
 
 /** All entries under the prefix, complete up to `revision`. Some of them may be newer. */
 export type Snapshot = {readonly revision: number; readonly entries: readonly Entry[]};
@@ -35,6 +39,13 @@
 	entries until their owners have written again; the mirror keeps the content that it holds.
 	*/
 	readonly isEarlierState?: (next: Entry, held: Entry) => boolean;
+	/**
+	Whether an entry is a state that its key had before the mirror removed it, although its
+	revision is higher. The mirror ignores such an entry until its owner has written again.
+	`removed` is the last entry that the mirror held; the last thousand removed entries
+	are remembered.
+	*/
+	readonly isRemovedState?: (next: Entry, removed: Entry) => boolean;
 	/** Called when the mirror ignores the content of an entry because it is an earlier state. */
 	readonly onEarlierState?: (next: Entry, held: Entry) => void;
 };
@@ -47,8 +58,12 @@
 const mirror = createMirror({isEquivalent: () => false});
 mirror.replace({revision: 7, entries: []});
 */
-export function createMirror({isEquivalent, isEarlierState = () => false, onEarlierState = () => undefined}: MirrorOptions): Mirror {
+export function createMirror({
+	isEquivalent, isEarlierState = () => false, isRemovedState = () => false, onEarlierState = () => undefined,
+}: MirrorOptions): Mirror {
 	const entries = new Map<string, Entry>();
+	/** The last entry of each key that was removed and has not been written again. */
+	const removedEntries = new LRUCache<string, Entry>({max: maxRemovedEntries});
 	/** The revision at which each key was added or last changed to a value that is not equivalent. */
 	const changeRevisions = new Map<string, number>();
 	const listeners: Array<(change: MirrorChange) => void> = [];
@@ -66,6 +81,7 @@
 
 			entries.delete(key);
 			changeRevisions.delete(key);
+			removedEntries.set(key, held);
 			return true;
 		}
 
@@ -79,6 +95,13 @@
 			return false;
 		}
 
+		const removed = held ? undefined : removedEntries.get(key);
+		if (removed && isRemovedState(change.entry, removed)) {
+			onEarlierState(change.entry, removed);
+			return false;
+		}
+
+		removedEntries.delete(key);
 		entries.set(key, change.entry);
 		if (held && isEquivalent(held, change.entry)) {
 			return false;
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -410,6 +410,11 @@
 		find: 'if (held && isEarlierState(change.entry, held)) {', replace: 'if (held && isEarlierState(change.entry, change.entry)) {',
 		spec: 'cli/test/directory.test.ts', test: 'never goes back to an earlier configuration',
 	},
+	{
+		name: 'a restored store lists no target that had left before', file: 'mirror/src/mirror.ts',
+		find: 'if (removed && isRemovedState(change.entry, removed)) {', replace: 'if (removed && isRemovedState(removed, removed)) {',
+		spec: 'cli/test/directory.test.ts', test: 'lists a target that had left again only',
+	},
 	{
 		name: 'keys that a restored store has lost are kept for the grace period', file: 'mirror/src/follow.ts',
 		find: 'if (disconnectedAtMs !== undefined || era > eraBefore) {', replace: 'if (disconnectedAtMs !== undefined) {',
