--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	createAnswerBuffers, createFront, createGroupPlacer, createLimitedPlacer, createPlainPlacer, createTargets,
+	createAnswerBuffers, createCrashDetector, createFront, createGroupPlacer, createLimitedPlacer, createPlainPlacer, createTargets,
 } from '@papayaflow/direct';
 import {
 	createBeliefs, createEngineChoice, createPermits, limitChanges, permitResults, type DispenserLink, type TargetLifetime,
@@ -186,6 +186,9 @@
 			ratio: settings.resendRatio, slack: settings.resendSlack, entries: assumedEntries, windowMs: settings.resendWindowMs, nowMs: monotonicMs,
 		}),
 		answerBuffers: createAnswerBuffers(maxBufferedAnswerBytes),
+		crashes: createCrashDetector({
+			connectMs: connectTimeoutMs, log, metrics, onCrash: () => undefined,
+		}),
 		silenceTimeoutMs: ({route}) => route.kind === 'stream' ? settings.stallMs + stallMarginMs : Math.max(route.objectiveMs, minSilenceMs),
 		onLimit({record}, limit, sentMs) {
 			permits.onAnswer(record, limit, sentMs);
--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -18,6 +18,8 @@
 	readonly rawHeaders: readonly string[];
 	readonly body: Uint8Array;
 	readonly generation: Generation | undefined;
+	/** The ids of the parts of the prompt that other requests may have too, each once. */
+	readonly sharedParts: readonly string[];
 	/** The caller's deadline or the timeout of the route, whichever is shorter, in milliseconds from the arrival. */
 	readonly deadlineMs: number;
 	/** When the request arrived, in milliseconds of the monotonic clock. */
--- a/packages/direct/src/dialect.ts
+++ b/packages/direct/src/dialect.ts
@@ -19,6 +19,8 @@
 	readonly deadlineMs: number | undefined;
 	readonly key: string | undefined;
 	readonly generation: Generation | undefined;
+	/** The ids of the parts of the prompt that other requests may have too, each once: all but the last part. */
+	readonly sharedParts: readonly string[];
 	/** The id of the last event that the caller has of a stream that it resumes. */
 	readonly lastEventId: string | undefined;
 };
--- a/packages/direct/src/forward.ts
+++ b/packages/direct/src/forward.ts
@@ -8,6 +8,7 @@
 import {type CallerAnswer} from './answer.js';
 import {type AnswerBuffers} from './buffers.js';
 import {isRetryable, type Call} from './call.js';
+import {type CrashDetector} from './crash.js';
 import {type Dialect} from './dialect.js';
 import {exchange} from './exchange.js';
 import {type Place, type Placer} from './place.js';
@@ -24,6 +25,9 @@
 
 const noTargets: ReadonlySet<string> = new Set();
 
+/** The number of events after which a target has begun to answer. A target may crash as it sends the first one. */
+const begunEvents = 2;
+
 /** The least remaining deadline for another attempt, in milliseconds. It covers a round trip and a little work of the target. */
 const minAttemptMs = 15;
 
@@ -36,6 +40,7 @@
 	readonly monotonicMs: () => number;
 	/** Counts the bytes of all answers that are held until they are whole. */
 	readonly answerBuffers: AnswerBuffers;
+	readonly crashes: CrashDetector;
 	/** How long a retryable call may go without a whole event or response before it is retried, or its stream resumed, at another target, in milliseconds. */
 	readonly silenceTimeoutMs: (call: Call) => number;
 	/** Called with the limit in each answer of a target; `sentMs` is when the answered request was sent, in milliseconds of the monotonic clock. */
@@ -61,6 +66,8 @@
 	readonly placedMs: number;
 	/** How long after that the request was written to the connection, in milliseconds; `undefined` if it never was. */
 	readonly sentAfterMs: number | undefined;
+	/** The whole events of a stream that arrived. */
+	readonly events: number;
 	/** How long the attempt took, in milliseconds. */
 	readonly ms: number;
 };
@@ -136,12 +143,13 @@
 		}
 
 		tried.add(id);
-		const result = await sendAttempt(admitted, place, progress, deps);
+		const {result, events} = await sendAttempt(admitted, place, progress, deps);
 		if (result.kind === 'done') {
 			return toForwardResult({kind: 'answered'}, result.status);
 		}
 
 		recordFailure(result, progress, signal);
+		await checkForCrash(admitted, place.target, {result, events}, deps);
 		possibleRuns += result.kind === 'notRun' ? 0 : 1;
 		if (result.kind === 'notRun' && result.isMisdirected) {
 			place.target.markGone();
@@ -178,7 +186,15 @@
 	}
 }
 
-async function sendAttempt(admitted: AdmittedCall, place: Place, progress: Progress, deps: ForwardDeps): Promise<AttemptResult> {
+/** Waits until it is known whether a target that closed the connection before its answer had begun has crashed. */
+async function checkForCrash({call, signal}: AdmittedCall, target: Target, {result, events}: {readonly result: AttemptResult; readonly events: number}, {crashes}: ForwardDeps): Promise<void> {
+	const isClosed = result.kind === 'lost' && (result.reason === 'targetLost' || result.reason === 'truncated');
+	if (isClosed && events < begunEvents && !signal.aborted && call.sharedParts.length > 0) {
+		await crashes.onLost(target, {requestId: call.requestId, parts: call.sharedParts});
+	}
+}
+
+async function sendAttempt(admitted: AdmittedCall, place: Place, progress: Progress, deps: ForwardDeps): Promise<{readonly result: AttemptResult; readonly events: number}> {
 	const {call, answer, signal} = admitted;
 	const startedMs = deps.monotonicMs();
 	let sentAfterMs: number | undefined;
@@ -194,8 +210,13 @@
 			}, silenceLimitMs);
 	};
 
+	let events = 0;
 	const receiver = createAnswerReceiver(admitted, {
-		place, progress, answerBuffers: deps.answerBuffers, onEvent: restartSilenceTimer,
+		place, progress, answerBuffers: deps.answerBuffers,
+		onEvent() {
+			events++;
+			restartSilenceTimer();
+		},
 	});
 	const leftMs = Math.max(1, Math.floor(call.deadlineMs - (startedMs - call.arrivedMs)));
 	restartSilenceTimer();
@@ -232,9 +253,9 @@
 	}
 
 	progress.attempts.push({
-		target: place.target.record.id, ended: describeResult(result), placedMs: Math.round(startedMs - call.arrivedMs), sentAfterMs, ms: Math.round(deps.monotonicMs() - startedMs),
+		target: place.target.record.id, ended: describeResult(result), placedMs: Math.round(startedMs - call.arrivedMs), sentAfterMs, events, ms: Math.round(deps.monotonicMs() - startedMs),
 	});
-	return result;
+	return {result, events};
 }
 
 // A call that isn't retryable gets no limit, since the silent target may still be running it.
--- a/packages/direct/src/front.ts
+++ b/packages/direct/src/front.ts
@@ -21,6 +21,9 @@
 /** How much longer than the configured idle timeout a connection is kept open, in milliseconds, so that a request sent just before the timeout still arrives. */
 const keepAliveMarginMs = 1000;
 
+/** The most parts of a prompt in the log line of a request. */
+const maxLoggedParts = 8;
+
 /** The unread bytes of a response beyond which the call of a slow caller is cancelled. */
 const maxUnreadBytes = 4_194_304;
 
@@ -118,7 +121,7 @@
 		const organisation = identified.kind === 'organisation' ? identified.organisation : undefined;
 		const call: Call = {
 			requestId, route, service, version: configuration.version, organisation: organisation?.name, priority: organisation?.priority ?? route.priority,
-			method: req.method ?? 'GET', path: req.url ?? '/', rawHeaders: req.rawHeaders, body: body.bytes, generation: caller.generation,
+			method: req.method ?? 'GET', path: req.url ?? '/', rawHeaders: req.rawHeaders, body: body.bytes, generation: caller.generation, sharedParts: caller.sharedParts,
 			deadlineMs: Math.min(caller.deadlineMs ?? route.timeoutMs, route.timeoutMs), arrivedMs,
 		};
 		const result = await forwardCall(call, answer, res);
@@ -179,7 +182,7 @@
 		log.info({
 			requestId: call.requestId, route: call.route.name, service: call.service, organisation: call.organisation ?? null, version: call.version,
 			outcome: outcome.kind, reason: outcome.kind === 'answered' ? null : outcome.reason, detail: outcome.kind === 'answered' ? null : outcome.detail ?? null,
-			status: status ?? null, attempts, ms: Math.round(ms), deadlineMs: call.deadlineMs,
+			status: status ?? null, parts: outcome.kind === 'answered' ? null : call.sharedParts.slice(0, maxLoggedParts), attempts, ms: Math.round(ms), deadlineMs: call.deadlineMs,
 		}, 'request ended');
 	};
 
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -3,6 +3,9 @@
 export {
 	endToEndHeaders, type AnswerHead, type CallerHead, type Dialect, type Generation, type TargetHeaderOptions,
 } from './dialect.js';
+export {
+	createCrashDetector, type CrashDetector, type CrashDetectorOptions, type LostRequest,
+} from './crash.js';
 export {createEventSplitter, type EventSplitter, type StreamEvent} from './events.js';
 export {
 	forward, type AdmittedCall, type ForwardResult, type ForwardDeps,
--- a/packages/direct/test/exchange.test.ts
+++ b/packages/direct/test/exchange.test.ts
@@ -14,7 +14,7 @@
 
 const dialect: Dialect = {
 	readCaller: () => ({
-		requestId: undefined, deadlineMs: undefined, key: undefined, generation: undefined, lastEventId: undefined,
+		requestId: undefined, deadlineMs: undefined, key: undefined, generation: undefined, sharedParts: [], lastEventId: undefined,
 	}),
 	targetHeaders: () => [],
 	readAnswer: () => ({
