--- a/packages/cli/test/site.ts
+++ b/packages/cli/test/site.ts
@@ -15,6 +15,9 @@
 /** The time that a target takes for each request, in milliseconds: long enough that the load of a test keeps all targets busy. */
 const workMs = 100;
 
+/** The time after which a crashed engine is back, in milliseconds. */
+const restartMs = 1000;
+
 const readyTimeoutMs = 15_000;
 
 /** One program of the site. Its lines are the log lines that it has written so far. */
@@ -45,8 +48,8 @@
 	startSidecar(rank: number): Promise<SiteProcess>;
 	/** Writes the configuration to the store with another version. */
 	putConfiguration(version: number): void;
-	/** Sends a call to the plain service (`plain`) or to the group (`model`) through an entry. */
-	call(entry: SiteProcess, service: 'plain' | 'model'): Promise<CallResult>;
+	/** Sends a call to the plain service (`plain`) or to the group (`model`) through an entry; `prefix` lists the parts of its prompt. */
+	call(entry: SiteProcess, service: 'plain' | 'model', prefix?: string): Promise<CallResult>;
 	stop(): Promise<void>;
 };
 
@@ -85,9 +88,21 @@
 	const ranks = await startPassServers({
 		ranks: counts.ranks, layers: 1, expertsPerLayer: 6, passMs: 5, demand: () => 1, hosts,
 		serve(rank, req, res) {
-			void engines[rank].handle(req, res);
+			if (ranks.isOpen()) {
+				void engines[rank].handle(req, res);
+				return;
+			}
+
+			res.writeHead(503, {'x-request-id': req.headers['x-request-id'] ?? '', 'x-not-executed': '1', 'content-length': 0});
+			res.end();
 		},
 	});
+	for (const [rank, engine] of engines.entries()) {
+		engine.crash = () => {
+			void ranks.crash(rank, restartMs);
+		};
+	}
+
 	const plains = Array.from({length: counts.plains}, () => createLimitedTarget({workMs}));
 	const plainServers = plains.map(({handle}) => createServer(handle));
 	const plainAddresses = await Promise.all(plainServers.map(async server => `127.0.0.1:${await listenOn(server)}`));
@@ -155,7 +170,7 @@
 	const agent = new Agent({keepAlive: true});
 	let callCount = 0;
 
-	const call = async (entry: SiteProcess, service: 'plain' | 'model'): Promise<CallResult> => new Promise(resolve => {
+	const call = async (entry: SiteProcess, service: 'plain' | 'model', prefix?: string): Promise<CallResult> => new Promise(resolve => {
 		const startedMs = performance.now();
 		const requestId = `c-${callCount++}`;
 		const toResult = (status: number, details: {readonly error?: string; readonly retryAfter?: string; readonly body?: string} = {}): CallResult => ({
@@ -164,7 +179,9 @@
 		});
 		const req = request({
 			agent, host: '127.0.0.1', port: entry.port, path: `/${service}/x`,
-			headers: {host: 'h.example', 'x-request-id': requestId, 'x-deadline-ms': '3000'},
+			headers: {
+				host: 'h.example', 'x-request-id': requestId, 'x-deadline-ms': '3000', ...(prefix !== undefined && {'x-token-counts': '20,8', 'x-prompt-prefix': prefix}),
+			},
 		}, res => {
 			let body = '';
 			res.on('data', chunk => {
--- a/packages/standins/src/limited-target.ts
+++ b/packages/standins/src/limited-target.ts
@@ -1,7 +1,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 
-/** A target that names a limit in its answers and records what it gets. */
+/** A target that names a limit in its answers, may crash on parts of prompts, and records what it gets. */
 export type LimitedTarget = {
 	/** The value of `Server-Limit` in each answer; `undefined` sends no such header. */
 	limit: string | undefined;
@@ -11,6 +11,12 @@
 	readonly arrivalsMs: number[];
 	/** The ids of all requests that have arrived. */
 	readonly requestIds: Set<string>;
+	/** The target calls `crash` when it begins to answer a prompt with one of these parts before its last part. */
+	readonly crashingParts: Set<string>;
+	/** When each request with such a part arrived, in milliseconds of the monotonic clock. */
+	readonly crashingArrivalsMs: number[];
+	/** Closes all connections of the target; replaced by what runs its server. */
+	crash: () => void;
 	handle(req: IncomingMessage, res: ServerResponse): Promise<void>;
 };
 
@@ -24,12 +30,24 @@
 */
 export function createLimitedTarget({limit, workMs = 5}: {readonly limit?: string; readonly workMs?: number} = {}): LimitedTarget {
 	const target: LimitedTarget = {
-		limit, workMs, arrivalsMs: [], requestIds: new Set(),
+		limit, workMs, arrivalsMs: [], requestIds: new Set(), crashingParts: new Set(), crashingArrivalsMs: [],
+		crash: () => undefined,
 		async handle(req, res) {
 			target.arrivalsMs.push(performance.now());
 			target.requestIds.add(String(req.headers['x-request-id']));
+			const parts = String(req.headers['x-prompt-prefix'] ?? '').split(',').slice(0, -1).map(part => part.split(':', 1)[0]);
+			const isCrashing = parts.some(part => target.crashingParts.has(part));
+			if (isCrashing) {
+				target.crashingArrivalsMs.push(performance.now());
+			}
+
 			req.resume();
 			await sleep(target.workMs);
+			if (isCrashing && !res.destroyed) {
+				target.crash();
+				return;
+			}
+
 			const body = 'id: 1\ndata: piece\n\n';
 			res.writeHead(200, {
 				'content-type': 'text/event-stream', 'content-length': body.length, 'x-request-id': req.headers['x-request-id'] ?? '', 'x-replica-seal': 's',
--- a/packages/standins/src/pass-server.ts
+++ b/packages/standins/src/pass-server.ts
@@ -43,6 +43,10 @@
 	experts(): ReadonlyArray<ReadonlyArray<readonly number[]>>;
 	/** Reports the group as broken for `ms` milliseconds, during which it begins no pass and refuses orders, then opens it in a new formation. */
 	breakFor(ms: number): Promise<void>;
+	/** Closes the server of a rank and all its connections for `ms` milliseconds, and reports the group as broken meanwhile. */
+	crash(rank: number, ms: number): Promise<void>;
+	/** Whether all ranks are there and the group takes requests. */
+	isOpen(): boolean;
 	stop(): void;
 };
 
@@ -161,16 +165,27 @@
 	}
 
 	const passTimer = setInterval(beginPass, options.passMs).unref();
+	const addresses = servers.map(server => addressOfServer(server));
+	const breakFor = async (ms: number): Promise<void> => {
+		isOpen = false;
+		await sleep(ms, undefined, {ref: false});
+		group.startFormation();
+		isOpen = true;
+	};
+
 	return {
 		group,
-		addresses: servers.map(server => addressOfServer(server)),
-		experts: () => group.ranks.map(({map}, rank) => expertLists[rank].get(map) ?? []),
-		async breakFor(ms) {
-			isOpen = false;
-			await sleep(ms, undefined, {ref: false});
-			group.startFormation();
-			isOpen = true;
+		addresses,
+		breakFor,
+		async crash(rank, ms) {
+			const server = servers[rank];
+			server.close();
+			server.closeAllConnections();
+			await breakFor(ms);
+			server.listen(Number(addresses[rank].split(':')[1]), hosts[rank]);
 		},
+		isOpen: () => isOpen,
+		experts: () => group.ranks.map(({map}, rank) => expertLists[rank].get(map) ?? []),
 		stop() {
 			clearInterval(passTimer);
 			for (const server of servers) {
