--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	createAnswerBuffers, createCrashDetector, createFront, createGroupPlacer, createLimitedPlacer, createPlainPlacer, createTargets,
+	createAnswerBuffers, createCrashDetector, createFront, createGroupPlacer, createLimitedPlacer, createPlainPlacer, createQuarantinedPlacer, createTargets,
 } from '@papayaflow/direct';
 import {
 	createBeliefs, createEngineChoice, createPermits, limitChanges, permitResults, type DispenserLink, type TargetLifetime,
@@ -10,7 +10,8 @@
 	createHeartbeatTicker, handleFrame, maintainHostLinks, type FrameHandlers, type Peer, type PeerEvents,
 } from '@papayaflow/peer';
 import {connectPlatformStore, platformDialect} from '@papayaflow/platform';
-import {createResendBudget} from '@papayaflow/policy';
+import {createResendBudget, rendezvousOrder} from '@papayaflow/policy';
+import {createQuarantine, suspicionChanges} from '@papayaflow/quarantine';
 import {addressOf, type EngineModel, type TargetRecord} from '@papayaflow/routing';
 import {addressSetting, numberSetting, type SettingsOf} from '@papayaflow/settings';
 import {serveAdmin} from '@papayaflow/telemetry';
@@ -46,6 +47,9 @@
 
 const drainPollMs = 20;
 
+/** How many sidecars an entry tells what it learns of prompts that crash targets. Each passes it on to all entries, so a second one covers the loss of the first. */
+const suspicionRelays = 2;
+
 export const directEntrySettings = {
 	...directSettings,
 	listen: addressSetting('the address that serves the HTTP requests of callers'),
@@ -80,6 +84,7 @@
 	metrics.declare('retries_denied', 'reason', ['resendBudgetSpent']);
 	metrics.declare('limit_changes', 'change', limitChanges);
 	metrics.declare('permits', 'result', permitResults);
+	metrics.declare('suspicion_changes', 'change', suspicionChanges);
 
 	const targets = createTargets({
 		connectMs: connectTimeoutMs, ejection, nowMs: monotonicMs,
@@ -131,7 +136,25 @@
 		beliefs, dispenserOf, entries: assumedEntries, monotonicMs, wallMs: Date.now, random, metrics, log,
 	});
 
-	const limitHandlers: FrameHandlers = {
+	// All entries prefer the same sidecars, so that each suspicion reaches every entry about twice.
+	const relays = (): readonly Peer[] => {
+		const byInstance = new Map([...sidecars.values()].map(peer => [peer.hello.instance, peer]));
+		return rendezvousOrder('suspicions', [...byInstance.keys()]).slice(0, suspicionRelays).map(name => byInstance.get(name)!);
+	};
+
+	const quarantine = createQuarantine({
+		instance, monotonicMs, random, metrics, log,
+		announce(suspicions) {
+			for (const relay of relays()) {
+				relay.send({kind: 'suspicions', suspicions});
+			}
+		},
+	});
+
+	const frameHandlers: FrameHandlers = {
+		suspicions(peer, {suspicions}) {
+			quarantine.onReceived(peer.hello.instance, suspicions);
+		},
 		permit(_peer, {id, isGranted, retryMs}) {
 			permits.onDecision(id, {isGranted, retryMs});
 		},
@@ -139,26 +162,38 @@
 			permits.onAnnounced(createDispenserLink(peer), limit);
 		},
 	};
+	const sendSuspicions = (receivers: readonly Peer[]): void => {
+		const suspicions = quarantine.all();
+		for (const receiver of suspicions.length > 0 ? receivers : []) {
+			receiver.send({kind: 'suspicions', suspicions});
+		}
+	};
+
 	const events: PeerEvents = {
 		onUp(peer) {
 			log.info({dependency: 'sidecar', peer: peer.hello.instance}, 'dependency regained');
 			sidecars.set(peer.host, peer);
 			directory.onUp(peer);
+			sendSuspicions([peer]);
 		},
 		onFrame(peer, frame) {
 			metrics.count('frames_received', {kind: frame.kind});
-			if (!groupPlacer.onFrame(peer, frame) && !directory.onFrame(peer, frame) && !handleFrame(limitHandlers, peer, frame)) {
+			if (!groupPlacer.onFrame(peer, frame) && !directory.onFrame(peer, frame) && !handleFrame(frameHandlers, peer, frame)) {
 				metrics.count('frame_faults', {reason: 'unexpected'});
 			}
 		},
 		onDown(peer, cause) {
 			log.warn({dependency: 'sidecar', peer: peer.hello.instance, cause}, 'dependency lost');
+			const wasRelay = relays().includes(peer);
 			if (sidecars.get(peer.host) === peer) {
 				sidecars.delete(peer.host);
 			}
 
 			directory.onDown(peer);
 			groupPlacer.onDown(peer, cause);
+			if (wasRelay) {
+				sendSuspicions(relays());
+			}
 		},
 		// The entry depends on the dispensers of limited targets, and on the sidecars that may coordinate a group, which request short heartbeats themselves.
 		isNear: peer => permits.dispensers().has(peer.hello.instance),
@@ -179,16 +214,25 @@
 
 	const front = createFront({
 		dialect: platformDialect, metrics, log, monotonicMs, random, table: () => directory.table(), isLeaving: () => isLeaving,
-		place: createLimitedPlacer({
-			place: async need => model(need.call.service) ? groupPlacer.place(need) : placePlain(need), targets, permits, random,
+		place: createQuarantinedPlacer({
+			quarantine,
+			place: createLimitedPlacer({
+				place: async need => model(need.call.service) ? groupPlacer.place(need) : placePlain(need), targets, permits, random,
+			}),
 		}),
 		resendBudget: createResendBudget({
 			ratio: settings.resendRatio, slack: settings.resendSlack, entries: assumedEntries, windowMs: settings.resendWindowMs, nowMs: monotonicMs,
 		}),
 		answerBuffers: createAnswerBuffers(maxBufferedAnswerBytes),
 		crashes: createCrashDetector({
-			connectMs: connectTimeoutMs, log, metrics, onCrash: () => undefined,
+			connectMs: connectTimeoutMs, log, metrics,
+			onCrash({record}, requests) {
+				quarantine.onCrash(record.id, requests);
+			},
 		}),
+		onBegun({sharedParts}) {
+			quarantine.onBegun(sharedParts);
+		},
 		silenceTimeoutMs: ({route}) => route.kind === 'stream' ? settings.stallMs + stallMarginMs : Math.max(route.objectiveMs, minSilenceMs),
 		onLimit({record}, limit, sentMs) {
 			permits.onAnswer(record, limit, sentMs);
@@ -196,6 +240,10 @@
 	});
 	const createAdminServer = (): ReturnType<typeof serveAdmin> => serveAdmin({
 		metrics,
+		actions: {
+			'GET /quarantine': () => ({status: 200, body: quarantine.status()}),
+			'POST /quarantine/clear': query => ({status: 200, body: {cleared: quarantine.clear(query.get('part') ?? undefined)}}),
+		},
 		ready: () => isLeaving ? {ready: false, reason: 'stopping'} : (directory.table() ? {ready: true} : {ready: false, reason: 'no configuration yet'}),
 		status: () => ({
 			instance, role: 'entry', zone, incarnation, leaving: isLeaving, inFlight: front.inFlight(),
--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -7,6 +7,7 @@
 	createHeartbeatTicker, handleFrame, maintainHostLinks, servePeer, type FrameHandlers, type Peer, type PeerEvents,
 } from '@papayaflow/peer';
 import {connectPlatformStore, connectRank} from '@papayaflow/platform';
+import {createSuspicionRelay} from '@papayaflow/quarantine';
 import {addressOf, type TargetRecord} from '@papayaflow/routing';
 import {addressSetting, numberSetting, type SettingsOf} from '@papayaflow/settings';
 import {serveAdmin} from '@papayaflow/telemetry';
@@ -96,7 +97,16 @@
 		dispenser.setOwned(ownedTargets(target, {targets: directory.records(), isEngine}));
 	};
 
-	const limitHandlers: FrameHandlers = {
+	const suspicions = createSuspicionRelay(monotonicMs);
+	const frameHandlers: FrameHandlers = {
+		suspicions(peer, frame) {
+			const news = suspicions.onReceived(frame.suspicions);
+			for (const entry of news.length > 0 ? entries : []) {
+				if (entry !== peer) {
+					entry.send({kind: 'suspicions', suspicions: news});
+				}
+			}
+		},
 		askPermit(peer, {id, target: asked, perSecond}) {
 			peer.send({kind: 'permit', id, ...dispenser.ask(peer.hello.instance, {id, target: asked, perSecond})});
 		},
@@ -117,11 +127,16 @@
 				for (const limit of dispenser.onEntryUp(peer.hello.instance)) {
 					peer.send({kind: 'limit', limit});
 				}
+
+				const known = suspicions.all();
+				if (known.length > 0) {
+					peer.send({kind: 'suspicions', suspicions: known});
+				}
 			}
 		},
 		onFrame(peer, frame) {
 			metrics.count('frames_received', {kind: frame.kind});
-			if (!group.onFrame(peer, frame) && !directory.onFrame(peer, frame) && !handleFrame(limitHandlers, peer, frame)) {
+			if (!group.onFrame(peer, frame) && !directory.onFrame(peer, frame) && !handleFrame(frameHandlers, peer, frame)) {
 				metrics.count('frame_faults', {reason: 'unexpected'});
 			}
 		},
--- a/packages/direct/src/forward.ts
+++ b/packages/direct/src/forward.ts
@@ -41,6 +41,8 @@
 	/** Counts the bytes of all answers that are held until they are whole. */
 	readonly answerBuffers: AnswerBuffers;
 	readonly crashes: CrashDetector;
+	/** Called when a target has begun to answer a call. */
+	readonly onBegun: (call: Call) => void;
 	/** How long a retryable call may go without a whole event or response before it is retried, or its stream resumed, at another target, in milliseconds. */
 	readonly silenceTimeoutMs: (call: Call) => number;
 	/** Called with the limit in each answer of a target; `sentMs` is when the answered request was sent, in milliseconds of the monotonic clock. */
@@ -216,6 +218,9 @@
 		onEvent() {
 			events++;
 			restartSilenceTimer();
+			if (events === begunEvents) {
+				deps.onBegun(call);
+			}
 		},
 	});
 	const leftMs = Math.max(1, Math.floor(call.deadlineMs - (startedMs - call.arrivedMs)));
@@ -248,8 +253,11 @@
 	}
 
 	place.ended(targetOutcomeOf(result, signal));
-	if (result.kind === 'done' && answer.headersSent) {
-		answer.end();
+	if (result.kind === 'done') {
+		deps.onBegun(call);
+		if (answer.headersSent) {
+			answer.end();
+		}
 	}
 
 	progress.attempts.push({
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -19,3 +19,4 @@
 } from './targets.js';
 export {createLimitedPlacer, type LimitedPlacerOptions} from './limit-place.js';
 export {createGroupPlacer, type GroupPlacer, type GroupPlacerOptions} from './group-place.js';
+export {createQuarantinedPlacer, type QuarantinedPlacerOptions} from './quarantine-place.js';
--- a/packages/outcome/src/outcome.ts
+++ b/packages/outcome/src/outcome.ts
@@ -26,6 +26,7 @@
 	'unknownKey',
 	'resendBudgetSpent',
 	'rateLimited',
+	'quarantined',
 ] as const;
 
 export type RefusalReason = typeof refusalReasons[number];
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -6,6 +6,7 @@
 import {type AnnouncedLimit, type SeenLimit, type TargetLifetime} from '@papayaflow/limit';
 import {type LossReason, type RefusalReason} from '@papayaflow/outcome';
 import {type PlacementRequest} from '@papayaflow/policy';
+import {type AgedSuspicion} from '@papayaflow/quarantine';
 
 /** The version of the frame format; a `hello` frame with another version is rejected. */
 export const protocolVersion = 1;
@@ -181,7 +182,9 @@
 	/** A limit that an entry has seen in an answer of a target. */
 		| {readonly kind: 'limitSeen'; readonly seen: SeenLimit}
 	/** A limit in force, from the sidecar that grants the permissions for the target. */
-		| {readonly kind: 'limit'; readonly limit: AnnouncedLimit};
+		| {readonly kind: 'limit'; readonly limit: AnnouncedLimit}
+	/** What the sender has learned of parts of prompts that crash targets. */
+		| {readonly kind: 'suspicions'; readonly suspicions: readonly AgedSuspicion[]};
 
 /** Any frame between two processes of papayaflow. */
 export type Frame = RequestPathFrame | GroupFrame;
@@ -227,6 +230,7 @@
 	'permit',
 	'limitSeen',
 	'limit',
+	'suspicions',
 ] as const satisfies ReadonlyArray<GroupFrame['kind']>;
 
 const frameKinds: ReadonlySet<string> = new Set<string>([...requestPathKinds, ...groupKinds]);
--- /dev/null
+++ b/packages/quarantine/src/suspicion.ts
@@ -0,0 +1,164 @@
+/** How far apart two reports of one crash of a target can be, in milliseconds. A target takes longer than this to crash again. */
+const sameCrashMs = 2000;
+
+/** The most crashes that are kept for one part; the earliest are dropped. */
+const maxCrashes = 8;
+
+/** The pause before a part is tried that shares its crashes with other suspected parts, in milliseconds: long enough for all instances to know of it. */
+const sharedPauseMs = 1000;
+
+/** The pause before a part is tried that alone explains a crash, in milliseconds. A crash costs all requests of a group for some seconds, which is more than the requests with one part do in this time. */
+const solePauseMs = 30_000;
+
+/** The pause after the first trial that crashed its target, in milliseconds. It is multiplied with each further one. */
+const blockedPauseMs = 300_000;
+const blockedPauseFactor = 5;
+const maxBlockedPauseMs = 3_600_000;
+
+/** A crash of a target that a part of a prompt may have caused. */
+export type SuspectedCrash = {
+	readonly target: string;
+	/** When the crash was noticed, in milliseconds of the monotonic clock of this process. */
+	readonly atMs: number;
+	/** Whether the target was running the trial of this part. */
+	readonly isTrial: boolean;
+};
+
+/** One request with a suspected part that an instance sends to find out whether the part crashes targets. */
+export type Trial = {
+	readonly instance: string;
+	readonly target: string;
+	/** When it was sent, in milliseconds of the monotonic clock of this process. */
+	readonly atMs: number;
+	/** Whether it ended without an effect on the suspicion. */
+	readonly isOver: boolean;
+};
+
+/**
+What is known against one part of prompts. Every answer that was begun with the part
+clears it, which starts a new round without crashes.
+*/
+export type Suspicion = {
+	readonly part: string;
+	readonly round: number;
+	readonly crashes: readonly SuspectedCrash[];
+	readonly trial?: Trial;
+	/** When it last changed, in milliseconds of the monotonic clock of this process. */
+	readonly changedAtMs: number;
+};
+
+/** A suspicion as it is sent to other processes: times are ages in milliseconds. */
+export type AgedSuspicion = {
+	readonly part: string;
+	readonly round: number;
+	readonly ageMs: number;
+	readonly crashes: ReadonlyArray<{readonly target: string; readonly ageMs: number; readonly isTrial: boolean}>;
+	readonly trial?: {readonly instance: string; readonly target: string; readonly ageMs: number; readonly isOver: boolean};
+};
+
+/**
+Whether a part counts as the cause of crashes: a trial of it crashed a target. Several
+crashes without a trial do not suffice, since targets that fail together may all have
+had requests with a sound part.
+*/
+export function isBlocked({crashes}: Suspicion): boolean {
+	return crashes.some(({isTrial}) => isTrial);
+}
+
+/** Whether two crashes are one, as reported by two instances or for two parts. */
+export function isSameCrash(a: SuspectedCrash, b: SuspectedCrash): boolean {
+	return a.target === b.target && Math.abs(a.atMs - b.atMs) < sameCrashMs;
+}
+
+/**
+Returns from when a request with the part may be sent as a trial, in milliseconds of the
+monotonic clock; `undefined` if nothing speaks against the part. Crashes that a blocked
+part among `others` explains do not count. The pause is short while other parts may
+have caused the same crashes, and grows with each trial that crashed its target, up to
+an hour.
+
+@example
+trialFromMs({part: '5c1e07a2', round: 0, crashes: [], changedAtMs: 0}, []); // undefined
+*/
+export function trialFromMs(suspicion: Suspicion, others: readonly Suspicion[]): number | undefined {
+	const trialCrashes = suspicion.crashes.filter(({isTrial}) => isTrial).length;
+	const isCandidateWith = (crash: SuspectedCrash, {crashes}: Suspicion): boolean => crashes.some(other => isSameCrash(crash, other));
+	const blocked = others.filter(other => isBlocked(other));
+	const unexplained = suspicion.crashes.filter(crash => crash.isTrial || !blocked.some(other => isCandidateWith(crash, other)));
+	if (unexplained.length === 0) {
+		return undefined;
+	}
+
+	const lastCrashMs = Math.max(...unexplained.map(({atMs}) => atMs));
+	if (trialCrashes > 0) {
+		return lastCrashMs + Math.min(maxBlockedPauseMs, blockedPauseMs * (blockedPauseFactor ** (trialCrashes - 1)));
+	}
+
+	const isSole = unexplained.some(crash => !others.some(other => isCandidateWith(crash, other)));
+	return lastCrashMs + (isSole ? solePauseMs : sharedPauseMs);
+}
+
+/**
+Merges what two instances know of one part. The higher round wins; in one round the
+crashes are united, and the later trial counts. The order of merges does not matter.
+*/
+export function mergeSuspicions(a: Suspicion, b: Suspicion): Suspicion {
+	if (a.round !== b.round) {
+		return a.round > b.round ? a : b;
+	}
+
+	const trial = mergeTrials(a.trial, b.trial);
+	return {
+		part: a.part, round: a.round, crashes: uniteCrashes(a.crashes, b.crashes), ...(trial && {trial}), changedAtMs: Math.max(a.changedAtMs, b.changedAtMs),
+	};
+}
+
+function uniteCrashes(a: readonly SuspectedCrash[], b: readonly SuspectedCrash[]): readonly SuspectedCrash[] {
+	const united: SuspectedCrash[] = [];
+	for (const crash of [...a, ...b].toSorted((first, second) => first.atMs - second.atMs)) {
+		const index = united.findIndex(known => isSameCrash(known, crash));
+		if (index === -1) {
+			united.push(crash);
+		} else {
+			united[index] = {...united[index], isTrial: united[index].isTrial || crash.isTrial};
+		}
+	}
+
+	return united.slice(-maxCrashes);
+}
+
+function mergeTrials(a: Trial | undefined, b: Trial | undefined): Trial | undefined {
+	if (!a || !b) {
+		return a ?? b;
+	}
+
+	const later = a.atMs > b.atMs || (a.atMs === b.atMs && a.instance >= b.instance) ? a : b;
+	const isSame = a.instance === b.instance && a.target === b.target && Math.abs(a.atMs - b.atMs) < sameCrashMs;
+	return isSame ? {...later, isOver: a.isOver || b.isOver} : later;
+}
+
+/** Converts a suspicion to be sent to another process. */
+export function ageOf({part, round, crashes, trial, changedAtMs}: Suspicion, nowMs: number): AgedSuspicion {
+	return {
+		part, round, ageMs: nowMs - changedAtMs,
+		crashes: crashes.map(({target, atMs, isTrial}) => ({target, ageMs: nowMs - atMs, isTrial})),
+		...(trial && {
+			trial: {
+				instance: trial.instance, target: trial.target, ageMs: nowMs - trial.atMs, isOver: trial.isOver,
+			},
+		}),
+	};
+}
+
+/** Converts a suspicion that another process has sent. */
+export function fromAged({part, round, ageMs, crashes, trial}: AgedSuspicion, nowMs: number): Suspicion {
+	return {
+		part, round, changedAtMs: nowMs - ageMs,
+		crashes: crashes.map(crash => ({target: crash.target, atMs: nowMs - crash.ageMs, isTrial: crash.isTrial})),
+		...(trial && {
+			trial: {
+				instance: trial.instance, target: trial.target, atMs: nowMs - trial.ageMs, isOver: trial.isOver,
+			},
+		}),
+	};
+}
--- /dev/null
+++ b/packages/quarantine/src/suspicions.ts
@@ -0,0 +1,87 @@
+import {LRUCache} from 'lru-cache';
+import {
+	ageOf, fromAged, isBlocked, mergeSuspicions, trialFromMs, type AgedSuspicion, type Suspicion,
+} from './suspicion.js';
+
+/** How many parts are kept. Parts whose suspicion has not changed for the longest time are dropped first. */
+const maxParts = 256;
+
+/** How long a suspicion is kept without a change, in milliseconds: longer than the longest pause before a trial. */
+const forgetAfterMs = 7_200_000;
+
+/** How the belief about a part changed. */
+export type SuspicionChange = 'suspected' | 'blocked' | 'cleared';
+
+/** All suspicions that a process knows of. */
+export type Suspicions = {
+	get(part: string): Suspicion | undefined;
+	/** The suspicions, including those of parts that were cleared. */
+	all(): readonly Suspicion[];
+	/** From when a request with the part may be sent as a trial, in milliseconds of the monotonic clock; `undefined` if nothing speaks against the part. */
+	trialFromMs(part: string): number | undefined;
+	/** Merges a suspicion into the table. Returns whether that changed it, and how the belief about the part changed. */
+	merge(next: Suspicion): {readonly isNews: boolean; readonly change: SuspicionChange | undefined};
+	/** The suspicions to send to another process. */
+	aged(suspicions: readonly Suspicion[]): readonly AgedSuspicion[];
+	/** Merges what another process has sent and returns what was news, each with how the belief changed. */
+	mergeAged(received: readonly AgedSuspicion[]): ReadonlyArray<{readonly suspicion: Suspicion; readonly change: SuspicionChange | undefined}>;
+};
+
+/**
+Creates an empty table. It keeps 256 parts at most, and each for two hours at most.
+
+@example
+const suspicions = createSuspicions(() => performance.now());
+suspicions.merge({part: '91bd3f06', round: 0, crashes: [{target: 'i-1', atMs: 5, isTrial: false}], changedAtMs: 5});
+*/
+export function createSuspicions(nowMs: () => number): Suspicions {
+	const byPart = new LRUCache<string, Suspicion>({max: maxParts});
+
+	const merge = (next: Suspicion): {readonly isNews: boolean; readonly change: SuspicionChange | undefined} => {
+		const held = byPart.peek(next.part);
+		const merged = held ? mergeSuspicions(held, next) : next;
+		if (nowMs() - merged.changedAtMs > forgetAfterMs || (held && isSame(held, merged))) {
+			return {isNews: false, change: undefined};
+		}
+
+		byPart.set(next.part, merged);
+		return {isNews: true, change: changeBetween(held, merged)};
+	};
+
+	const all = (): readonly Suspicion[] => [...byPart.values()].filter(({changedAtMs}) => nowMs() - changedAtMs <= forgetAfterMs);
+
+	return {
+		get: part => byPart.peek(part),
+		all,
+		trialFromMs(part) {
+			const suspicion = byPart.peek(part);
+			return suspicion && trialFromMs(suspicion, all().filter(other => other.part !== part));
+		},
+		merge,
+		aged: suspicions => suspicions.map(suspicion => ageOf(suspicion, nowMs())),
+		mergeAged: received => received.flatMap(aged => {
+			const {isNews, change} = merge(fromAged(aged, nowMs()));
+			return isNews ? [{suspicion: byPart.peek(aged.part)!, change}] : [];
+		}),
+	};
+}
+
+/** Whether two states of a suspicion differ in no more than the time at which reports arrived. */
+function isSame(a: Suspicion, b: Suspicion): boolean {
+	return a.round === b.round && a.crashes.length === b.crashes.length
+		&& a.crashes.every(({target, isTrial}, index) => target === b.crashes[index].target && isTrial === b.crashes[index].isTrial)
+		&& a.trial?.instance === b.trial?.instance && a.trial?.target === b.trial?.target && a.trial?.isOver === b.trial?.isOver;
+}
+
+function changeBetween(before: Suspicion | undefined, after: Suspicion): SuspicionChange | undefined {
+	const [stateBefore, stateAfter] = [stateOf(before), stateOf(after)];
+	return stateBefore === stateAfter ? undefined : stateAfter;
+}
+
+function stateOf(suspicion: Suspicion | undefined): SuspicionChange {
+	if (!suspicion || suspicion.crashes.length === 0) {
+		return 'cleared';
+	}
+
+	return isBlocked(suspicion) ? 'blocked' : 'suspected';
+}
--- /dev/null
+++ b/packages/quarantine/test/quarantine.test.ts
@@ -0,0 +1,193 @@
+import {expect} from 'chai';
+import {
+	beforeEach, describe, it,
+} from 'mocha';
+import {createSuspicionRelay, type Quarantine} from '../src/index.js';
+import {createInstances, type Instances} from './helper.js';
+
+const minuteMs = 60_000;
+
+describe('a quarantine', () => {
+	let clock: {nowMs: number};
+	let instances: Instances;
+	let first: Quarantine;
+	let second: Quarantine;
+
+	beforeEach(() => {
+		clock = {nowMs: 1000};
+		instances = createInstances(2, {clock});
+		[first, second] = instances.quarantines;
+	});
+
+	const crash = (quarantine: Quarantine, target: string, ...requests: ReadonlyArray<readonly string[]>): void => {
+		quarantine.onCrash(target, requests.map(parts => ({parts})));
+		instances.deliver();
+	};
+
+	const kinds = (parts: readonly string[]): readonly string[] => instances.quarantines.map(quarantine => quarantine.check(parts).kind);
+
+	it('keeps the part that crashed a target from all instances, and no other part', () => {
+		first.onBegun(['popular']);
+		crash(first, 'i-1', ['popular', 'bad']);
+		expect(kinds(['popular', 'bad'])).to.deep.equal(['refused', 'refused']);
+		expect(kinds(['popular', 'other'])).to.deep.equal(['admitted', 'admitted']);
+		expect(kinds([])).to.deep.equal(['admitted', 'admitted']);
+	});
+
+	it('suspects a part in the first place too', () => {
+		crash(first, 'i-1', ['bad']);
+		expect(kinds(['bad', 'other'])).to.deep.equal(['refused', 'refused']);
+	});
+
+	it('suspects no part with which an answer was begun in the last minute', () => {
+		first.onBegun(['a', 'b']);
+		clock.nowMs += minuteMs - 1;
+		crash(first, 'i-1', ['a', 'b']);
+		expect(kinds(['a', 'b'])).to.deep.equal(['admitted', 'admitted']);
+		clock.nowMs += 2;
+		crash(first, 'i-2', ['a', 'b']);
+		expect(kinds(['a', 'b'])).to.deep.equal(['refused', 'refused']);
+	});
+
+	it('clears a part that another instance suspects if an answer was begun with it here', () => {
+		second.onBegun(['a']);
+		clock.nowMs += 1000;
+		crash(first, 'i-1', ['a']);
+		expect(kinds(['a'])).to.deep.equal(['admitted', 'admitted']);
+	});
+
+	it('tries the part that alone explains a crash after half a minute, one request at a time over all instances', () => {
+		crash(first, 'i-1', ['bad']);
+		clock.nowMs += 29_000;
+		expect(kinds(['bad'])).to.deep.equal(['refused', 'refused']);
+		clock.nowMs += 1000;
+		expect(second.admit(['bad'], 'i-2').kind).to.equal('trial');
+		instances.deliver();
+		expect(kinds(['bad'])).to.deep.equal(['refused', 'refused']);
+	});
+
+	it('tries parts that may all have caused a crash after a second, one after the other', () => {
+		crash(first, 'i-1', ['a', 'b'], ['c']);
+		clock.nowMs += 1000;
+		expect(first.admit(['a'], 'i-2').kind).to.equal('trial');
+		instances.deliver();
+		expect(kinds(['c'])).to.deep.equal(['refused', 'refused']);
+		first.onBegun(['a']);
+		instances.deliver();
+		expect(kinds(['a'])).to.deep.equal(['admitted', 'admitted']);
+		expect(second.admit(['c'], 'i-2').kind).to.equal('trial');
+	});
+
+	it('suspects no other part of a crash once a trial has shown which one causes crashes', () => {
+		crash(first, 'i-1', ['a', 'bad']);
+		clock.nowMs += 1000;
+		first.admit(['bad'], 'i-2');
+		instances.deliver();
+		clock.nowMs += 300;
+		crash(second, 'i-2', ['d']);
+		expect(kinds(['bad'])).to.deep.equal(['refused', 'refused']);
+		expect(kinds(['a'])).to.deep.equal(['admitted', 'admitted']);
+		expect(kinds(['d']), 'fell with the trial').to.deep.equal(['admitted', 'admitted']);
+	});
+
+	it('blocks a part for five minutes after a crash in its trial, and five times as long after the next', () => {
+		crash(first, 'i-1', ['bad']);
+		for (const [pauseMs, target] of [[30_000, 'i-2'], [5 * minuteMs, 'i-3'], [25 * minuteMs, 'i-4']] as const) {
+			clock.nowMs += pauseMs - 1;
+			expect(kinds(['bad']), `before ${target}`).to.deep.equal(['refused', 'refused']);
+			clock.nowMs += 1;
+			expect(first.admit(['bad'], target).kind).to.equal('trial');
+			instances.deliver();
+			crash(first, target, ['bad']);
+		}
+	});
+
+	it('clears a blocked part when an answer is begun with it', () => {
+		crash(first, 'i-1', ['bad']);
+		clock.nowMs += 30_000;
+		first.admit(['bad'], 'i-2');
+		crash(first, 'i-2', ['bad']);
+		clock.nowMs += 5 * minuteMs;
+		first.admit(['bad'], 'i-3');
+		instances.deliver();
+		first.onBegun(['bad']);
+		instances.deliver();
+		expect(kinds(['bad'])).to.deep.equal(['admitted', 'admitted']);
+	});
+
+	it('lets another request be the trial when one was not run, or has had no effect for three seconds', () => {
+		crash(first, 'i-1', ['bad']);
+		clock.nowMs += 30_000;
+		first.admit(['bad'], 'i-2');
+		instances.deliver();
+		first.endTrial('bad');
+		instances.deliver();
+		expect(second.admit(['bad'], 'i-3').kind).to.equal('trial');
+		instances.deliver();
+		expect(kinds(['bad'])).to.deep.equal(['refused', 'refused']);
+		clock.nowMs += 3000;
+		expect(kinds(['bad'])).to.deep.equal(['trial', 'trial']);
+	});
+
+	it('counts a crash that two instances report as one', () => {
+		crash(first, 'i-1', ['bad']);
+		clock.nowMs += 500;
+		crash(second, 'i-1', ['bad']);
+		expect(first.status()).to.have.nested.property('[0].crashes.length', 1);
+	});
+
+	it('gives an instance that joins, or was cut off or frozen, what the others know', () => {
+		const cutOff = new Set([1]);
+		instances = createInstances(2, {clock, cutOff});
+		[first, second] = instances.quarantines;
+		crash(first, 'i-1', ['bad']);
+		expect(kinds(['bad'])).to.deep.equal(['refused', 'admitted']);
+		const relay = createSuspicionRelay(() => clock.nowMs);
+		relay.onReceived(first.all());
+		clock.nowMs += 5000;
+		second.onReceived('relay', relay.all());
+		const joined = instances.add();
+		joined.onReceived('relay', relay.all());
+		expect(kinds(['bad'])).to.deep.equal(['refused', 'refused', 'refused']);
+		clock.nowMs += 25_000;
+		expect(kinds(['bad']), 'the age of the crash is known').to.deep.equal(['trial', 'trial', 'trial']);
+	});
+
+	it('lets a clearing win over crashes that an instance without it still reports', () => {
+		const stale = first;
+		crash(stale, 'i-1', ['a']);
+		const staleReport = stale.all();
+		second.onBegun(['a']);
+		instances.deliver();
+		second.onReceived('instance-0', staleReport);
+		expect(kinds(['a'])).to.deep.equal(['admitted', 'admitted']);
+	});
+
+	it('passes on what is news only, however many instances send it', () => {
+		const relay = createSuspicionRelay(() => clock.nowMs);
+		crash(first, 'i-1', ['bad']);
+		expect(relay.onReceived(first.all())).to.have.length(1);
+		clock.nowMs += 3;
+		expect(relay.onReceived(second.all())).to.have.length(0);
+	});
+
+	it('clears one part or all of them for an operator, at all instances', () => {
+		crash(first, 'i-1', ['a', 'b']);
+		expect(second.clear('a')).to.equal(1);
+		instances.deliver();
+		expect([...kinds(['a']), ...kinds(['b'])]).to.deep.equal(['admitted', 'admitted', 'refused', 'refused']);
+		expect(second.clear()).to.equal(1);
+		instances.deliver();
+		expect(kinds(['b'])).to.deep.equal(['admitted', 'admitted']);
+	});
+
+	it('keeps 256 parts at most, the latest ones', () => {
+		for (let i = 0; i < 300; i++) {
+			clock.nowMs += 10;
+			crash(first, `i-${i}`, [`part-${i}`]);
+		}
+
+		expect(first.all()).to.have.length(256);
+		expect([first.check(['part-0']).kind, first.check(['part-299']).kind]).to.deep.equal(['admitted', 'refused']);
+	});
+});
--- a/packages/telemetry/src/admin.ts
+++ b/packages/telemetry/src/admin.ts
@@ -11,8 +11,8 @@
 	ready(): {readonly ready: boolean; readonly reason?: string};
 	/** Returns the body of `GET /status`. */
 	status(): unknown;
-	/** Handlers of further endpoints, by `METHOD /path`. */
-	readonly actions?: Readonly<Record<string, () => Promise<AdminReply> | AdminReply>>;
+	/** Handlers of further endpoints, by `METHOD /path`; each gets the query of the request. */
+	readonly actions?: Readonly<Record<string, (query: URLSearchParams) => Promise<AdminReply> | AdminReply>>;
 };
 
 /**
@@ -33,7 +33,7 @@
 }
 
 async function answer(request: IncomingMessage, sources: AdminSources): Promise<AdminReply> {
-	const path = (request.url ?? '/').split('?', 1)[0];
+	const [path, query = ''] = (request.url ?? '/').split('?', 2);
 	switch (`${request.method} ${path}`) {
 		case 'GET /metrics': {
 			return {status: 200, body: await sources.metrics.text()};
@@ -54,7 +54,7 @@
 
 		default: {
 			const action = sources.actions?.[`${request.method} ${path}`];
-			return action ? action() : {status: 404, body: {reason: 'noSuchEndpoint'}};
+			return action ? action(new URLSearchParams(query)) : {status: 404, body: {reason: 'noSuchEndpoint'}};
 		}
 	}
 }
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -420,4 +420,34 @@
 		find: 'if (disconnectedAtMs !== undefined || era > eraBefore) {', replace: 'if (disconnectedAtMs !== undefined) {',
 		spec: 'cli/test/directory.test.ts', test: 'keeps a target that the store has lost',
 	},
+	{
+		name: 'requests with a suspected part are refused', file: 'quarantine/src/quarantine.ts',
+		find: 'if (waitMs > 0 || suspicions.all().some(other => isTrialUnderWay(other))) {', replace: 'if (waitMs > Number.MAX_VALUE) {',
+		spec: 'quarantine/test/quarantine.test.ts', test: 'keeps the part that crashed a target from all instances',
+	},
+	{
+		name: 'one trial at a time over all instances', file: 'quarantine/src/quarantine.ts',
+		find: 'if (waitMs > 0 || suspicions.all().some(other => isTrialUnderWay(other))) {', replace: 'if (waitMs > 0) {',
+		spec: 'quarantine/test/quarantine.test.ts', test: 'one request at a time over all instances',
+	},
+	{
+		name: 'parts with begun answers are not suspected', file: 'quarantine/src/quarantine.ts',
+		find: 'return begun === undefined || now - begun > begunValidMs;', replace: 'return begun === undefined || now >= begun;',
+		spec: 'quarantine/test/quarantine.test.ts', test: 'suspects no part with which an answer was begun',
+	},
+	{
+		name: 'a trial explains the crash of its target', file: 'quarantine/src/quarantine.ts',
+		find: 'const suspected = trials.length > 0 ? trials : candidates;', replace: 'const suspected = candidates;',
+		spec: 'quarantine/test/quarantine.test.ts', test: 'suspects no other part of a crash once a trial',
+	},
+	{
+		name: 'the higher round of a suspicion wins', file: 'quarantine/src/suspicion.ts',
+		find: 'return a.round > b.round ? a : b;', replace: 'return a.crashes.length > b.crashes.length ? a : b;',
+		spec: 'quarantine/test/quarantine.test.ts', test: 'lets a clearing win',
+	},
+	{
+		name: 'a lost connection is no crash while the target takes the next one', file: 'direct/src/crash.ts',
+		find: 'return false;', replace: 'return true;',
+		spec: '../platform/test/direct/crashes.test.ts', test: 'has not crashed if it takes the next connection',
+	},
 ];
