--- a/packages/cli/src/entry-wiring.ts
+++ b/packages/cli/src/entry-wiring.ts
@@ -11,7 +11,7 @@
 import {type SettingsOf, portSetting} from '@papayaflow/settings';
 import {connectStore} from '@papayaflow/store';
 import {createLog, createMetrics, serveAdmin} from '@papayaflow/telemetry';
-import {listen} from './program.js';
+import {listen, reportPorts} from './program.js';
 import {sharedSettings} from './shared-settings.js';
 
 const defaultSubsetSize = 20;
@@ -112,6 +112,7 @@
 	const adminPort = await listen(admin, settings.adminPort, settings.address);
 	const port = await listen(front.server, settings.port, settings.address);
 	log.info({port, adminPort}, 'entry started');
+	reportPorts({port, adminPort});
 
 	return {
 		port,
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -56,6 +56,17 @@
 	});
 }
 
+/**
+Tells the process that started this program, if it has opened an IPC channel, which ports
+the program listens on.
+
+@example
+reportPorts({port: 8080, adminPort: 9101});
+*/
+export function reportPorts(ports: {readonly port: number; readonly adminPort: number}): void {
+	process.send?.(ports);
+}
+
 /**
 Logs SIGHUP and ignores it; without a handler the signal would end the process. Settings
 are read only at startup, so there is nothing to reload.
--- a/packages/cli/src/sidecar-wiring.ts
+++ b/packages/cli/src/sidecar-wiring.ts
@@ -20,7 +20,7 @@
 import {createLog, createMetrics, serveAdmin} from '@papayaflow/telemetry';
 import * as z from 'zod';
 import {type RunningProgram} from './entry-wiring.js';
-import {listen} from './program.js';
+import {listen, reportPorts} from './program.js';
 import {sharedSettings} from './shared-settings.js';
 
 /** How often the revision is broadcast while nothing changes. */
@@ -276,6 +276,7 @@
 	const adminPort = await listen(admin, settings.adminPort, settings.address);
 	const port = await listen(peers.server, settings.port, settings.address);
 	log.info({port, adminPort}, 'sidecar started');
+	reportPorts({port, adminPort});
 
 	return {
 		port,
--- a/packages/cli/test/site.ts
+++ b/packages/cli/test/site.ts
@@ -82,9 +82,9 @@
 export async function startSite(counts: {readonly entries: number; readonly ranks: number; readonly plains: number}): Promise<Site> {
 	const store = createPlatformStore(Date.now);
 	const storePort = await listenOn(store.server);
-	const peerPort = await findFreePort();
 	const engines = Array.from({length: counts.ranks}, () => createLimitedTarget({workMs}));
-	const hosts = engines.map((_, rank) => `127.0.0.${rank + 11}`);
+	const hosts = engines.map((_, rank) => loopbackHost(rank + 1));
+	const peerPort = await findFreePort(hosts[0]);
 	const ranks = await startPassServers({
 		ranks: counts.ranks, layers: 1, expertsPerLayer: 6, passMs: 5, demand: () => 1, hosts,
 		serve(rank, req, res) {
@@ -238,15 +238,21 @@
 	throw new Error('the site was not ready in time');
 }
 
-async function listenOn(server: Server): Promise<number> {
-	server.listen(0, '127.0.0.1');
+/** A loopback address that no other test process uses, so that all sidecars of a site can have the same port. */
+function loopbackHost(index: number): string {
+	const octets = 254;
+	return `127.${1 + (Math.floor(process.pid / octets) % octets)}.${1 + (process.pid % octets)}.${index}`;
+}
+
+async function listenOn(server: Server, host = '127.0.0.1'): Promise<number> {
+	server.listen(0, host);
 	await once(server, 'listening');
 	return (server.address() as AddressInfo).port;
 }
 
-async function findFreePort(): Promise<number> {
+async function findFreePort(host: string): Promise<number> {
 	const server = createServer();
-	const port = await listenOn(server);
+	const port = await listenOn(server, host);
 	server.close();
 	return port;
 }
--- a/packages/demo/src/fleet.ts
+++ b/packages/demo/src/fleet.ts
@@ -1,7 +1,6 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import {closeSync, openSync} from 'node:fs';
-import {createServer} from 'node:net';
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
@@ -70,15 +69,14 @@
 	const children: ChildProcess[] = [];
 
 	const spawnProgram = (program: string, args: readonly string[]): ChildProcess => {
-		const child = spawn(process.execPath, [path.join(distributionDirectory, `${program}.js`), ...args], {stdio: ['ignore', log ?? 'ignore', log ?? 'ignore']});
+		const child = spawn(process.execPath, [path.join(distributionDirectory, `${program}.js`), ...args], {stdio: ['ignore', log ?? 'ignore', log ?? 'ignore', 'ipc']});
 		children.push(child);
 		return child;
 	};
 
 	const startStandin = async (kind: string, args: readonly string[] = []): Promise<{child: ChildProcess; port: number}> => {
-		const port = await freePort();
-		const child = spawnProgram('standins', [kind, '--port', String(port), ...args]);
-		await waitForHttp(port, '/', child);
+		const child = spawnProgram('standins', [kind, '--port', '0', ...args]);
+		const {port} = await waitForPorts(child);
 		return {child, port};
 	};
 
@@ -87,14 +85,8 @@
 	const platformArguments = ['--store', url(kv.port), '--instances', url(list.port)];
 
 	const startProgram = async (program: string, id: string, zone: string, args: readonly string[]): Promise<FleetProcess> => {
-		const [port, adminPort] = [await freePort(), await freePort()];
-		const child = spawnProgram(program, [
-			'--instance', id, '--zone', zone, '--port', String(port), '--admin-port', String(adminPort), ...platformArguments, ...options.args ?? [], ...args,
-		]);
-		await waitForHttp(adminPort, '/healthz', child);
-		return {
-			id, child, port, adminPort,
-		};
+		const child = spawnProgram(program, ['--instance', id, '--zone', zone, '--port', '0', '--admin-port', '0', ...platformArguments, ...options.args ?? [], ...args]);
+		return {id, child, ...await waitForPorts(child)};
 	};
 
 	const post = async (port: number, pathname: string, body: unknown, method: 'POST' | 'DELETE' = 'POST'): Promise<void> => {
@@ -193,35 +185,15 @@
 	return [...(needsStore && !isLocal ? platformArguments.slice(0, 2) : []), ...(needsList ? platformArguments.slice(2) : [])];
 }
 
-async function waitForHttp(port: number, pathname: string, child: ChildProcess): Promise<void> {
-	const isUp = await waitUntil(async () => {
-		if (child.exitCode !== null) {
-			throw new Error(`${child.spawnargs.join(' ')} exited with code ${child.exitCode} before it answered HTTP`);
-		}
-
-		try {
-			const res = await request(url(port) + pathname, {signal: AbortSignal.timeout(startTimeoutMs)});
-			await res.body.dump();
-			return true;
-		} catch {
-			return false;
-		}
-	}, startTimeoutMs);
-	if (!isUp) {
-		throw new Error(`no process answers HTTP on port ${port}`);
-	}
-}
-
-async function freePort(): Promise<number> {
-	return new Promise(resolve => {
-		const server = createServer();
-		server.listen(0, host, () => {
-			const {port} = server.address() as {port: number};
-			server.close(() => {
-				resolve(port);
-			});
-		});
+/** Waits until a program has sent the ports that it listens on. */
+async function waitForPorts(child: ChildProcess): Promise<{readonly port: number; readonly adminPort: number}> {
+	const started = once(child, 'message', {signal: AbortSignal.timeout(startTimeoutMs)}) as Promise<[{readonly port: number; readonly adminPort: number}]>;
+	const exited = once(child, 'exit').then(([code]) => {
+		throw new Error(`${child.spawnargs.join(' ')} exited with code ${code} before it listened`);
 	});
+	const [ports] = await Promise.race([started, exited]);
+	child.disconnect();
+	return ports;
 }
 
 function url(port: number): string {
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -1,4 +1,5 @@
 import {type Server} from 'node:http';
+import {type AddressInfo} from 'node:net';
 import process from 'node:process';
 import {parseArgs} from 'node:util';
 import {serveEngine} from './engine.js';
@@ -36,7 +37,11 @@
 	process.exit(2);
 }
 
-serverFactories[kind]().listen(Number(values.port), '127.0.0.1');
+const server = serverFactories[kind]();
+server.listen(Number(values.port), '127.0.0.1', () => {
+	const {port} = server.address() as AddressInfo;
+	process.send?.({port, adminPort: port});
+});
 process.on('SIGTERM', () => {
 	process.exit(0);
 });
