--- a/packages/quarantine/src/suspicion.ts
+++ b/packages/quarantine/src/suspicion.ts
@@ -115,7 +115,7 @@
 
 function uniteCrashes(a: readonly SuspectedCrash[], b: readonly SuspectedCrash[]): readonly SuspectedCrash[] {
 	const united: SuspectedCrash[] = [];
-	for (const crash of [...a, ...b].toSorted((first, second) => first.atMs - second.atMs)) {
+	for (const crash of [...a, ...b].toSorted((first, second) => first.atMs - second.atMs || first.target.localeCompare(second.target))) {
 		const index = united.findIndex(known => isSameCrash(known, crash));
 		if (index === -1) {
 			united.push(crash);
@@ -127,14 +127,18 @@
 	return united.slice(-maxCrashes);
 }
 
+/** Whether two trials are one, as known to two instances. */
+export function isSameTrial(a: Trial, b: Trial): boolean {
+	return a.instance === b.instance && a.target === b.target && Math.abs(a.atMs - b.atMs) < sameCrashMs;
+}
+
 function mergeTrials(a: Trial | undefined, b: Trial | undefined): Trial | undefined {
 	if (!a || !b) {
 		return a ?? b;
 	}
 
-	const later = a.atMs > b.atMs || (a.atMs === b.atMs && a.instance >= b.instance) ? a : b;
-	const isSame = a.instance === b.instance && a.target === b.target && Math.abs(a.atMs - b.atMs) < sameCrashMs;
-	return isSame ? {...later, isOver: a.isOver || b.isOver} : later;
+	const [later] = [a, b].toSorted((first, second) => second.atMs - first.atMs || second.instance.localeCompare(first.instance) || second.target.localeCompare(first.target));
+	return isSameTrial(a, b) ? {...later, isOver: a.isOver || b.isOver} : later;
 }
 
 /** Converts a suspicion to be sent to another process. */
--- a/packages/quarantine/src/suspicions.ts
+++ b/packages/quarantine/src/suspicions.ts
@@ -1,6 +1,6 @@
 import {LRUCache} from 'lru-cache';
 import {
-	ageOf, fromAged, isBlocked, mergeSuspicions, trialFromMs, type AgedSuspicion, type Suspicion,
+	ageOf, fromAged, isBlocked, isSameCrash, isSameTrial, mergeSuspicions, trialFromMs, type AgedSuspicion, type Suspicion,
 } from './suspicion.js';
 
 /** How many parts are kept. Parts whose suspicion has not changed for the longest time are dropped first. */
@@ -68,9 +68,9 @@
 
 /** Whether two states of a suspicion differ in no more than the time at which reports arrived. */
 function isSame(a: Suspicion, b: Suspicion): boolean {
-	return a.round === b.round && a.crashes.length === b.crashes.length
-		&& a.crashes.every(({target, isTrial}, index) => target === b.crashes[index].target && isTrial === b.crashes[index].isTrial)
-		&& a.trial?.instance === b.trial?.instance && a.trial?.target === b.trial?.target && a.trial?.isOver === b.trial?.isOver;
+	const areTrialsSame = a.trial && b.trial ? isSameTrial(a.trial, b.trial) && a.trial.isOver === b.trial.isOver : a.trial === b.trial;
+	return areTrialsSame && a.round === b.round && a.crashes.length === b.crashes.length
+		&& a.crashes.every(crash => b.crashes.some(other => isSameCrash(crash, other) && crash.isTrial === other.isTrial));
 }
 
 function changeBetween(before: Suspicion | undefined, after: Suspicion): SuspicionChange | undefined {
