--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -26,6 +26,9 @@
 	readonly arrivedMs: number;
 };
 
+/** The most parts of a prompt in a log line. */
+export const maxLoggedParts = 8;
+
 /** Whether a call may be sent again after a target may have run it. */
 export function isRetryable({route}: Call): boolean {
 	return route.kind === 'idempotent' || (route.kind === 'stream' && route.isResumable);
--- a/packages/direct/src/crash.ts
+++ b/packages/direct/src/crash.ts
@@ -2,6 +2,7 @@
 import {connect} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
+import {maxLoggedParts} from './call.js';
 import {type Target} from './targets.js';
 
 /** How long to wait for other requests that the same crash has cut off, in milliseconds. Their connections close together. */
@@ -49,7 +50,7 @@
 
 		metrics.count('target_crashes');
 		log.warn({
-			target: id, service, requests: requests.map(({requestId, parts}) => ({requestId, parts})),
+			target: id, service, requests: requests.map(({requestId, parts}) => ({requestId, parts: parts.slice(0, maxLoggedParts)})),
 		}, 'target crashed before it began to answer these requests');
 		onCrash(target, requests);
 	};
--- a/packages/direct/src/forward.ts
+++ b/packages/direct/src/forward.ts
@@ -213,14 +213,20 @@
 	};
 
 	let events = 0;
+	let hasBegun = false;
+	const recordBegun = (isBegun: boolean): void => {
+		if (isBegun && !hasBegun) {
+			hasBegun = true;
+			deps.onBegun(call);
+		}
+	};
+
 	const receiver = createAnswerReceiver(admitted, {
 		place, progress, answerBuffers: deps.answerBuffers,
 		onEvent() {
 			events++;
 			restartSilenceTimer();
-			if (events === begunEvents) {
-				deps.onBegun(call);
-			}
+			recordBegun(events === begunEvents);
 		},
 	});
 	const leftMs = Math.max(1, Math.floor(call.deadlineMs - (startedMs - call.arrivedMs)));
@@ -254,7 +260,7 @@
 
 	place.ended(targetOutcomeOf(result, signal));
 	if (result.kind === 'done') {
-		deps.onBegun(call);
+		recordBegun(result.status < 300);
 		if (answer.headersSent) {
 			answer.end();
 		}
--- a/packages/direct/src/front.ts
+++ b/packages/direct/src/front.ts
@@ -6,7 +6,7 @@
 import {type LossReason, type RefusalReason} from '@papayaflow/outcome';
 import {drawService, identifyCaller, type RouteTable} from '@papayaflow/routing';
 import {createCallerAnswer, type CallerAnswer} from './answer.js';
-import {type Call} from './call.js';
+import {maxLoggedParts, type Call} from './call.js';
 import {forward, type ForwardDeps, type ForwardResult} from './forward.js';
 
 /** The retry delay suggested to callers before the first configuration is known, in milliseconds. An entry receives it within about a second. */
@@ -21,9 +21,6 @@
 /** How much longer than the configured idle timeout a connection is kept open, in milliseconds, so that a request sent just before the timeout still arrives. */
 const keepAliveMarginMs = 1000;
 
-/** The most parts of a prompt in the log line of a request. */
-const maxLoggedParts = 8;
-
 /** The unread bytes of a response beyond which the call of a slow caller is cancelled. */
 const maxUnreadBytes = 4_194_304;
 
