Keep requests away from targets that say that they leave or name a later time

A target that leaves says so in all its answers (`Server-Leaving: 1`), also before its registration says it, and a target that turns a request away may name the time for which it wants nothing more (`Retry-After`). Nothing read either header.

That a target leaves holds for its lifetime, also when its registration lapses and comes back; only a new lifetime ends it. A coordinator is told with each placement which targets its entry knows to leave, so no further frame is needed. It is a second table in packages/limit and not one of the named rates: a rate is shared by all entries and needs permissions, a pause concerns one entry and needs none. Both go through the one placer, so attempts that are sent again or resume a stream obey them too, and they are checked again when the connection is open.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -3,7 +3,7 @@
 	createAnswerBuffers, createCrashDetector, createFront, createGroupPlacer, createLimitedPlacer, createPlainPlacer, createQuarantinedPlacer, createTargets,
 } from '@papayaflow/direct';
 import {
-	createBeliefs, createEngineChoice, createPermits, limitChanges, permitResults, type DispenserLink, type TargetLifetime,
+	createBeliefs, createEngineChoice, createPauses, createPermits, limitChanges, permitResults, type DispenserLink, type TargetLifetime,
 } from '@papayaflow/limit';
 import {lossReasons, refusalReasons} from '@papayaflow/outcome';
 import {
@@ -95,6 +95,7 @@
 		},
 	});
 	const beliefs = createBeliefs({monotonicMs, metrics, log});
+	const pauses = createPauses({monotonicMs, metrics, log});
 	const directory = openDirectory({
 		instance, store: connectPlatformStore({address: addressOf(settings.store), timeoutMs: settings.storeTimeoutMs}),
 		pauseMs: settings.storePauseMs, prefersPeers: false, log, metrics, monotonicMs, random, sleep: pause, signal: shutdown.signal,
@@ -217,7 +218,7 @@
 		place: createQuarantinedPlacer({
 			quarantine,
 			place: createLimitedPlacer({
-				place: async need => model(need.call.service) ? groupPlacer.place(need) : placePlain(need), targets, permits, random,
+				place: async need => model(need.call.service) ? groupPlacer.place(need) : placePlain(need), targets, permits, pauses, random,
 			}),
 		}),
 		resendBudget: createResendBudget({
@@ -234,8 +235,15 @@
 			quarantine.onBegun(sharedParts);
 		},
 		silenceTimeoutMs: ({route}) => route.kind === 'stream' ? settings.stallMs + stallMarginMs : Math.max(route.objectiveMs, minSilenceMs),
-		onLimit({record}, limit, sentMs) {
-			permits.onAnswer(record, limit, sentMs);
+		onAnswer(target, {limit, pause: namedPause, leaving}, sentMs) {
+			permits.onAnswer(target.record, limit, sentMs);
+			pauses.observe(target.record, namedPause);
+			if (leaving.kind === 'yes') {
+				target.markLeaving();
+			} else if (leaving.kind === 'malformed') {
+				metrics.count('leaving_malformed');
+				log.warn({target: target.record.id, value: leaving.text}, 'a target does not say clearly whether it leaves; the value is ignored');
+			}
 		},
 	});
 	const createAdminServer = (): ReturnType<typeof serveAdmin> => serveAdmin({
--- a/packages/cli/test/site.ts
+++ b/packages/cli/test/site.ts
@@ -223,6 +223,23 @@
 	};
 }
 
+/**
+Sends `perSecond` calls a second, dealt to all entries in turn, for `ms` milliseconds, and waits for their responses.
+
+@example
+const results = await loadSite(site, 'plain', {perSecond: 60, ms: 1000});
+*/
+export async function loadSite(site: Site, service: 'plain' | 'model', {perSecond, ms}: {readonly perSecond: number; readonly ms: number}): Promise<readonly CallResult[]> {
+	const calls: Array<Promise<CallResult>> = [];
+	const startedMs = performance.now();
+	for (let sent = 0; performance.now() - startedMs < ms; sent++) {
+		calls.push(site.call(site.entries[sent % site.entries.length], service));
+		await sleep(Math.max(0, startedMs + ((sent + 1) * 1000 / perSecond) - performance.now()));
+	}
+
+	return Promise.all(calls);
+}
+
 /** Waits until a check returns a value, and returns it. Throws after 15 seconds. */
 export async function waitFor<T>(check: () => Promise<T | undefined>): Promise<T> {
 	const deadlineMs = performance.now() + readyTimeoutMs;
--- a/packages/cli/test/target-limit.test.ts
+++ b/packages/cli/test/target-limit.test.ts
@@ -4,25 +4,13 @@
 import {
 	after, before, describe, it,
 } from 'mocha';
-import {startSite, type CallResult, type Site} from './site.js';
+import {loadSite, startSite, type Site} from './site.js';
 
 /** The time after which all entries must know of a limit, in milliseconds. */
 const spreadMs = 500;
 
 const entryCount = 4;
 
-/** Sends `perSecond` calls a second, dealt to all entries in turn, for `ms` milliseconds. */
-async function load(site: Site, service: 'plain' | 'model', {perSecond, ms}: {readonly perSecond: number; readonly ms: number}): Promise<readonly CallResult[]> {
-	const calls: Array<Promise<CallResult>> = [];
-	const startedMs = performance.now();
-	for (let sent = 0; performance.now() - startedMs < ms; sent++) {
-		calls.push(site.call(site.entries[sent % site.entries.length], service));
-		await sleep(Math.max(0, startedMs + ((sent + 1) * 1000 / perSecond) - performance.now()));
-	}
-
-	return Promise.all(calls);
-}
-
 /** The most requests that a target may get in a span: its rate, a burst of a quarter second or one request, and the time for which a permission is valid. */
 function allowedIn(spanMs: number, perSecond: number): number {
 	const permissionMs = 250;
@@ -42,15 +30,15 @@
 
 	const checkLimit = async (service: 'plain' | 'model'): Promise<void> => {
 		const targets = service === 'plain' ? site.plains : site.engines;
-		await load(site, service, {perSecond: 60, ms: 1000});
+		await loadSite(site, service, {perSecond: 60, ms: 1000});
 		targets[0].limit = '2';
-		await load(site, service, {perSecond: 60, ms: spreadMs});
+		await loadSite(site, service, {perSecond: 60, ms: spreadMs});
 		for (const target of targets) {
 			target.arrivalsMs.length = 0;
 		}
 
 		const ms = 6000;
-		const results = await load(site, service, {perSecond: 60, ms});
+		const results = await loadSite(site, service, {perSecond: 60, ms});
 		targets[0].limit = undefined;
 		const [limited, ...others] = targets.map(({arrivalsMs}) => arrivalsMs);
 		for (const spanMs of [250, 1000, 4000]) {
@@ -96,10 +84,10 @@
 	const checkFaults = async (service: 'plain' | 'model'): Promise<void> => {
 		const targets = service === 'plain' ? site.plains : site.engines;
 		targets[1].limit = '4';
-		await load(site, service, {perSecond: 40, ms: spreadMs});
+		await loadSite(site, service, {perSecond: 40, ms: spreadMs});
 		targets[1].arrivalsMs.length = 0;
 		const ms = 14_000;
-		const [results] = await Promise.all([load(site, service, {perSecond: 40, ms}), disturb(service === 'plain' ? 'p-1' : 'e-1')]);
+		const [results] = await Promise.all([loadSite(site, service, {perSecond: 40, ms}), disturb(service === 'plain' ? 'p-1' : 'e-1')]);
 		targets[1].limit = undefined;
 		const {arrivalsMs} = targets[1];
 		for (const spanMs of [250, 1000, 4000]) {
--- a/packages/direct/src/dialect.ts
+++ b/packages/direct/src/dialect.ts
@@ -1,5 +1,5 @@
 import {type IncomingHttpHeaders} from 'node:http';
-import {type NamedLimit} from '@papayaflow/limit';
+import {type NamedLimit, type NamedPause} from '@papayaflow/limit';
 
 /** The size of a generation, as stated by its caller. */
 export type Generation = {
@@ -36,6 +36,9 @@
 	readonly lastEventId: string | undefined;
 };
 
+/** Whether the head of an answer says that its target leaves; `malformed` for an unknown value, of which `text` is the beginning. */
+export type NamedLeaving = {readonly kind: 'no' | 'yes'} | {readonly kind: 'malformed'; readonly text: string};
+
 /** The information in the headers of a target's response. */
 export type AnswerHead = {
 	readonly requestId: string | undefined;
@@ -51,6 +54,10 @@
 	readonly isEncoded: boolean;
 	/** The rate at which the target says that it takes requests. */
 	readonly limit: NamedLimit;
+	/** When the target says that it takes requests again. */
+	readonly pause: NamedPause;
+	/** Whether the target says that it leaves. */
+	readonly leaving: NamedLeaving;
 };
 
 /**
--- a/packages/direct/src/forward.ts
+++ b/packages/direct/src/forward.ts
@@ -1,4 +1,3 @@
-import {type NamedLimit} from '@papayaflow/limit';
 import {type LossReason, type Outcome} from '@papayaflow/outcome';
 import {type ResendBudget} from '@papayaflow/policy';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
@@ -9,7 +8,7 @@
 import {type AnswerBuffers} from './buffers.js';
 import {isRetryable, type Call} from './call.js';
 import {type CrashDetector} from './crash.js';
-import {type Dialect} from './dialect.js';
+import {type AnswerHead, type Dialect} from './dialect.js';
 import {exchange} from './exchange.js';
 import {type Place, type Placer} from './place.js';
 import {type Target} from './targets.js';
@@ -45,8 +44,8 @@
 	readonly onBegun: (call: Call) => void;
 	/** How long a retryable call may go without a whole event or response before it is retried, or its stream resumed, at another target, in milliseconds. */
 	readonly silenceTimeoutMs: (call: Call) => number;
-	/** Called with the limit in each answer of a target; `sentMs` is when the answered request was sent, in milliseconds of the monotonic clock. */
-	readonly onLimit: (target: Target, limit: NamedLimit, sentMs: number) => void;
+	/** Called with the head of each answer of a target; `sentMs` is when the answered request was sent, in milliseconds of the monotonic clock. */
+	readonly onAnswer: (target: Target, head: AnswerHead, sentMs: number) => void;
 };
 
 /** A call that was admitted, with the writer of its response. */
@@ -246,8 +245,8 @@
 			sentAfterMs = Math.round(deps.monotonicMs() - startedMs);
 			deps.metrics.latency('send_delay', sentAfterMs);
 		},
-		onAnswer({limit}) {
-			deps.onLimit(place.target, limit, startedMs + (sentAfterMs ?? 0));
+		onAnswer(head) {
+			deps.onAnswer(place.target, head, startedMs + (sentAfterMs ?? 0));
 		},
 	});
 	clearTimeout(silenceTimer);
--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -95,10 +95,11 @@
 			priority: call.priority,
 			hasReturned: earlierWaitMs > 0 || tried.size > 0,
 			isResumed: hasBegun,
-			excluded: [...tried, ...excluded].flatMap(id => {
-				const target = targets.byId(id);
-				return target ? [target.address] : [];
-			}),
+			excluded: [...new Set([
+				...[...tried, ...excluded].flatMap(id => targets.byId(id)?.address ?? []),
+				// The coordinator learns only from the store that a target leaves.
+				...targets.departingTargets(call.service).map(({address}) => address),
+			])],
 		};
 	};
 
@@ -129,7 +130,7 @@
 		streams.set(placementRequest.id, stream);
 		return {
 			target,
-			mayStart: () => true,
+			mayStart: () => target.isServing,
 			began() {
 				stream.hasBegun = true;
 				notifyCoordinator({kind: 'began', id: placementRequest.id});
@@ -149,9 +150,14 @@
 	*/
 	const placeWithoutCoordinator = (call: Call, servingTargets: readonly Target[], placementRequest: PeerPlacementRequest, silentCoordinator?: Peer): PlaceResult => {
 		metrics.count('placed_alone');
+		const remaining = servingTargets.filter(({isServing}) => isServing);
+		if (remaining.length === 0) {
+			return {kind: 'refused', reason: 'noTarget', retryAfterMs: drawRetryAfterMs(placementRequest)};
+		}
+
 		const isSilent = (address: string): boolean => notices.isSilent(address) || (silentCoordinator !== undefined && notices.of(silentCoordinator)?.target === address);
-		const responsive = servingTargets.filter(({address}) => !isSilent(address));
-		const candidates = responsive.length > 0 ? responsive : servingTargets;
+		const responsive = remaining.filter(({address}) => !isSilent(address));
+		const candidates = responsive.length > 0 ? responsive : remaining;
 		const model = options.model(call.service);
 		const group = candidates.flatMap(target => groupOf(target) ?? []).at(0);
 		const lastLoad = group === undefined ? undefined : loads.get(group);
@@ -247,9 +253,9 @@
 				: {kind: 'refused', reason: reply.reason, retryAfterMs: reply.retryAfterMs};
 		}
 
-		const target = candidates.find(({address}) => address === reply.target);
+		const target = candidates.find(({address, isServing}) => address === reply.target && isServing);
 		if (!target) {
-			// The coordinator does not know yet that this target is gone or leaving.
+			// The target has left or said so since the coordinator was asked.
 			coordinator.send({kind: 'ended', id: call.requestId});
 			return placeWithoutCoordinator(call, candidates, placementRequest);
 		}
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -1,7 +1,7 @@
 export {createAnswerBuffers, type AnswerBuffers} from './buffers.js';
 export {isRetryable, type Call} from './call.js';
 export {
-	endToEndHeaders, type AnswerHead, type CallerHead, type Dialect, type Generation, type TargetHeaderOptions,
+	endToEndHeaders, type AnswerHead, type CallerHead, type Dialect, type Generation, type NamedLeaving, type TargetHeaderOptions,
 } from './dialect.js';
 export {
 	createCrashDetector, type CrashDetector, type CrashDetectorOptions, type LostRequest,
--- a/packages/direct/src/limit-place.ts
+++ b/packages/direct/src/limit-place.ts
@@ -1,4 +1,5 @@
-import {type Permits} from '@papayaflow/limit';
+import {type Pauses, type Permits} from '@papayaflow/limit';
+import {type TargetRecord} from '@papayaflow/routing';
 import {type Placer, type PlaceResult} from './place.js';
 import {type Targets} from './targets.js';
 
@@ -10,33 +11,36 @@
 	readonly place: Placer;
 	readonly targets: Targets;
 	readonly permits: Permits;
+	readonly pauses: Pauses;
 	readonly random: () => number;
 };
 
 /**
-Adds the limits of the targets to a placer. A target whose limit allows no request now is
-excluded, so that the request goes to another one. If all targets of the service are
-excluded, the request is refused with the time at which one of them may take it, plus a
-random delay that spreads the callers.
+Adds what the targets say of themselves to a placer. A target whose limit allows no
+request now, or that has named a later time, is excluded, so that the request goes to
+another one. If all targets of the service are excluded, the request is refused with the
+time at which one of them may take it, plus a random delay that spreads the callers.
 
-Load pattern: one or a few targets of a service name a limit far below their usual load.
+Load patterns: one or a few targets of a service name a limit far below their usual load;
+some or all targets of a service turn requests away until a time that they name.
 
 @example
-const place = createLimitedPlacer({place: createPlainPlacer(options), targets, permits, random});
+const place = createLimitedPlacer({place: createPlainPlacer(options), targets, permits, pauses, random});
 */
-export function createLimitedPlacer({place, targets, permits, random}: LimitedPlacerOptions): Placer {
-	const refuse = (waitsMs: readonly number[]): PlaceResult => {
-		const earliestMs = Math.min(...waitsMs);
-		return {kind: 'refused', reason: 'rateLimited', retryAfterMs: earliestMs + (random() * Math.max(earliestMs, minRetrySpreadMs))};
+export function createLimitedPlacer({place, targets, permits, pauses, random}: LimitedPlacerOptions): Placer {
+	const refuse = (records: readonly TargetRecord[]): PlaceResult => {
+		const earliestMs = Math.min(...records.map(record => Math.max(permits.waitMs(record), pauses.waitMs(record))));
+		const reason = records.every(record => pauses.waitMs(record) > 0) ? 'targetsPaused' : 'rateLimited';
+		return {kind: 'refused', reason, retryAfterMs: earliestMs + (random() * Math.max(earliestMs, minRetrySpreadMs))};
 	};
 
 	return async request => {
 		const denied = new Set<string>();
 		for (;;) {
-			const excluded = new Set([...request.excluded, ...permits.blocked(), ...denied]);
+			const excluded = new Set([...request.excluded, ...permits.blocked(), ...pauses.blocked(), ...denied]);
 			const serving = excluded.size === 0 ? [] : targets.servingTargets(request.call.service).map(({record}) => record);
 			if (serving.length > 0 && serving.every(({id}) => excluded.has(id))) {
-				return refuse(serving.map(record => permits.waitMs(record)));
+				return refuse(serving);
 			}
 
 			const placed = await place({...request, excluded});
@@ -49,7 +53,8 @@
 			const isDenied = denied.has(record.id);
 			const permit = isDenied ? undefined : await permits.acquire(record, request.call.requestId);
 			if (permit) {
-				return {kind: 'placed', place: {...placed.place, mayStart: permit.use}};
+				// The target may have named a later time while the permission was asked for or the connection opened.
+				return {kind: 'placed', place: {...placed.place, mayStart: () => placed.place.mayStart() && pauses.waitMs(record) === 0 && permit.use()}};
 			}
 
 			placed.place.ended('neutral');
@@ -58,7 +63,7 @@
 			}
 
 			if (isDenied) {
-				return refuse([permits.waitMs(record)]);
+				return refuse([record]);
 			}
 
 			denied.add(record.id);
--- a/packages/direct/src/place.ts
+++ b/packages/direct/src/place.ts
@@ -86,6 +86,6 @@
 export function reservePlace(target: Target): Place {
 	const endRequest = target.startRequest();
 	return {
-		target, began: () => undefined, ended: endRequest, mayStart: () => true,
+		target, began: () => undefined, ended: endRequest, mayStart: () => target.isServing,
 	};
 }
--- a/packages/direct/src/targets.ts
+++ b/packages/direct/src/targets.ts
@@ -1,12 +1,16 @@
 import {
 	afterFailure, afterSuccess, healthy, type EjectOptions, type Health,
 } from '@papayaflow/policy';
+import {LRUCache} from 'lru-cache';
 import {addressOf, isSameTarget, type TargetRecord} from '@papayaflow/routing';
 import {createPool, type Pool} from './pool.js';
 
 /** The weight of a new sample in the moving average of a target's latency. */
 const latencyWeight = 0.2;
 
+/** The number of lifetimes of targets that are remembered as leaving. */
+const maxLeavingLifetimes = 4096;
+
 /** A target with this entry's own measurements of it. */
 export type Target = {
 	readonly record: TargetRecord;
@@ -20,12 +24,16 @@
 	readonly health: Health;
 	/** Whether the target is no longer at its address although it is still registered there. */
 	readonly isGone: boolean;
+	/** Whether the target has said in an answer that it leaves. This holds until it starts again. */
+	readonly isLeaving: boolean;
 	/** Whether the target takes new requests. */
 	readonly isServing: boolean;
 	/** Records the start of a request; call the returned function with the outcome of the request. */
 	startRequest(): (outcome: TargetOutcome) => void;
 	/** Records that the target is no longer at its address, so that it takes no requests until it registers again. */
 	markGone(): void;
+	/** Records that the target has said that it leaves, so that it takes no requests in this lifetime. */
+	markLeaving(): void;
 };
 
 /** The outcome of a request as it affects the health of its target; `neutral` and `rejected` leave it unchanged. */
@@ -34,6 +42,8 @@
 export type Targets = {
 	/** Replaces the list of targets. Measurements of targets that are removed or have restarted are discarded. */
 	update(records: readonly TargetRecord[]): void;
+	/** Returns the targets of a service that are leaving, by an answer or by their registration, or gone. */
+	departingTargets(service: string): readonly Target[];
 	/** Returns the targets of a service that take new requests. Among several targets registered at one address, only the latest that is not gone counts. */
 	servingTargets(service: string): readonly Target[];
 	byId(id: string): Target | undefined;
@@ -48,6 +58,16 @@
 	readonly onChange: (change: 'added' | 'removed' | 'leaving' | 'gone', record: TargetRecord) => void;
 };
 
+/** A target whose record the list replaces when its registration changes. */
+type ListedTarget = Target & {readonly replaceRecord: (record: TargetRecord) => void};
+
+type CreateTargetOptions = TargetsOptions & {
+	/** Called when the target is found to be gone. */
+	readonly onGone: () => void;
+	/** The lifetimes that have said that they leave, as `ID/INCARNATION`. */
+	readonly leaving: LRUCache<string, true>;
+};
+
 /**
 Creates the list of targets, with this entry's own measurements of each.
 
@@ -56,7 +76,9 @@
 const [first] = targets.servingTargets('ledger');
 */
 export function createTargets(options: TargetsOptions): Targets {
-	let targets = new Map<string, Target & {readonly replaceRecord: (record: TargetRecord) => void}>();
+	/** The lifetimes that have said that they leave. They are remembered when their registrations lapse, as these may come back. */
+	const leaving = new LRUCache<string, true>({max: maxLeavingLifetimes});
+	let targets = new Map<string, ListedTarget>();
 	/** The result of `latestByAddress` for the present list; `undefined` after a change. */
 	let latest: readonly Target[] | undefined;
 	const onGone = (): void => {
@@ -65,14 +87,14 @@
 
 	return {
 		update(records) {
-			const next = new Map<string, Target & {readonly replaceRecord: (record: TargetRecord) => void}>();
+			const next = new Map<string, ListedTarget>();
 			for (const record of records) {
 				const known = targets.get(record.id);
 				const isSame = known !== undefined && isSameIncarnation(known.record, record);
 				if (!isSame) {
 					known?.pool.close();
 					options.onChange('added', record);
-					next.set(record.id, createTarget(record, onGone, options));
+					next.set(record.id, createTarget(record, {...options, onGone, leaving}));
 					continue;
 				}
 
@@ -101,6 +123,7 @@
 			latest ??= latestByAddress([...targets.values()]);
 			return latest.filter(({record, isServing}) => record.service === service && isServing);
 		},
+		departingTargets: service => [...targets.values()].filter(({record, isServing}) => record.service === service && !isServing),
 		byId: id => targets.get(id),
 		all: () => [...targets.values()],
 	};
@@ -119,12 +142,14 @@
 	return [...byAddress.values()];
 }
 
-function createTarget(initialRecord: TargetRecord, onGone: () => void, {connectMs, ejection, nowMs, onChange}: TargetsOptions): Target & {readonly replaceRecord: (record: TargetRecord) => void} {
+function createTarget(initialRecord: TargetRecord, {connectMs, ejection, nowMs, onChange, onGone, leaving}: CreateTargetOptions): ListedTarget {
 	let record = initialRecord;
 	let inFlight = 0;
 	let latencyMs: number | undefined;
 	let health = healthy;
 	let isGone = false;
+	const lifetime = `${initialRecord.id}/${initialRecord.incarnation}`;
+	let isLeaving = leaving.has(lifetime);
 	const pool = createPool({
 		host: initialRecord.host, port: initialRecord.port, connectMs, nowMs,
 	});
@@ -146,8 +171,11 @@
 		get isGone() {
 			return isGone;
 		},
+		get isLeaving() {
+			return isLeaving;
+		},
 		get isServing() {
-			return record.state === 'serving' && !isGone;
+			return record.state === 'serving' && !isGone && !isLeaving;
 		},
 		replaceRecord(next) {
 			record = next;
@@ -174,6 +202,13 @@
 				pool.dropIdle();
 			}
 		},
+		markLeaving() {
+			if (!isLeaving) {
+				isLeaving = true;
+				leaving.set(lifetime, true);
+				onChange('leaving', record);
+			}
+		},
 	};
 }
 
--- a/packages/direct/test/exchange.test.ts
+++ b/packages/direct/test/exchange.test.ts
@@ -18,7 +18,7 @@
 	}),
 	targetHeaders: () => [],
 	readAnswer: () => ({
-		requestId: 'r-1', isSealed: true, isNotRun: false, isMisdirected: false, culprit: undefined, isEncoded: false, limit: {kind: 'none'},
+		requestId: 'r-1', isSealed: true, isNotRun: false, isMisdirected: false, culprit: undefined, isEncoded: false, limit: {kind: 'none'}, pause: {kind: 'none'}, leaving: {kind: 'no'},
 	}),
 };
 
--- a/packages/direct/test/limit-place.test.ts
+++ b/packages/direct/test/limit-place.test.ts
@@ -1,4 +1,6 @@
-import {createBeliefs, createPermits, type Permits} from '@papayaflow/limit';
+import {
+	createBeliefs, createPauses, createPermits, type Pauses, type Permits,
+} from '@papayaflow/limit';
 import {createLog, createMetrics} from '@papayaflow/telemetry';
 import {expect} from 'chai';
 import {beforeEach, describe, it} from 'mocha';
@@ -20,6 +22,7 @@
 describe('a placer with limits', () => {
 	let targets: Targets;
 	let permits: Permits;
+	let pauses: Pauses;
 	let place: () => Promise<PlaceResult>;
 	let retryMs: number;
 	let asks: string[];
@@ -32,6 +35,7 @@
 		targets.update(ids.map((id, index) => ({
 			id, incarnation: 1, registeredAt: 1, service: 's', host: `10.0.0.${index}`, port: 80, zone: 'z', slots: 8, state: 'serving', warmingMs: 0,
 		})));
+		pauses = createPauses(shared);
 		retryMs = 800;
 		asks = [];
 		permits = createPermits({
@@ -53,7 +57,7 @@
 		};
 
 		const limited = createLimitedPlacer({
-			place: first, targets, permits, random: () => 0.5,
+			place: first, targets, permits, pauses, random: () => 0.5,
 		});
 		place = async () => limited({
 			call, tried: new Set(), excluded: new Set(), hasBegun: false, signal: new AbortController().signal,
@@ -79,6 +83,31 @@
 		expect(result.kind === 'placed' && [result.place.target.record.id, result.place.mayStart()]).to.deep.equal(['a', true]);
 	});
 
+	it('leaves out a target before the time that it has named', async () => {
+		pauses.observe({id: 'a', incarnation: 1}, {kind: 'pause', ms: 5000});
+		const result = await place();
+		expect(result.kind === 'placed' && result.place.target.record.id).to.equal('b');
+	});
+
+	it('sends no request to a target that names a later time while its connection opens, or says that it leaves', async () => {
+		const [first, second] = [await place(), await place()];
+		pauses.observe({id: 'a', incarnation: 1}, {kind: 'pause', ms: 5000});
+		expect(first.kind === 'placed' && [first.place.target.record.id, first.place.mayStart()]).to.deep.equal(['a', false]);
+		targets.byId('a')?.markLeaving();
+		expect(second.kind === 'placed' && second.place.mayStart()).to.equal(false);
+	});
+
+	// Load pattern: some targets of a service are at their limits and the others have named a later time.
+	it('refuses a call at once when limits and pauses leave no target, with the earliest time at which one takes it', async () => {
+		limit('a');
+		await place();
+		pauses.observe({id: 'b', incarnation: 1}, {kind: 'pause', ms: 5000});
+		pauses.observe({id: 'c', incarnation: 1}, {kind: 'pause', ms: 3000});
+		expect(await place()).to.deep.equal({kind: 'refused', reason: 'rateLimited', retryAfterMs: 1200});
+		pauses.observe({id: 'a', incarnation: 1}, {kind: 'pause', ms: 4000});
+		expect(await place()).to.deep.equal({kind: 'refused', reason: 'targetsPaused', retryAfterMs: 4500});
+	});
+
 	// Load pattern: every target of a service is at its limit.
 	it('refuses a call at once when no target may take it, with the time at which one may, spread over as much again', async () => {
 		for (const id of ids) {
--- a/packages/direct/test/targets.test.ts
+++ b/packages/direct/test/targets.test.ts
@@ -34,3 +34,17 @@
 		expect(servingIds(targetsOf(record('old', 1), record('new', 2, {state: 'leaving'})))).to.deep.equal([]);
 	});
 });
+
+describe('a target that says that it leaves', () => {
+	it('takes no more requests, also when its registration lapses and comes back, until it starts again', () => {
+		const targets = targetsOf(record('a', 1));
+		targets.byId('a')?.markLeaving();
+		expect(servingIds(targets)).to.deep.equal([]);
+		expect(targets.departingTargets('s').map(({record: {id}}) => id)).to.deep.equal(['a']);
+		targets.update([]);
+		targets.update([record('a', 2)]);
+		expect(servingIds(targets), 'registered again').to.deep.equal([]);
+		targets.update([record('a', 3, {incarnation: 1})]);
+		expect(servingIds(targets), 'started again').to.deep.equal(['a']);
+	});
+});
--- a/packages/limit/src/index.ts
+++ b/packages/limit/src/index.ts
@@ -9,6 +9,7 @@
 export {
 	createEngineChoice, ownedTargets, type Fleet, type OwnedTarget,
 } from './owner.js';
+export {createPauses, type NamedPause, type Pauses} from './pause.js';
 export {
 	createPermits, permitResults, type DispenserLink, type Permit, type Permits, type PermitsOptions,
 } from './permits.js';
--- a/packages/outcome/src/outcome.ts
+++ b/packages/outcome/src/outcome.ts
@@ -26,6 +26,7 @@
 	'unknownKey',
 	'resendBudgetSpent',
 	'rateLimited',
+	'targetsPaused',
 	'quarantined',
 ] as const;
 
--- a/packages/standins/src/limited-target.ts
+++ b/packages/standins/src/limited-target.ts
@@ -1,14 +1,20 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 
-/** A target that names a limit in its answers, may crash on parts of prompts, and records what it gets. */
+/** A target that says in its answers what it takes, may crash on parts of prompts, and records what it gets. */
 export type LimitedTarget = {
 	/** The value of `Server-Limit` in each answer; `undefined` sends no such header. */
 	limit: string | undefined;
+	/** The value of `Server-Leaving` in each answer; `undefined` sends no such header. */
+	leaving: string | undefined;
+	/** The value of `Retry-After` with which the target turns away each request; `undefined` runs it. */
+	turnsAwayFor: string | undefined;
 	/** The time that each request takes, in milliseconds. */
 	workMs: number;
 	/** When each request arrived, in milliseconds of the monotonic clock. */
 	readonly arrivalsMs: number[];
+	/** When the target turned away a request, in milliseconds of the monotonic clock. */
+	readonly refusalsMs: number[];
 	/** The ids of all requests that have arrived. */
 	readonly requestIds: Set<string>;
 	/** The target calls `crash` when it begins to answer a prompt with one of these parts before its last part. */
@@ -30,7 +36,7 @@
 */
 export function createLimitedTarget({limit, workMs = 5}: {readonly limit?: string; readonly workMs?: number} = {}): LimitedTarget {
 	const target: LimitedTarget = {
-		limit, workMs, arrivalsMs: [], requestIds: new Set(), crashingParts: new Set(), crashingArrivalsMs: [],
+		limit, workMs, leaving: undefined, turnsAwayFor: undefined, arrivalsMs: [], refusalsMs: [], requestIds: new Set(), crashingParts: new Set(), crashingArrivalsMs: [],
 		crash: () => undefined,
 		async handle(req, res) {
 			target.arrivalsMs.push(performance.now());
@@ -42,6 +48,20 @@
 			}
 
 			req.resume();
+			const notices = {
+				'x-request-id': req.headers['x-request-id'] ?? '',
+				...(target.limit !== undefined && {'server-limit': target.limit}),
+				...(target.leaving !== undefined && {'server-leaving': target.leaving}),
+			};
+			if (target.turnsAwayFor !== undefined) {
+				target.refusalsMs.push(performance.now());
+				res.writeHead(503, {
+					...notices, 'x-not-executed': '1', 'retry-after': target.turnsAwayFor, 'content-length': 0,
+				});
+				res.end();
+				return;
+			}
+
 			await sleep(target.workMs);
 			if (isCrashing && !res.destroyed) {
 				target.crash();
@@ -50,8 +70,7 @@
 
 			const body = 'id: 1\ndata: piece\n\n';
 			res.writeHead(200, {
-				'content-type': 'text/event-stream', 'content-length': body.length, 'x-request-id': req.headers['x-request-id'] ?? '', 'x-replica-seal': 's',
-				...(target.limit !== undefined && {'server-limit': target.limit}),
+				...notices, 'content-type': 'text/event-stream', 'content-length': body.length, 'x-replica-seal': 's',
 			});
 			res.end(body);
 		},
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -450,4 +450,29 @@
 		find: 'return false;', replace: 'return true;',
 		spec: '../platform/test/direct/crashes.test.ts', test: 'has not crashed if it takes the next connection',
 	},
+	{
+		name: 'a target that says in an answer that it leaves takes no more requests', file: 'direct/src/targets.ts',
+		find: 'return record.state === \'serving\' && !isGone && !isLeaving;', replace: 'return record.state === \'serving\' && !isGone;',
+		spec: 'direct/test/targets.test.ts', test: 'a target that says that it leaves',
+	},
+	{
+		name: 'a target that has said that it leaves is remembered when its registration lapses', file: 'direct/src/targets.ts',
+		find: 'let isLeaving = leaving.has(lifetime);', replace: 'let isLeaving = false;',
+		spec: 'direct/test/targets.test.ts', test: 'when its registration lapses',
+	},
+	{
+		name: 'a target that has named a later time is left out of the choice', file: 'direct/src/limit-place.ts',
+		find: '...pauses.blocked(), ', replace: '',
+		spec: 'direct/test/limit-place.test.ts', test: 'before the time that it has named',
+	},
+	{
+		name: 'a request is not sent when its target names a later time while the connection opens', file: 'direct/src/limit-place.ts',
+		find: 'pauses.waitMs(record) === 0 && permit.use()', replace: 'permit.use()',
+		spec: 'direct/test/limit-place.test.ts', test: 'while its connection opens',
+	},
+	{
+		name: 'a later refusal does not shorten a pause', file: 'limit/src/pause.ts',
+		find: 'if (ms <= beforeMs) {', replace: 'if (ms === 0) {',
+		spec: 'limit/test/pause.test.ts', test: 'not shortened',
+	},
 ];
