Plan maps in slices, and only where passes are long

One plan for 45 ranks, 12 layers and 256 experts takes tens of milliseconds of a whole core in one turn of the event loop (64 ranks: 138 ms cold, 45 ms warm on this machine), and spurious shifts of demand start the next one after 60 ms. The gain of a plan is now weighed by how near passes are to that time.

Ruled out: the link of the coordinator (its placements came in bursts after gaps while the processor was busy); the counts (2 KB/s a rank).

--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -1,5 +1,5 @@
 import {createServer} from 'node:net';
-import {setTimeout as sleep} from 'node:timers/promises';
+import {setImmediate, setTimeout as sleep} from 'node:timers/promises';
 import {acquireEpoch} from '@papayaflow/experts';
 import {createGroupSidecar, type RankEngine} from '@papayaflow/group';
 import {createDispenser, ownedTargets} from '@papayaflow/limit';
@@ -72,6 +72,7 @@
 
 	const group = createGroupSidecar({
 		target, engine: connectEngine(target), connect: connectEngine, records: serviceRecords, metrics, log, monotonicMs, random, sleep: pause, signal: shutdown.signal,
+		yieldTurn: async () => setImmediate(),
 		weights: {goodSkew: settings.goodSkew, copyCost: settings.copyCost},
 		model() {
 			const own = ownRecord();
--- a/packages/group/src/coordination.ts
+++ b/packages/group/src/coordination.ts
@@ -1,6 +1,8 @@
 import {type LayeredMap, type RankView} from '@papayaflow/experts';
 import {type GroupLoad} from '@papayaflow/peer';
-import {createGroupAdmission, type GroupAdmission, type GroupState} from '@papayaflow/policy';
+import {
+	balancingNeed, createGroupAdmission, type GroupAdmission, type GroupState,
+} from '@papayaflow/policy';
 import {type EngineModel} from '@papayaflow/routing';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
 import {createDemandTracker, type DemandTracker} from './demand-tracker.js';
@@ -47,6 +49,8 @@
 	readonly monotonicMs: () => number;
 	readonly random: () => number;
 	readonly sleep: (ms: number) => Promise<void>;
+	/** Lets other work of the process run, in the midst of a plan. */
+	readonly yieldTurn: () => Promise<void>;
 	readonly signal: AbortSignal;
 };
 
@@ -140,7 +144,8 @@
 
 	const balancing = balanceExperts({
 		ranks, ownRank: view.rank, tracker, model: experts, formation: view.formation, weights: {...deps.weights, workShare: experts.workShare * typicalTokenWorkShare},
-		acquireToken: deps.acquireToken, readMap, view: deps.own.view, log, metrics, nowMs: monotonicMs, sleep: deps.sleep,
+		acquireToken: deps.acquireToken, readMap, view: deps.own.view, log, metrics, nowMs: monotonicMs, sleep: deps.sleep, yieldTurn: deps.yieldTurn,
+		need: () => balancingNeed(admission.passRatio()),
 		isStopped: () => stopController.signal.aborted || deps.signal.aborted,
 		onMap(map) {
 			currentMap = map;
--- a/packages/group/src/expert-balancer.ts
+++ b/packages/group/src/expert-balancer.ts
@@ -2,11 +2,12 @@
 	resolvePass, switchPass, type LayeredMap, type PassSwitchOptions, type RankView,
 } from '@papayaflow/experts';
 import {
-	skewOfLayers, spreadExperts, type Demand, type Spread,
+	skewOfLayers, type Demand, type Spread,
 } from '@papayaflow/policy';
 import {type ExpertModel} from '@papayaflow/routing';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
 import {type DemandTracker} from './demand-tracker.js';
+import {planInSlices} from './planning.js';
 import {type RemoteRanks} from './remote-ranks.js';
 
 /** How many passes the held pass comes after the last pass that has begun. Arming all ranks takes less than a pass, so the group seldom has to wait. */
@@ -42,6 +43,9 @@
 /** The map versions of a coordinator start at its token times this number, so that they are higher than those of earlier coordinators. */
 const versionsPerToken = 10_000;
 
+/** The shortest time between two plans, as a multiple of the time that the last one took. A demand that seems to shift all the time must not keep the processor busy with plans. */
+const planRestRatio = 4;
+
 /** The weights by which a map change is chosen. */
 export type BalancingWeights = {
 	/** The skew up to which a layer is left unchanged. */
@@ -68,6 +72,13 @@
 	readonly metrics: Metrics;
 	readonly nowMs: () => number;
 	readonly sleep: (ms: number) => Promise<void>;
+	/** Lets other work of the process run, in the midst of a plan. */
+	readonly yieldTurn: () => Promise<void>;
+	/**
+	How much a lower skew is worth now, from 0 to 1: 0 while passes are so short that every
+	stream is on time anyway, 1 when they are about as long as the streams allow.
+	*/
+	readonly need: () => number;
 	readonly isStopped: () => boolean;
 	/** Called with the current map whenever it becomes known or changes, so that the pass time can be predicted from it. */
 	readonly onMap: (map: LayeredMap) => void;
@@ -120,6 +131,7 @@
 	let version = Math.max(token * versionsPerToken, takeover.newest);
 	let {copyMs} = deps.model;
 	let plannedAtMs = Number.NEGATIVE_INFINITY;
+	let restUntilMs = Number.NEGATIVE_INFINITY;
 	deps.onMap(map);
 	while (!deps.isStopped()) {
 		await deps.sleep(demandCheckIntervalMs);
@@ -131,13 +143,17 @@
 
 		deps.tracker.settle(deps.nowMs());
 		const demands = deps.tracker.demands();
-		if (!hasShiftedSince(demands, plannedAtMs) && deps.nowMs() - plannedAtMs < replanIntervalMs) {
+		const isDue = hasShiftedSince(demands, plannedAtMs) || deps.nowMs() - plannedAtMs >= replanIntervalMs;
+		if (!isDue || deps.nowMs() < restUntilMs) {
 			continue;
 		}
 
 		plannedAtMs = deps.nowMs();
-		const chosen = chooseSpread(map, demands, {copyMs, shiftMs: deps.tracker.meanLayerShiftIntervalMs() ?? defaultShiftIntervalMs, nowMs: plannedAtMs}, deps);
-		if (!chosen) {
+		const chosen = await chooseSpread(map, demands, {copyMs, shiftMs: deps.tracker.meanLayerShiftIntervalMs() ?? defaultShiftIntervalMs, nowMs: plannedAtMs}, deps);
+		const planMs = deps.nowMs() - plannedAtMs;
+		metrics.latency('map_plan', planMs);
+		restUntilMs = deps.nowMs() + (planMs * planRestRatio);
+		if (!chosen || deps.isStopped()) {
 			continue;
 		}
 
@@ -217,15 +233,18 @@
 /**
 Plans changes of the map with different limits on the copies per rank and returns the
 one with the highest net gain over the time that the demand is expected to last;
-`undefined` if the skew is good already or no change is worth its copies.
+`undefined` if the skew is good already, if passes are short enough as they are, or if
+no change is worth its copies.
 */
-function chooseSpread(
+async function chooseSpread(
 	map: LayeredMap,
 	demands: readonly Demand[],
 	{copyMs, shiftMs, nowMs}: {readonly copyMs: number; readonly shiftMs: number; readonly nowMs: number},
-	{model, weights}: ExpertBalancerDeps,
-): Spread | undefined {
-	if (demands.some(({reports}) => reports === 0)) {
+	deps: ExpertBalancerDeps,
+): Promise<Spread | undefined> {
+	const {model, weights} = deps;
+	const need = deps.need();
+	if (need === 0 || demands.some(({reports}) => reports === 0)) {
 		return undefined;
 	}
 
@@ -240,12 +259,12 @@
 	let best: Spread | undefined;
 	let bestValue = 0;
 	for (const maxNewPerRank of new Set([1, 2, model.maxNewPerLayer])) {
-		const spread = spreadExperts(layers, {
+		const spread = await planInSlices(layers, {
 			slotsPerRank: model.slotsPerRank, maxNewPerLayer: model.maxNewPerLayer, maxNewPerRank, goodSkew: weights.goodSkew, leastGain: minStepGainRatio,
-		});
+		}, deps);
 		const copyS = copyMs * spread.mostPerRank / msPerSecond;
 		const layerGains = layers.map((layer, index) => (skewOfLayers([layer]) - skewOfLayers([{placement: spread.placements[index], shares: layer.shares}])) * Math.max(0, remainingS[index] - copyS));
-		const gain = weights.workShare * layerGains.reduce((sum, layerGain) => sum + layerGain, 0) / layers.length;
+		const gain = need * weights.workShare * layerGains.reduce((sum, layerGain) => sum + layerGain, 0) / layers.length;
 		const value = gain - (copySlowdownRatio * copyS) - (costPerCopy * spread.copies);
 		if (spread.copies > 0 && value > bestValue) {
 			best = spread;
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -22,7 +22,7 @@
 /** How long a disconnected entry may take to reconnect before its streams count as ended, in milliseconds. */
 const entryReconnectTimeoutMs = 1200;
 
-export type GroupSidecarDeps = Pick<CoordinationDeps, 'engine' | 'connect' | 'model' | 'weights' | 'metrics' | 'log' | 'monotonicMs' | 'random' | 'sleep' | 'signal'> & {
+export type GroupSidecarDeps = Pick<CoordinationDeps, 'engine' | 'connect' | 'model' | 'weights' | 'metrics' | 'log' | 'monotonicMs' | 'random' | 'sleep' | 'yieldTurn' | 'signal'> & {
 	/** The engine beside this sidecar, as `IP:PORT`. */
 	readonly target: string;
 	/** The registered targets of this engine's service. */
--- a/packages/group/test/expert-balancer.test.ts
+++ b/packages/group/test/expert-balancer.test.ts
@@ -28,8 +28,10 @@
 
 type BalancingResult = {readonly skewAt: (ms: number) => number; readonly changes: readonly number[]};
 
+type BalancingOptions = {readonly expertGigabytes: number; readonly need?: number};
+
 /** Runs the balancer for three virtual seconds in which a pass takes 100 ms. */
-async function runBalancer(expertGigabytes: number): Promise<BalancingResult> {
+async function runBalancer({expertGigabytes, need = 1}: BalancingOptions): Promise<BalancingResult> {
 	const group = createPassGroup(ranks);
 	let nowMs = 10_000;
 	const demands = shiftedDemands(nowMs);
@@ -58,13 +60,16 @@
 			layers, expertsPerLayer: experts, slotsPerRank: 5, maxNewPerLayer: 1, workShare: 0.85, formationMs: 600, expertGigabytes, copyMs: 240,
 		},
 		weights: {goodSkew: 1.05, copyCost: 0.065, workShare: 0.7},
-		log: createLog({}, 'error'), metrics: createMetrics(), nowMs: () => nowMs,
+		log: createLog({}, 'error'), metrics: createMetrics(),
+		nowMs: () => nowMs,
 		async sleep(ms) {
 			nowMs += ms;
 			for (; nextPassMs <= nowMs; nextPassMs += 100) {
 				group.beginPass();
 			}
 		},
+		yieldTurn: async () => undefined,
+		need: () => need,
 		isStopped: () => nowMs > 13_000,
 		onMap(map) {
 			changes.push({ms: nowMs - 10_000, skew: skewOf(map)});
@@ -79,14 +84,19 @@
 describe('the expert balancer', () => {
 	// One change can't correct the skew after this shift, since a rank may take only one new expert per layer and change.
 	it('makes the next change without waiting for the replan interval', async () => {
-		const {changes, skewAt} = await runBalancer(0.4);
+		const {changes, skewAt} = await runBalancer({expertGigabytes: 0.4});
 		expect(changes.length).to.be.at.least(2);
 		expect(changes[1] - changes[0]).to.be.below(900);
 		expect(skewAt(2000)).to.be.below(skewAt(changes[0]));
 	});
 
 	it('copies small experts more freely than large ones', async () => {
-		const [small, large] = [await runBalancer(0.4), await runBalancer(40)];
+		const [small, large] = [await runBalancer({expertGigabytes: 0.4}), await runBalancer({expertGigabytes: 40})];
 		expect(small.skewAt(2500)).to.be.below(large.skewAt(2500) - 0.2);
 	});
+
+	it('changes nothing while passes are short enough with any map', async () => {
+		const {changes} = await runBalancer({expertGigabytes: 0.4, need: 0});
+		expect(changes).to.deep.equal([]);
+	});
 });
--- a/packages/group/test/sidecar.test.ts
+++ b/packages/group/test/sidecar.test.ts
@@ -42,6 +42,7 @@
 		async sleep() {
 			await sleep(2);
 		},
+		yieldTurn: async () => undefined,
 	});
 	return {
 		sidecar,
--- a/packages/policy/src/group-admission.ts
+++ b/packages/policy/src/group-admission.ts
@@ -81,6 +81,8 @@
 	/** Tries again to place the waiting requests and refuses those whose waiting time has ended; to be called regularly. */
 	tick(): void;
 	state(): GroupState;
+	/** The predicted time of the next pass as a ratio of the longest one that keeps streams on time; `undefined` before the first request. */
+	passRatio(): number | undefined;
 	/** The predicted number of requests that the group can decode at once if they are spread evenly over its ranks; 0 without engine figures. */
 	room(): number;
 };
@@ -216,6 +218,11 @@
 		return work;
 	};
 
+	const nextPassMs = (): number => {
+		const model = options.model();
+		return model ? options.slowdown() * predictPassMs(model, workByRank(), options.skew()) : 0;
+	};
+
 	/** Returns the rank that would have the least work in a pass with the request; `undefined` if no rank can accept it. */
 	const bestRank = ({promptTokens, answerTokens, excluded}: PlacementRequest): number | undefined => {
 		const model = options.model();
@@ -354,12 +361,8 @@
 			running.delete(id);
 		},
 		tick,
-		state() {
-			const model = options.model();
-			return {
-				running: running.size, waiting: waiting.size, passMs: model ? options.slowdown() * predictPassMs(model, workByRank(), options.skew()) : 0,
-			};
-		},
+		state: () => ({running: running.size, waiting: waiting.size, passMs: nextPassMs()}),
+		passRatio: () => Number.isFinite(lastGapMs) ? nextPassMs() / (maxPassToGapRatio * lastGapMs) : undefined,
 		room() {
 			const model = options.model();
 			return model ? capacityAt(model, planningSkew()) : 0;
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -37,6 +37,7 @@
 export {
 	predictPassMs, tokenWorkMs, type PassModel, type RankWork,
 } from './pass-time.js';
+export {balancingNeed} from './balancing.js';
 export {
-	skewOfLayers, spreadExperts, type LayerLoad, type Placement, type Spread, type SpreadOptions,
+	skewOfLayers, spreadExperts, spreadExpertsInSteps, type LayerLoad, type Placement, type Spread, type SpreadOptions,
 } from './spread.js';
--- a/packages/policy/src/spread.ts
+++ b/packages/policy/src/spread.ts
@@ -34,6 +34,9 @@
 /** How many of the hottest experts of the most loaded rank are considered for a step. */
 const maxCandidateExperts = 4;
 
+/** How many of the least loaded ranks that can take an expert are considered for a step. The work of a step then grows only linearly with the size of the group. */
+const maxCandidateRanks = 12;
+
 const noRanks: readonly number[] = [];
 
 type LayerState = {
@@ -43,6 +46,8 @@
 	readonly holders: number[][];
 	/** The load of each rank. */
 	readonly loads: number[];
+	/** The skew of `loads`. */
+	skew: number;
 	readonly shares: readonly number[];
 	/** For each rank, the number of experts added that it has to copy. */
 	readonly newExpertCounts: number[];
@@ -67,6 +72,25 @@
 const spread = spreadExperts([{placement, shares}], {slotsPerRank: 11, maxNewPerLayer: 4, maxNewPerRank: 2, goodSkew: 1.02, leastGain: 0.01});
 */
 export function spreadExperts(layers: readonly LayerLoad[], options: SpreadOptions): Spread {
+	const planning = spreadExpertsInSteps(layers, options);
+	for (;;) {
+		const step = planning.next();
+		if (step.done) {
+			return step.value;
+		}
+	}
+}
+
+/**
+Does the same as `spreadExperts`, one step at a time, so that other work can be done
+between the steps. With a group of 64 ranks and 12 layers, all steps take some ten
+milliseconds of processor time.
+
+@example
+const planning = spreadExpertsInSteps(layers, options);
+for (let step = planning.next(); !step.done; step = planning.next()) await setImmediate();
+*/
+export function * spreadExpertsInSteps(layers: readonly LayerLoad[], options: SpreadOptions): Generator<void, Spread> {
 	const states = layers.map(layer => createLayerState(layer));
 	const ranks = layers[0].placement.length;
 	const skewBefore = meanSkew(states);
@@ -82,6 +106,7 @@
 		const step = bestStep(state, newPerRank, options);
 		if (!step) {
 			isDone[layer] = true;
+			yield;
 			continue;
 		}
 
@@ -91,6 +116,8 @@
 		}
 
 		applyStep(state, step);
+		state.skew = skewOf(state.loads);
+		yield;
 	}
 
 	return {
@@ -115,10 +142,12 @@
 		}
 	}
 
+	const loads = placement.map(experts => experts.reduce((sum, expert) => sum + (shares[expert] / holders[expert].length), 0));
 	return {
 		held: placement.map(experts => [...experts]),
 		holders,
-		loads: placement.map(experts => experts.reduce((sum, expert) => sum + (shares[expert] / holders[expert].length), 0)),
+		loads,
+		skew: skewOf(loads),
 		shares,
 		newExpertCounts: placement.map(() => 0),
 		initialExperts: placement.map(experts => new Set(experts)),
@@ -126,15 +155,14 @@
 }
 
 function meanSkew(states: readonly LayerState[]): number {
-	return states.reduce((sum, {loads}) => sum + skewOf(loads), 0) / states.length;
+	return states.reduce((sum, {skew}) => sum + skew, 0) / states.length;
 }
 
 // Considers only layers that are not done and whose skew exceeds `goodSkew`; returns -1 if there is none.
 function mostSkewedLayer(states: readonly LayerState[], isDone: readonly boolean[], goodSkew: number): number {
 	let worst = -1;
 	let worstSkew = goodSkew;
-	for (const [layer, {loads}] of states.entries()) {
-		const skew = skewOf(loads);
+	for (const [layer, {skew}] of states.entries()) {
 		if (!isDone[layer] && skew > worstSkew) {
 			worst = layer;
 			worstSkew = skew;
@@ -151,13 +179,14 @@
 		.toSorted((a, b) => loadPerCopy(state, b) - loadPerCopy(state, a))
 		.slice(0, maxCandidateExperts);
 	const potentials = state.loads.map(load => potential(load, mean));
-	const evictions = state.held.map((held, rank) => held.length < options.slotsPerRank ? undefined : evictionCandidate(state, rank));
+	// A rank at or above the mean load does not take over work.
+	const ranks = [...state.held.keys()].filter(rank => state.loads[rank] < mean).toSorted((a, b) => state.loads[a] - state.loads[b]);
 	let best: Step | undefined;
 	let bestGain = options.leastGain * potentials[heaviest];
 	for (const expert of hottest) {
-		for (const to of state.held.keys()) {
-			// A rank at or above the mean load does not take over work.
-			if (state.loads[to] >= mean || state.held[to].includes(expert)) {
+		let candidates = 0;
+		for (const to of ranks) {
+			if (state.held[to].includes(expert)) {
 				continue;
 			}
 
@@ -166,11 +195,16 @@
 				continue;
 			}
 
-			const evicted = evictions[to];
-			if (state.held[to].length >= options.slotsPerRank && evicted === undefined) {
+			const isFull = state.held[to].length >= options.slotsPerRank;
+			const evicted = isFull ? evictionCandidate(state, to) : undefined;
+			if (isFull && evicted === undefined) {
 				continue;
 			}
 
+			if (++candidates > maxCandidateRanks) {
+				break;
+			}
+
 			for (const removedFrom of [undefined, heaviest]) {
 				const step: Step = {
 					expert, to, evicted, removedFrom,
--- a/packages/policy/test/group.test.ts
+++ b/packages/policy/test/group.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {describe, it} from 'mocha';
 import {
-	createGroupAdmission, createResendBudget, uniformDemand, skewOfLayers, predictPassMs, spreadExperts, updateDemand,
+	balancingNeed, createGroupAdmission, createResendBudget, uniformDemand, skewOfLayers, predictPassMs, spreadExperts, updateDemand,
 	type GroupAdmission, type GroupDecision, type GroupModel, type PlacementRequest, type DemandShifts,
 } from '@papayaflow/policy';
 
@@ -320,6 +320,15 @@
 	});
 });
 
+describe('balancingNeed', () => {
+	// Load pattern: demand shifts every few seconds while a group is lightly loaded.
+	it('is 0 for passes far below the allowed time, 1 near it, and grows in between', () => {
+		expect([0, 0.4, 0.5, 0.8, 1.5].map(ratio => balancingNeed(ratio))).to.deep.equal([0, 0, 0, 1, 1]);
+		expect(balancingNeed(0.65)).to.be.closeTo(0.5, 1e-9);
+		expect(balancingNeed(undefined), 'not known').to.equal(1);
+	});
+});
+
 describe('the resend budget', () => {
 	it('limits the resends of all entries together over any window', () => {
 		let now = 0;
