Send fewer frames without news between entries and sidecars

Cause: each entry announced its unchanged revision to each sidecar each second, exchanged heartbeats with each every two, and with three candidates of each group four a second. With 35 entries and 192 sidecars that is some 450 frames a second at each entry in peace, most of the kernel's time there.

Now each sidecar gets four such announcements a second from all entries together, an entry and a sidecar exchange heartbeats each 5 s, and short ones only with the coordinator of a group: some 125 a second, calculated. Changes are announced at once as before.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -98,7 +98,7 @@
 	const pauses = createPauses({monotonicMs, metrics, log});
 	const directory = openDirectory({
 		instance, store: connectPlatformStore({address: addressOf(settings.store), timeoutMs: settings.storeTimeoutMs}),
-		pauseMs: settings.storePauseMs, prefersPeers: false, log, metrics, monotonicMs, random, sleep: pause, signal: shutdown.signal,
+		pauseMs: settings.storePauseMs, prefersPeers: false, entries: () => groupPlacer.entries(), log, metrics, monotonicMs, random, sleep: pause, signal: shutdown.signal,
 		onTable({configuration}) {
 			front.applyTimeouts(configuration.limits);
 			updateEngineChoice();
--- a/packages/cli/src/directory.ts
+++ b/packages/cli/src/directory.ts
@@ -20,8 +20,22 @@
 /** How long after a store outage a target whose registration lapsed is kept so that it can register again, in milliseconds. Twice the time that the platform guarantees, because timers and calls can be late. */
 const reregistrationGraceMs = 2500;
 
-/** How often a process that reads the store announces its revision to its peers while nothing changes, in milliseconds. */
-const announceIntervalMs = 1000;
+/** The shortest time between two announcements of an unchanged revision to the same peer, in milliseconds. */
+const minAnnounceIntervalMs = 1000;
+
+/** How many announcements of an unchanged revision each peer gets per second from all entries together, if their number is known. */
+const announcementsPerSecond = 4;
+
+/** The longest time between two announcements of an unchanged revision to the same peer, in milliseconds. */
+const maxAnnounceIntervalMs = 8000;
+
+/** How often it is checked whether an announcement is due, in milliseconds. */
+const announceCheckMs = 250;
+
+/** The largest part by which an interval between announcements is shortened at random, so that the entries don't announce at the same time. */
+const announceJitterRatio = 0.2;
+
+const msPerSecond = 1000;
 
 /** How long a process that prefers its peers goes without an announcement from them before it reads the store itself, in milliseconds. */
 const peerUpdateTimeoutMs = 2500;
@@ -42,6 +56,8 @@
 	readonly signal: AbortSignal;
 	readonly onTable: (table: RouteTable) => void;
 	readonly onRecords: (records: readonly TargetRecord[]) => void;
+	/** The number of entries that announce their revisions to the same peers; `undefined` if it is not known. */
+	readonly entries: () => number | undefined;
 };
 
 /** The configuration and the targets as this process knows them from the store and from its peers. */
@@ -59,7 +75,8 @@
 /**
 Opens a directory. It follows the store, or its peers if it prefers them or while the
 store does not deliver what they announce. It announces each change to its peers, and
-its revision periodically while it reads the store. An older revision of a key never
+its revision periodically while it reads the store, the less often the more entries do
+so. An older revision of a key never
 replaces a newer one. When the store comes back from an older copy, the content that it
 has then counts, but no configuration or registration goes back to an earlier state.
 
@@ -163,12 +180,16 @@
 			}, 'store came back from an older copy; all keys listed again');
 		},
 	});
+	const announceIntervalMs = (): number => Math.min(maxAnnounceIntervalMs, Math.max(minAnnounceIntervalMs, (deps.entries() ?? 0) * msPerSecond / announcementsPerSecond));
+	// The first announcement comes at a random moment of the interval, so that those of many entries are spread over it.
+	let lastAnnouncedMs = monotonicMs() - (deps.random() * minAnnounceIntervalMs);
 	const announceTimer = setInterval(() => {
 		// A process that only follows its peers announces changes, but must not keep others from reading the store.
-		if (isReader()) {
+		if (isReader() && monotonicMs() - lastAnnouncedMs >= announceIntervalMs() * (1 - (deps.random() * announceJitterRatio))) {
+			lastAnnouncedMs = monotonicMs();
 			announceRevision();
 		}
-	}, announceIntervalMs).unref();
+	}, announceCheckMs).unref();
 	const puller = createPuller({
 		instance: deps.instance, revision: () => mirror.revision(), monotonicMs,
 		isStoreAvailable: () => isStoreAvailable && !deps.prefersPeers,
--- a/packages/cli/test/directory.test.ts
+++ b/packages/cli/test/directory.test.ts
@@ -48,13 +48,13 @@
 		standin.server.close();
 	});
 
-	const open = (storePort: number, prefersPeers: boolean, pauseMs = 10): {directory: Directory; versions: number[]; states: string[]; metrics: Metrics} => {
+	const open = (storePort: number, prefersPeers: boolean, pauseMs = 10, entries?: number): {directory: Directory; versions: number[]; states: string[]; metrics: Metrics} => {
 		const versions: number[] = [];
 		const states: string[] = [];
 		const metrics = createMetrics();
 		const directory = openDirectory({
 			instance: `instance-${storePort}-${pauseMs}`, store: connectPlatformStore({address: `127.0.0.1:${storePort}`, timeoutMs: 100}), pauseMs, prefersPeers,
-			log: createLog({}, 'error'), metrics, monotonicMs: () => performance.now(), random: () => 0.5, signal: ending.signal,
+			log: createLog({}, 'error'), metrics, monotonicMs: () => performance.now(), random: () => 0.5, signal: ending.signal, entries: () => entries,
 			async sleep(ms) {
 				await sleep(ms, undefined, {ref: false});
 			},
@@ -143,6 +143,39 @@
 		directory.stop();
 	});
 
+	// Guards against frames without news, whose number grew with the number of entries times that of sidecars.
+	it('announces an unchanged revision less often when many entries announce theirs', async () => {
+		const counts = await Promise.all([undefined, 35].map(async entries => {
+			const {directory} = open(port, false, 10, entries);
+			await sleep(100);
+			let announced = 0;
+			directory.onUp({
+				hello: helloOf('peer'), host: '', close: () => undefined,
+				send(frame) {
+					announced += frame.kind === 'known' ? 1 : 0;
+				},
+			});
+			await sleep(2600);
+			directory.stop();
+			return announced;
+		}));
+		expect(counts[0], 'alone, with the first one').to.be.at.least(3);
+		expect(counts[1], 'among 35').to.equal(1);
+	}).timeout(5000);
+
+	it('announces a change at once when many entries announce theirs', async () => {
+		const reader = open(port, false, 10, 35);
+		await sleep(60);
+		const follower = open(port, true);
+		link(reader.directory, follower.directory);
+		await sleep(100);
+		standin.put('op/config', configuration(5));
+		await sleep(150);
+		expect(follower.versions.at(-1)).to.equal(5);
+		reader.directory.stop();
+		follower.directory.stop();
+	});
+
 	// Guards against copies from every peer, which filled the links of an entry whose store was available.
 	it('pulls nothing from its peers while the store serves it', async () => {
 		const early = open(port, false);
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -37,7 +37,7 @@
 	onDown(peer: Peer, cause: DownCause): void;
 	/** Handles a frame of a peer; returns `false` for a frame that doesn't concern the group. */
 	onFrame(peer: Peer, frame: Frame): boolean;
-	/** Whether the loss of a peer must be detected quickly: true if this sidecar may coordinate the group and the peer is an entry or another candidate. */
+	/** Whether the loss of a peer must be detected quickly: true for the entries of a coordinator, and between the sidecars that may coordinate the group. */
 	isNear(peer: Peer): boolean;
 	/** Whether this sidecar may coordinate the group and therefore connects to all other sidecars of the group. */
 	isCandidate(): boolean;
@@ -308,8 +308,12 @@
 		},
 		onFrame: (peer, frame) => handleFrame(handlers, peer, frame) || (coordination?.ranks.onFrame(frame) ?? false),
 		isNear(peer) {
+			if (peer.hello.role === 'entry') {
+				return coordination !== undefined;
+			}
+
 			const isCandidate = (notice?.rank ?? 0) < candidateCount;
-			return isCandidate && (peer.hello.role === 'entry' || membership.isCandidate(peer, notice?.group));
+			return isCandidate && membership.isCandidate(peer, notice?.group);
 		},
 		isCandidate: () => (own.view()?.rank ?? candidateCount) < candidateCount,
 		async leave() {
--- a/packages/peer/src/peer.ts
+++ b/packages/peer/src/peer.ts
@@ -5,9 +5,12 @@
 import {protocolVersion, type Frame, type FrameFault} from './frame.js';
 import {shortHeartbeatIntervalMs, type HeartbeatTicker} from './heartbeat.js';
 
-/** The heartbeat interval otherwise. With hundreds of peers, short intervals would make heartbeats most of the work. */
+/** The heartbeat interval between sidecars otherwise. With hundreds of peers, short intervals would make heartbeats most of the work. */
 const longHeartbeatIntervalMs = 2000;
 
+/** The heartbeat interval between an entry and a sidecar otherwise. There is such a connection for each pair of them, and neither depends on most of the others. */
+const entryHeartbeatIntervalMs = 5000;
+
 /** The number of missed heartbeats after which a connection counts as lost. */
 const maxMissedHeartbeats = 4;
 
@@ -71,7 +74,8 @@
 Serves one connection, from the exchange of `hello` frames until it ends. A network
 partition causes no socket error, so the connection is closed if nothing arrives for
 four of the peer's announced heartbeat intervals: one second if either end asks for
-short intervals (`isNear`), else eight seconds.
+short intervals (`isNear`), else eight seconds between sidecars and twenty between an
+entry and a sidecar.
 
 @example
 createServer(socket => void servePeer(socket, options, events)).listen(7340);
@@ -99,7 +103,8 @@
 		}
 
 		const isNear = peer === undefined || events.isNear(peer);
-		const everyMs = isNear || peerHeartbeat.isNear ? shortHeartbeatIntervalMs : longHeartbeatIntervalMs;
+		const farIntervalMs = options.role === 'entry' || peer?.hello.role === 'entry' ? entryHeartbeatIntervalMs : longHeartbeatIntervalMs;
+		const everyMs = isNear || peerHeartbeat.isNear ? shortHeartbeatIntervalMs : farIntervalMs;
 		if (everyMs !== announcedIntervalMs || now - lastHeartbeatMs >= everyMs - (shortHeartbeatIntervalMs / 2)) {
 			announcedIntervalMs = everyMs;
 			lastHeartbeatMs = now;
--- a/packages/peer/test/peer.test.ts
+++ b/packages/peer/test/peer.test.ts
@@ -134,13 +134,13 @@
 	}).timeout(4000);
 
 	/** Counts the heartbeats that the server end receives within about two seconds. */
-	const countHeartbeatsWithin2s = async (isHereNear: boolean, isThereNear: boolean): Promise<number> => {
+	const countHeartbeatsWithin2s = async (isHereNear: boolean, isThereNear: boolean, thereRole: Peer['hello']['role'] = 'sidecar'): Promise<number> => {
 		const here = createRecorder(isHereNear);
 		let heartbeats = 0;
 		server.on('connection', socket => {
 			const there = openConnection(socket);
 			there.send({
-				kind: 'hello', version: 1, role: 'sidecar', instance: 'there', incarnation: 'x', zone: 'z', sentMs: 0,
+				kind: 'hello', version: 1, role: thereRole, instance: 'there', incarnation: 'x', zone: 'z', sentMs: 0,
 			});
 			there.send({kind: 'alive', isNear: isThereNear, everyMs: 5000});
 			void serveFrames(socket, frame => {
@@ -163,6 +163,10 @@
 		expect(await countHeartbeatsWithin2s(false, false)).to.be.at.most(3);
 	}).timeout(4000);
 
+	it('sends an entry no second heartbeat within two seconds if neither end must detect a loss quickly', async () => {
+		expect(await countHeartbeatsWithin2s(false, false, 'entry')).to.equal(1);
+	}).timeout(4000);
+
 	// Guards against one timer for each connection, which woke an entry with 72 sidecars 288 times a second.
 	it('has no heartbeat timer of its own', async () => {
 		const checks = new Set<() => void>();
