Send expert maps by their changes

Cause: a coordinator sends the whole map to each rank. A map is now described by its differences to the last one on the same connection, or to the map in turn: 59 KB for a change of 100 experts at 64 ranks. All ranks get the experts in the same order, whichever way the map takes.

--- a/packages/experts/src/index.ts
+++ b/packages/experts/src/index.ts
@@ -6,6 +6,9 @@
 export {
 	type RankOrder, type RankReply, type Ranks, type RankState, type ScheduledMap,
 } from './order.js';
+export {
+	applyChanges, changesBetween, mapInTurn, sortedMap, type MapChanges,
+} from './map-changes.js';
 export type {
 	CommandReply, CommandResult, GuardedCommand, LayeredMap, PassCommand, PassRanks, RankView,
 } from './pass-command.js';
--- /dev/null
+++ b/packages/group/src/map-transfer.ts
@@ -0,0 +1,83 @@
+import {
+	applyChanges, changesBetween, mapInTurn, sortedMap, type LayeredMap, type MapChanges,
+} from '@papayaflow/experts';
+import {type MapUpdate, type Peer} from '@papayaflow/peer';
+
+/**
+Creates the function that describes a map to a peer by its differences to the last map
+sent on the same connection, or to the map in turn if it is the first one. The frames of
+a connection arrive in order or not at all, so the peer has that map. A whole map has
+thousands of numbers, and one for each rank would fill the link of the coordinator, over
+which it also places requests.
+
+Load pattern: the expert map of a group of dozens of ranks changes every few seconds.
+
+@example
+const describe = createMapSender();
+peer.send({kind: 'command', id, guarded: {...guarded, command: {kind: 'prepare', version, map: describe(peer, map)}}});
+*/
+export function createMapSender(): (peer: Peer, map: LayeredMap) => MapUpdate {
+	const sent = new WeakMap<Peer, LayeredMap>();
+	/** The last result, since most ranks get the same one. */
+	let last: {readonly base: LayeredMap; readonly map: LayeredMap; readonly changes: MapChanges} | undefined;
+	let inTurn: {readonly map: LayeredMap; readonly layers: number; readonly ranks: number; readonly expertsPerLayer: number} | undefined;
+
+	const changesOf = (base: LayeredMap, map: LayeredMap): MapChanges => {
+		if (last?.base !== base || last.map !== map) {
+			last = {base, map, changes: changesBetween(base, map)};
+		}
+
+		return last.changes;
+	};
+
+	return (peer, map) => {
+		const base = sent.get(peer);
+		sent.set(peer, map);
+		if (base?.length === map.length && base[0].length === map[0].length) {
+			return {base: 'previous', changes: changesOf(base, map)};
+		}
+
+		const [layers, ranks, expertsPerLayer] = [map.length, map[0].length, 1 + Math.max(...map[0].flat())];
+		if (inTurn?.layers !== layers || inTurn.ranks !== ranks || inTurn.expertsPerLayer !== expertsPerLayer) {
+			const shape = {layers, ranks, expertsPerLayer};
+			inTurn = {...shape, map: mapInTurn(shape)};
+		}
+
+		return {
+			base: 'inTurn', layers, ranks, expertsPerLayer, changes: changesOf(inTurn.map, map),
+		};
+	};
+}
+
+/**
+Creates the function that returns the map that a peer describes; `undefined` if its
+description doesn't fit the last map from that connection. The lists of experts are sorted.
+
+@example
+const readMap = createMapReceiver();
+const map = readMap(peer, update);
+*/
+export function createMapReceiver(): (peer: Peer, update: MapUpdate) => LayeredMap | undefined {
+	const received = new WeakMap<Peer, LayeredMap>();
+	return (peer, update) => {
+		const base = update.base === 'previous' ? received.get(peer) : mapInTurn(update);
+		const map = base && applyChanges(base, update.changes);
+		if (map) {
+			received.set(peer, map);
+		} else {
+			received.delete(peer);
+		}
+
+		return map;
+	};
+}
+
+/** Creates a function that returns `sortedMap` of a map, computed once for each map. */
+export function createMapSorter(): (map: LayeredMap) => LayeredMap {
+	const sorted = new WeakMap<LayeredMap, LayeredMap>();
+	return map => {
+		const known = sorted.get(map) ?? sortedMap(map);
+		sorted.set(map, known);
+		return known;
+	};
+}
--- a/packages/group/src/remote-ranks.ts
+++ b/packages/group/src/remote-ranks.ts
@@ -1,5 +1,8 @@
-import {type CommandReply, type PassRanks, type RankView} from '@papayaflow/experts';
+import {
+	type CommandReply, type GuardedCommand, type PassRanks, type RankView,
+} from '@papayaflow/experts';
 import {type Frame, type Peer} from '@papayaflow/peer';
+import {createMapSender, createMapSorter} from './map-transfer.js';
 import {type OwnRank, type RankEngine} from './own-rank.js';
 
 /** How long to wait for another sidecar's reply, in milliseconds: it makes up to two calls to its engine, and the frames take a round trip. */
@@ -44,6 +47,18 @@
 export function createRemoteRanks(options: RemoteRanksOptions): RemoteRanks {
 	const pendingReplies = new Map<number, (reply: CommandReply) => void>();
 	let lastId = 0;
+	const describeMap = createMapSender();
+	const sort = createMapSorter();
+
+	/** All ranks get the experts of a map in the same order, whichever way the map takes. */
+	const withSortedMap = (guarded: GuardedCommand): GuardedCommand => {
+		const {command} = guarded;
+		return command.kind === 'prepare' ? {...guarded, command: {...command, map: sort(command.map)}} : guarded;
+	};
+
+	const commandFrame = (peer: Peer, id: number, {command, ...guard}: GuardedCommand): Frame => ({
+		kind: 'command', id, guarded: {...guard, command: command.kind === 'prepare' ? {...command, map: describeMap(peer, command.map)} : command},
+	});
 
 	const request = async (peer: Peer, frame: (id: number) => Frame): Promise<CommandReply> => {
 		const id = ++lastId;
@@ -75,16 +90,18 @@
 				return result;
 			}
 
-			return member ? options.connect(member.target).command(guarded) : 'unknown';
+			return member ? options.connect(member.target).command(withSortedMap(guarded)) : 'unknown';
 		},
-		async command(rank, guarded) {
+		async command(rank, unsorted) {
+			const guarded = withSortedMap(unsorted);
 			if (rank === options.ownRank) {
 				return options.own.command(guarded);
 			}
 
 			const member = options.member(rank);
 			if (member?.peer) {
-				return request(member.peer, id => ({kind: 'command', id, guarded}));
+				const {peer} = member;
+				return request(peer, id => commandFrame(peer, id, guarded));
 			}
 
 			if (!member) {
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -1,11 +1,12 @@
-import {type GuardedCommand, type RankView} from '@papayaflow/experts';
+import {type CommandReply, type RankView} from '@papayaflow/experts';
 import {
-	handleFrame, type DownCause, type Frame, type FrameHandlers, type Peer, type RankNotice, type StreamNotice,
+	handleFrame, type DownCause, type Frame, type FrameHandlers, type Peer, type PeerCommand, type RankNotice, type StreamNotice,
 } from '@papayaflow/peer';
 import {type PlacementRequest} from '@papayaflow/policy';
 import {addressOf, type TargetRecord} from '@papayaflow/routing';
 import {startCoordination, type Coordination, type CoordinationDeps} from './coordination.js';
 import {packCounts, unpackCounts} from './counts.js';
+import {createMapReceiver} from './map-transfer.js';
 import {candidateCount, createMembership} from './membership.js';
 import {pollOwnRank} from './own-rank.js';
 import {type Member} from './remote-ranks.js';
@@ -243,8 +244,24 @@
 		}
 	};
 
-	const executeCommand = async (peer: Peer, id: number, guarded: GuardedCommand): Promise<void> => {
-		const {result, view} = await own.command(guarded);
+	const readMap = createMapReceiver();
+
+	const runCommand = async (peer: Peer, {command, ...guard}: PeerCommand): Promise<CommandReply> => {
+		if (command.kind !== 'prepare') {
+			return own.command({...guard, command});
+		}
+
+		const map = readMap(peer, command.map);
+		if (map === undefined) {
+			log.warn({peer: peer.hello.instance, version: command.version}, 'map from the coordinator does not fit the previous one; its command is ignored');
+			return {result: 'unknown', view: await own.pollView()};
+		}
+
+		return own.command({...guard, command: {...command, map}});
+	};
+
+	const executeCommand = async (peer: Peer, id: number, guarded: PeerCommand): Promise<void> => {
+		const {result, view} = await runCommand(peer, guarded);
 		metrics.count('rank_commands', {kind: guarded.command.kind, result});
 		peer.send({
 			kind: 'viewed', id, result, view,
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {Decoder, Encoder} from 'cbor-x';
 import {
-	type CommandResult, type GuardedCommand, type RankOrder, type RankReply, type RankView,
+	type CommandResult, type GuardedCommand, type MapChanges, type PassCommand, type RankOrder, type RankReply, type RankView,
 } from '@papayaflow/experts';
 import {type AnnouncedLimit, type SeenLimit, type TargetLifetime} from '@papayaflow/limit';
 import {type LossReason, type RefusalReason} from '@papayaflow/outcome';
@@ -108,6 +108,16 @@
 	readonly keys: readonly string[];
 };
 
+/** A map as a coordinator sends it: by its changes to the last map on the same connection, or to the map in which the experts are assigned to the ranks in turn. */
+export type MapUpdate
+	= | {readonly base: 'previous'; readonly changes: MapChanges}
+		| {readonly base: 'inTurn'; readonly layers: number; readonly ranks: number; readonly expertsPerLayer: number; readonly changes: MapChanges};
+
+/** A command to a rank as a coordinator sends it to the rank's sidecar. */
+export type PeerCommand = Omit<GuardedCommand, 'command'> & {
+	readonly command: Exclude<PassCommand, {kind: 'prepare'}> | {readonly kind: 'prepare'; readonly version: number; readonly map: MapUpdate};
+};
+
 /**
 The frames that forward requests through sidecars, tagged by `kind`. `sentMs` is the
 time on the sender's monotonic clock in milliseconds; only differences between two
@@ -168,7 +178,7 @@
 		| {readonly kind: 'groupLoad'; readonly group: string; readonly load: GroupLoad}
 	/** How often each expert was selected for one rank's requests since the rank's previous sample. The count of an expert is its byte in `counts` times `unit`. */
 		| {readonly kind: 'counts'; readonly formation: number; readonly pass: number; readonly unit: number; readonly counts: Uint8Array}
-		| {readonly kind: 'command'; readonly id: number; readonly guarded: GuardedCommand}
+		| {readonly kind: 'command'; readonly id: number; readonly guarded: PeerCommand}
 		| {readonly kind: 'look'; readonly id: number}
 		| {readonly kind: 'viewed'; readonly id: number; readonly result: CommandResult; readonly view?: RankView}
 	/** The revision of the last change known to the sender, for receivers that do not or cannot read the key-value service themselves. */
