Place generations in the zone of their entry among ranks with equal work

Cause: a coordinator chose among ranks with equal work at random, so with five zones four fifths of all generations crossed zones. The order is by work as before; the zone only decides ties. Test without network: three ranks in three zones.

--- a/packages/group/src/coordination.ts
+++ b/packages/group/src/coordination.ts
@@ -37,6 +37,8 @@
 	readonly model: () => EngineModel | undefined;
 	/** Whether each rank accepts new requests, indexed by rank. */
 	readonly openByRank: () => readonly boolean[];
+	/** The availability zone of each rank, indexed by rank. */
+	readonly zones: () => ReadonlyArray<string | undefined>;
 	/** Acquires a new fencing token for this group; `undefined` if it could not be acquired. */
 	readonly acquireToken: () => Promise<number | undefined>;
 	readonly weights: Pick<BalancingWeights, 'goodSkew' | 'copyCost'>;
@@ -102,7 +104,8 @@
 			const model = deps.model();
 			return model && {...model, expertShare: model.experts?.workShare ?? 0};
 		},
-		openRanks: deps.openByRank, skew: () => skewMonitor.skew(), demandShifts: () => skewMonitor.shifts(), slowdown: () => meter.slowdown(), isStalled: () => meter.stalledMs() > stallTimeoutMs,
+		openRanks: deps.openByRank, zones: deps.zones,
+		skew: () => skewMonitor.skew(), demandShifts: () => skewMonitor.shifts(), slowdown: () => meter.slowdown(), isStalled: () => meter.stalledMs() > stallTimeoutMs,
 		nowMs: monotonicMs, random: deps.random,
 	});
 	const ranks = createRemoteRanks({
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -68,6 +68,7 @@
 	let term = 0;
 	let notice: RankNotice | undefined;
 	let openByRank: readonly boolean[] = [];
+	let zones: ReadonlyArray<string | undefined> = [];
 	let lowerCandidateSeenMs = monotonicMs() + startupDelayMs;
 	let lastViewMs = monotonicMs();
 	let isLeaving = false;
@@ -114,12 +115,13 @@
 	const targetOf = (rank: number): string | undefined => member(rank)?.target;
 
 	const onView = (view: RankView): void => {
-		const serving = new Set(deps.records().filter(({state}) => state === 'serving').map(record => addressOf(record)));
+		const records = new Map(deps.records().map(record => [addressOf(record), record]));
 		openByRank = Array.from({length: view.size}, (_, rank) => {
 			const target = targetOf(rank);
 			// A sidecar that stopped responding may be on a frozen machine. A request sent there can't be cancelled: the engine would still run it after the caller has disconnected.
-			return view.isOpen && target !== undefined && serving.has(target) && !membership.isSilent(view.group, rank);
+			return view.isOpen && target !== undefined && records.get(target)?.state === 'serving' && !membership.isSilent(view.group, rank);
 		});
+		zones = openByRank.map((_, rank) => records.get(targetOf(rank) ?? '')?.zone);
 		updateRole(view);
 		updateNotice(view);
 		coordination?.onView(view);
@@ -142,7 +144,7 @@
 		const shouldCoordinate = view.rank === 0 || (view.rank < candidateCount && !hasLowerCandidate && now - lowerCandidateSeenMs >= takeoverDelayMs * view.rank);
 		if (!coordination && shouldCoordinate && !isLeaving && view.isOpen) {
 			coordination = startCoordination({
-				...deps, view, own, member, openByRank: () => openByRank, entries: () => entries.size,
+				...deps, view, own, member, openByRank: () => openByRank, zones: () => zones, entries: () => entries.size,
 				acquireToken: async () => deps.acquireToken(view.group),
 				sendLoad(load) {
 					for (const peer of entries) {
@@ -181,10 +183,10 @@
 		}
 	};
 
-	const placementRequestOf = (frame: Extract<Frame, {kind: 'place'}>): PlacementRequest => {
+	const placementRequestOf = (peer: Peer, frame: Extract<Frame, {kind: 'place'}>): PlacementRequest => {
 		const {excluded, ...request} = frame.ask;
 		const ranks = Array.from({length: notice?.size ?? 0}, (_, rank) => rank);
-		return {...request, excluded: new Set(ranks.filter(rank => excluded.includes(targetOf(rank) ?? '')))};
+		return {...request, zone: peer.hello.zone, excluded: new Set(ranks.filter(rank => excluded.includes(targetOf(rank) ?? '')))};
 	};
 
 	const onPlace = (peer: Peer, frame: Extract<Frame, {kind: 'place'}>): void => {
@@ -196,7 +198,7 @@
 			return;
 		}
 
-		coordination.admission.ask(placementRequestOf(frame), decision => {
+		coordination.admission.ask(placementRequestOf(peer, frame), decision => {
 			metrics.count('group_decisions', {kind: decision.kind});
 			const target = decision.kind === 'placed' ? targetOf(decision.rank) : undefined;
 			log.info({
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -72,8 +72,8 @@
 	readonly term: number;
 };
 
-/** Asks a group's coordinator to choose an engine for a request of an entry. Excluded engines are given by address, whereas `PlacementRequest` excludes ranks. */
-export type PeerPlacementRequest = Omit<PlacementRequest, 'excluded'> & {
+/** Asks a group's coordinator to choose an engine for a request of an entry. Excluded engines are given by address, whereas `PlacementRequest` excludes ranks. The zone is that of the connection. */
+export type PeerPlacementRequest = Omit<PlacementRequest, 'excluded' | 'zone'> & {
 	/** The addresses of engines that failed the request before, as `IP:PORT`. */
 	readonly excluded: readonly string[];
 };
--- a/packages/policy/src/group-admission.ts
+++ b/packages/policy/src/group-admission.ts
@@ -21,6 +21,8 @@
 	readonly hasReturned: boolean;
 	/** Whether the request resumes a stream that was interrupted, so that its caller waits in the middle of an answer. */
 	readonly isResumed: boolean;
+	/** The availability zone of the entry that forwards the request. */
+	readonly zone: string;
 	/** The ranks on which this request has already failed. */
 	readonly excluded: ReadonlySet<number>;
 };
@@ -54,6 +56,8 @@
 	readonly model: () => GroupModel | undefined;
 	/** For each rank, whether it accepts new requests. The length is the size of the group. */
 	readonly openRanks: () => readonly boolean[];
+	/** For each rank, its availability zone; `undefined` if it is not known. */
+	readonly zones: () => ReadonlyArray<string | undefined>;
 	/** The current skew of the load, as defined for `predictPassMs`. */
 	readonly skew: () => number;
 	/** The observed shifts of demand; `undefined` before enough of them have been observed. */
@@ -223,13 +227,14 @@
 		return model ? options.slowdown() * predictPassMs(model, workByRank(), options.skew()) : 0;
 	};
 
-	/** Returns the rank that would have the least work in a pass with the request; `undefined` if no rank can accept it. */
-	const bestRank = ({promptTokens, answerTokens, excluded}: PlacementRequest): number | undefined => {
+	/** Returns the rank that would have the least work in a pass with the request, among equal ones one in the entry's zone; `undefined` if no rank can accept it. */
+	const bestRank = ({promptTokens, answerTokens, zone, excluded}: PlacementRequest): number | undefined => {
 		const model = options.model();
 		if (!model) {
 			return undefined;
 		}
 
+		const zones = options.zones();
 		const counts = options.openRanks().map(() => ({requests: 0, tokens: 0, prefillTokens: 0}));
 		for (const request of running.values()) {
 			const count = counts.at(request.rank);
@@ -249,7 +254,8 @@
 			}
 
 			const decodeMs = model.stepsPerPass * model.sequenceMs * requests;
-			const cost = decodeMs + ((prefillTokens + promptTokens) / model.prefillTokensPerMs) + (options.random() / tieBreakDivisor);
+			const zoneMs = zones[rank] === zone ? 0 : otherZoneMs;
+			const cost = decodeMs + ((prefillTokens + promptTokens) / model.prefillTokensPerMs) + zoneMs + (options.random() / tieBreakDivisor);
 			if (cost < bestCost) {
 				best = rank;
 				bestCost = cost;
@@ -370,5 +376,8 @@
 	};
 }
 
+/** The cost of a rank in another availability zone than the entry, in milliseconds. Traffic between zones is charged, but not worth a longer pass. */
+const otherZoneMs = 0.01;
+
 /** Limits the random part of a rank's cost to 1/1000 ms, so that it only decides between ranks of practically equal cost. */
 const tieBreakDivisor = 1000;
--- a/packages/policy/test/group.test.ts
+++ b/packages/policy/test/group.test.ts
@@ -32,12 +32,14 @@
 	type Clock = {nowMs: number};
 
 	const admissionOf = (clock: Clock, ranks = 2, shifts?: DemandShifts, isStalled = () => false): GroupAdmission => createGroupAdmission({
-		model: () => model, openRanks: () => Array.from({length: ranks}, () => true), skew: () => 1, demandShifts: () => shifts, slowdown: () => 1, isStalled,
+		model: () => model, openRanks: () => Array.from({length: ranks}, () => true), zones: () => Array.from({length: ranks}, (_, rank) => `zone-${rank}`),
+		skew: () => 1, demandShifts: () => shifts, slowdown: () => 1, isStalled,
 		nowMs: () => clock.nowMs, random: () => 0.5,
 	});
 
 	const makeRequest = (id: string, overrides: Partial<PlacementRequest> = {}): PlacementRequest => ({
-		id, promptTokens: 100, answerTokens: 100, waitedMs: 0, objectiveMs: 500, gapMs: 40, deadlineMs: 8000, priority: 1, hasReturned: false, isResumed: false, excluded: new Set(), ...overrides,
+		id, promptTokens: 100, answerTokens: 100, waitedMs: 0, objectiveMs: 500, gapMs: 40, deadlineMs: 8000, priority: 1, hasReturned: false, isResumed: false,
+		zone: 'zone-0', excluded: new Set(), ...overrides,
 	});
 
 	const ask = (admission: GroupAdmission, asked: PlacementRequest): GroupDecision[] => {
@@ -46,6 +48,17 @@
 		return decisions;
 	};
 
+	// Load pattern: a group whose ranks lie in several availability zones, with charged traffic between them, is not full.
+	it('places a request in the zone of its entry among ranks with equal work, and elsewhere if those have less', () => {
+		const admission = admissionOf({nowMs: 0}, 3);
+		const placedIn = (id: string, zone: string): number | undefined => {
+			const [decision] = ask(admission, makeRequest(id, {zone}));
+			return decision?.kind === 'placed' ? decision.rank : undefined;
+		};
+
+		expect([placedIn('a', 'zone-2'), placedIn('b', 'zone-1'), placedIn('c', 'zone-1'), placedIn('d', 'zone-1')]).to.deep.equal([2, 1, 0, 1]);
+	});
+
 	const fill = (admission: GroupAdmission): number => {
 		let placed = 0;
 		for (; placed < 100; placed++) {
@@ -222,7 +235,8 @@
 
 	it('refuses a request at once if no rank accepts requests', () => {
 		const admission = createGroupAdmission({
-			model: () => model, openRanks: () => [false, false], skew: () => 1, demandShifts: () => undefined, slowdown: () => 1, isStalled: () => false, nowMs: () => 0, random: () => 0.5,
+			model: () => model, openRanks: () => [false, false], zones: () => [],
+			skew: () => 1, demandShifts: () => undefined, slowdown: () => 1, isStalled: () => false, nowMs: () => 0, random: () => 0.5,
 		});
 		expect(ask(admission, makeRequest('a'))[0]).to.include({kind: 'refused', reason: 'noTarget'});
 	});
