Read the store as often as the platform's bounds need

The pause is now 0.35 of the shorter of the bounds on configurations and on leaving targets where that is longer: 0.7 s at 2 s as before, 1.4 s at 4 s. Registrations are decoded once for each entry of the store, and sidecars are not ordered for each one that is lost.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -16,7 +16,7 @@
 import {addressSetting, numberSetting, type SettingsOf} from '@papayaflow/settings';
 import {serveAdmin} from '@papayaflow/telemetry';
 import {createProcessContext} from './direct-process.js';
-import {directSettings, logFlushMs} from './direct-settings.js';
+import {directSettings, logFlushMs, storePauseOf} from './direct-settings.js';
 import {openDirectory} from './directory.js';
 import {type RunningProgram} from './entry-wiring.js';
 import {listen} from './program.js';
@@ -98,7 +98,7 @@
 	const pauses = createPauses({monotonicMs, metrics, log});
 	const directory = openDirectory({
 		instance, store: connectPlatformStore({address: addressOf(settings.store), timeoutMs: settings.storeTimeoutMs}),
-		pauseMs: settings.storePauseMs, prefersPeers: false, entries: () => groupPlacer.entries(), log, metrics, monotonicMs, random, sleep: pause, signal: shutdown.signal,
+		pauseMs: storePauseOf(settings), prefersPeers: false, entries: () => groupPlacer.entries(), log, metrics, monotonicMs, random, sleep: pause, signal: shutdown.signal,
 		onTable({configuration}) {
 			front.applyTimeouts(configuration.limits);
 			updateEngineChoice();
@@ -185,7 +185,8 @@
 		},
 		onDown(peer, cause) {
 			log.warn({dependency: 'sidecar', peer: peer.hello.instance, cause}, 'dependency lost');
-			const wasRelay = relays().includes(peer);
+			// Ordering all sidecars for each one that is lost takes long when many are lost at once.
+			const wasRelay = quarantine.all().length > 0 && relays().includes(peer);
 			if (sidecars.get(peer.host) === peer) {
 				sidecars.delete(peer.host);
 			}
--- a/packages/cli/src/direct-settings.ts
+++ b/packages/cli/src/direct-settings.ts
@@ -16,9 +16,15 @@
 	storeTimeoutMs: numberSetting('the timeout of one call to the store', {
 		minimum: 10, maximum: 60_000, unit: 'milliseconds', fallback: '1000',
 	}),
-	storePauseMs: numberSetting('the pause between two reads of the store, which limits the rate of calls', {
+	storePauseMs: numberSetting('the shortest pause between two reads of the store, which limits the rate of calls', {
 		minimum: 0, maximum: 60_000, unit: 'milliseconds', fallback: '700',
 	}),
+	configMs: numberSetting('the time within which a change of the configuration must be in force, if the platform names one; the store is read often enough for it', {
+		minimum: 0, maximum: 3_600_000, unit: 'milliseconds', fallback: '0',
+	}),
+	drainMs: numberSetting('the time within which a leaving target must get no more requests, if the platform names one; the store is read often enough for it', {
+		minimum: 0, maximum: 3_600_000, unit: 'milliseconds', fallback: '0',
+	}),
 	peerPort: portSetting('the port on which sidecars accept connections from entries and from each other'),
 	metricsPort: portSetting('the port that serves the metrics', '0'),
 	graceMs: numberSetting('how long a process may keep running after a stop signal', {
@@ -28,3 +34,17 @@
 		schema: z.enum(logLevels), description: 'the lowest level that is logged', allowed: logLevels.join(', '), default: 'info',
 	},
 };
+
+/** The pause between two reads of the store, as a ratio of the shorter of the two times. The rest covers a slow read and the way of the change to processes that do not read the store. */
+const pauseToBoundRatio = 0.35;
+
+/**
+Returns the pause between two reads of the store, in milliseconds. Each heartbeat of a
+target ends a watch, so with many targets the pause decides how many calls are made.
+
+@example
+storePauseOf({storePauseMs: 700, configMs: 4000, drainMs: 4000}); // 1400
+*/
+export function storePauseOf({storePauseMs, configMs, drainMs}: {readonly storePauseMs: number; readonly configMs: number; readonly drainMs: number}): number {
+	return Math.max(storePauseMs, Math.min(configMs, drainMs) * pauseToBoundRatio);
+}
--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -12,7 +12,7 @@
 import {addressSetting, numberSetting, type SettingsOf} from '@papayaflow/settings';
 import {serveAdmin} from '@papayaflow/telemetry';
 import {createProcessContext} from './direct-process.js';
-import {directSettings, logFlushMs} from './direct-settings.js';
+import {directSettings, logFlushMs, storePauseOf} from './direct-settings.js';
 import {openDirectory} from './directory.js';
 import {type RunningProgram} from './entry-wiring.js';
 import {listen} from './program.js';
@@ -47,7 +47,7 @@
 	const target = addressOf(settings.target);
 	const store = connectPlatformStore({address: addressOf(settings.store), timeoutMs: settings.storeTimeoutMs});
 	const directory = openDirectory({
-		instance, store, pauseMs: settings.storePauseMs, prefersPeers: true, entries: () => undefined, log, metrics, monotonicMs, random, sleep: pause, signal: shutdown.signal,
+		instance, store, pauseMs: storePauseOf(settings), prefersPeers: true, entries: () => undefined, log, metrics, monotonicMs, random, sleep: pause, signal: shutdown.signal,
 		onTable() {
 			updateOwnedTargets();
 			updateLinks();
--- a/packages/cli/src/directory.ts
+++ b/packages/cli/src/directory.ts
@@ -5,7 +5,7 @@
 	handleFrame, type Frame, type FrameHandlers, type Peer,
 } from '@papayaflow/peer';
 import {
-	configurationKey, decodeConfiguration, decodeRegistration, isEarlierState, isRemovedState, registrationPrefix,
+	configurationKey, decodeConfiguration, decodeRegistration, isEarlierState, isRemovedState, registrationPrefix, type RegistrationResult,
 } from '@papayaflow/platform';
 import {
 	createRouteTable, isSameTarget, type RouteTable, type TargetRecord,
@@ -131,12 +131,13 @@
 
 	const applyRegistrations = (): void => {
 		const next: TargetRecord[] = [];
-		for (const {key, value, revision} of mirror.entries()) {
+		for (const entry of mirror.entries()) {
+			const {key, revision} = entry;
 			if (!key.startsWith(registrationPrefix)) {
 				continue;
 			}
 
-			const result = decodeRegistration(key, value, revision);
+			const result = decodeOnce(entry);
 			if (result.kind === 'target') {
 				next.push(result.target);
 			} else if (malformedRevisions.get(key) !== revision) {
@@ -242,13 +243,21 @@
 	};
 }
 
+const decodedRegistrations = new WeakMap<Entry, RegistrationResult>();
+
+/** Decodes a registration once. Each heartbeat of a target is compared with the entry before it, and each change of any target goes through the entries of all. */
+function decodeOnce(entry: Entry): RegistrationResult {
+	const result = decodedRegistrations.get(entry) ?? decodeRegistration(entry.key, entry.value, entry.revision);
+	decodedRegistrations.set(entry, result);
+	return result;
+}
+
 // Heartbeats rewrite a registration without changing it; only the fields that decide routing are compared. All malformed registrations are equivalent, since each is ignored.
 function isSameEntry(a: Entry, b: Entry): boolean {
 	if (!a.key.startsWith(registrationPrefix)) {
 		return false;
 	}
 
-	const before = decodeRegistration(a.key, a.value, a.revision);
-	const after = decodeRegistration(b.key, b.value, b.revision);
+	const [before, after] = [decodeOnce(a), decodeOnce(b)];
 	return before.kind === 'target' && after.kind === 'target' ? isSameTarget(before.target, after.target) : before.kind === after.kind;
 }
