Copy changes from entries of the own zone, and report no empty counts

Each sidecar copied each change from any entry, four fifths of them in other zones, and each rank reported thousands of zeros a second while it had no requests. Pulls now prefer an entry of the own zone; intervals without a chosen expert are not reported.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -97,7 +97,7 @@
 	const beliefs = createBeliefs({monotonicMs, metrics, log});
 	const pauses = createPauses({monotonicMs, metrics, log});
 	const directory = openDirectory({
-		instance, store: connectPlatformStore({address: addressOf(settings.store), timeoutMs: settings.storeTimeoutMs}),
+		instance, zone, store: connectPlatformStore({address: addressOf(settings.store), timeoutMs: settings.storeTimeoutMs}),
 		pauseMs: storePauseOf(settings), prefersPeers: false, entries: () => groupPlacer.entries(), log, metrics, monotonicMs, random, sleep: pause, signal: shutdown.signal,
 		onTable({configuration}) {
 			front.applyTimeouts(configuration.limits);
--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -47,7 +47,7 @@
 	const target = addressOf(settings.target);
 	const store = connectPlatformStore({address: addressOf(settings.store), timeoutMs: settings.storeTimeoutMs});
 	const directory = openDirectory({
-		instance, store, pauseMs: storePauseOf(settings), prefersPeers: true, entries: () => undefined, log, metrics, monotonicMs, random, sleep: pause, signal: shutdown.signal,
+		instance, zone, store, pauseMs: storePauseOf(settings), prefersPeers: true, entries: () => undefined, log, metrics, monotonicMs, random, sleep: pause, signal: shutdown.signal,
 		onTable() {
 			updateOwnedTargets();
 			updateLinks();
--- a/packages/cli/src/directory.ts
+++ b/packages/cli/src/directory.ts
@@ -43,6 +43,8 @@
 export type DirectoryDeps = {
 	/** The name of this instance. */
 	readonly instance: string;
+	/** The availability zone of this instance. */
+	readonly zone: string;
 	readonly store: Store;
 	/** The pause between two reads of the store, in milliseconds. */
 	readonly pauseMs: number;
@@ -192,7 +194,7 @@
 		}
 	}, announceCheckMs).unref();
 	const puller = createPuller({
-		instance: deps.instance, revision: () => mirror.revision(), monotonicMs,
+		instance: deps.instance, zone: deps.zone, revision: () => mirror.revision(), monotonicMs,
 		isStoreAvailable: () => isStoreAvailable && !deps.prefersPeers,
 		onPull() {
 			metrics.count('pulls');
--- a/packages/cli/src/pull.ts
+++ b/packages/cli/src/pull.ts
@@ -16,6 +16,8 @@
 export type PullOptions = {
 	/** The name of this instance; different instances prefer different peers. */
 	readonly instance: string;
+	/** The availability zone of this instance. */
+	readonly zone: string;
 	/** The revision up to which this process knows all changes. */
 	readonly revision: () => number;
 	/** Whether the store answers this process, so that it normally gets changes from there. */
@@ -38,7 +40,7 @@
 
 /**
 Creates the puller of one process. It pulls each change once: every instance prefers
-another peer, entries before sidecars, so that the copies of a change are spread over
+another peer, entries before sidecars and those of its zone first, so that the copies of a change are spread over
 the peers and their number grows with the number of instances only. It asks another
 peer if the preferred one does not announce the change, does not answer in time or
 disconnects. A process that the store serves pulls only what the store does not deliver.
@@ -47,10 +49,10 @@
 on thin links.
 
 @example
-const puller = createPuller({instance: 'side-1', revision: () => mirror.revision(), isStoreAvailable: () => false, monotonicMs, onPull});
+const puller = createPuller({instance: 'side-1', zone: 'a', revision: () => mirror.revision(), isStoreAvailable: () => false, monotonicMs, onPull});
 puller.onKnown(peer, 42);
 */
-export function createPuller({instance, revision, isStoreAvailable, monotonicMs, onPull}: PullOptions): Puller {
+export function createPuller({instance, zone, revision, isStoreAvailable, monotonicMs, onPull}: PullOptions): Puller {
 	const announced = new Map<Peer, number>();
 	/** Peers that were asked since this process was last up to date, without success. */
 	const tried = new Set<Peer>();
@@ -66,7 +68,8 @@
 	const preferenceOrder = (): readonly Peer[] => {
 		const byInstance = new Map([...announced.keys()].map(peer => [peer.hello.instance, peer]));
 		const ordered = rendezvousOrder(instance, [...byInstance.keys()]).map(name => byInstance.get(name)!);
-		return [...ordered.filter(({hello}) => hello.role === 'entry'), ...ordered.filter(({hello}) => hello.role !== 'entry')];
+		const rankOf = ({hello}: Peer): number => (hello.role === 'entry' ? 0 : 2) + (hello.zone === zone ? 0 : 1);
+		return ordered.toSorted((a, b) => rankOf(a) - rankOf(b));
 	};
 
 	const pullIfBehind = (): void => {
--- a/packages/cli/test/directory.test.ts
+++ b/packages/cli/test/directory.test.ts
@@ -53,7 +53,7 @@
 		const states: string[] = [];
 		const metrics = createMetrics();
 		const directory = openDirectory({
-			instance: `instance-${storePort}-${pauseMs}`, store: connectPlatformStore({address: `127.0.0.1:${storePort}`, timeoutMs: 100}), pauseMs, prefersPeers,
+			instance: `instance-${storePort}-${pauseMs}`, zone: 'z', store: connectPlatformStore({address: `127.0.0.1:${storePort}`, timeoutMs: 100}), pauseMs, prefersPeers,
 			log: createLog({}, 'error'), metrics, monotonicMs: () => performance.now(), random: () => 0.5, signal: ending.signal, entries: () => entries,
 			async sleep(ms) {
 				await sleep(ms, undefined, {ref: false});
--- a/packages/cli/test/pull.test.ts
+++ b/packages/cli/test/pull.test.ts
@@ -6,13 +6,13 @@
 
 type TestPeer = {readonly peer: Peer; readonly pulls: number[]};
 
-function createPeer(instance: string, role: 'entry' | 'sidecar' = 'entry'): TestPeer {
+function createPeer(instance: string, role: 'entry' | 'sidecar' = 'entry', zone = 'z'): TestPeer {
 	const pulls: number[] = [];
 	return {
 		pulls,
 		peer: {
 			hello: {
-				kind: 'hello', version: 1, role, instance, incarnation: 'x', zone: 'z', sentMs: 0,
+				kind: 'hello', version: 1, role, instance, incarnation: 'x', zone, sentMs: 0,
 			},
 			host: '', close: () => undefined,
 			send(frame) {
@@ -26,13 +26,31 @@
 
 function createTestPuller(instance: string, {revision = (): number => 0, isStoreAvailable = (): boolean => false} = {}): Puller {
 	return createPuller({
-		instance, revision, isStoreAvailable, monotonicMs: () => performance.now(), onPull: () => undefined,
+		instance, zone: 'z', revision, isStoreAvailable, monotonicMs: () => performance.now(), onPull: () => undefined,
 	});
 }
 
 const pullCount = (peers: readonly TestPeer[]): number => peers.reduce((sum, {pulls}) => sum + pulls.length, 0);
 
 describe('a puller', () => {
+	// Load pattern: every sidecar of a large fleet copies a change, over charged links between zones.
+	it('pulls from an entry of its own zone if one announces the change, and from another zone otherwise', () => {
+		const peers = [createPeer('edge-0', 'entry', 'y'), createPeer('edge-1', 'entry', 'x'), createPeer('edge-2', 'entry', 'z'), createPeer('side-9', 'sidecar', 'z')];
+		for (const [announcing, expected] of [[peers, 2], [peers.slice(0, 1), 0]] as const) {
+			const puller = createTestPuller('side-1', {revision: () => 1});
+			for (const {peer} of announcing) {
+				puller.onKnown(peer, 1);
+			}
+
+			for (const {peer} of announcing) {
+				puller.onKnown(peer, 2);
+			}
+
+			expect(peers.findIndex(({pulls}) => pulls.splice(0).length > 0)).to.equal(expected);
+			puller.stop();
+		}
+	});
+
 	// Guards against the copies of one change filling the link of the entry that announces it first.
 	it('spreads the copies of one change over the entries, one for each sidecar', async () => {
 		const entryCount = 14;
--- a/packages/group/src/own-rank.ts
+++ b/packages/group/src/own-rank.ts
@@ -84,7 +84,8 @@
 			const now = lastView && await engine.counts();
 			const counts = before && now && countsBetween(before, now);
 			before = now;
-			if (now && counts) {
+			// A rank without requests has nothing to report.
+			if (now && counts?.some(count => count > 0)) {
 				onCounts({formation: now.formation, pass: now.pass, counts});
 				const pauseMs = ((counts.length / countBytesPerMs) - countsIntervalMs) * (0.5 + random());
 				if (pauseMs > 0) {
