--- a/packages/direct/src/group-outages.ts
+++ b/packages/direct/src/group-outages.ts
@@ -1,7 +1,7 @@
 import {createOutageForecast, refusalRetryDelayMs, type OutageForecast} from '@papayaflow/policy';
 
-/** The time until the first event of a generation after its group serves requests again, in milliseconds. With less of its patience left, a call does not wait for the end of an outage. */
-const minServiceMs = 600;
+/** The time that a generation needs after its group serves requests again, in milliseconds. With less left until its deadline, a call does not wait for the end of an outage. */
+const minServiceMs = 1500;
 
 /** The outages of all groups, as their ranks announce them. */
 export type GroupOutages = {
@@ -10,8 +10,8 @@
 	isServing(group: string): boolean;
 	/** Returns when a refused caller should come back, in milliseconds: soon, or when the first group is expected to serve requests again if none does now. */
 	retryAfterMs(objectiveMs: number): number;
-	/** Resolves with `true` when a group serves requests; with `false` at once if its caller is expected to leave before, after `patienceMs`, or when it has left. */
-	waitForEnd(patienceMs: number, signal: AbortSignal): Promise<boolean>;
+	/** Resolves with `true` when a group serves requests; with `false` as soon as a call with this time left can't be served any more, or is aborted. */
+	waitForEnd(leftMs: number, signal: AbortSignal): Promise<boolean>;
 };
 
 /**
@@ -50,9 +50,9 @@
 		retryAfterMs: objectiveMs => forecasts.size === 0 || hasServing()
 			? refusalRetryDelayMs(objectiveMs, random)
 			: Math.min(...[...forecasts.values()].map(forecast => forecast.retryAfterMs(objectiveMs))),
-		async waitForEnd(patienceMs, signal) {
+		async waitForEnd(leftMs, signal) {
 			const restMs = Math.min(...[...forecasts.values()].map(forecast => forecast.restMs()));
-			if (restMs + minServiceMs > patienceMs) {
+			if (restMs + minServiceMs > leftMs) {
 				return false;
 			}
 
@@ -64,7 +64,7 @@
 					resolve(!signal.aborted && hasServing());
 				};
 
-				const timer = setTimeout(settle, patienceMs - minServiceMs);
+				const timer = setTimeout(settle, leftMs - minServiceMs);
 				waiters.add(settle);
 				signal.addEventListener('abort', settle, {once: true});
 			});
--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -241,7 +241,7 @@
 		const servingGroups = groups.filter(group => outages.isServing(group));
 		if (groups.length > 0 && servingGroups.length === 0 && !request.hasBegun) {
 			// A second refusal is final for the caller, so a call that has returned waits for the end of the outage if it can still be served then.
-			if (placementRequest.hasReturned && await outages.waitForEnd(patienceMsOf(placementRequest), signal)) {
+			if (placementRequest.hasReturned && await outages.waitForEnd(placementRequest.deadlineMs, signal)) {
 				return place(request);
 			}
 
@@ -312,18 +312,5 @@
 	};
 }
 
-/**
-Returns how long the caller of a stream waits for its first event, in milliseconds. The
-platform's callers leave after the longest of two seconds, four times the objective and
-eight times the allowed pause.
-*/
-function patienceMsOf({deadlineMs, objectiveMs, gapMs}: PeerPlacementRequest): number {
-	return Math.min(deadlineMs, Math.max(minPatienceMs, objectiveMs * patienceObjectives, gapMs * patienceGaps));
-}
-
-const minPatienceMs = 2000;
-const patienceObjectives = 4;
-const patienceGaps = 8;
-
 /** Divides the random part of a group's utilization, which spreads the calls over groups of about equal utilization. A larger divisor spreads them less. */
 const utilizationJitterDivisor = 20;
--- a/packages/direct/test/group-place.test.ts
+++ b/packages/direct/test/group-place.test.ts
@@ -109,18 +109,14 @@
 		expect(await place()).to.include({kind: 'placed'});
 	});
 
-	it('lets a call that has returned wait for the end of an outage, unless its caller is expected to leave before', async () => {
+	it('lets a call that has returned wait for the end of an outage, unless its deadline is too near', async () => {
 		connect(1, false, false);
 		connect(2, false, false);
-		const place = async (id: string, objectiveMs: number) => {
-			const call = callOf(id);
-			return placer.place({
-				call: {...call, deadlineMs: 8000, route: {...call.route, objectiveMs}}, hasBegun: false, tried: new Set(['i-0']), excluded: new Set(), signal: new AbortController().signal,
-			});
-		};
-
-		expect(await place('impatient', 500)).to.include({kind: 'refused'});
-		const waiting = place('patient', 1500);
+		const place = async (id: string, deadlineMs: number) => placer.place({
+			call: {...callOf(id), deadlineMs}, hasBegun: false, tried: new Set(['i-0']), excluded: new Set(), signal: new AbortController().signal,
+		});
+		expect(await place('late', 4500)).to.include({kind: 'refused'});
+		const waiting = place('r', 8000);
 		await sleep(50);
 		connect(1, false);
 		connect(2, false);
@@ -132,7 +128,7 @@
 		connect(2, false, false);
 		const leaving = new AbortController();
 		const waiting = placer.place({
-			call: {...callOf('r'), deadlineMs: 8000, route: {...callOf('r').route, objectiveMs: 1500}}, hasBegun: false, tried: new Set(['i-0']), excluded: new Set(), signal: leaving.signal,
+			call: {...callOf('r'), deadlineMs: 8000}, hasBegun: false, tried: new Set(['i-0']), excluded: new Set(), signal: leaving.signal,
 		});
 		leaving.abort('callerGone');
 		expect(await waiting).to.include({kind: 'refused'});
