--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -1,10 +1,10 @@
 import {
 	createRankNotices, handleFrame, type DownCause, type Frame, type FrameHandlers, type GroupLoad, type Peer, type PeerPlacementRequest, type StreamNotice,
 } from '@papayaflow/peer';
+import {createOutageForecast, refusalRetryDelayMs, type OutageForecast} from '@papayaflow/policy';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
 import {type EngineModel} from '@papayaflow/routing';
 import {type Call} from './call.js';
-import {createGroupOutages} from './group-outages.js';
 import {
 	type Place, type PlaceResult, type PlaceRequest, type Placer,
 } from './place.js';
@@ -66,7 +66,8 @@
 	const loads = new Map<string, {readonly load: GroupLoad; readonly atMs: number}>();
 	const pendingReplies = new Map<string, (frame: Extract<Frame, {kind: 'placed' | 'turnedAway'}>) => void>();
 	const streams = new Map<string, Stream>();
-	const outages = createGroupOutages({monotonicMs, random});
+	/** The outages of each group, as the sidecars of its ranks announce them. */
+	const outages = new Map<string, OutageForecast>();
 	/**
 	The longest deadline of any call so far, by route. A caller sends a retry with the
 	remaining part of its deadline, so the longest deadline minus the deadline of the retry
@@ -188,7 +189,19 @@
 		return members.filter(([, {isOpen}]) => isOpen).length * 2 > members.length;
 	};
 
-	const drawRetryAfterMs = ({objectiveMs}: PeerPlacementRequest): number => outages.retryAfterMs(objectiveMs);
+	const outageOf = (group: string): OutageForecast => {
+		const outage = outages.get(group) ?? createOutageForecast({nowMs: monotonicMs, random});
+		outages.set(group, outage);
+		return outage;
+	};
+
+	/** Returns when a refused caller should come back: soon, or when the first group is expected to serve requests again if none does now. */
+	const drawRetryAfterMs = ({objectiveMs}: PeerPlacementRequest): number => {
+		const forecasts = [...outages.values()];
+		return forecasts.length === 0 || forecasts.some(outage => outage.isServing())
+			? refusalRetryDelayMs(objectiveMs, random)
+			: Math.min(...forecasts.map(outage => outage.retryAfterMs(objectiveMs)));
+	};
 
 	const askCoordinator = async (coordinator: Peer, placementRequest: PeerPlacementRequest, signal: AbortSignal):
 	Promise<Extract<Frame, {kind: 'placed' | 'turnedAway'}> | 'withdrawn' | 'silent'> => new Promise(resolve => {
@@ -238,13 +251,8 @@
 		}
 
 		const groups = [...new Set(candidates.flatMap(target => groupOf(target) ?? []))];
-		const servingGroups = groups.filter(group => outages.isServing(group));
+		const servingGroups = groups.filter(group => outageOf(group).isServing());
 		if (groups.length > 0 && servingGroups.length === 0 && !request.hasBegun) {
-			// A second refusal is final for the caller, so a call that has returned waits for the end of the outage if it can still be served then.
-			if (placementRequest.hasReturned && await outages.waitForEnd(placementRequest.deadlineMs, signal)) {
-				return place(request);
-			}
-
 			return {
 				kind: 'refused', reason: 'noTarget', retryAfterMs: drawRetryAfterMs(placementRequest), detail: 'no group is open',
 			};
@@ -290,7 +298,7 @@
 		rank(peer, {notice}) {
 			const previous = notices.of(peer);
 			notices.set(peer, notice);
-			outages.observe(notice.group, isOpenByMost(notice.group));
+			outageOf(notice.group).observe(isOpenByMost(notice.group));
 			if (notice.isCoordinator && (!previous?.isCoordinator || previous.term !== notice.term)) {
 				const ownStreams = [...streams].filter(([, {group}]) => group === notice.group);
 				peer.send({kind: 'streams', streams: ownStreams.map(([id, stream]) => createStreamNotice(id, stream))});
--- a/packages/policy/src/outage.ts
+++ b/packages/policy/src/outage.ts
@@ -21,8 +21,6 @@
 	observe(isServing: boolean): void;
 	/** Whether the group serves requests, as observed last. */
 	isServing(): boolean;
-	/** The expected rest of the outage, in milliseconds; 0 while the group serves requests. */
-	restMs(): number;
 	/** Returns when a refused caller should come back, in milliseconds from now. `objectiveMs` is the latency objective of its request. */
 	retryAfterMs(objectiveMs: number): number;
 };
@@ -43,16 +41,6 @@
 export function createOutageForecast({nowMs, random}: {readonly nowMs: () => number; readonly random: () => number}): OutageForecast {
 	let expectedMs = defaultOutageMs;
 	let downSinceMs: number | undefined;
-
-	const restMs = (): number => {
-		if (downSinceMs === undefined) {
-			return 0;
-		}
-
-		const elapsedMs = nowMs() - downSinceMs;
-		return Math.max(expectedMs - elapsedMs, elapsedMs * overdueRatio);
-	};
-
 	return {
 		observe(isServing) {
 			if (!isServing) {
@@ -67,7 +55,13 @@
 			}
 		},
 		isServing: () => downSinceMs === undefined,
-		restMs,
-		retryAfterMs: objectiveMs => downSinceMs === undefined ? refusalRetryDelayMs(objectiveMs, random) : restMs() + (random() * returnSpreadMs),
+		retryAfterMs(objectiveMs) {
+			if (downSinceMs === undefined) {
+				return refusalRetryDelayMs(objectiveMs, random);
+			}
+
+			const elapsedMs = nowMs() - downSinceMs;
+			return Math.max(expectedMs - elapsedMs, elapsedMs * overdueRatio) + (random() * returnSpreadMs);
+		},
 	};
 }
