Exclude no address that a serving target has, and observe outages once

An entry told the coordinator not to use the addresses of targets that had left or were gone; the next target at the same address was kept out with them. And a coordinator recorded alternately that its group was open, by its rank, and that it made no pass, so that the forecast of a stalled group began anew ten times a second. Test for the first, which failed before.

--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -100,7 +100,7 @@
 			excluded: [...new Set([
 				...[...tried, ...excluded].flatMap(id => targets.byId(id)?.address ?? []),
 				// The coordinator learns only from the store that a target leaves.
-				...targets.departingTargets(call.service).map(({address}) => address),
+				...targets.departingAddresses(call.service),
 			])],
 		};
 	};
--- a/packages/direct/src/targets.ts
+++ b/packages/direct/src/targets.ts
@@ -42,8 +42,8 @@
 export type Targets = {
 	/** Replaces the list of targets. Measurements of targets that are removed or have restarted are discarded. */
 	update(records: readonly TargetRecord[]): void;
-	/** Returns the targets of a service that are leaving, by an answer or by their registration, or gone. */
-	departingTargets(service: string): readonly Target[];
+	/** Returns the addresses at which a service has targets that are leaving, by an answer or by their registration, but none that takes requests. */
+	departingAddresses(service: string): readonly string[];
 	/** Returns the targets of a service that take new requests. Among several targets registered at one address, only the latest that is not gone counts. */
 	servingTargets(service: string): readonly Target[];
 	byId(id: string): Target | undefined;
@@ -123,7 +123,11 @@
 			latest ??= latestByAddress([...targets.values()]);
 			return latest.filter(({record, isServing}) => record.service === service && isServing);
 		},
-		departingTargets: service => [...targets.values()].filter(({record, isServing}) => record.service === service && !isServing),
+		departingAddresses(service) {
+			const departing = [...targets.values()].filter(({record, isServing, isGone}) => record.service === service && !isServing && !isGone);
+			const serving = new Set(departing.length === 0 ? [] : this.servingTargets(service).map(({address}) => address));
+			return departing.map(({address}) => address).filter(address => !serving.has(address));
+		},
 		byId: id => targets.get(id),
 		all: () => [...targets.values()],
 	};
--- a/packages/direct/test/targets.test.ts
+++ b/packages/direct/test/targets.test.ts
@@ -40,11 +40,20 @@
 		const targets = targetsOf(record('a', 1));
 		targets.byId('a')?.markLeaving();
 		expect(servingIds(targets)).to.deep.equal([]);
-		expect(targets.departingTargets('s').map(({record: {id}}) => id)).to.deep.equal(['a']);
+		expect(targets.departingAddresses('s')).to.deep.equal(['10.0.0.1:80']);
 		targets.update([]);
 		targets.update([record('a', 2)]);
 		expect(servingIds(targets), 'registered again').to.deep.equal([]);
 		targets.update([record('a', 3, {incarnation: 1})]);
 		expect(servingIds(targets), 'started again').to.deep.equal(['a']);
 	});
+
+	// Guards against a coordinator that is told not to use the successor of a target that has left.
+	it('does not keep requests from the next target at its address', () => {
+		const targets = targetsOf(record('a', 1));
+		targets.byId('a')?.markLeaving();
+		targets.update([record('a', 1), record('b', 2)]);
+		expect(servingIds(targets)).to.deep.equal(['b']);
+		expect(targets.departingAddresses('s')).to.deep.equal([]);
+	});
 });
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -123,7 +123,11 @@
 			return view.isOpen && target !== undefined && records.get(target)?.state === 'serving' && !membership.isSilent(view.group, rank);
 		});
 		zones = openByRank.map((_, rank) => records.get(targetOf(rank) ?? '')?.zone);
-		outage.observe(openByRank.some(Boolean));
+		// A coordinator also observes whether the group makes passes.
+		if (!coordination) {
+			outage.observe(view.isOpen);
+		}
+
 		updateRole(view);
 		updateNotice(view);
 		coordination?.onView(view);
