Ignore malformed descriptions of maps

A sidecar of an earlier version sends a whole map where a description of its changes is expected; reading it threw. Test added; no other behaviour changes.

--- a/packages/group/src/map-transfer.ts
+++ b/packages/group/src/map-transfer.ts
@@ -60,7 +60,7 @@
 export function createMapReceiver(): (peer: Peer, update: MapUpdate) => LayeredMap | undefined {
 	const received = new WeakMap<Peer, LayeredMap>();
 	return (peer, update) => {
-		const base = update.base === 'previous' ? received.get(peer) : mapInTurn(update);
+		const base = isMapUpdate(update) ? (update.base === 'previous' ? received.get(peer) : mapInTurn(update)) : undefined;
 		const map = base && applyChanges(base, update.changes);
 		if (map) {
 			received.set(peer, map);
@@ -72,6 +72,15 @@
 	};
 }
 
+/** Whether a value from a peer has the shape of an update. A sidecar of an earlier version sends a whole map in its place. */
+function isMapUpdate(value: MapUpdate): boolean {
+	const isCount = (count: unknown): boolean => Number.isInteger(count) && (count as number) > 0 && (count as number) <= maxMapDimension;
+	return Array.isArray(value.changes) && (value.base === 'previous' || (value.base === 'inTurn' && isCount(value.layers) && isCount(value.ranks) && isCount(value.expertsPerLayer)));
+}
+
+/** The largest number of layers, ranks or experts that a description may state, so that a malformed one fills no memory. */
+const maxMapDimension = 4096;
+
 /** Creates a function that returns `sortedMap` of a map, computed once for each map. */
 export function createMapSorter(): (map: LayeredMap) => LayeredMap {
 	const sorted = new WeakMap<LayeredMap, LayeredMap>();
--- a/packages/group/test/map-transfer.test.ts
+++ b/packages/group/test/map-transfer.test.ts
@@ -69,6 +69,11 @@
 			expect(applyChanges(mapInTurn({layers: 1, ranks: 2, expertsPerLayer: 4}), changes), String(changes)).to.equal(undefined);
 		}
 
+		const wholeMap = [[[0], [1]]] as unknown as MapUpdate;
+		const hugeMap: MapUpdate = {
+			base: 'inTurn', layers: 1e9, ranks: 1, expertsPerLayer: 1, changes: [],
+		};
+		expect([receive(peer, wholeMap), receive(peer, hugeMap)], 'of another shape').to.deep.equal([undefined, undefined]);
 		expect(receive(peer, {
 			base: 'inTurn', layers: 1, ranks: 2, expertsPerLayer: 3, changes: [0, 1, 1, 2, 0],
 		})).to.deep.equal([[[0, 2], [1, 2]]]);
