--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -282,7 +282,7 @@
 	},
 	{
 		name: 'a call placed without the coordinator avoids silent machines', file: 'direct/src/group-place.ts',
-		find: 'const candidates = responsive.length > 0 ? responsive : servingTargets;', replace: 'const candidates = servingTargets;',
+		find: 'const candidates = responsive.length > 0 ? responsive : remaining;', replace: 'const candidates = remaining;',
 		spec: 'direct/test/group-place.test.ts', test: 'beside the silent coordinator',
 	},
 	{
