--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -312,7 +312,7 @@
 	},
 	{
 		name: 'only readers of the store announce their revision periodically', file: 'cli/src/directory.ts',
-		find: 'if (isReader()) {\n\t\t\tannounceRevision();', replace: 'if (isReader() || deps.prefersPeers) {\n\t\t\tannounceRevision();',
+		find: 'if (isReader() && monotonicMs()', replace: 'if ((isReader() || deps.prefersPeers) && monotonicMs()',
 		spec: 'cli/test/directory.test.ts', test: 'reads the store while all its peers',
 	},
 	{
@@ -372,7 +372,7 @@
 	},
 	{
 		name: 'a target at its limit is left out of the choice', file: 'direct/src/limit-place.ts',
-		find: ', ...permits.blocked(), ...denied', replace: '',
+		find: ', ...permits.blocked(), ...pauses.blocked(), ...denied', replace: ', ...pauses.blocked()',
 		spec: 'direct/test/limit-place.test.ts', test: 'chooses another target after a denial',
 	},
 	{
