Read the experts of other ranks through their sidecars

Cause, from its logs: a new coordinator reads the map in use from every engine by itself. That is a new HTTP client and connection for each of 45 ranks, in a process that has just started on 0.4 of a core; replies came after the limit of 300 ms, so it took another token and began anew (twice), lost its own rank meanwhile (no report within a second) and stepped down. Entries waited 684 ms for each placement (208 times). Reads from another machine are also charged, and the group pauses for them. Each sidecar now reads its own engine and replies over the connection that exists; without a sidecar the engine is read directly as before.

--- a/packages/group/src/coordination.ts
+++ b/packages/group/src/coordination.ts
@@ -111,7 +111,7 @@
 		nowMs: monotonicMs, random: deps.random,
 	});
 	const ranks = createRemoteRanks({
-		own: deps.own, ownRank: view.rank, size: view.size, member: deps.member, connect: deps.connect, reportLagMs: () => deps.model()?.reportLagMs ?? 0, sleep: deps.sleep,
+		own: deps.own, engine: deps.engine, ownRank: view.rank, size: view.size, member: deps.member, connect: deps.connect, reportLagMs: () => deps.model()?.reportLagMs ?? 0, sleep: deps.sleep,
 	});
 	const admissionTimer = setInterval(() => {
 		admission.tick();
@@ -136,10 +136,7 @@
 	}, loadIntervalMs).unref();
 
 	const readMap = async (): Promise<{readonly version: number; readonly map: LayeredMap} | undefined> => {
-		const parts = await Promise.all(Array.from({length: view.size}, async (_, rank) => {
-			const target = deps.member(rank)?.target;
-			return rank === view.rank ? deps.engine.experts() : (target === undefined ? undefined : deps.connect(target).experts());
-		}));
+		const parts = await Promise.all(Array.from({length: view.size}, async (_, rank) => ranks.readExperts(rank)));
 		if (!parts.every(part => part !== undefined) || parts.some(part => part.version !== parts[0].version || part.formation !== view.formation)) {
 			return undefined;
 		}
--- a/packages/group/src/own-rank.ts
+++ b/packages/group/src/own-rank.ts
@@ -1,6 +1,7 @@
 import {
 	type CommandReply, type CommandResult, type GuardedCommand, type RankView,
 } from '@papayaflow/experts';
+import {type RankExperts} from '@papayaflow/peer';
 import {countsBetween, type CumulativeCounts} from './counts.js';
 
 /** How often a coordinator polls its own rank, in milliseconds: about once per pass, because it measures the pass time. */
@@ -24,7 +25,7 @@
 export type RankEngine = {
 	view(): Promise<RankView | undefined>;
 	counts(): Promise<CumulativeCounts | undefined>;
-	experts(): Promise<{readonly formation: number; readonly version: number; readonly experts: ReadonlyArray<readonly number[]>} | undefined>;
+	experts(): Promise<RankExperts | undefined>;
 	command(guarded: GuardedCommand): Promise<CommandResult>;
 };
 
--- a/packages/group/src/remote-ranks.ts
+++ b/packages/group/src/remote-ranks.ts
@@ -1,13 +1,16 @@
 import {
 	type CommandReply, type GuardedCommand, type PassRanks, type RankView,
 } from '@papayaflow/experts';
-import {type Frame, type Peer} from '@papayaflow/peer';
+import {type Frame, type Peer, type RankExperts} from '@papayaflow/peer';
 import {createMapSender, createMapSorter} from './map-transfer.js';
 import {type OwnRank, type RankEngine} from './own-rank.js';
 
 /** How long to wait for another sidecar's reply, in milliseconds: it makes up to two calls to its engine, and the frames take a round trip. */
 const replyTimeoutMs = 400;
 
+/** How long to wait for the experts of another rank, in milliseconds. They are asked for when all processes may just have started. */
+const expertsTimeoutMs = 1000;
+
 /** A member of the group, as its coordinator reaches it. */
 export type Member = {
 	readonly rank: number;
@@ -19,6 +22,8 @@
 
 export type RemoteRanksOptions = {
 	readonly own: OwnRank;
+	/** The engine of the own rank. */
+	readonly engine: Pick<RankEngine, 'experts'>;
 	readonly ownRank: number;
 	readonly size: number;
 	readonly member: (rank: number) => Member | undefined;
@@ -31,7 +36,9 @@
 
 /** Access to the ranks of a group. */
 export type RemoteRanks = PassRanks & {
-	/** Handles a frame that replies to a command or a request for the state; returns `false` for any other frame. */
+	/** Reads the experts that a rank holds under the map in use; `undefined` if they can't be read. */
+	readExperts(rank: number): Promise<RankExperts | undefined>;
+	/** Handles a frame that replies to a command or a request; returns `false` for any other frame. */
 	onFrame(frame: Frame): boolean;
 };
 
@@ -46,6 +53,7 @@
 */
 export function createRemoteRanks(options: RemoteRanksOptions): RemoteRanks {
 	const pendingReplies = new Map<number, (reply: CommandReply) => void>();
+	const pendingExperts = new Map<number, (held: RankExperts | undefined) => void>();
 	let lastId = 0;
 	const describeMap = createMapSender();
 	const sort = createMapSorter();
@@ -75,6 +83,21 @@
 		});
 	};
 
+	const requestExperts = async (peer: Peer): Promise<RankExperts | undefined> => {
+		const id = ++lastId;
+		return new Promise(resolve => {
+			const settle = (held: RankExperts | undefined): void => {
+				clearTimeout(timer);
+				pendingExperts.delete(id);
+				resolve(held);
+			};
+
+			const timer = setTimeout(settle, expertsTimeoutMs, undefined);
+			pendingExperts.set(id, settle);
+			peer.send({kind: 'askExperts', id});
+		});
+	};
+
 	// The state that an engine returns to another machine may be as old as the report lag. Waiting for that time first ensures that the state is no older than the call.
 	const readCurrentView = async (target: string): Promise<RankView | undefined> => {
 		await options.sleep(options.reportLagMs());
@@ -124,7 +147,21 @@
 
 			return member && readCurrentView(member.target);
 		},
+		// A sidecar reads its own engine without charge, and connections to dozens of engines would keep the coordinator busy just after a start.
+		async readExperts(rank) {
+			if (rank === options.ownRank) {
+				return options.engine.experts();
+			}
+
+			const member = options.member(rank);
+			return member?.peer ? requestExperts(member.peer) : member && options.connect(member.target).experts();
+		},
 		onFrame(frame) {
+			if (frame.kind === 'experts') {
+				pendingExperts.get(frame.id)?.(frame.held);
+				return true;
+			}
+
 			if (frame.kind !== 'viewed') {
 				return false;
 			}
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -282,6 +282,11 @@
 		});
 	};
 
+	const replyWithExperts = async (peer: Peer, id: number): Promise<void> => {
+		const held = await deps.engine.experts();
+		peer.send({kind: 'experts', id, ...(held && {held})});
+	};
+
 	const handlers: FrameHandlers = {
 		rank(peer, {notice: peerNotice}) {
 			membership.set(peer, peerNotice);
@@ -309,6 +314,9 @@
 		command(peer, {id, guarded}) {
 			void executeCommand(peer, id, guarded);
 		},
+		askExperts(peer, {id}) {
+			void replyWithExperts(peer, id);
+		},
 		look(peer, {id}) {
 			void replyWithView(peer, id);
 		},
--- a/packages/group/test/expert-balancer.test.ts
+++ b/packages/group/test/expert-balancer.test.ts
@@ -48,7 +48,7 @@
 	let nextPassMs = nowMs;
 	await balanceExperts({
 		ranks: {
-			count: ranks, onFrame: () => false, readView: async rank => view(rank),
+			count: ranks, onFrame: () => false, readExperts: async () => undefined, readView: async rank => view(rank),
 			order: async (rank, guarded) => group.order(rank, orderOf(guarded), guarded),
 			command: async (rank, guarded) => ({result: group.order(rank, orderOf(guarded), guarded), view: view(rank)}),
 		},
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -108,6 +108,9 @@
 	readonly keys: readonly string[];
 };
 
+/** The experts that one rank holds in each layer under the map in use. */
+export type RankExperts = {readonly formation: number; readonly version: number; readonly experts: ReadonlyArray<readonly number[]>};
+
 /** A map as a coordinator sends it: by its changes to the last map on the same connection, or to the map in which the experts are assigned to the ranks in turn. */
 export type MapUpdate
 	= | {readonly base: 'previous'; readonly changes: MapChanges}
@@ -181,6 +184,10 @@
 		| {readonly kind: 'command'; readonly id: number; readonly guarded: PeerCommand}
 		| {readonly kind: 'look'; readonly id: number}
 		| {readonly kind: 'viewed'; readonly id: number; readonly result: CommandResult; readonly view?: RankView}
+	/** A coordinator asks for the experts that the receiver's rank holds under the map in use. */
+		| {readonly kind: 'askExperts'; readonly id: number}
+	/** The reply to `askExperts`; without `held` if the rank did not answer. */
+		| {readonly kind: 'experts'; readonly id: number; readonly held?: RankExperts}
 	/** The revision of the last change known to the sender, for receivers that do not or cannot read the key-value service themselves. */
 		| {readonly kind: 'known'; readonly changedAt: number}
 		| {readonly kind: 'pull'; readonly after: number}
@@ -233,6 +240,8 @@
 	'command',
 	'look',
 	'viewed',
+	'askExperts',
+	'experts',
 	'known',
 	'pull',
 	'copy',
