--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -1,7 +1,7 @@
 import {
 	createRankNotices, handleFrame, type DownCause, type Frame, type FrameHandlers, type GroupLoad, type Peer, type PeerPlacementRequest, type StreamNotice,
 } from '@papayaflow/peer';
-import {createOutageForecast, refusalRetryDelayMs, type OutageForecast} from '@papayaflow/policy';
+import {refusalRetryDelayMs} from '@papayaflow/policy';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
 import {type EngineModel} from '@papayaflow/routing';
 import {type Call} from './call.js';
@@ -66,8 +66,6 @@
 	const loads = new Map<string, {readonly load: GroupLoad; readonly atMs: number}>();
 	const pendingReplies = new Map<string, (frame: Extract<Frame, {kind: 'placed' | 'turnedAway'}>) => void>();
 	const streams = new Map<string, Stream>();
-	/** The outages of each group, as the sidecars of its ranks announce them. */
-	const outages = new Map<string, OutageForecast>();
 	/**
 	The longest deadline of any call so far, by route. A caller sends a retry with the
 	remaining part of its deadline, so the longest deadline minus the deadline of the retry
@@ -183,25 +181,7 @@
 		return {kind: 'placed', place};
 	};
 
-	/** Whether most ranks say that their group is open. A rank that has crashed can't say that it is not. */
-	const isOpenByMost = (group: string): boolean => {
-		const members = notices.ofGroup(group);
-		return members.filter(([, {isOpen}]) => isOpen).length * 2 > members.length;
-	};
-
-	const outageOf = (group: string): OutageForecast => {
-		const outage = outages.get(group) ?? createOutageForecast({nowMs: monotonicMs, random});
-		outages.set(group, outage);
-		return outage;
-	};
-
-	/** Returns when a refused caller should come back: soon, or when the first group is expected to serve requests again if none does now. */
-	const drawRetryAfterMs = ({objectiveMs}: PeerPlacementRequest): number => {
-		const forecasts = [...outages.values()];
-		return forecasts.length === 0 || forecasts.some(outage => outage.isServing())
-			? refusalRetryDelayMs(objectiveMs, random)
-			: Math.min(...forecasts.map(outage => outage.retryAfterMs(objectiveMs)));
-	};
+	const drawRetryAfterMs = ({objectiveMs}: PeerPlacementRequest): number => refusalRetryDelayMs(objectiveMs, random);
 
 	const askCoordinator = async (coordinator: Peer, placementRequest: PeerPlacementRequest, signal: AbortSignal):
 	Promise<Extract<Frame, {kind: 'placed' | 'turnedAway'}> | 'withdrawn' | 'silent'> => new Promise(resolve => {
@@ -225,8 +205,9 @@
 		coordinator.send({kind: 'place', ask: placementRequest});
 	});
 
-	/** Returns the coordinator of the least utilized group. */
-	const chooseCoordinator = (groups: readonly string[]): Peer | undefined => {
+	/** Returns the coordinator of the least utilized group among the candidates' groups. */
+	const chooseCoordinator = (candidates: readonly Target[]): Peer | undefined => {
+		const groups = [...new Set(candidates.flatMap(target => groupOf(target) ?? []))];
 		let best: {peer: Peer; utilization: number} | undefined;
 		for (const group of groups) {
 			const peer = notices.coordinatorOf(group);
@@ -250,15 +231,7 @@
 			return {kind: 'refused', reason: 'noTarget', retryAfterMs: drawRetryAfterMs(placementRequest)};
 		}
 
-		const groups = [...new Set(candidates.flatMap(target => groupOf(target) ?? []))];
-		const servingGroups = groups.filter(group => outageOf(group).isServing());
-		if (groups.length > 0 && servingGroups.length === 0 && !request.hasBegun) {
-			return {
-				kind: 'refused', reason: 'noTarget', retryAfterMs: drawRetryAfterMs(placementRequest), detail: 'no group is open',
-			};
-		}
-
-		const coordinator = chooseCoordinator(servingGroups.length > 0 ? servingGroups : groups);
+		const coordinator = chooseCoordinator(candidates);
 		if (!coordinator) {
 			return placeWithoutCoordinator(call, candidates, placementRequest);
 		}
@@ -298,7 +271,6 @@
 		rank(peer, {notice}) {
 			const previous = notices.of(peer);
 			notices.set(peer, notice);
-			outageOf(notice.group).observe(isOpenByMost(notice.group));
 			if (notice.isCoordinator && (!previous?.isCoordinator || previous.term !== notice.term)) {
 				const ownStreams = [...streams].filter(([, {group}]) => group === notice.group);
 				peer.send({kind: 'streams', streams: ownStreams.map(([id, stream]) => createStreamNotice(id, stream))});
--- a/packages/group/src/coordination.ts
+++ b/packages/group/src/coordination.ts
@@ -1,7 +1,7 @@
 import {type LayeredMap, type RankView} from '@papayaflow/experts';
 import {type GroupLoad} from '@papayaflow/peer';
 import {
-	balancingNeed, createGroupAdmission, type GroupAdmission, type GroupState, type OutageForecast,
+	balancingNeed, createGroupAdmission, type GroupAdmission, type GroupState,
 } from '@papayaflow/policy';
 import {type EngineModel} from '@papayaflow/routing';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
@@ -37,8 +37,6 @@
 	readonly model: () => EngineModel | undefined;
 	/** Whether each rank accepts new requests, indexed by rank. */
 	readonly openByRank: () => readonly boolean[];
-	/** Kept over the formations of the group, each of which has a coordination of its own. */
-	readonly outage: OutageForecast;
 	/** The availability zone of each rank, indexed by rank. */
 	readonly zones: () => ReadonlyArray<string | undefined>;
 	/** Acquires a new fencing token for this group; `undefined` if it could not be acquired. */
@@ -107,7 +105,7 @@
 			return model && {...model, expertShare: model.experts?.workShare ?? 0};
 		},
 		openRanks: deps.openByRank, zones: deps.zones,
-		skew: () => skewMonitor.skew(), demandShifts: () => skewMonitor.shifts(), slowdown: () => meter.slowdown(), outage: deps.outage, isStalled: () => meter.stalledMs() > stallTimeoutMs,
+		skew: () => skewMonitor.skew(), demandShifts: () => skewMonitor.shifts(), slowdown: () => meter.slowdown(), isStalled: () => meter.stalledMs() > stallTimeoutMs,
 		nowMs: monotonicMs, random: deps.random,
 	});
 	const ranks = createRemoteRanks({
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -2,7 +2,7 @@
 import {
 	handleFrame, type DownCause, type Frame, type FrameHandlers, type Peer, type PeerCommand, type RankNotice, type StreamNotice,
 } from '@papayaflow/peer';
-import {createOutageForecast, type PlacementRequest} from '@papayaflow/policy';
+import {type PlacementRequest} from '@papayaflow/policy';
 import {addressOf, type TargetRecord} from '@papayaflow/routing';
 import {startCoordination, type Coordination, type CoordinationDeps} from './coordination.js';
 import {packCounts, unpackCounts} from './counts.js';
@@ -64,7 +64,6 @@
 	const membership = createMembership();
 	/** The instance of the entry that each placed request came from, by request id. */
 	const entryByRequest = new Map<string, string>();
-	const outage = createOutageForecast({nowMs: monotonicMs, random: deps.random});
 	let coordination: Coordination | undefined;
 	let term = 0;
 	let notice: RankNotice | undefined;
@@ -123,11 +122,6 @@
 			return view.isOpen && target !== undefined && records.get(target)?.state === 'serving' && !membership.isSilent(view.group, rank);
 		});
 		zones = openByRank.map((_, rank) => records.get(targetOf(rank) ?? '')?.zone);
-		// A coordinator also observes whether the group makes passes.
-		if (!coordination) {
-			outage.observe(view.isOpen);
-		}
-
 		updateRole(view);
 		updateNotice(view);
 		coordination?.onView(view);
@@ -150,7 +144,7 @@
 		const shouldCoordinate = view.rank === 0 || (view.rank < candidateCount && !hasLowerCandidate && now - lowerCandidateSeenMs >= takeoverDelayMs * view.rank);
 		if (!coordination && shouldCoordinate && !isLeaving && view.isOpen) {
 			coordination = startCoordination({
-				...deps, view, own, outage, member, openByRank: () => openByRank, zones: () => zones, entries: () => entries.size,
+				...deps, view, own, member, openByRank: () => openByRank, zones: () => zones, entries: () => entries.size,
 				acquireToken: async () => deps.acquireToken(view.group),
 				sendLoad(load) {
 					for (const peer of entries) {
--- a/packages/policy/src/group-admission.ts
+++ b/packages/policy/src/group-admission.ts
@@ -1,5 +1,5 @@
 import {predictPassMs, type PassModel, type RankWork} from './pass-time.js';
-import {type OutageForecast} from './outage.js';
+import {refusalRetryDelayMs} from './retry.js';
 
 /** A request to be placed on a rank of a group. */
 export type PlacementRequest = {
@@ -64,8 +64,6 @@
 	readonly demandShifts: () => DemandShifts | undefined;
 	/** The ratio of the measured to the predicted pass time over recent passes; 1 if the prediction is exact. */
 	readonly slowdown: () => number;
-	/** When the group will serve requests again, if it does not now. */
-	readonly outage: OutageForecast;
 	/** Whether the group has made no pass for so long that it is not known when a placed request would be served. */
 	readonly isStalled: () => boolean;
 	readonly nowMs: () => number;
@@ -131,8 +129,8 @@
 this one, stays within the allowed pause. A request for which there is no capacity
 waits for a short time and is then refused with a retry delay. Resumed streams are
 placed first, then requests that can still meet their objective, then late ones, so
-that a queue does not make every request late. While the group is stalled or has no open
-rank, new requests are refused at once, until the expected end of the outage.
+that a queue does not make every request late. While the group is stalled, new
+requests are refused at once.
 
 Load patterns: for many seconds, several entries send more requests than the group
 can decode at once; a group makes no pass for seconds, because a map switch holds it
@@ -302,7 +300,7 @@
 		return {kind: 'placed', rank};
 	};
 
-	const drawRetryAfterMs = ({objectiveMs}: PlacementRequest): number => options.outage.retryAfterMs(objectiveMs);
+	const drawRetryAfterMs = ({objectiveMs}: PlacementRequest): number => refusalRetryDelayMs(objectiveMs, options.random);
 
 	/** Returns how long a request can still wait and meet its objective, in milliseconds; negative if it can't meet it. */
 	const slackMs = ({objectiveMs, waitedMs}: PlacementRequest, enqueuedAtMs: number, now: number): number => (objectiveMs * (1 - firstTokenReserveRatio)) - waitedMs - (now - enqueuedAtMs);
@@ -321,7 +319,6 @@
 
 	const tick = (): void => {
 		const now = nowMs();
-		options.outage.observe(options.openRanks().some(Boolean) && !options.isStalled());
 		const ordered = [...waiting.values()].toSorted((a, b) => compareWaiting(a, b, now));
 		// Once a request does not fit, no later one is tried in this round, so that requests are placed in order.
 		let isFull = false;
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -38,7 +38,6 @@
 	predictPassMs, tokenWorkMs, type PassModel, type RankWork,
 } from './pass-time.js';
 export {balancingNeed} from './balancing.js';
-export {createOutageForecast, type OutageForecast} from './outage.js';
 export {
 	skewOfLayers, spreadExperts, spreadExpertsInSteps, type LayerLoad, type Placement, type Spread, type SpreadOptions,
 } from './spread.js';
