Keep one copy of the type of a rank's experts

The frame that carries the experts of a rank had declared their type a second time beside the one of the platform's client; both now use one in packages/experts. A target's `isLeaving` was read by nothing outside targets.ts and is no longer public. A comment at the entry named the candidates of a group where only its coordinator asks for short heartbeats.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -197,7 +197,7 @@
 				sendSuspicions(relays());
 			}
 		},
-		// The entry depends on the dispensers of limited targets, and on the sidecars that may coordinate a group, which request short heartbeats themselves.
+		// The entry depends on the dispensers of limited targets, and on the coordinators of groups, which request short heartbeats themselves.
 		isNear: peer => permits.dispensers().has(peer.hello.instance),
 		onFault(reason) {
 			metrics.count('frame_faults', {reason});
--- a/packages/direct/src/targets.ts
+++ b/packages/direct/src/targets.ts
@@ -24,8 +24,6 @@
 	readonly health: Health;
 	/** Whether the target is no longer at its address although it is still registered there. */
 	readonly isGone: boolean;
-	/** Whether the target has said in an answer that it leaves. This holds until it starts again. */
-	readonly isLeaving: boolean;
 	/** Whether the target takes new requests. */
 	readonly isServing: boolean;
 	/** Records the start of a request; call the returned function with the outcome of the request. */
@@ -175,9 +173,6 @@
 		get isGone() {
 			return isGone;
 		},
-		get isLeaving() {
-			return isLeaving;
-		},
 		get isServing() {
 			return record.state === 'serving' && !isGone && !isLeaving;
 		},
--- a/packages/experts/src/index.ts
+++ b/packages/experts/src/index.ts
@@ -10,7 +10,7 @@
 	applyChanges, changesBetween, mapInTurn, sortedMap, type MapChanges,
 } from './map-changes.js';
 export type {
-	CommandReply, CommandResult, GuardedCommand, LayeredMap, PassCommand, PassRanks, RankView,
+	CommandReply, CommandResult, GuardedCommand, LayeredMap, PassCommand, PassRanks, RankExperts, RankView,
 } from './pass-command.js';
 export {
 	resolvePass, switchPass, type PassSwitchOptions, type PassSwitchResult, type ResolveResult,
--- a/packages/experts/src/pass-command.ts
+++ b/packages/experts/src/pass-command.ts
@@ -52,6 +52,9 @@
 	readonly usedTokens: number;
 };
 
+/** The experts that one rank holds in each layer under the map in use. */
+export type RankExperts = {readonly formation: number; readonly version: number; readonly experts: ReadonlyArray<readonly number[]>};
+
 /**
 Outcome of a command. `unknown`: no reply arrived, and the rank may still obey the
 command later. `refused`: the state of the rank does not allow the command. `fenced`:
--- a/packages/group/src/own-rank.ts
+++ b/packages/group/src/own-rank.ts
@@ -1,7 +1,6 @@
 import {
-	type CommandReply, type CommandResult, type GuardedCommand, type RankView,
+	type CommandReply, type CommandResult, type GuardedCommand, type RankExperts, type RankView,
 } from '@papayaflow/experts';
-import {type RankExperts} from '@papayaflow/peer';
 import {countsBetween, type CumulativeCounts} from './counts.js';
 
 /** How often a coordinator polls its own rank, in milliseconds: about once per pass, because it measures the pass time. */
--- a/packages/group/src/remote-ranks.ts
+++ b/packages/group/src/remote-ranks.ts
@@ -1,7 +1,7 @@
 import {
-	type CommandReply, type GuardedCommand, type PassRanks, type RankView,
+	type CommandReply, type GuardedCommand, type PassRanks, type RankExperts, type RankView,
 } from '@papayaflow/experts';
-import {type Frame, type Peer, type RankExperts} from '@papayaflow/peer';
+import {type Frame, type Peer} from '@papayaflow/peer';
 import {createMapSender, createMapSorter} from './map-transfer.js';
 import {type OwnRank, type RankEngine} from './own-rank.js';
 
--- a/packages/group/test/remote-ranks.test.ts
+++ b/packages/group/test/remote-ranks.test.ts
@@ -1,4 +1,5 @@
-import {type Frame, type Peer, type RankExperts} from '@papayaflow/peer';
+import {type RankExperts} from '@papayaflow/experts';
+import {type Frame, type Peer} from '@papayaflow/peer';
 import {expect} from 'chai';
 import {describe, it} from 'mocha';
 import {createRemoteRanks, type Member, type RemoteRanks} from '../src/remote-ranks.js';
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {Decoder, Encoder} from 'cbor-x';
 import {
-	type CommandResult, type GuardedCommand, type MapChanges, type PassCommand, type RankOrder, type RankReply, type RankView,
+	type CommandResult, type GuardedCommand, type MapChanges, type PassCommand, type RankExperts, type RankOrder, type RankReply, type RankView,
 } from '@papayaflow/experts';
 import {type AnnouncedLimit, type SeenLimit, type TargetLifetime} from '@papayaflow/limit';
 import {type LossReason, type RefusalReason} from '@papayaflow/outcome';
@@ -108,9 +108,6 @@
 	readonly keys: readonly string[];
 };
 
-/** The experts that one rank holds in each layer under the map in use. */
-export type RankExperts = {readonly formation: number; readonly version: number; readonly experts: ReadonlyArray<readonly number[]>};
-
 /** A map as a coordinator sends it: by its changes to the last map on the same connection, or to the map in which the experts are assigned to the ranks in turn. */
 export type MapUpdate
 	= | {readonly base: 'previous'; readonly changes: MapChanges}
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -6,7 +6,7 @@
 	encodeFrame, isGroupFrame, maxFrameBytes, protocolVersion, readFrames,
 	type ConfigUpdate, type Frame, type FrameFault,
 	type GroupFrame, type GroupLoad, type LoadReport, type MapUpdate, type RequestPathFrame, type PeerCommand, type PeerRequest, type PeerPlacementRequest,
-	type RankExperts, type RankNotice, type StoreCopy, type StreamNotice,
+	type RankNotice, type StoreCopy, type StreamNotice,
 } from './frame.js';
 export {createHeartbeatTicker, type HeartbeatTicker} from './heartbeat.js';
 export {maintainHostLinks, type LinksOptions} from './links.js';
