Review case 1: an entry of another writer ends every entry

The case puts one registration into the store that another writer might have left: fields are missing and its address has a port above 65535. It starts the programs with the commands of the deploy file and looks whether they end by themselves.

--- /dev/null
+++ b/review/1/play.js
@@ -0,0 +1,69 @@
+#!/usr/bin/env node
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {runCase} from '../lib/case.js';
+import {openConsumer} from '../lib/consumer.js';
+import {key, startSite} from '../lib/site.js';
+
+const playMs = 15_000;
+const pauseMs = 60;
+const minEnds = 3;
+
+process.exit(await runCase(import.meta.dirname, async ({hasTrouble, record, onStop}) => {
+	const arrivals = new Set();
+	const site = await startSite({
+		onStop,
+		entries: 2, ranks: 3, plains: 3, record,
+		onArrival(id, requestId) {
+			arrivals.add(requestId);
+		},
+	});
+	const answers = new Map();
+	const lost = [];
+	const endMs = performance.now() + playMs;
+	const consume = async (name, entry) => {
+		let consumer;
+		for (let count = 0; performance.now() < endMs; count++) {
+			const id = `${name}-${count}`;
+			if (!consumer || consumer.isClosed) {
+				consumer = openConsumer(site.frontOf(entry));
+			}
+
+			const answer = await consumer.ask({
+				id, method: 'GET', path: '/kivo118/2f', key, deadlineMs: 604,
+			});
+			const what = answer.isComplete ? `status ${answer.status}` : (arrivals.has(id) ? 'cut off after a replica had received it' : 'no connection or no answer');
+			answers.set(what, (answers.get(what) ?? 0) + 1);
+			if (!answer.isComplete && arrivals.has(id)) {
+				lost.push(id);
+				record(`${id} to ${entry.name} ${what}`);
+			}
+
+			await sleep(pauseMs);
+		}
+
+		consumer?.close();
+	};
+
+	const consumers = Promise.all(site.entries.flatMap(entry => ['a', 'b', 'c'].map(async name => consume(`${entry.name}-${name}`, entry))));
+	await sleep(2000);
+	if (hasTrouble) {
+		// An entry of another writer: `version`, `seq`, `born` and `cold_remaining_ms` are missing, and no machine can have the port.
+		const stray = {
+			service: 'wage-ledger', address: `${site.network}.240:80000`, zone: 'salt-lake', slots: 6, state: 'ready',
+		};
+		site.store.put('servers/i-stray', stray);
+		record(`another writer put servers/i-stray: ${JSON.stringify(stray)}`);
+	}
+
+	await consumers;
+	await site.stop();
+	for (const [what, count] of answers) {
+		record(`${count} requests: ${what}`);
+	}
+
+	const ended = [...site.entries, ...site.sidecars].map(({name, ends}) => ({name, count: ends.filter(({isOwn}) => isOwn).length}));
+	record(`programs that ended by themselves: ${ended.map(({name, count}) => `${name} ${count}`).join(', ')}; ${lost.length} requests cut off that a replica had received`);
+	const failing = ended.filter(({count}) => count >= minEnds);
+	return failing.length >= 2 ? 'broken' : 'held';
+}));
