--- a/review/lib/site.js
+++ b/review/lib/site.js
@@ -14,8 +14,6 @@
 };
 
 const heartbeatMs = 1200;
-/** How long a request to the ledger takes, in milliseconds. */
-const ledgerWorkMs = 40;
 const restartDelayMs = 500;
 const readyTimeoutMs = 20_000;
 const frontPort = 8227;
@@ -42,7 +40,7 @@
 platform does, it starts a program again that has ended, unless it was told to stop.
 */
 export async function startSite({
-	entries, ranks, plains, record, onStop, eventsOf = () => 24, crashPart, keepsReporting = () => true,
+	entries, ranks, plains, record, onStop, ledgerWorkMs = 40, eventsOf = () => 24, crashPart, keepsReporting = () => true,
 	onArrival = () => undefined, onRun = () => undefined, onCut = () => undefined, onCrash = () => undefined,
 }) {
 	const network = `127.${1 + Math.floor(Math.random() * 250)}.${1 + (process.pid % 250)}`;
