Let what comes from outside cost at worst the one thing that it belongs to

Cause: the decoder of registrations took any five digits for a port, and nobody handled the rejection of the HTTP server's asynchronous listener. The stack names the constructor of the HTTP client, before any connection, which rules out odd answers and memory. The same cause stood behind an answer of the store of another form (TypeError in the task that follows it), a frame without its fields, a negative idle timeout, and a later registration of an unknown service at a sound target's address, which hid that target.

A containment ends an unforeseen exception with its request, frame or change, counted and logged with its stack. The decoder makes the known inputs harmless, the containment those that nobody has thought of.

--- a/packages/caller/src/problem.ts
+++ b/packages/caller/src/problem.ts
@@ -15,6 +15,7 @@
 
 const lossStatus: Readonly<Partial<Record<LossReason, number>>> = {
 	timeout: 504,
+	internalError: 500,
 	notOwner: 503,
 	notAsked: 503,
 };
--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -18,8 +18,7 @@
 import {createProcessContext} from './direct-process.js';
 import {directSettings, logFlushMs, storePauseOf} from './direct-settings.js';
 import {openDirectory} from './directory.js';
-import {type RunningProgram} from './entry-wiring.js';
-import {listen} from './program.js';
+import {listen, type RunningProgram} from './program.js';
 
 /** The connect timeout of a target, in milliseconds: long enough for several round trips between zones. */
 const connectTimeoutMs = 300;
@@ -75,7 +74,7 @@
 export async function startDirectEntry(settings: SettingsOf<typeof directEntrySettings>): Promise<RunningProgram> {
 	const {instance, zone} = settings;
 	const {
-		incarnation, log, metrics, shutdown, monotonicMs, random, pause,
+		incarnation, log, metrics, containment, shutdown, monotonicMs, random, pause,
 	} = createProcessContext('papayaflow-entry', settings);
 	let isLeaving = false;
 	metrics.declare('refusals', 'reason', refusalReasons);
@@ -87,7 +86,7 @@
 	metrics.declare('suspicion_changes', 'change', suspicionChanges);
 
 	const targets = createTargets({
-		connectMs: connectTimeoutMs, ejection, nowMs: monotonicMs,
+		connectMs: connectTimeoutMs, ejection, nowMs: monotonicMs, isKnownService: service => directory.table()?.configuration.services.has(service) ?? true,
 		onChange(change, {id, service, zone: targetZone, incarnation: targetIncarnation}) {
 			log.info({
 				target: id, service, targetZone, incarnation: targetIncarnation, revision: directory.revision(),
@@ -98,9 +97,10 @@
 	const pauses = createPauses({monotonicMs, metrics, log});
 	const directory = openDirectory({
 		instance, zone, store: connectPlatformStore({address: addressOf(settings.store), timeoutMs: settings.storeTimeoutMs}),
-		pauseMs: storePauseOf(settings), prefersPeers: false, entries: () => groupPlacer.entries(), log, metrics, monotonicMs, random, sleep: pause, signal: shutdown.signal,
+		pauseMs: storePauseOf(settings), prefersPeers: false, entries: () => groupPlacer.entries(), log, metrics, monotonicMs, random, containment, sleep: pause, signal: shutdown.signal,
 		onTable({configuration}) {
 			front.applyTimeouts(configuration.limits);
+			targets.update(directory.records());
 			updateEngineChoice();
 			updateLinks(directory.records());
 		},
@@ -202,6 +202,9 @@
 		onFault(reason) {
 			metrics.count('frame_faults', {reason});
 		},
+		onError(error) {
+			containment.report('frame', error);
+		},
 	};
 	const setLinkedHosts = maintainHostLinks({
 		port: settings.peerPort, events, signal: shutdown.signal,
@@ -215,7 +218,7 @@
 	};
 
 	const front = createFront({
-		dialect: platformDialect, metrics, log, monotonicMs, random, table: () => directory.table(), isLeaving: () => isLeaving,
+		dialect: platformDialect, metrics, log, containment, monotonicMs, random, table: () => directory.table(), isLeaving: () => isLeaving,
 		place: createQuarantinedPlacer({
 			quarantine,
 			place: createLimitedPlacer({
@@ -248,7 +251,7 @@
 		},
 	});
 	const createAdminServer = (): ReturnType<typeof serveAdmin> => serveAdmin({
-		metrics,
+		metrics, containment,
 		actions: {
 			'GET /quarantine': () => ({status: 200, body: quarantine.status()}),
 			'POST /quarantine/clear': query => ({status: 200, body: {cleared: quarantine.clear(query.get('part') ?? undefined)}}),
@@ -263,14 +266,15 @@
 		}),
 	});
 
-	const adminPort = await listen(createAdminServer(), settings.admin.port, settings.admin.host);
-	await listen(createAdminServer(), settings.metricsPort, settings.address);
-	const port = await listen(front.server, settings.listen.port, settings.listen.host);
+	const adminPort = await listen(createAdminServer(), settings.admin, {log, containment});
+	await listen(createAdminServer(), {port: settings.metricsPort, host: settings.address}, {log, containment});
+	const port = await listen(front.server, settings.listen, {log, containment});
 	log.info({port, adminPort}, 'entry started');
 
 	return {
 		port,
 		adminPort,
+		containment,
 		async stop() {
 			isLeaving = true;
 			log.info({graceMs: settings.graceMs, inFlight: front.inFlight()}, 'entry is stopping');
--- a/packages/cli/src/direct-process.ts
+++ b/packages/cli/src/direct-process.ts
@@ -3,7 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type SettingsOf} from '@papayaflow/settings';
 import {
-	createLog, createMetrics, sampleLoopDelay, type Log, type Metrics,
+	createContainment, createLog, createMetrics, sampleLoopDelay, type Containment, type Log, type Metrics,
 } from '@papayaflow/telemetry';
 import {type directSettings} from './direct-settings.js';
 import {ignoreHangup} from './program.js';
@@ -14,6 +14,7 @@
 	readonly incarnation: string;
 	readonly log: Log;
 	readonly metrics: Metrics;
+	readonly containment: Containment;
 	/** Aborted when the program has finished its work. */
 	readonly shutdown: AbortController;
 	readonly monotonicMs: () => number;
@@ -38,7 +39,7 @@
 		metrics, log, monotonicMs, signal: shutdown.signal,
 	});
 	return {
-		incarnation: randomUUID(), log, metrics, shutdown, monotonicMs, random: Math.random,
+		incarnation: randomUUID(), log, metrics, containment: createContainment({metrics, log}), shutdown, monotonicMs, random: Math.random,
 		async pause(ms) {
 			await sleep(ms, undefined, {ref: false});
 		},
--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -8,14 +8,13 @@
 } from '@papayaflow/peer';
 import {connectPlatformStore, connectRank} from '@papayaflow/platform';
 import {createSuspicionRelay} from '@papayaflow/quarantine';
-import {addressOf, type TargetRecord} from '@papayaflow/routing';
+import {addressOf, latestByAddress, type TargetRecord} from '@papayaflow/routing';
 import {addressSetting, numberSetting, type SettingsOf} from '@papayaflow/settings';
 import {serveAdmin} from '@papayaflow/telemetry';
 import {createProcessContext} from './direct-process.js';
 import {directSettings, logFlushMs, storePauseOf} from './direct-settings.js';
 import {openDirectory} from './directory.js';
-import {type RunningProgram} from './entry-wiring.js';
-import {listen} from './program.js';
+import {listen, type RunningProgram} from './program.js';
 
 /** The timeout of a query to an engine, in milliseconds: long enough for several round trips between zones. */
 const engineTimeoutMs = 300;
@@ -41,13 +40,13 @@
 export async function startDirectSidecar(settings: SettingsOf<typeof directSidecarSettings>): Promise<RunningProgram> {
 	const {instance, zone} = settings;
 	const {
-		incarnation, log, metrics, shutdown, monotonicMs, random, pause,
+		incarnation, log, metrics, containment, shutdown, monotonicMs, random, pause,
 	} = createProcessContext('papayaflow-sidecar', settings);
 	let isLeaving = false;
 	const target = addressOf(settings.target);
 	const store = connectPlatformStore({address: addressOf(settings.store), timeoutMs: settings.storeTimeoutMs});
 	const directory = openDirectory({
-		instance, zone, store, pauseMs: storePauseOf(settings), prefersPeers: true, entries: () => undefined, log, metrics, monotonicMs, random, sleep: pause, signal: shutdown.signal,
+		instance, zone, store, pauseMs: storePauseOf(settings), prefersPeers: true, entries: () => undefined, log, metrics, monotonicMs, random, containment, sleep: pause, signal: shutdown.signal,
 		onTable() {
 			updateOwnedTargets();
 			updateLinks();
@@ -57,7 +56,8 @@
 			updateLinks();
 		},
 	});
-	const ownRecord = (): TargetRecord | undefined => directory.records().find(record => addressOf(record) === target);
+	const isEngine = ({service}: TargetRecord): boolean => directory.table()?.configuration.services.get(service)?.engine !== undefined;
+	const ownRecord = (): TargetRecord | undefined => latestByAddress(directory.records().filter(record => isEngine(record))).get(target);
 	const serviceRecords = (): readonly TargetRecord[] => {
 		const own = ownRecord();
 		return own ? directory.records().filter(({service}) => service === own.service) : [];
@@ -94,7 +94,6 @@
 		},
 	});
 	const updateOwnedTargets = (): void => {
-		const isEngine = ({service}: TargetRecord): boolean => directory.table()?.configuration.services.get(service)?.engine !== undefined;
 		dispenser.setOwned(ownedTargets(target, {targets: directory.records(), isEngine}));
 	};
 
@@ -153,6 +152,9 @@
 		onFault(reason) {
 			metrics.count('frame_faults', {reason});
 		},
+		onError(error) {
+			containment.report('frame', error);
+		},
 	};
 	const options = {
 		role: 'sidecar', instance, incarnation, zone, monotonicMs, sleep: pause, heartbeats: createHeartbeatTicker(),
@@ -167,7 +169,7 @@
 
 	const linkUpdateTimer = setInterval(updateLinks, linkUpdateIntervalMs).unref();
 	const admin = serveAdmin({
-		metrics,
+		metrics, containment,
 		ready: () => isLeaving ? {ready: false, reason: 'stopping'} : {ready: true},
 		status: () => ({
 			instance, role: 'sidecar', zone, incarnation, leaving: isLeaving, revision: directory.revision(), group: group.status(), limits: dispenser.status(),
@@ -176,13 +178,14 @@
 	const server = createServer(socket => {
 		void servePeer(socket, options, events);
 	});
-	const adminPort = await listen(admin, settings.metricsPort, settings.address);
-	const port = await listen(server, settings.peerPort, settings.address);
+	const adminPort = await listen(admin, {port: settings.metricsPort, host: settings.address}, {log, containment});
+	const port = await listen(server, {port: settings.peerPort, host: settings.address}, {log, containment});
 	log.info({port, adminPort, target}, 'sidecar started');
 
 	return {
 		port,
 		adminPort,
+		containment,
 		async stop() {
 			isLeaving = true;
 			log.info({graceMs: settings.graceMs}, 'sidecar is stopping');
--- a/packages/cli/src/directory.ts
+++ b/packages/cli/src/directory.ts
@@ -11,7 +11,7 @@
 	createRouteTable, isSameTarget, type RouteTable, type TargetRecord,
 } from '@papayaflow/routing';
 import {type Entry, type Store} from '@papayaflow/store';
-import {type Log, type Metrics} from '@papayaflow/telemetry';
+import {type Containment, type Log, type Metrics} from '@papayaflow/telemetry';
 import {createPuller} from './pull.js';
 
 /** How long one watch of the store waits for a change, in milliseconds. A connection that breaks without a socket error is detected only after this time. */
@@ -52,6 +52,7 @@
 	readonly prefersPeers: boolean;
 	readonly log: Log;
 	readonly metrics: Metrics;
+	readonly containment: Containment;
 	readonly monotonicMs: () => number;
 	readonly random: () => number;
 	readonly sleep: (ms: number) => Promise<void>;
@@ -86,7 +87,7 @@
 const directory = openDirectory(deps);
 */
 export function openDirectory(deps: DirectoryDeps): Directory {
-	const {log, metrics, monotonicMs} = deps;
+	const {log, metrics, containment, monotonicMs} = deps;
 	const peers = new Set<Peer>();
 	const malformedRevisions = new Map<string, number>();
 	let table: RouteTable | undefined;
@@ -104,12 +105,15 @@
 	mirror.onChange(({changes}) => {
 		for (const change of changes) {
 			if (change.kind === 'written' && change.entry.key === configurationKey) {
-				applyConfiguration(change.entry);
+				// An error in one must not keep the other, or later changes, from being applied.
+				containment.run('directory', () => {
+					applyConfiguration(change.entry);
+				});
 			}
 		}
 
 		if (changes.some(change => (change.kind === 'written' ? change.entry.key : change.key).startsWith(registrationPrefix))) {
-			applyRegistrations();
+			containment.run('directory', applyRegistrations);
 		}
 
 		announceRevision();
@@ -133,6 +137,12 @@
 
 	const applyRegistrations = (): void => {
 		const next: TargetRecord[] = [];
+		for (const key of malformedRevisions.keys()) {
+			if (!mirror.has(key)) {
+				malformedRevisions.delete(key);
+			}
+		}
+
 		for (const entry of mirror.entries()) {
 			const {key, revision} = entry;
 			if (!key.startsWith(registrationPrefix)) {
@@ -164,6 +174,9 @@
 	void followStore(deps.store, mirror, {
 		// One watch covers both configuration and registrations, because each answer to a watch counts as a call to the store.
 		prefix: '', pauseMs: deps.pauseMs, waitMs: watchTimeoutMs, expiredKeyGraceMs: reregistrationGraceMs, isReader, nowMs: monotonicMs, random: deps.random, sleep: deps.sleep, signal: deps.signal,
+		onError(error) {
+			containment.report('store', error);
+		},
 		onStoreConnected() {
 			isStoreAvailable = true;
 		},
--- a/packages/cli/src/entry-wiring.ts
+++ b/packages/cli/src/entry-wiring.ts
@@ -10,8 +10,10 @@
 import {createRetryBudget, isReader} from '@papayaflow/policy';
 import {type SettingsOf, portSetting} from '@papayaflow/settings';
 import {connectStore} from '@papayaflow/store';
-import {createLog, createMetrics, serveAdmin} from '@papayaflow/telemetry';
-import {listen, reportPorts} from './program.js';
+import {
+	createContainment, createLog, createMetrics, serveAdmin,
+} from '@papayaflow/telemetry';
+import {listen, reportPorts, type RunningProgram} from './program.js';
 import {sharedSettings} from './shared-settings.js';
 
 const defaultSubsetSize = 20;
@@ -25,9 +27,6 @@
 	port: portSetting('the port that serves the HTTP requests of callers', '8080'),
 };
 
-/** A running program, which its signal handler stops. */
-export type RunningProgram = {readonly port: number; readonly adminPort: number; stop(): Promise<void>};
-
 /**
 Starts an entry: follower, links, front and admin endpoints.
 
@@ -40,6 +39,7 @@
 	const incarnation = randomUUID();
 	const log = createLog({program: 'papayaflow-entry', instance, zone}, settings.logLevel);
 	const metrics = createMetrics();
+	const containment = createContainment({metrics, log});
 	const shutdown = new AbortController();
 	const monotonicMs = (): number => performance.now();
 	const {random} = Math;
@@ -80,7 +80,7 @@
 		},
 	});
 	const admin = serveAdmin({
-		metrics,
+		metrics, containment,
 		ready: () => isStopping ? {ready: false, reason: 'stopping'} : (follower.applied() ? {ready: true} : {ready: false, reason: 'no configuration yet'}),
 		status: () => ({
 			instance, role: 'entry', zone, incarnation, revision: follower.revision(), inForce: follower.applied()?.name, leaving: isStopping,
@@ -109,14 +109,15 @@
 		}
 	}, catchUpIntervalMs).unref();
 
-	const adminPort = await listen(admin, settings.adminPort, settings.address);
-	const port = await listen(front.server, settings.port, settings.address);
+	const adminPort = await listen(admin, {port: settings.adminPort, host: settings.address}, {log, containment});
+	const port = await listen(front.server, {port: settings.port, host: settings.address}, {log, containment});
 	log.info({port, adminPort}, 'entry started');
 	reportPorts({port, adminPort});
 
 	return {
 		port,
 		adminPort,
+		containment,
 		async stop() {
 			const {graceMs, lingerMs} = follower.applied()?.preset.drain ?? {graceMs: 0, lingerMs: 0};
 			isStopping = true;
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -1,12 +1,21 @@
 import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {type Server} from 'node:http';
 import {type Server as TcpServer} from 'node:net';
-import {type Log} from '@papayaflow/telemetry';
+import {type Containment, type Log} from '@papayaflow/telemetry';
 import {
 	formatBadSetting, readSettings, type SettingDefs, type SettingsOf,
 } from '@papayaflow/settings';
 
+/** A running program, which its signal handler stops. */
+export type RunningProgram = {readonly port: number; readonly adminPort: number; readonly containment: Containment; stop(): Promise<void>};
+
 const badSettingsExitCode = 2;
+const startFailedExitCode = 1;
+
+/** How long a start waits for an address that another process still holds, in milliseconds, and the pause between two attempts. */
+const addressWaitMs = 10_000;
+const addressRetryMs = 100;
 
 /**
 Reads the settings of a program. Exits with 0 after `--help` and `--check`, and with 2
@@ -42,20 +51,92 @@
 	}
 }
 
-/** Listens on an address and resolves with the port; exits with 2 when the address is not available. */
-export async function listen(server: Server | TcpServer, port: number, address: string): Promise<number> {
-	return new Promise(resolve => {
-		server.once('error', error => {
-			process.stderr.write(`can't listen on ${address}:${port}: ${error.message}\n`);
+/**
+Listens on an address and resolves with the port. Waits up to ten seconds for an address
+that is not available yet, such as one that the process before this one still holds, then
+exits with 2. Errors of the server after that, as when it can't accept a connection, are
+reported to `containment`.
+
+@example
+const port = await listen(server, {port: 8080, host: '127.0.0.1'}, {log, containment});
+*/
+export async function listen(
+	server: Server | TcpServer,
+	{port, host}: {readonly port: number; readonly host: string},
+	{log, containment}: {readonly log: Log; readonly containment: Containment},
+): Promise<number> {
+	const deadlineMs = performance.now() + addressWaitMs;
+	for (let attempt = 0; ; attempt++) {
+		const error = await tryListen(server, port, host);
+		if (!error) {
+			break;
+		}
+
+		if (performance.now() >= deadlineMs || !isTemporary(error)) {
+			process.stderr.write(`can't listen on ${host}:${port}: ${error.message}\n`);
 			process.exit(badSettingsExitCode);
-		});
-		server.listen(port, address, () => {
-			const bound = server.address();
-			resolve(typeof bound === 'object' && bound ? bound.port : port);
+		}
+
+		if (attempt === 0) {
+			log.warn({host, port, detail: error.message}, 'address not available yet; trying again');
+		}
+
+		await sleep(addressRetryMs);
+	}
+
+	server.on('error', error => {
+		containment.report('accept', error);
+	});
+	const bound = server.address();
+	return typeof bound === 'object' && bound ? bound.port : port;
+}
+
+async function tryListen(server: Server | TcpServer, port: number, host: string): Promise<NodeJS.ErrnoException | undefined> {
+	return new Promise(resolve => {
+		const onError = (error: NodeJS.ErrnoException): void => {
+			resolve(error);
+		};
+
+		server.once('error', onError);
+		server.listen(port, host, () => {
+			server.off('error', onError);
+			resolve(undefined);
 		});
 	});
 }
 
+/** Whether an address may become available by itself: another process holds it, or the interface does not have it yet. */
+function isTemporary({code}: NodeJS.ErrnoException): boolean {
+	return code === 'EADDRINUSE' || code === 'EADDRNOTAVAIL';
+}
+
+/**
+Runs a program: starts it, keeps exceptions that nothing has caught from ending it once it
+has started, and stops it on the first SIGTERM or SIGINT. An exception during the start
+exits with 1, so that the platform starts the program again.
+
+@example
+await runProgram(async () => startEntry(settings));
+*/
+export async function runProgram(start: () => Promise<RunningProgram>): Promise<void> {
+	let running: RunningProgram;
+	try {
+		running = await start();
+	} catch (error) {
+		process.stderr.write(`start failed: ${error instanceof Error ? error.stack ?? error.message : String(error)}\n`);
+		process.exit(startFailedExitCode);
+	}
+
+	const {containment, stop} = running;
+	process.on('uncaughtException', error => {
+		containment.report('process', error);
+	});
+	process.on('unhandledRejection', error => {
+		containment.report('process', error);
+	});
+	onStopSignal(stop, containment);
+}
+
 /**
 Tells the process that started this program, if it has opened an IPC channel, which ports
 the program listens on.
@@ -78,7 +159,7 @@
 }
 
 /** Calls `stop` on the first SIGTERM or SIGINT and exits with 0 after it; a second signal exits with 1 at once. */
-export function onStopSignal(stop: () => Promise<void>): void {
+function onStopSignal(stop: () => Promise<void>, containment: Containment): void {
 	let isStopping = false;
 	const onSignal = async (): Promise<void> => {
 		if (isStopping) {
@@ -86,8 +167,13 @@
 		}
 
 		isStopping = true;
-		await stop();
-		process.exit(0);
+		try {
+			await stop();
+			process.exit(0);
+		} catch (error) {
+			containment.report('process', error);
+			process.exit(1);
+		}
 	};
 
 	process.on('SIGTERM', onSignal);
--- a/packages/cli/src/sidecar-wiring.ts
+++ b/packages/cli/src/sidecar-wiring.ts
@@ -17,10 +17,11 @@
 } from '@papayaflow/sidecar';
 import {connectStore} from '@papayaflow/store';
 import {fetchExpertReport, connectTarget, sendRankOrder} from '@papayaflow/target';
-import {createLog, createMetrics, serveAdmin} from '@papayaflow/telemetry';
+import {
+	createContainment, createLog, createMetrics, serveAdmin,
+} from '@papayaflow/telemetry';
 import * as z from 'zod';
-import {type RunningProgram} from './entry-wiring.js';
-import {listen, reportPorts} from './program.js';
+import {listen, reportPorts, type RunningProgram} from './program.js';
 import {sharedSettings} from './shared-settings.js';
 
 /** How often the revision is broadcast while nothing changes. */
@@ -72,6 +73,7 @@
 		program: 'papayaflow-sidecar', instance, zone, service,
 	}, settings.logLevel);
 	const metrics = createMetrics();
+	const containment = createContainment({metrics, log});
 	const shutdown = new AbortController();
 	const monotonicMs = (): number => performance.now();
 	const {random} = Math;
@@ -225,7 +227,7 @@
 	});
 
 	const admin = serveAdmin({
-		metrics,
+		metrics, containment,
 		ready: () => leaveReason === undefined ? {ready: true} : {ready: false, reason: 'leaving'},
 		status: () => ({
 			instance, role: 'sidecar', zone, service, incarnation, revision: follower.revision(), inForce: follower.applied()?.name,
@@ -273,14 +275,15 @@
 		}
 	}, catchUpIntervalMs).unref();
 
-	const adminPort = await listen(admin, settings.adminPort, settings.address);
-	const port = await listen(peers.server, settings.port, settings.address);
+	const adminPort = await listen(admin, {port: settings.adminPort, host: settings.address}, {log, containment});
+	const port = await listen(peers.server, {port: settings.port, host: settings.address}, {log, containment});
 	log.info({port, adminPort}, 'sidecar started');
 	reportPorts({port, adminPort});
 
 	return {
 		port,
 		adminPort,
+		containment,
 		async stop() {
 			const {graceMs} = preset()?.drain ?? {graceMs: 0};
 			leave('signal');
--- a/packages/cli/test/directory.test.ts
+++ b/packages/cli/test/directory.test.ts
@@ -4,7 +4,9 @@
 import {type Peer} from '@papayaflow/peer';
 import {connectPlatformStore} from '@papayaflow/platform';
 import {createPlatformStore, type PlatformStore} from '@papayaflow/standins';
-import {createLog, createMetrics, type Metrics} from '@papayaflow/telemetry';
+import {
+	createContainment, createLog, createMetrics, type Metrics,
+} from '@papayaflow/telemetry';
 import {expect} from 'chai';
 import {
 	afterEach, beforeEach, describe, it,
@@ -20,7 +22,7 @@
 });
 
 const registration = (state: string, seq = 1): string => JSON.stringify({
-	service: 'llm', address: '10.0.0.9:80', zone: 'z', slots: 8, state, cold_remaining_ms: 0, seq, born: 7,
+	service: 'llm', address: '10.0.0.9:80', zone: 'z', version: '1', slots: 8, state, cold_remaining_ms: 0, seq, born: 7,
 });
 
 const helloOf = (instance: string): Peer['hello'] => ({
@@ -52,9 +54,10 @@
 		const versions: number[] = [];
 		const states: string[] = [];
 		const metrics = createMetrics();
+		const log = createLog({}, 'error');
 		const directory = openDirectory({
 			instance: `instance-${storePort}-${pauseMs}`, zone: 'z', store: connectPlatformStore({address: `127.0.0.1:${storePort}`, timeoutMs: 100}), pauseMs, prefersPeers,
-			log: createLog({}, 'error'), metrics, monotonicMs: () => performance.now(), random: () => 0.5, signal: ending.signal, entries: () => entries,
+			log, metrics, containment: createContainment({metrics, log}), monotonicMs: () => performance.now(), random: () => 0.5, signal: ending.signal, entries: () => entries,
 			async sleep(ms) {
 				await sleep(ms, undefined, {ref: false});
 			},
--- a/packages/cli/test/site.ts
+++ b/packages/cli/test/site.ts
@@ -108,7 +108,7 @@
 	const plainAddresses = await Promise.all(plainServers.map(async server => `127.0.0.1:${await listenOn(server)}`));
 	const register = (id: string, service: string, address: string): void => {
 		store.put(`servers/${id}`, JSON.stringify({
-			service, address, zone: 'z', slots: 8, state: 'ready', cold_remaining_ms: 0, born: 1,
+			service, address, zone: 'z', version: '1', slots: 8, state: 'ready', cold_remaining_ms: 0, seq: 1, born: 1,
 		}));
 	};
 
--- a/packages/direct/src/exchange.ts
+++ b/packages/direct/src/exchange.ts
@@ -1,6 +1,6 @@
 import {type Dispatcher} from 'undici';
 import {type AnswerHead, type Dialect} from './dialect.js';
-import {type Pool} from './pool.js';
+import {type Pool, type TargetConnection} from './pool.js';
 
 /** One request as it is sent to a target. */
 export type TargetRequest = {
@@ -76,7 +76,13 @@
 		return {kind: 'notSent', detail: 'cancelled'};
 	}
 
-	const connection = pool.take(maxIdleMs);
+	let connection: TargetConnection;
+	try {
+		connection = pool.take(maxIdleMs);
+	} catch (error) {
+		return {kind: 'notSent', detail: String(error)};
+	}
+
 	return new Promise(resolve => {
 		let isSent = false;
 		let isEnded = false;
--- a/packages/direct/src/forward.ts
+++ b/packages/direct/src/forward.ts
@@ -144,7 +144,15 @@
 		}
 
 		tried.add(id);
-		const {result, events} = await sendAttempt(admitted, place, progress, deps);
+		let attempt: Awaited<ReturnType<typeof sendAttempt>>;
+		try {
+			attempt = await sendAttempt(admitted, place, progress, deps);
+		} catch (error) {
+			place.ended('neutral');
+			throw error;
+		}
+
+		const {result, events} = attempt;
 		if (result.kind === 'done') {
 			return toForwardResult({kind: 'answered'}, result.status);
 		}
--- a/packages/direct/src/front.ts
+++ b/packages/direct/src/front.ts
@@ -6,6 +6,7 @@
 import {readBody} from '@papayaflow/caller';
 import {type LossReason, type RefusalReason} from '@papayaflow/outcome';
 import {drawService, identifyCaller, type RouteTable} from '@papayaflow/routing';
+import {type Containment} from '@papayaflow/telemetry';
 import {createCallerAnswer, type CallerAnswer} from './answer.js';
 import {maxLoggedParts, type Call} from './call.js';
 import {forward, type ForwardDeps, type ForwardResult} from './forward.js';
@@ -29,6 +30,8 @@
 const closeTurns = 3;
 
 export type FrontDeps = ForwardDeps & {
+	/** Receives an exception that ends a request unforeseen. */
+	readonly containment: Containment;
 	/** Returns the current configuration; `undefined` before the first one is known. */
 	readonly table: () => RouteTable | undefined;
 	readonly random: () => number;
@@ -165,10 +168,12 @@
 				return answer.unreadBytes;
 			},
 		};
-		const result = await forward({call, answer: monitoredAnswer, signal: controller.signal}, deps);
-		clearTimeout(timer);
-		openCalls.delete(controller);
-		return result;
+		try {
+			return await forward({call, answer: monitoredAnswer, signal: controller.signal}, deps);
+		} finally {
+			clearTimeout(timer);
+			openCalls.delete(controller);
+		}
 	};
 
 	const finishCall = (call: Call, {outcome, status, attempts}: ForwardResult, answer: CallerAnswer, res: ServerResponse): void => {
@@ -194,7 +199,13 @@
 
 	const server = createServer({maxHeaderSize: maxHeadBytes, connectionsCheckingInterval: headTimeoutCheckMs, requestTimeout: 0}, async (req, res) => {
 		res.on('error', () => undefined);
-		await handleRequest(req, res);
+		try {
+			await handleRequest(req, res);
+		} catch (error) {
+			deps.containment.report('request', error);
+			metrics.count('losses', {reason: 'internalError'});
+			endUnforeseen(req, res);
+		}
 	});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 		metrics.count('caller_faults', {code: error.code ?? 'unknown'});
@@ -220,6 +231,17 @@
 	};
 }
 
+/** Answers a request whose handling has thrown; a target may have run it. */
+function endUnforeseen({headers}: IncomingMessage, res: ServerResponse): void {
+	if (res.headersSent) {
+		res.destroy();
+		return;
+	}
+
+	const requestId = String(headers['x-request-id'] ?? '');
+	createCallerAnswer(res, {requestId, shouldClose: () => true}).fail({kind: 'unknown', reason: 'internalError', retryAfterMs: 0});
+}
+
 /**
 Whether the caller has already closed the connection. After a delay of the event loop, a
 request and the end of its connection are both waiting to be read, the request first.
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -17,6 +17,7 @@
 export {
 	createTargets, type Target, type TargetOutcome, type Targets,
 } from './targets.js';
+export {createPool, type Pool} from './pool.js';
 export {createLimitedPlacer, type LimitedPlacerOptions} from './limit-place.js';
 export {createGroupPlacer, type GroupPlacer, type GroupPlacerOptions} from './group-place.js';
 export {createQuarantinedPlacer, type QuarantinedPlacerOptions} from './quarantine-place.js';
--- a/packages/direct/src/targets.ts
+++ b/packages/direct/src/targets.ts
@@ -2,7 +2,9 @@
 	afterFailure, afterSuccess, healthy, type EjectOptions, type Health,
 } from '@papayaflow/policy';
 import {LRUCache} from 'lru-cache';
-import {addressOf, isSameTarget, type TargetRecord} from '@papayaflow/routing';
+import {
+	addressOf, isSameTarget, latestByAddress, type TargetRecord,
+} from '@papayaflow/routing';
 import {createPool, type Pool} from './pool.js';
 
 /** The weight of a new sample in the moving average of a target's latency. */
@@ -42,7 +44,7 @@
 	update(records: readonly TargetRecord[]): void;
 	/** Returns the addresses at which a service has targets that are leaving, by an answer or by their registration, but none that takes requests. */
 	departingAddresses(service: string): readonly string[];
-	/** Returns the targets of a service that take new requests. Among several targets registered at one address, only the latest that is not gone counts. */
+	/** Returns the targets of a service that take new requests. Among several targets registered at one address, only the latest that is not gone and has a known service counts. */
 	servingTargets(service: string): readonly Target[];
 	byId(id: string): Target | undefined;
 	all(): readonly Target[];
@@ -52,6 +54,8 @@
 	readonly connectMs: number;
 	readonly ejection: EjectOptions;
 	readonly nowMs: () => number;
+	/** Whether the configuration names a service. A registration that names another one hides no target at its address; after a change, `update` is to be called. */
+	readonly isKnownService: (service: string) => boolean;
 	/** Called when a target is added, removed, leaving or found to be gone. */
 	readonly onChange: (change: 'added' | 'removed' | 'leaving' | 'gone', record: TargetRecord) => void;
 };
@@ -77,12 +81,17 @@
 	/** The lifetimes that have said that they leave. They are remembered when their registrations lapse, as these may come back. */
 	const leaving = new LRUCache<string, true>({max: maxLeavingLifetimes});
 	let targets = new Map<string, ListedTarget>();
-	/** The result of `latestByAddress` for the present list; `undefined` after a change. */
+	/** The targets that count at their addresses, of the present list; `undefined` after a change. */
 	let latest: readonly Target[] | undefined;
 	const onGone = (): void => {
 		latest = undefined;
 	};
 
+	const latestTargets = (): readonly Target[] => {
+		const present = [...targets.values()].filter(({record, isGone}) => !isGone && options.isKnownService(record.service));
+		return [...latestByAddress(present.map(({record}) => record)).values()].map(({id}) => targets.get(id)!);
+	};
+
 	return {
 		update(records) {
 			const next = new Map<string, ListedTarget>();
@@ -118,7 +127,7 @@
 			latest = undefined;
 		},
 		servingTargets(service) {
-			latest ??= latestByAddress([...targets.values()]);
+			latest ??= latestTargets();
 			return latest.filter(({record, isServing}) => record.service === service && isServing);
 		},
 		departingAddresses(service) {
@@ -131,19 +140,6 @@
 	};
 }
 
-// A target that crashed stays registered for a while, and another target may have started at its address.
-function latestByAddress(targets: readonly Target[]): readonly Target[] {
-	const byAddress = new Map<string, Target>();
-	for (const target of targets) {
-		const latestSoFar = byAddress.get(target.address);
-		if (!target.isGone && (!latestSoFar || latestSoFar.record.registeredAt < target.record.registeredAt)) {
-			byAddress.set(target.address, target);
-		}
-	}
-
-	return [...byAddress.values()];
-}
-
 function createTarget(initialRecord: TargetRecord, {connectMs, ejection, nowMs, onChange, onGone, leaving}: CreateTargetOptions): ListedTarget {
 	let record = initialRecord;
 	let inFlight = 0;
@@ -181,8 +177,14 @@
 		},
 		startRequest() {
 			const startedMs = nowMs();
+			let hasEnded = false;
 			inFlight++;
 			return outcome => {
+				if (hasEnded) {
+					return;
+				}
+
+				hasEnded = true;
 				inFlight--;
 				if (outcome === 'served') {
 					const tookMs = nowMs() - startedMs;
--- a/packages/direct/test/group-place.test.ts
+++ b/packages/direct/test/group-place.test.ts
@@ -33,7 +33,7 @@
 
 	beforeEach(() => {
 		const targets = createTargets({
-			connectMs: 100, ejection: {ejectAfterFailures: 3, ejectMs: 1000, maxEjectedRatio: 0.5}, nowMs: () => performance.now(), onChange: () => undefined,
+			connectMs: 100, ejection: {ejectAfterFailures: 3, ejectMs: 1000, maxEjectedRatio: 0.5}, nowMs: () => performance.now(), isKnownService: () => true, onChange: () => undefined,
 		});
 		targets.update(ranks.map(rank => ({
 			id: `i-${rank}`, incarnation: 0, registeredAt: 1, service: 's', host: `10.0.0.${rank}`, port: 80, zone: 'z', slots: 8, state: 'serving', warmingMs: 0,
@@ -111,7 +111,7 @@
 	// Guards against a search through all sidecars for each target, which took 10 ms for each call with 790 sidecars.
 	it('reads the notice of each sidecar at most a few times for a call', async () => {
 		const targets = createTargets({
-			connectMs: 100, ejection: {ejectAfterFailures: 3, ejectMs: 1000, maxEjectedRatio: 0.5}, nowMs: () => performance.now(), onChange: () => undefined,
+			connectMs: 100, ejection: {ejectAfterFailures: 3, ejectMs: 1000, maxEjectedRatio: 0.5}, nowMs: () => performance.now(), isKnownService: () => true, onChange: () => undefined,
 		});
 		targets.update(Array.from({length: sidecarCount}, (_, index) => ({
 			id: `i-${index}`, incarnation: 0, registeredAt: 1, service: 's', host: hostOf(index), port: 80, zone: 'z', slots: 8, state: 'serving' as const, warmingMs: 0,
--- a/packages/direct/test/limit-place.test.ts
+++ b/packages/direct/test/limit-place.test.ts
@@ -30,7 +30,7 @@
 	beforeEach(() => {
 		const shared = {monotonicMs: () => 0, metrics: createMetrics(), log: createLog({}, 'error')};
 		targets = createTargets({
-			connectMs: 100, ejection: {ejectAfterFailures: 3, ejectMs: 1000, maxEjectedRatio: 0.5}, nowMs: () => 0, onChange: () => undefined,
+			connectMs: 100, ejection: {ejectAfterFailures: 3, ejectMs: 1000, maxEjectedRatio: 0.5}, nowMs: () => 0, isKnownService: () => true, onChange: () => undefined,
 		});
 		targets.update(ids.map((id, index) => ({
 			id, incarnation: 1, registeredAt: 1, service: 's', host: `10.0.0.${index}`, port: 80, zone: 'z', slots: 8, state: 'serving', warmingMs: 0,
--- a/packages/direct/test/targets.test.ts
+++ b/packages/direct/test/targets.test.ts
@@ -9,7 +9,7 @@
 
 const targetsOf = (...records: readonly TargetRecord[]): Targets => {
 	const targets = createTargets({
-		connectMs: 100, ejection: {ejectAfterFailures: 3, ejectMs: 1000, maxEjectedRatio: 0.5}, nowMs: () => 0, onChange: () => undefined,
+		connectMs: 100, ejection: {ejectAfterFailures: 3, ejectMs: 1000, maxEjectedRatio: 0.5}, nowMs: () => 0, isKnownService: () => true, onChange: () => undefined,
 	});
 	targets.update(records);
 	return targets;
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -3,7 +3,7 @@
 	handleFrame, type DownCause, type Frame, type FrameHandlers, type Peer, type PeerCommand, type RankNotice, type StreamNotice,
 } from '@papayaflow/peer';
 import {type PlacementRequest} from '@papayaflow/policy';
-import {addressOf, type TargetRecord} from '@papayaflow/routing';
+import {latestByAddress, type TargetRecord} from '@papayaflow/routing';
 import {startCoordination, type Coordination, type CoordinationDeps} from './coordination.js';
 import {packCounts, unpackCounts} from './counts.js';
 import {createMapReceiver} from './map-transfer.js';
@@ -115,7 +115,7 @@
 	const targetOf = (rank: number): string | undefined => member(rank)?.target;
 
 	const onView = (view: RankView): void => {
-		const records = new Map(deps.records().map(record => [addressOf(record), record]));
+		const records = latestByAddress(deps.records());
 		openByRank = Array.from({length: view.size}, (_, rank) => {
 			const target = targetOf(rank);
 			// A sidecar that stopped responding may be on a frozen machine. A request sent there can't be cancelled: the engine would still run it after the caller has disconnected.
--- a/packages/mirror/src/follow.ts
+++ b/packages/mirror/src/follow.ts
@@ -23,6 +23,8 @@
 	readonly random: () => number;
 	readonly sleep: (ms: number) => Promise<void>;
 	readonly signal: AbortSignal;
+	/** Called with an exception that a listener of the mirror or a call to the store throws; the prefix is then listed again. */
+	readonly onError: (error: unknown) => void;
 	/** Called when the store has answered for the first time. */
 	readonly onStoreConnected: () => void;
 	/** Called when the store becomes unavailable. */
@@ -101,6 +103,15 @@
 		return 'done';
 	};
 
+	const pollSafely = async (): ReturnType<typeof poll> => {
+		try {
+			return await poll();
+		} catch (error) {
+			options.onError(error);
+			return {lost: String(error)};
+		}
+	};
+
 	while (!signal.aborted) {
 		if (!options.isReader()) {
 			mustList = true;
@@ -108,7 +119,7 @@
 			continue;
 		}
 
-		const pollResult = await poll();
+		const pollResult = await pollSafely();
 		if (signal.aborted) {
 			return;
 		}
--- a/packages/mirror/src/mirror.ts
+++ b/packages/mirror/src/mirror.ts
@@ -17,6 +17,7 @@
 	/** The revision of the last change that listeners were notified of; 0 before the first one. */
 	changedAt(): number;
 	entries(): readonly Entry[];
+	has(key: string): boolean;
 	/** The entries that were added after a revision or changed after it to a value that is not equivalent. */
 	changedSince(afterRevision: number): readonly Entry[];
 	/** Applies changes in order, up to `revision`. Ignores changes that are older than the mirror's entry of the same key. */
@@ -128,6 +129,7 @@
 		revision: () => knownRevision,
 		changedAt: () => lastChangeRevision,
 		entries: () => [...entries.values()],
+		has: key => entries.has(key),
 		changedSince: afterRevision => [...entries.values()].filter(({key}) => changeRevisions.get(key)! > afterRevision),
 		apply: applyAndNotify,
 		replace(snapshot, isRetained = () => false) {
--- a/packages/mirror/test/mirror.test.ts
+++ b/packages/mirror/test/mirror.test.ts
@@ -38,7 +38,9 @@
 	return {
 		prefix: '', pauseMs: 0, waitMs: 10, expiredKeyGraceMs: 2000, isReader: () => true, nowMs: () => clock.nowMs, random: () => 0, sleep: async () => undefined,
 		signal: new AbortController().signal,
-		onStoreConnected: () => undefined,
+		onError(error) {
+			throw error;
+		}, onStoreConnected: () => undefined,
 		onStoreUnavailable() {
 			events.push('lost');
 		},
--- a/packages/outcome/src/outcome.ts
+++ b/packages/outcome/src/outcome.ts
@@ -47,6 +47,7 @@
 	'wrongAnswer',
 	'answerTooLong',
 	'cancelled',
+	'internalError',
 ] as const;
 
 export type LossReason = typeof lossReasons[number];
--- a/packages/peer/src/connection.ts
+++ b/packages/peer/src/connection.ts
@@ -93,13 +93,14 @@
 
 /**
 Serves a connection until it ends. Calls `onFrame` for each frame in order; calls
-`onFault` for a frame that can't be read and then closes the socket. Resolves when
-the connection has ended; never rejects.
+`onFault` for a frame that can't be read, or `onError` with what `onFrame` throws, and
+then closes the socket. Resolves when the connection has ended; never rejects.
 */
 export async function serveFrames(
 	socket: Socket,
 	onFrame: (frame: Frame) => void,
 	onFault: (fault: FrameFault) => void,
+	onError: (error: unknown) => void = () => undefined,
 ): Promise<void> {
 	try {
 		for await (const item of readFrames(socket)) {
@@ -108,7 +109,12 @@
 				break;
 			}
 
-			onFrame(item);
+			try {
+				onFrame(item);
+			} catch (error) {
+				onError(error);
+				break;
+			}
 		}
 	} catch {
 		// A connection error is handled like an orderly close.
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -14,6 +14,9 @@
 /** The largest frame body that is accepted, in bytes. */
 export const maxFrameBytes = 8 * 1024 * 1024;
 
+/** The largest first frame of a connection, in bytes. The sender is not known before it. */
+const maxFirstFrameBytes = 65_536;
+
 const headerBytes = 4;
 
 /** A call as an entry forwards it to a sidecar. */
@@ -288,11 +291,12 @@
 */
 export async function * readFrames(chunks: AsyncIterable<Uint8Array>): AsyncGenerator<Frame | {readonly kind: 'fault'; readonly fault: FrameFault}> {
 	let buffered: Uint8Array = new Uint8Array(0);
+	let maxBytes = maxFirstFrameBytes;
 	for await (const chunk of chunks) {
 		buffered = buffered.length === 0 ? chunk : Buffer.concat([buffered, chunk]);
 		while (buffered.length >= headerBytes) {
 			const length = new DataView(buffered.buffer, buffered.byteOffset).getUint32(0);
-			if (length > maxFrameBytes) {
+			if (length > maxBytes) {
 				yield {kind: 'fault', fault: 'oversized'};
 				return;
 			}
@@ -308,6 +312,7 @@
 			}
 
 			buffered = buffered.subarray(headerBytes + length);
+			maxBytes = maxFrameBytes;
 		}
 	}
 }
@@ -319,12 +324,21 @@
 			return {kind: 'fault', fault: 'unknownKind'};
 		}
 
-		if (value.kind === 'hello' && value.version !== protocolVersion) {
+		if (value.kind !== 'hello') {
+			return value as Frame;
+		}
+
+		if (value.version !== protocolVersion) {
 			return {kind: 'fault', fault: 'wrongVersion'};
 		}
 
-		return value as Frame;
+		return isHello(value) ? value as Frame : {kind: 'fault', fault: 'malformed'};
 	} catch {
 		return {kind: 'fault', fault: 'malformed'};
 	}
 }
+
+/** Whether a frame names its sender; all state of a connection is kept under these names. */
+function isHello({role, instance, incarnation, zone}: Readonly<Record<string, unknown>>): boolean {
+	return (role === 'entry' || role === 'sidecar') && [instance, incarnation, zone].every(name => typeof name === 'string');
+}
--- a/packages/peer/src/peer.ts
+++ b/packages/peer/src/peer.ts
@@ -45,6 +45,8 @@
 	onFrame(peer: Peer, frame: Frame): void;
 	onDown(peer: Peer, cause: DownCause): void;
 	onFault(fault: FrameFault): void;
+	/** Called with an exception of the other handlers; it ends the connection, so that both ends begin anew. */
+	onError(error: unknown): void;
 	/** Returns whether this end must detect the loss of the peer quickly. Called periodically. If it returns true at either end, both ends send heartbeats at the short interval. */
 	isNear(peer: Peer): boolean;
 };
@@ -121,10 +123,16 @@
 		} else if (peer) {
 			events.onFrame(peer, frame);
 		}
-	}, events.onFault);
+	}, events.onFault, events.onError);
 	stopHeartbeats();
-	if (peer) {
+	if (!peer) {
+		return;
+	}
+
+	try {
 		events.onDown(peer, downCause);
+	} catch (error) {
+		events.onError(error);
 	}
 }
 
--- a/packages/peer/test/peer.test.ts
+++ b/packages/peer/test/peer.test.ts
@@ -38,6 +38,9 @@
 			onFault(fault) {
 				log.push(fault);
 			},
+			onError(error) {
+				throw error;
+			},
 			isNear: () => isNear,
 		},
 	};
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -4,4 +4,6 @@
 export {
 	createRouteTable, drawService, identifyCaller, type CallerIdentity, type RouteTable,
 } from './match.js';
-export {addressOf, isSameTarget, type TargetRecord} from './target.js';
+export {
+	addressOf, isSameTarget, latestByAddress, type TargetRecord,
+} from './target.js';
--- a/packages/routing/src/target.ts
+++ b/packages/routing/src/target.ts
@@ -29,6 +29,26 @@
 		&& a.zone === b.zone && a.slots === b.slots && a.state === b.state;
 }
 
+/**
+Returns the registration that counts at each address: the latest one. A target that
+crashed stays registered for a while, and another one may have started at its address.
+
+@example
+latestByAddress(records).get('10.0.0.4:8000')?.id;
+*/
+export function latestByAddress(records: Iterable<TargetRecord>): ReadonlyMap<string, TargetRecord> {
+	const byAddress = new Map<string, TargetRecord>();
+	for (const record of records) {
+		const address = addressOf(record);
+		const latest = byAddress.get(address);
+		if (!latest || latest.registeredAt < record.registeredAt) {
+			byAddress.set(address, record);
+		}
+	}
+
+	return byAddress;
+}
+
 /** Formats the host and port of a target or another server as `IP:PORT`. */
 export function addressOf({host, port}: {readonly host: string; readonly port: number}): string {
 	return `${host}:${port}`;
--- a/packages/settings/src/common.ts
+++ b/packages/settings/src/common.ts
@@ -44,16 +44,30 @@
 /** An address to listen on or to connect to; `host` is an IP address. */
 export type Address = {readonly host: string; readonly port: number};
 
-/** The schema of `IP:PORT`. */
-export const addressSchema = z.string().transform((text, context): Address => {
+/**
+Reads an address of the form `IP:PORT`, with a port from 0 to 65535. Returns `undefined`
+for any other text.
+
+@example
+parseAddress('10.0.0.4:8000'); // {host: '10.0.0.4', port: 8000}
+*/
+export function parseAddress(text: string): Address | undefined {
 	const separatorIndex = text.lastIndexOf(':');
 	const host = text.slice(0, separatorIndex);
-	const port = Number(text.slice(separatorIndex + 1));
-	if (isIP(host) === 0 || !Number.isInteger(port) || port < 0 || port > maxPort) {
+	const digits = text.slice(separatorIndex + 1);
+	const port = Number(digits);
+	return isIP(host) !== 0 && /^\d{1,5}$/v.test(digits) && port <= maxPort ? {host, port} : undefined;
+}
+
+/** The schema of `IP:PORT`. */
+export const addressSchema = z.string().transform((text, context): Address => {
+	const address = parseAddress(text);
+	if (!address) {
 		context.issues.push({code: 'custom', message: 'not IP:PORT', input: text});
+		return z.NEVER;
 	}
 
-	return {host, port};
+	return address;
 });
 
 /** Creates the setting of an IP address with a port. */
--- a/packages/telemetry/src/admin.ts
+++ b/packages/telemetry/src/admin.ts
@@ -1,4 +1,5 @@
 import {createServer, type IncomingMessage, type Server} from 'node:http';
+import {type Containment} from './containment.js';
 import {type Metrics} from './metrics.js';
 
 /** The response to an admin request. A string body is sent as plain text, any other as JSON. */
@@ -7,6 +8,8 @@
 /** The data and actions that the admin server of a program exposes. */
 export type AdminSources = {
 	readonly metrics: Metrics;
+	/** Receives the exceptions of handlers; their requests get status 500. */
+	readonly containment: Containment;
 	/** Returns whether the program accepts new requests, and if not, the reason. */
 	ready(): {readonly ready: boolean; readonly reason?: string};
 	/** Returns the body of `GET /status`. */
@@ -25,13 +28,22 @@
 */
 export function serveAdmin(sources: AdminSources): Server {
 	return createServer(async (request, res) => {
-		const reply = await answer(request, sources);
+		const reply = await answerSafely(request, sources);
 		const isText = typeof reply.body === 'string';
 		res.writeHead(reply.status, {'content-type': isText ? 'text/plain; version=0.0.4' : 'application/json'});
 		res.end(isText ? reply.body : JSON.stringify(reply.body));
 	});
 }
 
+async function answerSafely(request: IncomingMessage, sources: AdminSources): Promise<AdminReply> {
+	try {
+		return await answer(request, sources);
+	} catch (error) {
+		sources.containment.report('admin', error);
+		return {status: 500, body: {reason: 'internalError'}};
+	}
+}
+
 async function answer(request: IncomingMessage, sources: AdminSources): Promise<AdminReply> {
 	const [path, query = ''] = (request.url ?? '/').split('?', 2);
 	switch (`${request.method} ${path}`) {
