--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -30,7 +30,8 @@
 
 /**
 Reads the settings of a program from its flags and, for an absent flag, from the
-environment: `--admin-port` falls back to `PAPAYAFLOW_ADMIN_PORT`.
+environment: `--admin-port` falls back to `PAPAYAFLOW_ADMIN_PORT`. An empty variable
+counts as absent.
 
 Returns `help` with the help text if `--help` is given, `bad` with all problems if a
 setting is invalid or a flag is unknown, `check` if `--check` is given, else `run`.
@@ -57,7 +58,7 @@
 	const problems: BadSetting[] = unknownFlags(argv, defs);
 	const settings: Record<string, unknown> = {};
 	for (const [name, def] of Object.entries(defs)) {
-		const given = parsed[name] === undefined ? env[environmentName(name)] : `${parsed[name] as string}`;
+		const given = parsed[name] === undefined ? nonEmpty(env[environmentName(name)]) : `${parsed[name] as string}`;
 		const text = given ?? def.default;
 		const checked = def.schema.safeParse(text);
 		if (checked.success) {
@@ -101,6 +102,10 @@
 		.map(flag => ({flag, value: undefined, allowed: 'no such flag'}));
 }
 
+function nonEmpty(text: string | undefined): string | undefined {
+	return text === '' ? undefined : text;
+}
+
 function flagName(name: string): string {
 	return `--${kebabCase(name)}`;
 }
--- a/packages/settings/test/settings.test.ts
+++ b/packages/settings/test/settings.test.ts
@@ -21,6 +21,13 @@
 		});
 	});
 
+	// Guards against a process that does not start, or has a time limit of 0, because the platform has no value for a setting.
+	it('takes the default for an empty variable', () => {
+		const result = read(['--instance', 'a'], {PAPAYAFLOW_ADMIN_PORT: '', PAPAYAFLOW_ADDRESS: ''});
+		expect(result).to.have.nested.property('settings.adminPort', 9100);
+		expect(result).to.have.nested.property('settings.address', '127.0.0.1');
+	});
+
 	it('reports each invalid setting with its value and the allowed values', () => {
 		const result = read(['--instance', 'a b', '--admin-port', '70000', '--address', 'localhost', '--store', 'http://kv:2379']);
 		expect(result.kind === 'bad' && result.problems.map(problem => formatBadSetting(problem))).to.deep.equal([
--- a/packages/telemetry/src/sink.ts
+++ b/packages/telemetry/src/sink.ts
@@ -33,7 +33,7 @@
 const sink = createLineSink();
 sink.write('{"message":"started"}', false);
 */
-export function createLineSink({writer = new SonicBoom({fd: standardOutputFd, sync: false, maxLength: maxBufferedBytes}), nowMs = () => performance.now()}: LineSinkOptions = {}): LineSink {
+export function createLineSink({writer = openStandardOutput(), nowMs = () => performance.now()}: LineSinkOptions = {}): LineSink {
 	let availableLines = maxBurstLines;
 	let lastRefillMs = nowMs();
 	let dropped = 0;
@@ -57,3 +57,10 @@
 		},
 	};
 }
+
+function openStandardOutput(): LineWriter {
+	const writer = new SonicBoom({fd: standardOutputFd, sync: false, maxLength: maxBufferedBytes});
+	// Without a listener, the process would end when the reader of its log has closed the pipe. There is no other place to report it.
+	writer.on('error', () => undefined);
+	return writer;
+}
