Stop when no caller's connection is left, and refuse at once what can't end before that

Cause: the stop counted calls from the whole body to the target's answer, not requests from the first byte to the last one of the answer; and nothing compared a deadline with what was left of the grace period. Ruled out: the reset of connections that were not accepted (nobody read those requests).

Change: connections are tracked; the process exits when the last one is closed. After the first three seconds only requests are taken whose deadline fits; others get 503 shuttingDown with Connection: close. The older entry counts in the same way. The numbers of connections and of aborted calls are logged at each step.

--- a/packages/caller/src/index.ts
+++ b/packages/caller/src/index.ts
@@ -3,4 +3,5 @@
 export {
 	headerNames, readCall, type Call, type CallResult,
 } from './call.js';
+export {trackConnections, type CallerConnections} from './connections.js';
 export {problemOf, retryAfterSeconds, type Problem} from './problem.js';
--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	createAnswerBuffers, createCrashDetector, createFront, createGroupPlacer, createLimitedPlacer, createPlainPlacer, createQuarantinedPlacer, createTargets,
+	createAnswerBuffers, createCrashDetector, createFront, createGroupPlacer, createLimitedPlacer, createPlainPlacer, createQuarantinedPlacer, createTargets, type StopPlan,
 } from '@papayaflow/direct';
 import {
 	createBeliefs, createEngineChoice, createPauses, createPermits, limitChanges, permitResults, type DispenserLink, type TargetLifetime,
@@ -26,8 +26,11 @@
 /** When a failing target is ejected, and for how long, based on the answers that this entry receives from it. */
 const ejection = {ejectAfterFailures: 3, ejectMs: 3000, maxEjectedRatio: 0.5};
 
-/** How long an entry accepts requests after its readiness check starts to fail, in milliseconds. The platform checks every second and acts on the second failure. */
-const lingerMs = 3000;
+/** How long an entry takes all requests after its readiness check starts to fail, in milliseconds. The platform checks every second and acts on the second failure. */
+const maxLingerMs = 3000;
+
+/** The longest such time as a ratio of the grace period. The rest is left for the requests that were taken. */
+const maxLingerRatio = 0.375;
 
 /** The part of the grace period that is reserved for the exit of the process, in milliseconds. */
 const shutdownMarginMs = 250;
@@ -44,7 +47,8 @@
 /** The most bytes of answers that an entry holds until they are whole: a part of the memory that a small instance has. */
 const maxBufferedAnswerBytes = 67_108_864;
 
-const drainPollMs = 20;
+/** How long callers whose requests were aborted at the end of the grace period have to receive the outcome, in milliseconds. It is a part of the margin. */
+const abortFlushMs = 100;
 
 /** How many sidecars an entry tells what it learns of prompts that crash targets. Each passes it on to all entries, so a second one covers the loss of the first. */
 const suspicionRelays = 2;
@@ -76,7 +80,7 @@
 	const {
 		incarnation, log, metrics, containment, shutdown, monotonicMs, random, pause,
 	} = createProcessContext('papayaflow-entry', settings);
-	let isLeaving = false;
+	let stopPlan: StopPlan | undefined;
 	metrics.declare('refusals', 'reason', refusalReasons);
 	metrics.declare('losses', 'reason', lossReasons);
 	metrics.declare('retries', 'reason', [...lossReasons, 'failed', 'notRun']);
@@ -218,7 +222,7 @@
 	};
 
 	const front = createFront({
-		dialect: platformDialect, metrics, log, containment, monotonicMs, random, table: () => directory.table(), isLeaving: () => isLeaving,
+		dialect: platformDialect, metrics, log, containment, monotonicMs, random, table: () => directory.table(), stopPlan: () => stopPlan,
 		place: createQuarantinedPlacer({
 			quarantine,
 			place: createLimitedPlacer({
@@ -256,9 +260,9 @@
 			'GET /quarantine': () => ({status: 200, body: quarantine.status()}),
 			'POST /quarantine/clear': query => ({status: 200, body: {cleared: quarantine.clear(query.get('part') ?? undefined)}}),
 		},
-		ready: () => isLeaving ? {ready: false, reason: 'stopping'} : (directory.table() ? {ready: true} : {ready: false, reason: 'no configuration yet'}),
+		ready: () => stopPlan ? {ready: false, reason: 'stopping'} : (directory.table() ? {ready: true} : {ready: false, reason: 'no configuration yet'}),
 		status: () => ({
-			instance, role: 'entry', zone, incarnation, leaving: isLeaving, inFlight: front.inFlight(),
+			instance, role: 'entry', zone, incarnation, leaving: stopPlan !== undefined, inFlight: front.inFlight(), connections: front.connections.open(),
 			version: directory.table()?.configuration.version, revision: directory.revision(), groups: groupPlacer.status(),
 			targets: targets.all().map(({record, inFlight, latencyMs, health, isServing}) => ({
 				id: record.id, service: record.service, state: record.state, isServing, inFlight, latencyMs: latencyMs === undefined ? null : Math.round(latencyMs), failures: health.failures,
@@ -276,20 +280,18 @@
 		adminPort,
 		containment,
 		async stop() {
-			isLeaving = true;
-			log.info({graceMs: settings.graceMs, inFlight: front.inFlight()}, 'entry is stopping');
-			const drainDeadlineMs = monotonicMs() + settings.graceMs - shutdownMarginMs;
-			await sleep(Math.min(lingerMs, Math.max(0, drainDeadlineMs - monotonicMs())));
-			front.server.close();
-			while (front.inFlight() > 0 && monotonicMs() < drainDeadlineMs) {
-				await sleep(drainPollMs);
-			}
-
-			front.abortAll();
-			await sleep(drainPollMs);
+			const startedMs = monotonicMs();
+			const lingerMs = Math.min(maxLingerMs, settings.graceMs * maxLingerRatio);
+			stopPlan = {lingerEndsAtMs: startedMs + lingerMs, endsAtMs: startedMs + Math.max(0, settings.graceMs - shutdownMarginMs)};
+			log.info({graceMs: settings.graceMs, inFlight: front.inFlight(), connections: front.connections.open()}, 'entry is stopping');
+			await sleep(lingerMs);
+			log.info({inFlight: front.inFlight(), connections: front.connections.open()}, 'entry accepts no more connections');
+			await front.connections.drain(stopPlan.endsAtMs);
+			const aborted = front.abortAll();
+			const connections = await front.connections.drain(monotonicMs() + abortFlushMs);
 			directory.stop();
 			shutdown.abort();
-			log.info({}, 'entry stopped');
+			log.info({aborted, connections}, 'entry stopped');
 			await sleep(logFlushMs);
 		},
 	};
--- a/packages/cli/src/entry-wiring.ts
+++ b/packages/cli/src/entry-wiring.ts
@@ -20,7 +20,8 @@
 /** How often the revision is broadcast while nothing changes. */
 const heartbeatIntervalMs = 60_000;
 const catchUpIntervalMs = 1000;
-const drainPollMs = 20;
+/** How long callers whose requests were aborted at the end of the grace period have to receive the outcome, in milliseconds. */
+const abortFlushMs = 100;
 
 export const entrySettings = {
 	...sharedSettings,
@@ -74,7 +75,7 @@
 	});
 
 	const front = createFront({
-		follower, log, links, metrics, zone, random, monotonicMs, budget: createRetryBudget(), owners: createOwnerCache(),
+		follower, log, containment, links, metrics, zone, random, monotonicMs, budget: createRetryBudget(), owners: createOwnerCache(),
 		async sleep(ms) {
 			await sleep(ms);
 		},
@@ -123,15 +124,9 @@
 			isStopping = true;
 			log.info({lingerMs, graceMs}, 'entry is stopping');
 			await sleep(lingerMs);
-			front.server.close();
-			front.server.closeIdleConnections();
-			const drainDeadlineMs = monotonicMs() + graceMs;
-			while (front.inFlight() > 0 && monotonicMs() < drainDeadlineMs) {
-				await sleep(drainPollMs);
-			}
-
+			await front.connections.drain(monotonicMs() + graceMs);
 			front.abortAll();
-			await sleep(drainPollMs);
+			await front.connections.drain(monotonicMs() + abortFlushMs);
 			clearInterval(heartbeatTimer);
 			clearInterval(catchUpTimer);
 			shutdown.abort();
--- a/packages/direct/src/front.ts
+++ b/packages/direct/src/front.ts
@@ -3,7 +3,9 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {readBody} from '@papayaflow/caller';
+import {
+	readBody, trackConnections, type Body, type CallerConnections,
+} from '@papayaflow/caller';
 import {type LossReason, type RefusalReason} from '@papayaflow/outcome';
 import {drawService, identifyCaller, type RouteTable} from '@papayaflow/routing';
 import {type Containment} from '@papayaflow/telemetry';
@@ -29,23 +31,35 @@
 /** How many turns of the event loop it takes to read the end of a connection that arrived together with a request, and to act on it. */
 const closeTurns = 3;
 
+/** The retry delay suggested to callers while the entry is stopping, in milliseconds. Other entries can take the request at once. */
+const shutdownRetryAfterMs = 10;
+
+/** When a stopping entry takes no more requests, on the monotonic clock. */
+export type StopPlan = {
+	/** Until then every request is taken, since the platform still sends new connections here, in milliseconds. */
+	readonly lingerEndsAtMs: number;
+	/** When the requests that are still running are aborted, in milliseconds. Between the two, only requests are taken whose deadline is earlier. */
+	readonly endsAtMs: number;
+};
+
 export type FrontDeps = ForwardDeps & {
 	/** Receives an exception that ends a request unforeseen. */
 	readonly containment: Containment;
 	/** Returns the current configuration; `undefined` before the first one is known. */
 	readonly table: () => RouteTable | undefined;
 	readonly random: () => number;
-	/** Whether the entry is leaving, so that it closes callers' connections after their responses. */
-	readonly isLeaving: () => boolean;
+	/** The plan of a stop; `undefined` while the entry is not stopping. A stopping entry closes callers' connections after their responses. */
+	readonly stopPlan: () => StopPlan | undefined;
 };
 
 /** The HTTP server of an entry. */
 export type Front = {
 	readonly server: Server;
+	readonly connections: CallerConnections;
 	/** The number of calls that are being forwarded. */
 	inFlight(): number;
-	/** Aborts the remaining calls; each caller still receives the outcome of its call. */
-	abortAll(): void;
+	/** Aborts the remaining calls and refuses the requests that are still being read; each caller still receives the outcome of its call. Returns the number of calls. */
+	abortAll(): number;
 	/** Applies the connection timeouts of a new configuration. */
 	applyTimeouts(limits: {readonly headerTimeoutMs: number; readonly idleTimeoutMs: number}): void;
 };
@@ -64,12 +78,36 @@
 export function createFront(deps: FrontDeps): Front {
 	const {metrics, log, monotonicMs, dialect} = deps;
 	const openCalls = new Set<AbortController>();
+	/** Ends the reading of each request whose body is still arriving. */
+	const unreadRequests = new Set<() => void>();
+
+	const readWholeBody = async (req: IncomingMessage, maxBytes: number): Promise<Body | {readonly kind: 'abandoned'}> => new Promise((resolve, reject) => {
+		const abandon = (): void => {
+			resolve({kind: 'abandoned'});
+		};
+
+		unreadRequests.add(abandon);
+		void readBody(req, maxBytes).then(resolve, reject).finally(() => {
+			unreadRequests.delete(abandon);
+		});
+	});
+
+	/** Returns why a stopping entry does not take a request that has this long left; `undefined` if it takes it. */
+	const reasonNotToTake = (deadlineMs: number): string | undefined => {
+		const plan = deps.stopPlan();
+		const now = monotonicMs();
+		if (!plan || now < plan.lingerEndsAtMs || now + deadlineMs <= plan.endsAtMs) {
+			return undefined;
+		}
+
+		return `the entry stops in ${Math.max(0, Math.round(plan.endsAtMs - now))} ms, before the deadline of ${deadlineMs} ms`;
+	};
 
 	const handleRequest = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
 		const arrivedMs = monotonicMs();
 		const caller = dialect.readCaller(req.headers);
 		const requestId = caller.requestId ?? randomUUID();
-		const answer = createCallerAnswer(res, {requestId, shouldClose: deps.isLeaving});
+		const answer = createCallerAnswer(res, {requestId, shouldClose: () => deps.stopPlan() !== undefined});
 		const refuse = ({reason, status, retryAfterMs = noConfigurationRetryAfterMs, detail}: Refusal): void => {
 			metrics.count('refusals', {reason});
 			log.info({
@@ -80,7 +118,7 @@
 					kind: 'notRun', reason, retryAfterMs, detail,
 				});
 			} else {
-				res.writeHead(status, {'content-length': 0, ...(status === 413 && {connection: 'close'})});
+				res.writeHead(status, {'content-length': 0, ...((status === 413 || deps.stopPlan()) && {connection: 'close'})});
 				res.end();
 			}
 		};
@@ -110,7 +148,13 @@
 			return;
 		}
 
-		const body = await readBody(req, configuration.limits.maxBodyBytes);
+		const deadlineMs = Math.min(caller.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+		const body = await readWholeBody(req, configuration.limits.maxBodyBytes);
+		if (body.kind === 'abandoned') {
+			refuse({reason: 'shuttingDown', retryAfterMs: shutdownRetryAfterMs, detail: 'the entry stopped before the body had arrived'});
+			return;
+		}
+
 		if (body.kind === 'tooLarge') {
 			refuse({reason: 'badRequest', status: 413, detail: 'the body is too long'});
 			return;
@@ -127,11 +171,17 @@
 			return;
 		}
 
+		const notTaken = reasonNotToTake(deadlineMs - (monotonicMs() - arrivedMs));
+		if (notTaken !== undefined) {
+			refuse({reason: 'shuttingDown', retryAfterMs: shutdownRetryAfterMs, detail: notTaken});
+			return;
+		}
+
 		const organisation = identified.kind === 'organisation' ? identified.organisation : undefined;
 		const call: Call = {
 			requestId, route, service, version: configuration.version, organisation: organisation?.name, priority: organisation?.priority ?? route.priority,
 			method: req.method ?? 'GET', path: req.url ?? '/', rawHeaders: req.rawHeaders, body: body.bytes, generation: caller.generation, sharedParts: caller.sharedParts,
-			deadlineMs: Math.min(caller.deadlineMs ?? route.timeoutMs, route.timeoutMs), arrivedMs,
+			deadlineMs, arrivedMs,
 		};
 		const result = await forwardCall(call, answer, res);
 		finishCall(call, result, answer, res);
@@ -218,11 +268,19 @@
 
 	return {
 		server,
+		connections: trackConnections(server, monotonicMs),
 		inFlight: () => openCalls.size,
 		abortAll() {
-			for (const controller of openCalls) {
+			const aborted = [...openCalls];
+			for (const abandon of unreadRequests) {
+				abandon();
+			}
+
+			for (const controller of aborted) {
 				controller.abort('shutdown' satisfies LossReason);
 			}
+
+			return aborted.length;
 		},
 		applyTimeouts({headerTimeoutMs, idleTimeoutMs}) {
 			server.headersTimeout = headerTimeoutMs;
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -10,7 +10,9 @@
 export {
 	forward, type AdmittedCall, type ForwardResult, type ForwardDeps,
 } from './forward.js';
-export {createFront, type Front, type FrontDeps} from './front.js';
+export {
+	createFront, type Front, type FrontDeps, type StopPlan,
+} from './front.js';
 export {
 	createPlainPlacer, reservePlace, type Place, type PlaceResult, type PlaceRequest, type Placer,
 } from './place.js';
--- a/packages/entry/src/front.ts
+++ b/packages/entry/src/front.ts
@@ -3,12 +3,12 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {
-	openAnswer, readCall, type Answer, type Call, type CallResult,
+	openAnswer, readCall, trackConnections, type Answer, type Call, type CallerConnections, type CallResult,
 } from '@papayaflow/caller';
 import {findOrganisation, type Follower, type Preset} from '@papayaflow/config';
 import {type LossReason, type Outcome} from '@papayaflow/outcome';
 import {consumeQuota, type Bucket} from '@papayaflow/policy';
-import {type Log} from '@papayaflow/telemetry';
+import {type Containment, type Log} from '@papayaflow/telemetry';
 import {LRUCache} from 'lru-cache';
 import {forward, isKeyed, type ForwardDeps} from './forward.js';
 
@@ -20,11 +20,12 @@
 
 type Refusal = Extract<Outcome, {kind: 'notRun'}>;
 
-export type FrontDeps = ForwardDeps & {readonly follower: Follower; readonly log: Log};
+export type FrontDeps = ForwardDeps & {readonly follower: Follower; readonly log: Log; readonly containment: Containment};
 
 /** The HTTP front end of an entry. */
 export type Front = {
 	readonly server: Server;
+	readonly connections: CallerConnections;
 	/** The number of requests being forwarded. */
 	inFlight(): number;
 	/** Aborts all requests in flight with the reason `shutdown`; each caller receives the outcome of its request. */
@@ -135,7 +136,12 @@
 
 	const server = createServer({maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs}, async (req, res) => {
 		res.on('error', () => undefined);
-		await handleRequest(req, res);
+		try {
+			await handleRequest(req, res);
+		} catch (error) {
+			deps.containment.report('request', error);
+			res.destroy();
+		}
 	});
 	server.on('clientError', (_error, socket) => {
 		metrics.count('refusals', {reason: 'badRequest'});
@@ -146,6 +152,7 @@
 
 	return {
 		server,
+		connections: trackConnections(server, deps.monotonicMs),
 		inFlight: () => inFlightControllers.size,
 		abortAll() {
 			for (const controller of inFlightControllers) {
--- a/packages/outcome/src/outcome.ts
+++ b/packages/outcome/src/outcome.ts
@@ -28,6 +28,7 @@
 	'rateLimited',
 	'targetsPaused',
 	'quarantined',
+	'shuttingDown',
 ] as const;
 
 export type RefusalReason = typeof refusalReasons[number];
