Tell a dead connection to the store from an outage of the store

A key that had been taken away was served 0.3 to 0.7 s too long for the same cause.

Cause: a watch on a silent connection ended only after 3 s, and each failed call counted as an outage, after which missing keys are kept for 2.5 s. Ruled out: copies of peers (none was taken between the removal and the last request).

Change: failures of calls have a cause, logged and counted. After a call without an answer, all calls use new connections and the list is asked at once; missing keys are kept only if two reports of a target fit into the time since the last answer, since a registration expires after three. The wait of a watch follows from the same time.

--- a/packages/caller/src/connections.ts
+++ b/packages/caller/src/connections.ts
@@ -12,8 +12,8 @@
 
 /** What is known of one connection. */
 type ConnectionState = {
-	/** The requests whose answers have not been handed to the operating system. */
-	openRequests: number;
+	/** The answers that have not been handed to the operating system as a whole. */
+	readonly openAnswers: Set<ServerResponse>;
 	/** The bytes that had arrived when the last request was complete; more of them are a part of the next one. */
 	bytesOfRequests: number;
 	bytesSeen: number;
@@ -55,7 +55,7 @@
 
 	server.on('connection', (socket: Socket) => {
 		states.set(socket, {
-			openRequests: 0, bytesOfRequests: 0, bytesSeen: 0, lastActiveMs: monotonicMs(),
+			openAnswers: new Set(), bytesOfRequests: 0, bytesSeen: 0, lastActiveMs: monotonicMs(),
 		});
 		socket.once('close', () => {
 			states.delete(socket);
@@ -67,14 +67,13 @@
 			return;
 		}
 
-		state.openRequests++;
+		state.openAnswers.add(res);
 		if (isDraining) {
-			// Tells the caller in the head of the answer, and closes the connection after it.
-			res.shouldKeepAlive = false;
+			closeAfter(res);
 		}
 
 		res.once('close', () => {
-			state.openRequests--;
+			state.openAnswers.delete(res);
 			state.bytesOfRequests = socket.bytesRead;
 			onActivity(socket);
 		});
@@ -88,13 +87,19 @@
 		}
 
 		const hasPartialRequest = socket.bytesRead !== state.bytesOfRequests;
-		return state.openRequests === 0 && now - state.lastActiveMs >= (hasPartialRequest ? partialRequestMs : quietMs);
+		return state.openAnswers.size === 0 && now - state.lastActiveMs >= (hasPartialRequest ? partialRequestMs : quietMs);
 	};
 
 	return {
 		open: () => states.size,
 		async drain(endsAtMs) {
 			isDraining = true;
+			for (const {openAnswers} of states.values()) {
+				for (const res of openAnswers) {
+					closeAfter(res);
+				}
+			}
+
 			if (server.listening) {
 				// The method of the HTTP server also destroys connections on which a request may be arriving, and no longer checks for slow heads.
 				TcpServer.prototype.close.call(server);
@@ -114,3 +119,8 @@
 		},
 	};
 }
+
+/** Tells the caller in the head of an answer that its connection is closed after it. An answer whose head has been sent is not affected. */
+function closeAfter(res: ServerResponse): void {
+	res.shouldKeepAlive = false;
+}
--- a/packages/cli/src/direct-settings.ts
+++ b/packages/cli/src/direct-settings.ts
@@ -25,6 +25,9 @@
 	drainMs: numberSetting('the time within which a leaving target must get no more requests, if the platform names one; the store is read often enough for it', {
 		minimum: 0, maximum: 3_600_000, unit: 'milliseconds', fallback: '0',
 	}),
+	reportMs: numberSetting('how often a target reports to the store; its registration expires after three missing reports', {
+		minimum: 100, maximum: 60_000, unit: 'milliseconds', fallback: '1200',
+	}),
 	peerPort: portSetting('the port on which sidecars accept connections from entries and from each other'),
 	metricsPort: portSetting('the port that serves the metrics', '0'),
 	graceMs: numberSetting('how long a process may keep running after a stop signal', {
--- a/packages/cli/src/directory.ts
+++ b/packages/cli/src/directory.ts
@@ -5,7 +5,7 @@
 	handleFrame, type Frame, type FrameHandlers, type Peer,
 } from '@papayaflow/peer';
 import {
-	configurationKey, decodeConfiguration, decodeRegistration, isEarlierState, isRemovedState, registrationPrefix, type RegistrationResult,
+	configurationKey, decodeConfiguration, decodeRegistration, isEarlierState, isRemovedState, maxWatchDelayMs, registrationPrefix, type RegistrationResult,
 } from '@papayaflow/platform';
 import {
 	createRouteTable, isSameTarget, type RouteTable, type TargetRecord,
@@ -14,8 +14,15 @@
 import {type Containment, type Log, type Metrics} from '@papayaflow/telemetry';
 import {createPuller} from './pull.js';
 
-/** How long one watch of the store waits for a change, in milliseconds. A connection that breaks without a socket error is detected only after this time. */
-const watchTimeoutMs = 2000;
+/** The bounds of the time for which one watch of the store waits for a change, in milliseconds. */
+const minWatchWaitMs = 250;
+const maxWatchWaitMs = 2000;
+
+/** The number of reports that a target can miss before its registration expires, less the one that it may have been about to send when the store went away. */
+const reportsToExpiry = 2;
+
+/** The time for a connection to the store and a list on it, in milliseconds. */
+const listMs = 150;
 
 /** How long after a store outage a target whose registration lapsed is kept so that it can register again, in milliseconds. Twice the time that the platform guarantees, because timers and calls can be late. */
 const reregistrationGraceMs = 2500;
@@ -48,6 +55,8 @@
 	readonly store: Store;
 	/** The pause between two reads of the store, in milliseconds. */
 	readonly pauseMs: number;
+	/** How often a target reports to the store, in milliseconds. */
+	readonly reportMs: number;
 	/** Whether this process reads the store only while its peers announce nothing. */
 	readonly prefersPeers: boolean;
 	readonly log: Log;
@@ -171,19 +180,26 @@
 
 	const isReader = (): boolean => !deps.prefersPeers || monotonicMs() - lastPeerUpdateMs > peerUpdateTimeoutMs;
 
+	const expiryMs = reportsToExpiry * deps.reportMs;
 	void followStore(deps.store, mirror, {
 		// One watch covers both configuration and registrations, because each answer to a watch counts as a call to the store.
-		prefix: '', pauseMs: deps.pauseMs, waitMs: watchTimeoutMs, expiredKeyGraceMs: reregistrationGraceMs, isReader, nowMs: monotonicMs, random: deps.random, sleep: deps.sleep, signal: deps.signal,
+		prefix: '', pauseMs: deps.pauseMs, waitMs: watchWaitOf(deps), expiredKeyGraceMs: reregistrationGraceMs, expiryMs, isReader, nowMs: monotonicMs, random: deps.random, sleep: deps.sleep, signal: deps.signal,
 		onError(error) {
 			containment.report('store', error);
 		},
 		onStoreConnected() {
 			isStoreAvailable = true;
 		},
-		onStoreUnavailable(detail) {
+		onStoreSilent(detail) {
+			metrics.count('store_silences');
+			log.warn({dependency: 'store', detail, revision: mirror.revision()}, 'no answer from the store; asking on a new connection');
+		},
+		onStoreUnavailable({detail, cause}) {
 			isStoreAvailable = false;
 			metrics.count('store_losses');
-			log.warn({dependency: 'store', detail, revision: mirror.revision()}, 'dependency lost');
+			log.warn({
+				dependency: 'store', detail, cause, revision: mirror.revision(),
+			}, 'dependency lost');
 		},
 		onStoreAvailable(outageMs) {
 			isStoreAvailable = true;
@@ -258,6 +274,17 @@
 	};
 }
 
+/**
+Returns how long a watch waits, in milliseconds: no longer than lets a process ask a store
+whose connection has gone silent again before a registration can expire.
+
+@example
+watchWaitOf({reportMs: 1200, pauseMs: 700}); // 950
+*/
+export function watchWaitOf({reportMs, pauseMs}: Pick<DirectoryDeps, 'reportMs' | 'pauseMs'>): number {
+	return Math.min(maxWatchWaitMs, Math.max(minWatchWaitMs, (reportsToExpiry * reportMs) - pauseMs - maxWatchDelayMs - listMs));
+}
+
 const decodedRegistrations = new WeakMap<Entry, RegistrationResult>();
 
 /** Decodes a registration once. Each heartbeat of a target is compared with the entry before it, and each change of any target goes through the entries of all. */
--- a/packages/cli/test/directory.test.ts
+++ b/packages/cli/test/directory.test.ts
@@ -56,7 +56,7 @@
 		const metrics = createMetrics();
 		const log = createLog({}, 'error');
 		const directory = openDirectory({
-			instance: `instance-${storePort}-${pauseMs}`, zone: 'z', store: connectPlatformStore({address: `127.0.0.1:${storePort}`, timeoutMs: 100}), pauseMs, prefersPeers,
+			instance: `instance-${storePort}-${pauseMs}`, zone: 'z', store: connectPlatformStore({address: `127.0.0.1:${storePort}`, timeoutMs: 100}), pauseMs, reportMs: 0, prefersPeers,
 			log, metrics, containment: createContainment({metrics, log}), monotonicMs: () => performance.now(), random: () => 0.5, signal: ending.signal, entries: () => entries,
 			async sleep(ms) {
 				await sleep(ms, undefined, {ref: false});
--- a/packages/direct/src/front.ts
+++ b/packages/direct/src/front.ts
@@ -64,6 +64,12 @@
 	applyTimeouts(limits: {readonly headerTimeoutMs: number; readonly idleTimeoutMs: number}): void;
 };
 
+/** Why a request is refused whose body was not read to its end. */
+const bodyRefusals: Readonly<Record<'abandoned' | 'tooLarge', Refusal>> = {
+	abandoned: {reason: 'shuttingDown', retryAfterMs: shutdownRetryAfterMs, detail: 'the entry stopped before the body had arrived'},
+	tooLarge: {reason: 'badRequest', status: 413, detail: 'the body is too long'},
+};
+
 type Refusal = {readonly reason: RefusalReason; readonly status?: number; readonly retryAfterMs?: number; readonly detail: string};
 
 /**
@@ -150,22 +156,17 @@
 
 		const deadlineMs = Math.min(caller.deadlineMs ?? route.timeoutMs, route.timeoutMs);
 		const body = await readWholeBody(req, configuration.limits.maxBodyBytes);
-		if (body.kind === 'abandoned') {
-			refuse({reason: 'shuttingDown', retryAfterMs: shutdownRetryAfterMs, detail: 'the entry stopped before the body had arrived'});
-			return;
-		}
-
-		if (body.kind === 'tooLarge') {
-			refuse({reason: 'badRequest', status: 413, detail: 'the body is too long'});
-			return;
-		}
-
 		if (body.kind === 'broken') {
 			// The caller has disconnected, so no response can be sent.
 			metrics.count('refusals', {reason: 'badRequest'});
 			return;
 		}
 
+		if (body.kind !== 'read') {
+			refuse(bodyRefusals[body.kind]);
+			return;
+		}
+
 		if (await hasLeft(req)) {
 			refuse({reason: 'withdrawn', detail: 'the caller had closed the connection before the request was read'});
 			return;
--- a/packages/direct/test/targets.test.ts
+++ b/packages/direct/test/targets.test.ts
@@ -7,9 +7,11 @@
 	id, incarnation: 0, registeredAt, service: 's', host: '10.0.0.1', port: 80, zone: 'z', slots: 4, state: 'serving', warmingMs: 0, ...more,
 });
 
-const targetsOf = (...records: readonly TargetRecord[]): Targets => {
+const targetsOf = (...records: readonly TargetRecord[]): Targets => targetsOfServices(() => true, records);
+
+const targetsOfServices = (isKnownService: (service: string) => boolean, records: readonly TargetRecord[]): Targets => {
 	const targets = createTargets({
-		connectMs: 100, ejection: {ejectAfterFailures: 3, ejectMs: 1000, maxEjectedRatio: 0.5}, nowMs: () => 0, isKnownService: () => true, onChange: () => undefined,
+		connectMs: 100, ejection: {ejectAfterFailures: 3, ejectMs: 1000, maxEjectedRatio: 0.5}, nowMs: () => 0, isKnownService, onChange: () => undefined,
 	});
 	targets.update(records);
 	return targets;
@@ -24,6 +26,12 @@
 		expect(servingIds(targetsOf(record('a', 1), record('b', 2, {port: 81})))).to.deep.equal(['a', 'b']);
 	});
 
+	// Guards against an entry of another writer that hides the target at its address for good.
+	it('is not affected by a later registration for a service that no configuration names', () => {
+		const targets = targetsOfServices(service => service === 's', [record('old', 1), record('foreign', 2, {service: 'nobody'})]);
+		expect(servingIds(targets)).to.deep.equal(['old']);
+	});
+
 	it('returns the earlier target after the later one is marked as gone', () => {
 		const targets = targetsOf(record('old', 1), record('new', 2));
 		targets.byId('new')?.markGone();
--- a/packages/mirror/src/follow.ts
+++ b/packages/mirror/src/follow.ts
@@ -1,4 +1,4 @@
-import {type Store} from '@papayaflow/store';
+import {type Store, type Unavailable} from '@papayaflow/store';
 import {type Mirror} from './mirror.js';
 
 /** The delay after the first failed call, before jitter. It doubles with each further failure up to the maximum. */
@@ -17,6 +17,8 @@
 	its owner can write it again before it is removed.
 	*/
 	readonly expiredKeyGraceMs: number;
+	/** The shortest time without the store in which a key can expire although its owner is well, in milliseconds. */
+	readonly expiryMs: number;
 	/** Whether this process currently polls the store; a process that gets copies from peers doesn't need to. */
 	readonly isReader: () => boolean;
 	readonly nowMs: () => number;
@@ -27,19 +29,26 @@
 	readonly onError: (error: unknown) => void;
 	/** Called when the store has answered for the first time. */
 	readonly onStoreConnected: () => void;
+	/** Called when a call gets no answer; the store is then listed on a new connection before it counts as unavailable. */
+	readonly onStoreSilent: (detail: string) => void;
 	/** Called when the store becomes unavailable. */
-	readonly onStoreUnavailable: (detail: string) => void;
+	readonly onStoreUnavailable: (lost: StoreLoss) => void;
 	/** Called when the store is available again, with the length of the outage in milliseconds. */
 	readonly onStoreAvailable: (outageMs: number) => void;
 	/** Called when the store has come back from an older copy, after its content was listed. */
 	readonly onStoreRestored: (eras: {readonly before: number; readonly now: number}) => void;
 };
 
+/** Why a call to the store failed. */
+export type StoreLoss = {readonly detail: string; readonly cause: 'silent' | 'turnedAway' | 'failed'};
+
 /**
 Keeps a mirror up to date by lists and watches until `signal` is aborted. After an
 outage, and when the store has compacted its history, it lists the prefix again. Keys
 that expired during an outage, or that were lost when the store came back from an older
-copy, are kept for another `expiredKeyGraceMs`.
+copy, are kept for another `expiredKeyGraceMs`. A call without an answer may mean that
+only its connection is dead: the prefix is then listed at once on a new one, and if the
+store answers before a key can have expired, a missing key was removed.
 
 @example
 void followStore(store, mirror, options);
@@ -53,9 +62,14 @@
 	let listedEra: number | undefined;
 	let graceEndsAtMs = 0;
 	let mustRelistAfterGrace = false;
+	let lastAnsweredMs: number | undefined;
+	/** Whether the last call got no answer, so that this one is made on a new connection. */
+	let wasSilent = false;
 	let backoffMs = initialBackoffMs;
 
-	const poll = async (): Promise<'done' | {readonly lost: string}> => {
+	const mayHaveExpired = (): boolean => (disconnectedAtMs !== undefined || wasSilent) && (lastAnsweredMs === undefined || nowMs() - lastAnsweredMs >= options.expiryMs);
+
+	const poll = async (): Promise<'done' | {readonly lost: StoreLoss}> => {
 		if (mustRelistAfterGrace && nowMs() >= graceEndsAtMs) {
 			mustList = true;
 		}
@@ -64,7 +78,7 @@
 			const result = await store.changes(prefix, mirror.revision(), options.waitMs, signal);
 			switch (result.kind) {
 				case 'unavailable': {
-					return {lost: result.detail};
+					return {lost: toLoss(result)};
 				}
 
 				case 'compacted': {
@@ -81,13 +95,13 @@
 
 		const result = await store.list(prefix);
 		if (result.kind === 'unavailable') {
-			return {lost: result.detail};
+			return {lost: toLoss(result)};
 		}
 
 		const era = store.era();
 		const eraBefore = listedEra ?? era;
 		listedEra = era;
-		if (disconnectedAtMs !== undefined || era > eraBefore) {
+		if (mayHaveExpired() || era > eraBefore) {
 			graceEndsAtMs = nowMs() + options.expiredKeyGraceMs;
 			mustRelistAfterGrace = true;
 		}
@@ -108,7 +122,7 @@
 			return await poll();
 		} catch (error) {
 			options.onError(error);
-			return {lost: String(error)};
+			return {lost: {detail: String(error), cause: 'failed'}};
 		}
 	};
 
@@ -125,6 +139,8 @@
 		}
 
 		if (pollResult === 'done') {
+			lastAnsweredMs = nowMs();
+			wasSilent = false;
 			if (!hasConnected) {
 				hasConnected = true;
 				options.onStoreConnected();
@@ -140,13 +156,23 @@
 			continue;
 		}
 
+		mustList = mirror.revision() > 0 || mustList;
+		if (pollResult.lost.cause === 'silent' && !wasSilent && disconnectedAtMs === undefined) {
+			wasSilent = true;
+			options.onStoreSilent(pollResult.lost.detail);
+			continue;
+		}
+
 		if (disconnectedAtMs === undefined) {
 			disconnectedAtMs = nowMs();
 			options.onStoreUnavailable(pollResult.lost);
 		}
 
-		mustList = mirror.revision() > 0 || mustList;
 		await sleep(backoffMs * (0.5 + random()));
 		backoffMs = Math.min(maxBackoffMs, backoffMs * 2);
 	}
 }
+
+function toLoss({detail, cause}: Unavailable): StoreLoss {
+	return {detail, cause: cause ?? 'failed'};
+}
--- a/packages/mirror/test/mirror.test.ts
+++ b/packages/mirror/test/mirror.test.ts
@@ -36,11 +36,11 @@
 
 function followOptions(clock: {nowMs: number}, events: string[]): FollowOptions {
 	return {
-		prefix: '', pauseMs: 0, waitMs: 10, expiredKeyGraceMs: 2000, isReader: () => true, nowMs: () => clock.nowMs, random: () => 0, sleep: async () => undefined,
+		prefix: '', pauseMs: 0, waitMs: 10, expiredKeyGraceMs: 2000, expiryMs: 0, isReader: () => true, nowMs: () => clock.nowMs, random: () => 0, sleep: async () => undefined,
 		signal: new AbortController().signal,
 		onError(error) {
 			throw error;
-		}, onStoreConnected: () => undefined,
+		}, onStoreConnected: () => undefined, onStoreSilent: () => undefined,
 		onStoreUnavailable() {
 			events.push('lost');
 		},
@@ -179,6 +179,45 @@
 		expect(keysOf(mirror)).to.deep.equal(['a']);
 	});
 
+	// Guards against a dead connection that is taken for an outage of the store, so that removed keys are kept for the grace period.
+	it('removes a key at once that a new connection no longer lists, if no key can have expired since the last answer', async () => {
+		for (const [silenceMs, keys] of [[2300, ['a']], [2400, ['a', 'b']]] as const) {
+			const mirror = createPlainMirror();
+			const clock = {nowMs: 0};
+			const events: string[] = [];
+			const {store, asked} = createScriptedStore([
+				{list: {kind: 'listed', entries: [entry('a', '1', 2), entry('b', '1', 3)], revision: 3}},
+				{changes: {kind: 'unavailable', detail: 'no answer', cause: 'silent'}},
+				{list: {kind: 'listed', entries: [entry('a', '1', 2)], revision: 8}},
+			]);
+			void followStore(store, mirror, {
+				...followOptions(clock, events), expiryMs: 2400,
+				onStoreSilent() {
+					events.push('silent');
+					clock.nowMs += silenceMs;
+				},
+			});
+			await sleep(20);
+			expect([...asked], String(silenceMs)).to.deep.equal(['list', 'changes', 'list']);
+			expect(events).to.deep.equal(['silent']);
+			expect(keysOf(mirror), String(silenceMs)).to.deep.equal(keys);
+		}
+	});
+
+	it('counts the store as lost if a new connection gets no answer either', async () => {
+		const mirror = createPlainMirror();
+		const events: string[] = [];
+		const silent = {kind: 'unavailable', detail: 'no answer', cause: 'silent'} as const;
+		const {store, asked} = createScriptedStore([
+			{list: {kind: 'listed', entries: [entry('a', '1', 2)], revision: 3}}, {changes: silent}, {list: silent}, {list: {kind: 'listed', entries: [], revision: 8}},
+		]);
+		void followStore(store, mirror, followOptions({nowMs: 0}, events));
+		await sleep(20);
+		expect([...asked]).to.deep.equal(['list', 'changes', 'list', 'list']);
+		expect(events).to.deep.equal(['lost', 'regained']);
+		expect(keysOf(mirror), 'kept during the grace period').to.deep.equal(['a']);
+	});
+
 	it('makes no calls to the store while the process is not a reader', async () => {
 		const {store, asked} = createScriptedStore([{list: {kind: 'listed', entries: [], revision: 1}}]);
 		const stopFollowing = new AbortController();
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -22,3 +22,4 @@
 	chunk, lastChunk, notExecutedResponse, sealedResponse, startReplica, streamEvent, eventStreamHead, type Replica, type ReplicaRequest,
 } from './replica.js';
 export {createLimitedTarget, mostArrivals, type LimitedTarget} from './limited-target.js';
+export {createSilencingProxy, type SilencingProxy} from './silencing-proxy.js';
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -1,8 +1,12 @@
 /** A value of the key-value service, with the revision of its last write. */
 export type Entry = {readonly key: string; readonly value: Uint8Array; readonly revision: number};
 
-/** The service can't be reached or answered with an error. */
-export type Unavailable = {readonly kind: 'unavailable'; readonly detail: string};
+/**
+The service can't be reached or answered with an error. The cause is `silent` if no answer
+came within the time limit, on a connection that may be dead although the service is well,
+`turnedAway` if the service answered that it does not serve this call, and absent otherwise.
+*/
+export type Unavailable = {readonly kind: 'unavailable'; readonly detail: string; readonly cause?: 'silent' | 'turnedAway'};
 
 export type ReadResult
 	= | {readonly kind: 'found'; readonly entry: Entry}
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -417,7 +417,7 @@
 	},
 	{
 		name: 'keys that a restored store has lost are kept for the grace period', file: 'mirror/src/follow.ts',
-		find: 'if (disconnectedAtMs !== undefined || era > eraBefore) {', replace: 'if (disconnectedAtMs !== undefined) {',
+		find: 'if (mayHaveExpired() || era > eraBefore) {', replace: 'if (mayHaveExpired()) {',
 		spec: 'cli/test/directory.test.ts', test: 'keeps a target that the store has lost',
 	},
 	{
@@ -485,4 +485,44 @@
 		find: 'if (nowMs() - sliceStartMs >= sliceMs) {', replace: 'if (nowMs() < sliceStartMs) {',
 		spec: 'group/test/planning.test.ts', test: 'lets other work run',
 	},
+	{
+		name: 'an exception in a request does not reach the process', file: 'direct/src/front.ts',
+		find: 'deps.containment.report(\'request\', error);', replace: 'throw error;',
+		spec: '../platform/test/direct/unforeseen.test.ts', test: 'ends one request with status 500',
+	},
+	{
+		name: 'a registration names an address that can be connected to', file: '../platform/src/registration.ts',
+		find: '|| !isConnectable(address)', replace: '',
+		spec: '../platform/test/foreign-entries.test.ts', test: 'a port, an address or an id',
+	},
+	{
+		name: 'a registration of an unknown service hides no target', file: 'direct/src/targets.ts',
+		find: '!isGone && options.isKnownService(record.service)', replace: '!isGone',
+		spec: 'direct/test/targets.test.ts', test: 'a service that no configuration names',
+	},
+	{
+		name: 'a connection is not closed while a request on it is open', file: 'caller/src/connections.ts',
+		find: 'state.openAnswers.size === 0 && now', replace: 'now',
+		spec: 'caller/test/connections.test.ts', test: 'stay open until the request',
+	},
+	{
+		name: 'a connection is not closed while a part of a request has arrived', file: 'caller/src/connections.ts',
+		find: 'hasPartialRequest ? partialRequestMs : quietMs', replace: 'hasPartialRequest ? quietMs : quietMs',
+		spec: 'caller/test/connections.test.ts', test: 'stay open until the request',
+	},
+	{
+		name: 'a stopping entry refuses what may still run at its end', file: 'direct/src/front.ts',
+		find: 'now + deadlineMs <= plan.endsAtMs', replace: 'now < Number.POSITIVE_INFINITY',
+		spec: '../platform/test/direct/stopping.test.ts', test: 'takes a request whose deadline',
+	},
+	{
+		name: 'a short silence of the store lets no key expire', file: 'mirror/src/follow.ts',
+		find: 'nowMs() - lastAnsweredMs >= options.expiryMs', replace: 'nowMs() >= 0',
+		spec: 'mirror/test/mirror.test.ts', test: 'removes a key at once that',
+	},
+	{
+		name: 'a silent connection leaves no other open connection in use', file: '../platform/src/store.ts',
+		find: 'if (usedDispatcher === dispatcher) {', replace: 'if (usedDispatcher !== dispatcher) {',
+		spec: '../platform/test/silent-connections.test.ts', test: 'opens new connections',
+	},
 ];
