Let a second SIGTERM cut nothing off

A second SIGTERM ended the process at once, with every answer that the first one lets end. Signals come in series, so it is logged and ignored now; a second SIGINT still ends the program. The soak of stops sends SIGTERM, SIGHUP and SIGTERM.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -278,6 +278,7 @@
 	return {
 		port,
 		adminPort,
+		log,
 		containment,
 		async stop() {
 			const startedMs = monotonicMs();
--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -185,6 +185,7 @@
 	return {
 		port,
 		adminPort,
+		log,
 		containment,
 		async stop() {
 			isLeaving = true;
--- a/packages/cli/src/entry-wiring.ts
+++ b/packages/cli/src/entry-wiring.ts
@@ -118,6 +118,7 @@
 	return {
 		port,
 		adminPort,
+		log,
 		containment,
 		async stop() {
 			const {graceMs, lingerMs} = follower.applied()?.preset.drain ?? {graceMs: 0, lingerMs: 0};
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -8,7 +8,7 @@
 } from '@papayaflow/settings';
 
 /** A running program, which its signal handler stops. */
-export type RunningProgram = {readonly port: number; readonly adminPort: number; readonly containment: Containment; stop(): Promise<void>};
+export type RunningProgram = {readonly port: number; readonly adminPort: number; readonly log: Log; readonly containment: Containment; readonly stop: () => Promise<void>};
 
 const badSettingsExitCode = 2;
 const startFailedExitCode = 1;
@@ -127,14 +127,14 @@
 		process.exit(startFailedExitCode);
 	}
 
-	const {containment, stop} = running;
+	const {containment} = running;
 	process.on('uncaughtException', error => {
 		containment.report('process', error);
 	});
 	process.on('unhandledRejection', error => {
 		containment.report('process', error);
 	});
-	onStopSignal(stop, containment);
+	onStopSignal(running);
 }
 
 /**
@@ -158,14 +158,23 @@
 	});
 }
 
-/** Calls `stop` on the first SIGTERM or SIGINT and exits with 0 after it; a second signal exits with 1 at once. */
-function onStopSignal(stop: () => Promise<void>, containment: Containment): void {
+/**
+Calls `stop` on the first SIGTERM or SIGINT and exits with 0 after it. A second SIGTERM
+changes nothing, since requests are still being answered; a second SIGINT, which a person
+sends, exits with 1 at once.
+*/
+function onStopSignal({stop, log, containment}: RunningProgram): void {
 	let isStopping = false;
-	const onSignal = async (): Promise<void> => {
-		if (isStopping) {
+	const onSignal = async (signal: NodeJS.Signals): Promise<void> => {
+		if (isStopping && signal === 'SIGINT') {
 			process.exit(1);
 		}
 
+		if (isStopping) {
+			log.info({signal, outcome: 'unchanged'}, 'signal ignored; the program is already stopping');
+			return;
+		}
+
 		isStopping = true;
 		try {
 			await stop();
--- a/packages/cli/src/sidecar-wiring.ts
+++ b/packages/cli/src/sidecar-wiring.ts
@@ -283,6 +283,7 @@
 	return {
 		port,
 		adminPort,
+		log,
 		containment,
 		async stop() {
 			const {graceMs} = preset()?.drain ?? {graceMs: 0};
--- a/packages/cli/test/stopping-entry.test.ts
+++ b/packages/cli/test/stopping-entry.test.ts
@@ -120,7 +120,12 @@
 
 		const callers = Promise.all(Array.from({length: 24}, async (_, index) => runCaller(index)));
 		await sleep(500 + (draws[0].lengthMs / 4));
-		entry.child.kill('SIGTERM');
+		// Signals come in series: more of them must not cut off what the first one lets end.
+		for (const signal of ['SIGTERM', 'SIGHUP', 'SIGTERM'] as const) {
+			entry.child.kill(signal);
+			await sleep(draws[1].lengthMs / 6);
+		}
+
 		await waitForExit(entry);
 		await callers;
 		expect(lostAnswers(answers, entry, stopping.arrivals)).to.deep.equal([]);
