Look up a sidecar's own target once for each change of the targets

Since the entries of other writers are told from a sidecar's own target, each look-up went through all targets of the fleet, and the coordinator makes one for each placement.

Now they are derived when the list or the configuration changes.

--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -48,19 +48,22 @@
 	const directory = openDirectory({
 		instance, zone, store, pauseMs: storePauseOf(settings), reportMs: settings.reportMs, prefersPeers: true, entries: () => undefined, log, metrics, monotonicMs, random, containment, sleep: pause, signal: shutdown.signal,
 		onTable() {
-			updateOwnedTargets();
-			updateLinks();
+			updateTargets();
 		},
 		onRecords() {
-			updateOwnedTargets();
-			updateLinks();
+			updateTargets();
 		},
 	});
 	const isEngine = ({service}: TargetRecord): boolean => directory.table()?.configuration.services.get(service)?.engine !== undefined;
-	const ownRecord = (): TargetRecord | undefined => latestByAddress(directory.records().filter(record => isEngine(record))).get(target);
-	const serviceRecords = (): readonly TargetRecord[] => {
-		const own = ownRecord();
-		return own ? directory.records().filter(({service}) => service === own.service) : [];
+	/** The engine beside this sidecar, and the targets of its service. They are looked up for each placement, so they are derived once for each change. */
+	let ownRecord: TargetRecord | undefined;
+	let serviceRecords: readonly TargetRecord[] = [];
+	const updateTargets = (): void => {
+		const records = directory.records();
+		ownRecord = latestByAddress(records.filter(record => isEngine(record))).get(target);
+		serviceRecords = records.filter(({service}) => service === ownRecord?.service);
+		updateOwnedTargets();
+		updateLinks();
 	};
 
 	const engines = new Map<string, RankEngine>();
@@ -71,12 +74,11 @@
 	};
 
 	const group = createGroupSidecar({
-		target, engine: connectEngine(target), connect: connectEngine, records: serviceRecords, metrics, log, monotonicMs, random, sleep: pause, signal: shutdown.signal,
+		target, engine: connectEngine(target), connect: connectEngine, records: () => serviceRecords, metrics, log, monotonicMs, random, sleep: pause, signal: shutdown.signal,
 		yieldTurn: async () => setImmediate(),
 		weights: {goodSkew: settings.goodSkew, copyCost: settings.copyCost},
 		model() {
-			const own = ownRecord();
-			return own && directory.table()?.configuration.services.get(own.service)?.engine;
+			return ownRecord && directory.table()?.configuration.services.get(ownRecord.service)?.engine;
 		},
 		async acquireToken(name) {
 			const result = await acquireEpoch(store, name, instance);
@@ -164,7 +166,7 @@
 	});
 	// Only the sidecars that may coordinate the group open links to the others; the rest accept them.
 	const updateLinks = (): void => {
-		setLinkedHosts(group.isCandidate() ? serviceRecords().map(({host}) => host).filter(host => host !== settings.address) : []);
+		setLinkedHosts(group.isCandidate() ? serviceRecords.map(({host}) => host).filter(host => host !== settings.address) : []);
 	};
 
 	const linkUpdateTimer = setInterval(updateLinks, linkUpdateIntervalMs).unref();
