--- a/packages/caller/src/connections.ts
+++ b/packages/caller/src/connections.ts
@@ -46,13 +46,6 @@
 export function trackConnections(server: Server, monotonicMs: () => number): CallerConnections {
 	const states = new Map<Socket, ConnectionState>();
 	let isDraining = false;
-	const onActivity = (socket: Socket): void => {
-		const state = states.get(socket);
-		if (state) {
-			state.lastActiveMs = monotonicMs();
-		}
-	};
-
 	server.on('connection', (socket: Socket) => {
 		states.set(socket, {
 			openAnswers: new Set(), bytesOfRequests: 0, bytesSeen: 0, lastActiveMs: monotonicMs(),
@@ -75,7 +68,7 @@
 		res.once('close', () => {
 			state.openAnswers.delete(res);
 			state.bytesOfRequests = socket.bytesRead;
-			onActivity(socket);
+			state.lastActiveMs = monotonicMs();
 		});
 	});
 
--- a/packages/cli/src/directory.ts
+++ b/packages/cli/src/directory.ts
@@ -194,7 +194,7 @@
 			metrics.count('store_silences');
 			log.warn({dependency: 'store', detail, revision: mirror.revision()}, 'no answer from the store; asking on a new connection');
 		},
-		onStoreUnavailable({detail, cause}) {
+		onStoreUnavailable({detail, cause = 'failed'}) {
 			isStoreAvailable = false;
 			metrics.count('store_losses');
 			log.warn({
--- a/packages/cli/test/foreign-frames.test.ts
+++ b/packages/cli/test/foreign-frames.test.ts
@@ -1,7 +1,7 @@
 import {once} from 'node:events';
 import {connect} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {encodeFrame, type Frame} from '@papayaflow/peer';
+import {encodeFrame, frameKinds, type Frame} from '@papayaflow/peer';
 import {expect} from 'chai';
 import * as fc from 'fast-check';
 import {
@@ -9,40 +9,13 @@
 } from 'mocha';
 import {loadSite, startSite, type Site} from './site.js';
 
-const kinds = [
-	'hello',
-	'alive',
-	'rank',
-	'place',
-	'running',
-	'streams',
-	'began',
-	'ended',
-	'groupLoad',
-	'counts',
-	'command',
-	'look',
-	'viewed',
-	'askExperts',
-	'experts',
-	'known',
-	'pull',
-	'copy',
-	'askPermit',
-	'permit',
-	'limitSeen',
-	'limit',
-	'suspicions',
-	'request',
-	'leaving',
-];
 const fields = [
 	'id', 'ask', 'notice', 'stream', 'streams', 'load', 'formation', 'unit', 'counts', 'guarded', 'after', 'changedAt', 'copy', 'target', 'perSecond', 'seen', 'limit', 'suspicions', 'isNear', 'everyMs', 'role', 'instance',
 ];
 
 const oddValue = fc.oneof(fc.jsonValue({maxDepth: 3}), fc.double(), fc.constantFrom(null, undefined, -1, 1e308, Number.NaN, [], {}, {kind: 'prepare'}, {entries: [{}], keys: [7], revision: 'x'}));
 
-const oddFrame = fc.record({kind: fc.constantFrom(...kinds)}).chain(({kind}) => fc.dictionary(fc.constantFrom(...fields), oddValue, {maxKeys: 4}).map(rest => ({kind, ...rest}) as unknown as Frame));
+const oddFrame = fc.record({kind: fc.constantFrom(...frameKinds)}).chain(({kind}) => fc.dictionary(fc.constantFrom(...fields), oddValue, {maxKeys: 4}).map(rest => ({kind, ...rest}) as unknown as Frame));
 
 const helloOf = (role: 'entry' | 'sidecar'): Frame => ({
 	kind: 'hello', version: 1, role, instance: 'odd', incarnation: 'x', zone: 'z', sentMs: 0,
--- a/packages/cli/test/silent-store.test.ts
+++ b/packages/cli/test/silent-store.test.ts
@@ -1,5 +1,3 @@
-import {once} from 'node:events';
-import {type Server} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {connectPlatformStore} from '@papayaflow/platform';
 import {
@@ -13,6 +11,7 @@
 	afterEach, beforeEach, describe, it,
 } from 'mocha';
 import {openDirectory, watchWaitOf, type Directory} from '../src/directory.js';
+import {listenOn} from './site.js';
 
 /** How often a target reports, in milliseconds, and the bounds that the platform states for its small installations. */
 const reportMs = 1200;
@@ -27,12 +26,6 @@
 	},
 });
 
-async function listenOn(server: Server): Promise<number> {
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	return (server.address() as {port: number}).port;
-}
-
 describe('a directory whose connections to the store have gone silent', () => {
 	let store: PlatformStore;
 	let proxy: SilencingProxy;
--- a/packages/cli/test/site.ts
+++ b/packages/cli/test/site.ts
@@ -1,9 +1,9 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import {
-	Agent, createServer, request, type Server,
+	Agent, createServer, request,
 } from 'node:http';
-import {type AddressInfo} from 'node:net';
+import {type AddressInfo, type Server as TcpServer} from 'node:net';
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -261,7 +261,8 @@
 	return `127.${1 + (Math.floor(process.pid / octets) % octets)}.${1 + (process.pid % octets)}.${index}`;
 }
 
-async function listenOn(server: Server, host = '127.0.0.1'): Promise<number> {
+/** Listens on a free port and returns it. */
+export async function listenOn(server: TcpServer, host = '127.0.0.1'): Promise<number> {
 	server.listen(0, host);
 	await once(server, 'listening');
 	return (server.address() as AddressInfo).port;
--- a/packages/cli/test/stopping-caller.ts
+++ b/packages/cli/test/stopping-caller.ts
@@ -91,9 +91,8 @@
 	}
 
 	site.store.put('op/config', JSON.stringify({...configuration, version: 2}));
-	const stopping: StoppingSite = {
-		site, arrivals,
-		openCaller: name => openCaller(name),
+	return {
+		site, arrivals, openCaller,
 		async stop() {
 			await site.stop();
 			for (const target of targets) {
@@ -102,7 +101,6 @@
 			}
 		},
 	};
-	return stopping;
 }
 
 /** Waits until an entry serves both services. */
--- a/packages/direct/src/front.ts
+++ b/packages/direct/src/front.ts
@@ -43,7 +43,7 @@
 };
 
 export type FrontDeps = ForwardDeps & {
-	/** Receives an exception that ends a request unforeseen. */
+	/** Receives the exceptions that no code has foreseen; each ends one request. */
 	readonly containment: Containment;
 	/** Returns the current configuration; `undefined` before the first one is known. */
 	readonly table: () => RouteTable | undefined;
--- a/packages/mirror/src/follow.ts
+++ b/packages/mirror/src/follow.ts
@@ -32,16 +32,13 @@
 	/** Called when a call gets no answer; the store is then listed on a new connection before it counts as unavailable. */
 	readonly onStoreSilent: (detail: string) => void;
 	/** Called when the store becomes unavailable. */
-	readonly onStoreUnavailable: (lost: StoreLoss) => void;
+	readonly onStoreUnavailable: (failure: Unavailable) => void;
 	/** Called when the store is available again, with the length of the outage in milliseconds. */
 	readonly onStoreAvailable: (outageMs: number) => void;
 	/** Called when the store has come back from an older copy, after its content was listed. */
 	readonly onStoreRestored: (eras: {readonly before: number; readonly now: number}) => void;
 };
 
-/** Why a call to the store failed. */
-export type StoreLoss = {readonly detail: string; readonly cause: 'silent' | 'turnedAway' | 'failed'};
-
 /**
 Keeps a mirror up to date by lists and watches until `signal` is aborted. After an
 outage, and when the store has compacted its history, it lists the prefix again. Keys
@@ -69,7 +66,7 @@
 
 	const mayHaveExpired = (): boolean => (disconnectedAtMs !== undefined || wasSilent) && (lastAnsweredMs === undefined || nowMs() - lastAnsweredMs >= options.expiryMs);
 
-	const poll = async (): Promise<'done' | {readonly lost: StoreLoss}> => {
+	const poll = async (): Promise<'done' | Unavailable> => {
 		if (mustRelistAfterGrace && nowMs() >= graceEndsAtMs) {
 			mustList = true;
 		}
@@ -78,7 +75,7 @@
 			const result = await store.changes(prefix, mirror.revision(), options.waitMs, signal);
 			switch (result.kind) {
 				case 'unavailable': {
-					return {lost: toLoss(result)};
+					return result;
 				}
 
 				case 'compacted': {
@@ -95,7 +92,7 @@
 
 		const result = await store.list(prefix);
 		if (result.kind === 'unavailable') {
-			return {lost: toLoss(result)};
+			return result;
 		}
 
 		const era = store.era();
@@ -122,7 +119,7 @@
 			return await poll();
 		} catch (error) {
 			options.onError(error);
-			return {lost: {detail: String(error), cause: 'failed'}};
+			return {kind: 'unavailable', detail: String(error)};
 		}
 	};
 
@@ -157,22 +154,18 @@
 		}
 
 		mustList = mirror.revision() > 0 || mustList;
-		if (pollResult.lost.cause === 'silent' && !wasSilent && disconnectedAtMs === undefined) {
+		if (pollResult.cause === 'silent' && !wasSilent && disconnectedAtMs === undefined) {
 			wasSilent = true;
-			options.onStoreSilent(pollResult.lost.detail);
+			options.onStoreSilent(pollResult.detail);
 			continue;
 		}
 
 		if (disconnectedAtMs === undefined) {
 			disconnectedAtMs = nowMs();
-			options.onStoreUnavailable(pollResult.lost);
+			options.onStoreUnavailable(pollResult);
 		}
 
 		await sleep(backoffMs * (0.5 + random()));
 		backoffMs = Math.min(maxBackoffMs, backoffMs * 2);
 	}
 }
-
-function toLoss({detail, cause}: Unavailable): StoreLoss {
-	return {detail, cause: cause ?? 'failed'};
-}
--- a/packages/mirror/src/index.ts
+++ b/packages/mirror/src/index.ts
@@ -1,4 +1,4 @@
-export {followStore, type FollowOptions, type StoreLoss} from './follow.js';
+export {followStore, type FollowOptions} from './follow.js';
 export {
 	createMirror, type Mirror, type MirrorChange, type MirrorOptions, type Snapshot,
 } from './mirror.js';
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -252,7 +252,8 @@
 	'suspicions',
 ] as const satisfies ReadonlyArray<GroupFrame['kind']>;
 
-const frameKinds: ReadonlySet<string> = new Set<string>([...requestPathKinds, ...groupKinds]);
+/** All kinds of frames. */
+export const frameKinds: ReadonlySet<string> = new Set<string>([...requestPathKinds, ...groupKinds]);
 const groupKindSet: ReadonlySet<string> = new Set<string>(groupKinds);
 
 /** Returns whether a frame belongs to the coordination of a group and not to the forwarding of requests through sidecars. */
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -3,7 +3,7 @@
 	maxBacklogBytes, openConnection, openSocket, serveFrames, type Connection,
 } from './connection.js';
 export {
-	encodeFrame, isGroupFrame, maxFrameBytes, protocolVersion, readFrames,
+	encodeFrame, frameKinds, isGroupFrame, maxFrameBytes, protocolVersion, readFrames,
 	type ConfigUpdate, type Frame, type FrameFault,
 	type GroupFrame, type GroupLoad, type LoadReport, type MapUpdate, type RequestPathFrame, type PeerCommand, type PeerRequest, type PeerPlacementRequest,
 	type RankNotice, type StoreCopy, type StreamNotice,
--- a/packages/peer/src/peer.ts
+++ b/packages/peer/src/peer.ts
@@ -45,7 +45,7 @@
 	onFrame(peer: Peer, frame: Frame): void;
 	onDown(peer: Peer, cause: DownCause): void;
 	onFault(fault: FrameFault): void;
-	/** Called with an exception of the other handlers; it ends the connection, so that both ends begin anew. */
+	/** Called with what another handler throws. The connection is then closed, so that both ends start from a fresh state. */
 	onError(error: unknown): void;
 	/** Returns whether this end must detect the loss of the peer quickly. Called periodically. If it returns true at either end, both ends send heartbeats at the short interval. */
 	isNear(peer: Peer): boolean;
