Leave no listeners behind when an address is not available yet

Each attempt to listen added a "listening" listener to the server, and an attempt that failed left it there. A process that waited a second or more for its port wrote a MaxListenersExceededWarning to stderr.

The listeners of an attempt are removed when it ends.

--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -93,15 +93,15 @@
 
 async function tryListen(server: Server | TcpServer, port: number, host: string): Promise<NodeJS.ErrnoException | undefined> {
 	return new Promise(resolve => {
-		const onError = (error: NodeJS.ErrnoException): void => {
+		const settle = (error?: NodeJS.ErrnoException): void => {
+			server.off('error', settle);
+			server.off('listening', settle);
 			resolve(error);
 		};
 
-		server.once('error', onError);
-		server.listen(port, host, () => {
-			server.off('error', onError);
-			resolve(undefined);
-		});
+		server.once('error', settle);
+		server.once('listening', settle);
+		server.listen(port, host);
 	});
 }
 
--- a/packages/cli/test/start.test.ts
+++ b/packages/cli/test/start.test.ts
@@ -41,7 +41,7 @@
 				await sleep(20);
 			}
 
-			await sleep(500);
+			await sleep(1500);
 			holder.close();
 			while (!output().includes('started"')) {
 				expect(child.exitCode, output()).to.equal(null);
@@ -51,6 +51,7 @@
 			child.kill('SIGTERM');
 			const [code] = await once(child, 'exit') as [number];
 			expect(code).to.equal(0);
+			expect(output(), 'listeners left by failed attempts').to.not.include('MaxListenersExceededWarning');
 		});
 
 		it(`runs on while the store answers nonsense: ${program}`, async () => {
