Start the test sites' load only once the group is coordinated

The site counted as ready as soon as the entries were linked to all sidecars. Until an entry has the group's load from its coordinator it accepts its own share of a cautious guess, two calls at once with three engines of eight slots, and refuses the others.

A failure of this kind now prints the decisions of the processes about the refused calls.

--- a/packages/cli/test/site.ts
+++ b/packages/cli/test/site.ts
@@ -72,8 +72,9 @@
 };
 
 /**
-Starts a site and waits until every entry is ready and linked to every sidecar. Each
-engine and its sidecar have an address of their own on the loopback network.
+Starts a site and waits until every entry is ready, linked to every sidecar and has the
+load of the group, which is coordinated with all its ranks. Each engine and its sidecar
+have an address of their own on the loopback network.
 
 @example
 const site = await startSite({entries: 4, ranks: 3, plains: 3});
@@ -84,7 +85,6 @@
 	const storePort = await listenOn(store.server);
 	const engines = Array.from({length: counts.ranks}, () => createLimitedTarget({workMs}));
 	const hosts = engines.map((_, rank) => loopbackHost(rank + 1));
-	const peerPort = await findFreePort(hosts[0]);
 	const ranks = await startPassServers({
 		ranks: counts.ranks, layers: 1, expertsPerLayer: 6, passMs: 5, demand: () => 1, hosts,
 		serve(rank, req, res) {
@@ -97,6 +97,7 @@
 			res.end();
 		},
 	});
+	const peerPort = await findFreePort(hosts);
 	for (const [rank, engine] of engines.entries()) {
 		engine.crash = () => {
 			void ranks.crash(rank, restartMs);
@@ -205,7 +206,18 @@
 		return connected >= counts.ranks && (await call(entry, 'plain')).status === 200 ? true : undefined;
 	};
 
+	const [coordinator, ...members] = sidecars;
+	const isCoordinated = async (): Promise<true | undefined> => members.every(({name}) => coordinator.lines.some(line => line.includes('"dependency regained"') && line.includes(`"${name}"`))) ? true : undefined;
+
+	/** Before it has the group's load, an entry accepts only a few calls to the group at once. */
+	const hasLoad = async (entry: SiteProcess): Promise<true | undefined> => {
+		const {groups: {loads}} = await readStatus<{groups: {loads: Readonly<Record<string, unknown>>}}>(entry);
+		return Object.keys(loads).length > 0 ? true : undefined;
+	};
+
 	await Promise.all(entries.map(async entry => waitFor(async () => isLinked(entry))));
+	await waitFor(isCoordinated);
+	await Promise.all(entries.map(async entry => waitFor(async () => hasLoad(entry))));
 	return {
 		store, plains, engines, entries, sidecars, startEntry, startSidecar, putConfiguration, call,
 		async stop() {
@@ -240,6 +252,11 @@
 	return Promise.all(calls);
 }
 
+async function readStatus<T>({adminPort}: SiteProcess): Promise<T> {
+	const response = await fetch(`http://127.0.0.1:${adminPort}/status`);
+	return await response.json() as T;
+}
+
 /** Waits until a check returns a value, and returns it. Throws after 15 seconds. */
 export async function waitFor<T>(check: () => Promise<T | undefined>): Promise<T> {
 	const deadlineMs = performance.now() + readyTimeoutMs;
@@ -268,9 +285,24 @@
 	return (server.address() as AddressInfo).port;
 }
 
-async function findFreePort(host: string): Promise<number> {
+/** Finds a port that is free on all hosts. */
+async function findFreePort([host, ...others]: readonly string[]): Promise<number> {
 	const server = createServer();
 	const port = await listenOn(server, host);
+	const isFree = await Promise.all(others.map(async other => isPortFree(other, port)));
 	server.close();
-	return port;
+	return isFree.every(Boolean) ? port : findFreePort([host, ...others]);
+}
+
+async function isPortFree(host: string, port: number): Promise<boolean> {
+	const server = createServer();
+	return new Promise(resolve => {
+		server.once('error', () => {
+			resolve(false);
+		});
+		server.listen(port, host, () => {
+			server.close();
+			resolve(true);
+		});
+	});
 }
--- a/packages/cli/test/target-notices.test.ts
+++ b/packages/cli/test/target-notices.test.ts
@@ -33,7 +33,9 @@
 		}
 
 		const results = await loadSite(site, service, {...rate, ms});
-		expect(results.filter(({status}) => status !== 200), 'calls that were not answered').to.deep.equal([]);
+		const refused = results.filter(({status}) => status !== 200);
+		const decisions = refused.flatMap(({requestId}) => [...site.entries, ...site.sidecars].flatMap(({lines}) => lines.filter(line => line.includes(`"${requestId}"`))));
+		expect(refused, `calls that were not answered\n${decisions.join('\n')}\n`).to.deep.equal([]);
 		return targetsOf(service).map(({arrivalsMs}) => arrivalsMs.length);
 	};
 
