Report what a frame's handler throws on the older path too

serveFrames closes a connection when the handler of a frame throws, and gave the exception to an optional function that the older entry and sidecar did not pass: the connection was lost without a line in the log or a count.

The function is required now. The older programs report to their containment, as the direct ones do; tests and benches let the exception fail them.

The new test sends a configuration frame without its update. With the source as it was it fails, as nothing is counted; it passes now.

--- a/packages/bench/src/peers.ts
+++ b/packages/bench/src/peers.ts
@@ -36,7 +36,7 @@
 			if (frame.kind === 'request') {
 				answer(frame, socket);
 			}
-		}, () => undefined).then(() => {
+		}, () => undefined, fail).then(() => {
 			closedBytes += socket.bytesRead + socket.bytesWritten;
 			sockets.delete(socket);
 		});
@@ -76,7 +76,7 @@
 		connection.send({
 			kind: 'hello', version: protocolVersion, role: 'entry', instance: `entry-${index}`, incarnation: 'bench', zone: 'a', sentMs: performance.now(),
 		});
-		void serveFrames(socket, () => undefined, () => undefined);
+		void serveFrames(socket, () => undefined, () => undefined, fail);
 		return socket;
 	}));
 	let takenBytes = 0;
@@ -100,3 +100,7 @@
 		},
 	};
 }
+
+function fail(error: unknown): never {
+	throw error;
+}
--- a/packages/cli/src/entry-wiring.ts
+++ b/packages/cli/src/entry-wiring.ts
@@ -59,7 +59,7 @@
 	metrics.count('slow_callers', {}, 0);
 
 	const links = createLinks({
-		instance, incarnation, zone, follower, metrics, log, random, monotonicMs,
+		instance, incarnation, zone, follower, metrics, log, containment, random, monotonicMs,
 		connectMs: () => follower.applied()?.preset.timeouts.connectMs ?? 1000,
 		ejection: () => follower.applied()?.preset.routing ?? {ejectAfterFailures: 5, ejectMs: 5000, maxEjectedRatio: 0.5},
 	});
--- a/packages/cli/src/sidecar-wiring.ts
+++ b/packages/cli/src/sidecar-wiring.ts
@@ -150,13 +150,13 @@
 	));
 	const orderLocalRank = async (rank: number, order: RankOrder): Promise<RankReply | undefined> => gates.at(rank - settings.firstRank)?.order(order);
 	const group = createGroupRanks({
-		instance, incarnation, zone, range: localRanks, groupRanks: settings.groupRanks, orderLocal: orderLocalRank, orderTimeoutMs: rankOrderTimeoutMs, monotonicMs, sleep: pause,
+		containment, instance, incarnation, zone, range: localRanks, groupRanks: settings.groupRanks, orderLocal: orderLocalRank, orderTimeoutMs: rankOrderTimeoutMs, monotonicMs, sleep: pause,
 		isStopped: () => shutdown.signal.aborted,
 	});
 
 	const peers = createPeerServer({
 		ranks: localRanks, orderRank: orderLocalRank,
-		instance, incarnation, zone, follower, metrics, monotonicMs,
+		instance, incarnation, zone, follower, metrics, containment, monotonicMs,
 		load() {
 			const state = admission.state();
 			return {...state, concurrency: preset()?.services[service]?.concurrency ?? defaultConcurrency};
--- a/packages/entry/src/link.ts
+++ b/packages/entry/src/link.ts
@@ -8,7 +8,7 @@
 import {
 	afterFailure, afterSuccess, backoffMs, healthy, type AgedReport, type EjectOptions, type Health,
 } from '@papayaflow/policy';
-import {type Log, type Metrics} from '@papayaflow/telemetry';
+import {type Containment, type Log, type Metrics} from '@papayaflow/telemetry';
 
 /** The first backoff delay between two attempts to connect. */
 const firstReconnectMs = 50;
@@ -77,6 +77,7 @@
 	readonly follower: Follower;
 	readonly metrics: Metrics;
 	readonly log: Log;
+	readonly containment: Containment;
 	readonly random: () => number;
 	readonly monotonicMs: () => number;
 	readonly connectMs: () => number;
@@ -231,6 +232,8 @@
 		});
 		await serveFrames(socket, onFrame, fault => {
 			metrics.count('frame_faults', {reason: fault});
+		}, error => {
+			deps.containment.report('frame', error);
 		});
 		connection = undefined;
 		peerIncarnation = undefined;
--- a/packages/entry/test/helper.ts
+++ b/packages/entry/test/helper.ts
@@ -4,7 +4,9 @@
 import {
 	openConnection, protocolVersion, serveFrames, type Connection, type Frame,
 } from '@papayaflow/peer';
-import {createLog, createMetrics, type Metrics} from '@papayaflow/telemetry';
+import {
+	createContainment, createLog, createMetrics, type Metrics,
+} from '@papayaflow/telemetry';
 import {openLink, type Link} from '@papayaflow/entry';
 
 export const {preset} = checkPreset({
@@ -36,7 +38,7 @@
 				requests.push(frame);
 				answer(frame, connection);
 			}
-		}, () => undefined);
+		}, () => undefined, fail);
 	});
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
@@ -50,10 +52,11 @@
 
 export async function linkTo(sidecar: FakeSidecar, id = 'sidecar-1', metrics: Metrics = createMetrics()): Promise<Link> {
 	const {port} = sidecar.server.address() as AddressInfo;
+	const log = createLog({}, 'error');
 	const link = openLink({
 		id, service: 'model', zone: 'z', address: '127.0.0.1', port,
 	}, {
-		instance: 'e', incarnation: 'e1', zone: 'z', follower: createFollower(), metrics, log: createLog({}, 'error'),
+		instance: 'e', incarnation: 'e1', zone: 'z', follower: createFollower(), metrics, log, containment: createContainment({metrics, log}),
 		random: () => 0, monotonicMs: () => performance.now(), connectMs: () => 1000,
 		ejection: () => ({ejectAfterFailures: 5, ejectMs: 1000, maxEjectedRatio: 0.5}),
 	});
@@ -61,6 +64,10 @@
 	return link;
 }
 
+function fail(error: unknown): never {
+	throw error;
+}
+
 /** Waits up to one second for a condition and returns whether it holds. */
 export async function waitUntil(condition: () => boolean): Promise<boolean> {
 	for (let i = 0; i < 200 && !condition(); i++) {
--- a/packages/peer/src/connection.ts
+++ b/packages/peer/src/connection.ts
@@ -100,7 +100,7 @@
 	socket: Socket,
 	onFrame: (frame: Frame) => void,
 	onFault: (fault: FrameFault) => void,
-	onError: (error: unknown) => void = () => undefined,
+	onError: (error: unknown) => void,
 ): Promise<void> {
 	try {
 		for await (const item of readFrames(socket)) {
--- a/packages/peer/test/peer.test.ts
+++ b/packages/peer/test/peer.test.ts
@@ -148,7 +148,7 @@
 			there.send({kind: 'alive', isNear: isThereNear, everyMs: 5000});
 			void serveFrames(socket, frame => {
 				heartbeats += frame.kind === 'alive' ? 1 : 0;
-			}, () => undefined);
+			}, () => undefined, fail);
 		});
 		const controller = new AbortController();
 		void maintainPeerLink({address: '127.0.0.1', port: port()}, optionsOf('here'), here.events, controller.signal);
@@ -178,7 +178,7 @@
 		server.on('connection', socket => {
 			void serveFrames(socket, frame => {
 				heartbeats += frame.kind === 'alive' ? 1 : 0;
-			}, () => undefined);
+			}, () => undefined, fail);
 			openConnection(socket).send({
 				kind: 'hello', version: 1, role: 'sidecar', instance: 'there', incarnation: 'x', zone: 'z', sentMs: 0,
 			});
@@ -214,3 +214,7 @@
 		expect(endedIds).to.deep.equal(['r']);
 	});
 });
+
+function fail(error: unknown): never {
+	throw error;
+}
--- a/packages/sidecar/src/group.ts
+++ b/packages/sidecar/src/group.ts
@@ -3,6 +3,7 @@
 import {
 	openConnection, openSocket, protocolVersion, serveFrames, type Connection, type Frame,
 } from '@papayaflow/peer';
+import {type Containment} from '@papayaflow/telemetry';
 
 const reconnectDelayMs = 500;
 
@@ -10,6 +11,7 @@
 export type RankRange = {readonly group: string; readonly first: number; readonly count: number};
 
 export type GroupDeps = {
+	readonly containment: Containment;
 	readonly instance: string;
 	readonly incarnation: string;
 	readonly zone: string;
@@ -66,7 +68,9 @@
 				});
 				await serveFrames(socket, frame => {
 					onFrame(remote, frame);
-				}, () => undefined);
+				}, () => undefined, error => {
+					deps.containment.report('frame', error);
+				});
 				remote.connection = undefined;
 				remote.range = undefined;
 			}
--- a/packages/sidecar/src/server.ts
+++ b/packages/sidecar/src/server.ts
@@ -6,7 +6,7 @@
 } from '@papayaflow/peer';
 import {type RankOrder, type RankReply} from '@papayaflow/experts';
 import {type LossReason} from '@papayaflow/outcome';
-import {type Metrics} from '@papayaflow/telemetry';
+import {type Containment, type Metrics} from '@papayaflow/telemetry';
 import {type ReceivedAttempt} from './reply.js';
 
 /** Shortest interval between two load reports on one connection. */
@@ -26,6 +26,7 @@
 	readonly zone: string;
 	readonly follower: Follower;
 	readonly metrics: Metrics;
+	readonly containment: Containment;
 	readonly monotonicMs: () => number;
 	readonly load: () => LoadReport;
 	readonly isLeaving: () => boolean;
@@ -181,6 +182,8 @@
 			}
 		}, fault => {
 			metrics.count('frame_faults', {reason: fault});
+		}, error => {
+			deps.containment.report('frame', error);
 		});
 
 		connections.delete(connection);
--- a/packages/sidecar/test/server.test.ts
+++ b/packages/sidecar/test/server.test.ts
@@ -7,14 +7,17 @@
 import {
 	openConnection, openSocket, protocolVersion, serveFrames, type Connection, type Frame,
 } from '@papayaflow/peer';
-import {createMetrics} from '@papayaflow/telemetry';
+import {
+	createContainment, createLog, createMetrics, type Metrics,
+} from '@papayaflow/telemetry';
 import {createPeerServer, type PeerServer} from '@papayaflow/sidecar';
 
 type Client = {readonly connection: Connection; readonly frames: Frame[]};
 
-async function startServer(): Promise<{peers: PeerServer; port: number}> {
+async function startServer(): Promise<{peers: PeerServer; port: number; metrics: Metrics}> {
+	const metrics = createMetrics();
 	const peers = createPeerServer({
-		instance: 's', incarnation: 'i', zone: 'z', follower: createFollower(), metrics: createMetrics(),
+		instance: 's', incarnation: 'i', zone: 'z', follower: createFollower(), metrics, containment: createContainment({metrics, log: createLog({}, 'error')}),
 		monotonicMs: () => performance.now(), load: () => ({
 			outstandingTokens: 0, concurrency: 1, isBusy: false, queued: 0, running: 0, serviceMs: 0,
 		}), isLeaving: () => true,
@@ -27,7 +30,7 @@
 	});
 	peers.server.listen(0, '127.0.0.1');
 	await once(peers.server, 'listening');
-	return {peers, port: (peers.server.address() as AddressInfo).port};
+	return {peers, port: (peers.server.address() as AddressInfo).port, metrics};
 }
 
 async function connect(port: number, role: 'entry' | 'sidecar'): Promise<Client> {
@@ -36,7 +39,9 @@
 	const frames: Frame[] = [];
 	void serveFrames(socket!, frame => {
 		frames.push(frame);
-	}, () => undefined);
+	}, () => undefined, error => {
+		throw error;
+	});
 	connection.send({
 		kind: 'hello', version: protocolVersion, role, instance: 'e', incarnation: 'e1', zone: 'z', sentMs: 0,
 	});
@@ -77,3 +82,17 @@
 		peers.abortAll();
 	});
 });
+
+describe('a server of peers', () => {
+	// Guards against exceptions of a frame's handler that closed the connection without a trace in the log or the metrics.
+	it('closes a connection whose frame it can\'t handle and reports the exception', async () => {
+		const {peers, port, metrics} = await startServer();
+		const socket = await openSocket({address: '127.0.0.1', port}, 1000);
+		openConnection(socket!).send({kind: 'config'} as unknown as Frame);
+		socket!.resume();
+		await once(socket!, 'close');
+		expect(await metrics.text()).to.match(/unforeseen_errors\w*\{place="frame"\} 1/v);
+		peers.server.close();
+		peers.abortAll();
+	});
+});
