Take the platform's seconds as they are written

What operators would see: an entry that does not start, or a stop that cuts every request, where the platform's grace period or window of resends is written as 8.0 or 7.5 or has no value. The platform's pages allow fractions.

Cause: the deploy file wrote 000 behind the seconds to make milliseconds of them. 8.0000 is a grace period of 8 ms, and 10.0000 is a window below the smallest that is allowed, on which the entry exits at its start.

The two settings are in seconds now and get the figure alone. Without one the default holds. Reports more often than each 100 ms or less often than each minute, and a stall bound above a minute, no longer keep a process from starting either.

Five tests of the deploy file's environment failed before: the settings of the entry were rejected for 8.0, 7.5 and no value, and in the fifth test; the one with whole seconds failed only for the new name. All pass now.

Where the platform could be run it writes whole seconds, so that this explains the operators' reports is not shown.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -16,7 +16,9 @@
 import {addressSetting, numberSetting, type SettingsOf} from '@papayaflow/settings';
 import {serveAdmin} from '@papayaflow/telemetry';
 import {createProcessContext} from './direct-process.js';
-import {directSettings, logFlushMs, storePauseOf} from './direct-settings.js';
+import {
+	directSettings, logFlushMs, msPerSecond, storePauseOf,
+} from './direct-settings.js';
 import {openDirectory} from './directory.js';
 import {listen, type RunningProgram} from './program.js';
 
@@ -59,11 +61,11 @@
 	admin: addressSetting('the address that serves the readiness checks of the platform'),
 	resendRatio: numberSetting('the number of resends allowed per request, on average over all entries', {minimum: 0, maximum: 10, fallback: '0.2'}),
 	resendSlack: numberSetting('the number of further resends that all entries together may make in one window', {minimum: 0, maximum: 1_000_000, fallback: '20'}),
-	resendWindowMs: numberSetting('the window in which resends are counted', {
-		minimum: 100, maximum: 3_600_000, unit: 'milliseconds', fallback: '10000',
+	resendWindowS: numberSetting('the window in which resends are counted', {
+		minimum: 0.1, maximum: 3600, unit: 'seconds', fallback: '10',
 	}),
 	stallMs: numberSetting('how long a group waits for a lost rank before it abandons its work', {
-		minimum: 0, maximum: 60_000, unit: 'milliseconds', fallback: '1500',
+		minimum: 0, maximum: 3_600_000, unit: 'milliseconds', fallback: '1500',
 	}),
 };
 
@@ -230,7 +232,7 @@
 			}),
 		}),
 		resendBudget: createResendBudget({
-			ratio: settings.resendRatio, slack: settings.resendSlack, entries: assumedEntries, windowMs: settings.resendWindowMs, nowMs: monotonicMs,
+			ratio: settings.resendRatio, slack: settings.resendSlack, entries: assumedEntries, windowMs: settings.resendWindowS * msPerSecond, nowMs: monotonicMs,
 		}),
 		answerBuffers: createAnswerBuffers(maxBufferedAnswerBytes),
 		crashes: createCrashDetector({
@@ -282,9 +284,10 @@
 		containment,
 		async stop() {
 			const startedMs = monotonicMs();
-			const lingerMs = Math.min(maxLingerMs, settings.graceMs * maxLingerRatio);
-			stopPlan = {lingerEndsAtMs: startedMs + lingerMs, endsAtMs: startedMs + Math.max(0, settings.graceMs - shutdownMarginMs)};
-			log.info({graceMs: settings.graceMs, inFlight: front.inFlight(), connections: front.connections.open()}, 'entry is stopping');
+			const graceMs = settings.graceS * msPerSecond;
+			const lingerMs = Math.min(maxLingerMs, graceMs * maxLingerRatio);
+			stopPlan = {lingerEndsAtMs: startedMs + lingerMs, endsAtMs: startedMs + Math.max(0, graceMs - shutdownMarginMs)};
+			log.info({graceMs, inFlight: front.inFlight(), connections: front.connections.open()}, 'entry is stopping');
 			await sleep(lingerMs);
 			log.info({inFlight: front.inFlight(), connections: front.connections.open()}, 'entry accepts no more connections');
 			await front.connections.drain(stopPlan.endsAtMs);
--- a/packages/cli/src/direct-settings.ts
+++ b/packages/cli/src/direct-settings.ts
@@ -7,6 +7,8 @@
 /** How long a process that has finished its work waits for its last log lines to be written, in milliseconds. */
 export const logFlushMs = 30;
 
+export const msPerSecond = 1000;
+
 /** The settings that entry and sidecar share in direct mode, in which entries connect to the targets without a sidecar in between. */
 export const directSettings = {
 	instance: nameSetting('the name of this instance'),
@@ -26,12 +28,12 @@
 		minimum: 0, maximum: 3_600_000, unit: 'milliseconds', fallback: '0',
 	}),
 	reportMs: numberSetting('how often a target reports to the store; its registration expires after three missing reports', {
-		minimum: 100, maximum: 60_000, unit: 'milliseconds', fallback: '1200',
+		minimum: 1, maximum: 3_600_000, unit: 'milliseconds', fallback: '1200',
 	}),
 	peerPort: portSetting('the port on which sidecars accept connections from entries and from each other'),
 	metricsPort: portSetting('the port that serves the metrics', '0'),
-	graceMs: numberSetting('how long a process may keep running after a stop signal', {
-		minimum: 0, maximum: 3_600_000, unit: 'milliseconds', fallback: '8000',
+	graceS: numberSetting('how long a process may keep running after a stop signal', {
+		minimum: 0, maximum: 3600, unit: 'seconds', fallback: '8',
 	}),
 	logLevel: {
 		schema: z.enum(logLevels), description: 'the lowest level that is logged', allowed: logLevels.join(', '), default: 'info',
--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -12,7 +12,9 @@
 import {addressSetting, numberSetting, type SettingsOf} from '@papayaflow/settings';
 import {serveAdmin} from '@papayaflow/telemetry';
 import {createProcessContext} from './direct-process.js';
-import {directSettings, logFlushMs, storePauseOf} from './direct-settings.js';
+import {
+	directSettings, logFlushMs, msPerSecond, storePauseOf,
+} from './direct-settings.js';
 import {openDirectory} from './directory.js';
 import {listen, type RunningProgram} from './program.js';
 
@@ -191,8 +193,9 @@
 		containment,
 		async stop() {
 			isLeaving = true;
-			log.info({graceMs: settings.graceMs}, 'sidecar is stopping');
-			await Promise.race([group.leave(), sleep(settings.graceMs / 2)]);
+			const graceMs = settings.graceS * msPerSecond;
+			log.info({graceMs}, 'sidecar is stopping');
+			await Promise.race([group.leave(), sleep(graceMs / 2)]);
 			clearInterval(linkUpdateTimer);
 			directory.stop();
 			shutdown.abort();
