--- a/packages/cli/src/direct-process.ts
+++ b/packages/cli/src/direct-process.ts
@@ -6,7 +6,6 @@
 	createContainment, createLog, createMetrics, sampleLoopDelay, type Containment, type Log, type Metrics,
 } from '@papayaflow/telemetry';
 import {type directSettings} from './direct-settings.js';
-import {ignoreHangup} from './program.js';
 
 /** The objects that all parts of a program share, such as its log, metrics, clock and shutdown signal. */
 export type ProcessContext = {
@@ -24,14 +23,13 @@
 };
 
 /**
-Creates the context of a program, samples its event loop and makes the process ignore SIGHUP.
+Creates the context of a program and samples its event loop.
 
 @example
 const {log, metrics} = createProcessContext('papayaflow-entry', settings);
 */
 export function createProcessContext(program: string, {instance, zone, logLevel}: SettingsOf<typeof directSettings>): ProcessContext {
 	const log = createLog({program, instance, zone}, logLevel);
-	ignoreHangup(log);
 	const metrics = createMetrics();
 	const shutdown = new AbortController();
 	const monotonicMs = (): number => performance.now();
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -17,6 +17,9 @@
 const addressWaitMs = 10_000;
 const addressRetryMs = 100;
 
+/** The signals that stop a program. */
+const stopSignals = ['SIGTERM', 'SIGINT'] as const;
+
 /**
 Reads the settings of a program. Exits with 0 after `--help` and `--check`, and with 2
 and one line for each problem when a setting is invalid.
@@ -112,13 +115,22 @@
 
 /**
 Runs a program: starts it, keeps exceptions that nothing has caught from ending it once it
-has started, and stops it on the first SIGTERM or SIGINT. An exception during the start
-exits with 1, so that the platform starts the program again.
+has started, and stops it on the first SIGTERM or SIGINT. During the start, when no request
+has been accepted, these signals exit with 0 at once; an exception exits with 1, so that
+the platform starts the program again.
 
 @example
 await runProgram(async () => startEntry(settings));
 */
 export async function runProgram(start: () => Promise<RunningProgram>): Promise<void> {
+	const exitBeforeStart = (): void => {
+		process.exit(0);
+	};
+
+	for (const signal of stopSignals) {
+		process.on(signal, exitBeforeStart);
+	}
+
 	let running: RunningProgram;
 	try {
 		running = await start();
@@ -134,6 +146,11 @@
 	process.on('unhandledRejection', error => {
 		containment.report('process', error);
 	});
+	for (const signal of stopSignals) {
+		process.off(signal, exitBeforeStart);
+	}
+
+	ignoreHangup(running.log);
 	onStopSignal(running);
 }
 
@@ -149,10 +166,10 @@
 }
 
 /**
-Logs SIGHUP and ignores it; without a handler the signal would end the process. Settings
-are read only at startup, so there is nothing to reload.
+Logs SIGHUP and ignores it. Settings are read only at startup, so there is nothing to
+reload.
 */
-export function ignoreHangup(log: Log): void {
+function ignoreHangup(log: Log): void {
 	process.on('SIGHUP', () => {
 		log.info({outcome: 'unchanged'}, 'SIGHUP ignored; settings are read only at startup');
 	});
@@ -185,6 +202,7 @@
 		}
 	};
 
-	process.on('SIGTERM', onSignal);
-	process.on('SIGINT', onSignal);
+	for (const signal of stopSignals) {
+		process.on(signal, onSignal);
+	}
 }
--- a/packages/cli/test/signals.test.ts
+++ b/packages/cli/test/signals.test.ts
@@ -3,6 +3,8 @@
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {type AddressInfo} from 'node:net';
+import {createServer} from 'node:http';
 import {expect} from 'chai';
 import {describe, it} from 'mocha';
 
@@ -17,6 +19,20 @@
 	'papayaflow-sidecar': ['--target', '127.0.0.1:1'],
 };
 
+/** A module that sends its process a SIGHUP when the launcher reads the bundle of the program. */
+const hangUpOnLoad = `data:text/javascript,${encodeURIComponent(`
+	import fs from 'node:fs';
+	import {syncBuiltinESMExports} from 'node:module';
+	const {readFileSync} = fs;
+	fs.readFileSync = (file, ...rest) => {
+		if (String(file).endsWith('.cjs')) {
+			process.kill(process.pid, 'SIGHUP');
+		}
+		return readFileSync(file, ...rest);
+	};
+	syncBuiltinESMExports();
+`)}`;
+
 describe('a program in direct mode', () => {
 	for (const [program, own] of Object.entries(programs)) {
 		it(`ignores SIGHUP and exits with 0 after SIGTERM: ${program}`, async () => {
@@ -40,5 +56,36 @@
 			expect(code).to.equal(0);
 			expect(output).to.include(`${program.slice('papayaflow-'.length)} stopped`);
 		});
+
+		// Guards against a process that a SIGHUP ends if it comes while the program is loaded, which takes seconds on a busy machine.
+		it(`is not ended by a SIGHUP while it is loaded: ${program}`, async () => {
+			const child = spawn(process.execPath, ['--import', hangUpOnLoad, path.join(target, `${program}.js`), 'direct', ...shared, ...own], {stdio: ['ignore', 'pipe', 'inherit']});
+			const exited = once(child, 'exit');
+			const started = once(child.stdout, 'data');
+			await Promise.race([exited, started]);
+			expect(child.signalCode).to.equal(null);
+			child.kill('SIGKILL');
+			await exited;
+		});
+
+		it(`exits with 0 at once after a SIGTERM during its start: ${program}`, async () => {
+			const holder = createServer();
+			holder.listen(0, '127.0.0.1');
+			await once(holder, 'listening');
+			const port = String((holder.address() as AddressInfo).port);
+			const child = spawn(process.execPath, [path.join(target, `${program}.js`), 'direct', ...shared, ...own, '--metrics-port', port], {stdio: ['ignore', 'pipe', 'inherit']});
+			let output = '';
+			child.stdout.on('data', chunk => {
+				output += String(chunk);
+			});
+			while (!output.includes('not available yet')) {
+				await sleep(20);
+			}
+
+			child.kill('SIGTERM');
+			const [code, signal] = await once(child, 'exit') as [number | undefined, string | undefined];
+			expect({code, signal}).to.deep.equal({code: 0, signal: null});
+			holder.close();
+		});
 	}
 });
