Bound the bytes of all bodies that an entry holds

What callers would see: an entry is killed with all its requests when many of them send long bodies at once.

Cause: each body had a limit, and all together had none. An entry keeps a body until its call has ended.

All bodies have at most 64 MB now. A request whose body goes over is refused at once as not run, and the rest of its body is dropped as it arrives, so that the caller reads the answer. Bodies of calls that may be running are not given up.

--- a/packages/caller/src/call.ts
+++ b/packages/caller/src/call.ts
@@ -91,7 +91,7 @@
 		return bad(`the body is over ${preset.limits.maxBodyBytes} bytes`, 413);
 	}
 
-	if (body.kind === 'broken') {
+	if (body.kind !== 'read') {
 		return bad('the body did not arrive whole');
 	}
 
--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	createAnswerBuffers, createCrashDetector, createFront, createGroupPlacer, createLimitedPlacer, createPlainPlacer, createQuarantinedPlacer, createTargets, type StopPlan,
+	createAnswerBuffers, createBodyBuffers, createCrashDetector, createFront, createGroupPlacer, createLimitedPlacer, createPlainPlacer, createQuarantinedPlacer, createTargets, type StopPlan,
 } from '@papayaflow/direct';
 import {
 	createBeliefs, createEngineChoice, createPauses, createPermits, limitChanges, permitResults, type DispenserLink, type TargetLifetime,
@@ -49,6 +49,9 @@
 /** The most bytes of answers that an entry holds because they are not whole yet or not read: a part of the memory that a small instance has. */
 const maxBufferedAnswerBytes = 67_108_864;
 
+/** The most bytes of request bodies that an entry holds. */
+const maxBodyBufferBytes = 67_108_864;
+
 /** How long callers whose requests were aborted at the end of the grace period have to receive the outcome, in milliseconds. It is a part of the margin. */
 const abortFlushMs = 100;
 
@@ -235,6 +238,7 @@
 			ratio: settings.resendRatio, slack: settings.resendSlack, entries: assumedEntries, windowMs: settings.resendWindowS * msPerSecond, nowMs: monotonicMs,
 		}),
 		answerBuffers: createAnswerBuffers(maxBufferedAnswerBytes),
+		bodyBuffers: createBodyBuffers(maxBodyBufferBytes),
 		crashes: createCrashDetector({
 			connectMs: connectTimeoutMs, log, metrics,
 			onCrash({record}, requests) {
--- a/packages/cli/test/site.ts
+++ b/packages/cli/test/site.ts
@@ -57,7 +57,7 @@
 	name: service, host: 'h.example', prefix: `/${service}/`, route_kind: kind, timeout_ms: 3000, target_latency_ms: 300, target_gap_ms: 200, service, max_attempts: 2, public: true, resumable: true,
 });
 
-const configuration = {
+const configurationOf = (maxBodyBytes: number): Readonly<Record<string, unknown>> => ({
 	routes: [routeOf('plain', 'idempotent'), routeOf('model', 'streaming')],
 	services: [{name: 'plain', max_connections: 100}, {
 		name: 'model', max_connections: 100,
@@ -67,9 +67,9 @@
 		},
 	}],
 	limits: {
-		max_header_bytes: 16_384, max_body_bytes: 10_000, header_timeout_ms: 3000, idle_timeout_ms: 10_000,
+		max_header_bytes: 16_384, max_body_bytes: maxBodyBytes, header_timeout_ms: 3000, idle_timeout_ms: 10_000,
 	},
-};
+});
 
 /**
 Starts a site and waits until every entry is ready, linked to every sidecar and has the
@@ -80,7 +80,7 @@
 const site = await startSite({entries: 4, ranks: 3, plains: 3});
 const {status} = await site.call(site.entries[0], 'plain');
 */
-export async function startSite(counts: {readonly entries: number; readonly ranks: number; readonly plains: number}): Promise<Site> {
+export async function startSite(counts: {readonly entries: number; readonly ranks: number; readonly plains: number}, maxBodyBytes = 10_000): Promise<Site> {
 	const store = createPlatformStore(Date.now);
 	const storePort = await listenOn(store.server);
 	const engines = Array.from({length: counts.ranks}, () => createLimitedTarget({workMs}));
@@ -122,7 +122,7 @@
 	}
 
 	const putConfiguration = (version: number): void => {
-		store.put('op/config', JSON.stringify({...configuration, version}));
+		store.put('op/config', JSON.stringify({...configurationOf(maxBodyBytes), version}));
 	};
 
 	putConfiguration(1);
--- a/packages/direct/src/buffers.ts
+++ b/packages/direct/src/buffers.ts
@@ -76,3 +76,49 @@
 		},
 	};
 }
+
+/** The bytes of one request's body. */
+export type BodyBytes = {
+	/** Adds bytes; returns `false`, and adds nothing, if all bodies together would be over the limit. */
+	add(bytes: number): boolean;
+	/** Ends the accounting of the body. */
+	release(): void;
+};
+
+/** Counts the bytes of bodies that an entry holds, from their arrival until their calls have ended. */
+export type BodyBuffers = {
+	open(): BodyBytes;
+};
+
+/**
+Creates the count of one entry. The limit for all bodies together keeps callers from
+filling the memory, however many send long bodies at once. A body that arrives over the
+limit is refused: the others may belong to calls that a target is running.
+
+@example
+const body = createBodyBuffers(67_108_864).open();
+if (!body.add(chunk.length)) refuse();
+*/
+export function createBodyBuffers(maxTotalBytes: number): BodyBuffers {
+	let total = 0;
+	return {
+		open() {
+			let own = 0;
+			return {
+				add(bytes) {
+					if (total + bytes > maxTotalBytes) {
+						return false;
+					}
+
+					own += bytes;
+					total += bytes;
+					return true;
+				},
+				release() {
+					total -= own;
+					own = 0;
+				},
+			};
+		},
+	};
+}
--- a/packages/direct/src/front.ts
+++ b/packages/direct/src/front.ts
@@ -10,6 +10,7 @@
 import {drawService, identifyCaller, type RouteTable} from '@papayaflow/routing';
 import {type Containment} from '@papayaflow/telemetry';
 import {createCallerAnswer, type CallerAnswer} from './answer.js';
+import {type BodyBuffers, type BodyBytes} from './buffers.js';
 import {maxLoggedParts, type Call} from './call.js';
 import {forward, type ForwardDeps, type ForwardResult} from './forward.js';
 
@@ -34,6 +35,9 @@
 /** The retry delay suggested to callers while the entry is stopping, in milliseconds. Other entries can take the request at once. */
 const shutdownRetryAfterMs = 10;
 
+/** The retry delay suggested to callers whose bodies find no room in memory, in milliseconds. Room comes with each call that ends. */
+const noRoomRetryAfterMs = 200;
+
 /** When a stopping entry takes no more requests, on the monotonic clock. */
 export type StopPlan = {
 	/** Until then every request is taken, since the platform still sends new connections here, in milliseconds. */
@@ -48,6 +52,7 @@
 	/** Returns the current configuration; `undefined` before the first one is known. */
 	readonly table: () => RouteTable | undefined;
 	readonly random: () => number;
+	readonly bodyBuffers: BodyBuffers;
 	/** The plan of a stop; `undefined` while the entry is not stopping. A stopping entry closes callers' connections after their responses. */
 	readonly stopPlan: () => StopPlan | undefined;
 };
@@ -65,8 +70,9 @@
 };
 
 /** Why a request is refused whose body was not read to its end. */
-const bodyRefusals: Readonly<Record<'abandoned' | 'tooLarge', Refusal>> = {
+const bodyRefusals: Readonly<Record<'abandoned' | 'tooLarge' | 'noRoom', Refusal>> = {
 	abandoned: {reason: 'shuttingDown', retryAfterMs: shutdownRetryAfterMs, detail: 'the entry stopped before the body had arrived'},
+	noRoom: {reason: 'overloaded', retryAfterMs: noRoomRetryAfterMs, detail: 'the entry holds as many bytes of bodies as it may'},
 	tooLarge: {reason: 'badRequest', status: 413, detail: 'the body is too long'},
 };
 
@@ -87,13 +93,13 @@
 	/** Ends the reading of each request whose body is still arriving. */
 	const unreadRequests = new Set<() => void>();
 
-	const readWholeBody = async (req: IncomingMessage, maxBytes: number): Promise<Body | {readonly kind: 'abandoned'}> => new Promise((resolve, reject) => {
+	const readWholeBody = async (req: IncomingMessage, maxBytes: number, held: BodyBytes): Promise<Body | {readonly kind: 'abandoned'}> => new Promise((resolve, reject) => {
 		const abandon = (): void => {
 			resolve({kind: 'abandoned'});
 		};
 
 		unreadRequests.add(abandon);
-		void readBody(req, maxBytes).then(resolve, reject).finally(() => {
+		void readBody(req, maxBytes, held.add).then(resolve, reject).finally(() => {
 			unreadRequests.delete(abandon);
 		});
 	});
@@ -109,7 +115,7 @@
 		return `the entry stops in ${Math.max(0, Math.round(plan.endsAtMs - now))} ms, before the deadline of ${deadlineMs} ms`;
 	};
 
-	const handleRequest = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+	const handleRequest = async (req: IncomingMessage, res: ServerResponse, held: BodyBytes): Promise<void> => {
 		const arrivedMs = monotonicMs();
 		const caller = dialect.readCaller(req.headers);
 		const requestId = caller.requestId ?? randomUUID();
@@ -155,7 +161,7 @@
 		}
 
 		const deadlineMs = Math.min(caller.deadlineMs ?? route.timeoutMs, route.timeoutMs);
-		const body = await readWholeBody(req, configuration.limits.maxBodyBytes);
+		const body = await readWholeBody(req, configuration.limits.maxBodyBytes, held);
 		if (body.kind === 'broken') {
 			// The caller has disconnected, so no response can be sent.
 			metrics.count('refusals', {reason: 'badRequest'});
@@ -267,12 +273,15 @@
 
 	const server = createServer({maxHeaderSize: maxHeadBytes, connectionsCheckingInterval: headTimeoutCheckMs, requestTimeout: 0}, async (req, res) => {
 		res.on('error', () => undefined);
+		const held = deps.bodyBuffers.open();
 		try {
-			await handleRequest(req, res);
+			await handleRequest(req, res, held);
 		} catch (error) {
 			deps.containment.report('request', error);
 			metrics.count('losses', {reason: 'internalError'});
 			endUnforeseen(req, res);
+		} finally {
+			held.release();
 		}
 	});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -1,4 +1,6 @@
-export {createAnswerBuffers, type AnswerBuffers, type HeldBytes} from './buffers.js';
+export {
+	createAnswerBuffers, createBodyBuffers, type AnswerBuffers, type BodyBuffers, type BodyBytes, type HeldBytes,
+} from './buffers.js';
 export {isRetryable, type Call} from './call.js';
 export {
 	endToEndHeaders, type AnswerHead, type CallerHead, type Dialect, type Generation, type NamedLeaving, type TargetHeaderOptions,
--- a/packages/direct/test/buffers.test.ts
+++ b/packages/direct/test/buffers.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import * as fc from 'fast-check';
 import {describe, it} from 'mocha';
-import {createAnswerBuffers} from '@papayaflow/direct';
+import {createAnswerBuffers, createBodyBuffers} from '@papayaflow/direct';
 
 // Guards against answers that fill the memory together, although each is below its own limit, and callers that read none of them.
 describe('the bytes of the answers that an entry holds', () => {
@@ -36,3 +36,27 @@
 		expect(first.set(0)).to.equal(true);
 	});
 });
+
+// Guards against bodies that fill the memory together, although each is as short as the configuration asks.
+describe('the bytes of the bodies that an entry holds', () => {
+	it('never exceed their limit, and are free again when a call has ended', () => {
+		fc.assert(fc.property(fc.array(fc.record({body: fc.nat({max: 7}), bytes: fc.option(fc.nat({max: 400}))}), {maxLength: 100}), steps => {
+			const limit = 1000;
+			const buffers = createBodyBuffers(limit);
+			const heldBytes = Array.from({length: 8}, () => 0);
+			const bodies = heldBytes.map(() => buffers.open());
+			for (const {body, bytes} of steps) {
+				const total = heldBytes.reduce((sum, held) => sum + held, 0);
+				if (bytes === null) {
+					bodies[body].release();
+					heldBytes[body] = 0;
+				} else if (bodies[body].add(bytes)) {
+					heldBytes[body] += bytes;
+					expect(total + bytes).to.be.at.most(limit);
+				} else {
+					expect(total + bytes).to.be.above(limit);
+				}
+			}
+		}), {seed: 37, numRuns: 500});
+	});
+});
