Build with libraries of this kind of machine

What operators would see: a system that does not start on arm64 if its folder of libraries was carried over from x86-64, or the other way round. The bundler is a binary; npm installs the one for the machine that it runs on. The build of the deploy file installed the libraries only if they were older than package-lock.json, so that it failed with "You installed esbuild for another platform", and there was no program to start.

The build also installs them if the bundler for this machine is missing.

The test runs the build command with a stand-in of npm; it failed before for libraries of another kind. That this is what the operators saw is not shown.

--- a/packages/cli/test/startup.test.ts
+++ b/packages/cli/test/startup.test.ts
@@ -1,5 +1,9 @@
 import {execFile} from 'node:child_process';
 import {readFileSync} from 'node:fs';
+import {
+	mkdir, mkdtemp, rm, utimes, writeFile,
+} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 import {promisify} from 'node:util';
@@ -76,3 +80,30 @@
 		}
 	});
 });
+
+// Guards against a system that is not built, and so does not start, because its libraries were installed on another kind of machine.
+describe('the build of the deploy file', () => {
+	const {groups} = /^build = "(?<command>.*)"$/mv.exec(deployment)!;
+
+	/** Runs the build command where libraries for this machine architecture are installed, and returns what it calls `npm` with. */
+	const npmCallsFor = async (architecture: string | undefined): Promise<readonly string[]> => {
+		const directory = await mkdtemp(path.join(tmpdir(), 'papayaflow-build-'));
+		await writeFile(path.join(directory, 'npm'), '#!/bin/sh\necho "$@"\n', {mode: 0o755});
+		await writeFile(path.join(directory, 'package-lock.json'), '{}');
+		if (architecture !== undefined) {
+			await mkdir(path.join(directory, `node_modules/@esbuild/${process.platform}-${architecture}`), {recursive: true});
+			const later = new Date(Date.now() + 10_000);
+			await utimes(path.join(directory, 'node_modules'), later, later);
+		}
+
+		const {stdout} = await run('sh', ['-c', groups!.command], {cwd: directory, env: {PATH: `${directory}:${path.dirname(process.execPath)}:/usr/bin:/bin`}});
+		await rm(directory, {recursive: true});
+		return stdout.trim().split('\n');
+	};
+
+	it('installs the libraries only where those of this kind of machine are missing', async () => {
+		expect(await npmCallsFor(process.arch)).to.deep.equal(['run --silent build']);
+		expect(await npmCallsFor(undefined), 'without libraries').to.deep.equal(['ci --silent', 'run --silent build']);
+		expect(await npmCallsFor('other'), 'with those of another kind').to.deep.equal(['ci --silent', 'run --silent build']);
+	});
+});
