Refuse bytes of a body after its call has ended

The body of a request that a stopping entry has abandoned was read on, and its bytes were counted for good. Seen in reading. A released body takes none now; the property test of the bodies checks it, and failed before.

--- a/packages/direct/src/buffers.ts
+++ b/packages/direct/src/buffers.ts
@@ -79,7 +79,7 @@
 
 /** The bytes of one request's body. */
 export type BodyBytes = {
-	/** Adds bytes; returns `false`, and adds nothing, if all bodies together would be over the limit. */
+	/** Adds bytes; returns `false`, and adds nothing, if all bodies together would be over the limit or the body was released. */
 	add(bytes: number): boolean;
 	/** Ends the accounting of the body. */
 	release(): void;
@@ -104,9 +104,10 @@
 	return {
 		open() {
 			let own = 0;
+			let isReleased = false;
 			return {
 				add(bytes) {
-					if (total + bytes > maxTotalBytes) {
+					if (isReleased || total + bytes > maxTotalBytes) {
 						return false;
 					}
 
@@ -115,6 +116,7 @@
 					return true;
 				},
 				release() {
+					isReleased = true;
 					total -= own;
 					own = 0;
 				},
--- a/packages/direct/test/buffers.test.ts
+++ b/packages/direct/test/buffers.test.ts
@@ -49,6 +49,8 @@
 				const total = heldBytes.reduce((sum, held) => sum + held, 0);
 				if (bytes === null) {
 					bodies[body].release();
+					expect(bodies[body].add(1), 'after its call has ended').to.equal(false);
+					bodies[body] = buffers.open();
 					heldBytes[body] = 0;
 				} else if (bodies[body].add(bytes)) {
 					heldBytes[body] += bytes;
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -100,7 +100,7 @@
 	},
 	{
 		name: 'all bodies together have a limit', file: 'direct/src/buffers.ts',
-		find: 'if (total + bytes > maxTotalBytes) {', replace: 'if (bytes < 0) {',
+		find: 'if (isReleased || total + bytes > maxTotalBytes) {', replace: 'if (isReleased) {',
 		spec: 'direct/test/buffers.test.ts', test: 'free again when a call has ended',
 	},
 	{
