Share one function to listen on a free port and one flush time

Behaviour is as it was: 20 tests of signals, starts, planned stops and silent stores passed, with lint and types.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -20,7 +20,7 @@
 	directSettings, logFlushMs, msPerSecond, storePauseOf,
 } from './direct-settings.js';
 import {openDirectory} from './directory.js';
-import {listen, type RunningProgram} from './program.js';
+import {abortFlushMs, listen, type RunningProgram} from './program.js';
 
 /** The connect timeout of a target, in milliseconds: long enough for several round trips between zones. */
 const connectTimeoutMs = 300;
@@ -52,9 +52,6 @@
 /** The most bytes of request bodies that an entry holds. */
 const maxBodyBufferBytes = 67_108_864;
 
-/** How long callers whose requests were aborted at the end of the grace period have to receive the outcome, in milliseconds. It is a part of the margin. */
-const abortFlushMs = 100;
-
 /** How many sidecars an entry tells what it learns of prompts that crash targets. Each passes it on to all entries, so a second one covers the loss of the first. */
 const suspicionRelays = 2;
 
--- a/packages/cli/src/entry-wiring.ts
+++ b/packages/cli/src/entry-wiring.ts
@@ -13,15 +13,15 @@
 import {
 	createContainment, createLog, createMetrics, serveAdmin,
 } from '@papayaflow/telemetry';
-import {listen, reportPorts, type RunningProgram} from './program.js';
+import {
+	abortFlushMs, listen, reportPorts, type RunningProgram,
+} from './program.js';
 import {sharedSettings} from './shared-settings.js';
 
 const defaultSubsetSize = 20;
 /** How often the revision is broadcast while nothing changes. */
 const heartbeatIntervalMs = 60_000;
 const catchUpIntervalMs = 1000;
-/** How long callers whose requests were aborted at the end of the grace period have to receive the outcome, in milliseconds. */
-const abortFlushMs = 100;
 
 export const entrySettings = {
 	...sharedSettings,
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -17,6 +17,9 @@
 const addressWaitMs = 10_000;
 const addressRetryMs = 100;
 
+/** How long callers whose requests were aborted at the end of the grace period have to receive the outcome, in milliseconds. */
+export const abortFlushMs = 100;
+
 /**
 Reads the settings of a program. Exits with 0 after `--help` and `--check`, and with 2
 and one line for each problem when a setting is invalid.
--- a/packages/cli/test/signals.test.ts
+++ b/packages/cli/test/signals.test.ts
@@ -3,8 +3,8 @@
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {type AddressInfo} from 'node:net';
 import {createServer} from 'node:http';
+import {listenOn} from '@papayaflow/standins';
 import {expect} from 'chai';
 import {describe, it} from 'mocha';
 
@@ -70,10 +70,8 @@
 
 		it(`exits with 0 at once after a SIGTERM during its start: ${program}`, async () => {
 			const holder = createServer();
-			holder.listen(0, '127.0.0.1');
-			await once(holder, 'listening');
-			const port = String((holder.address() as AddressInfo).port);
-			const child = spawn(process.execPath, [path.join(target, `${program}.js`), 'direct', ...shared, ...own, '--metrics-port', port], {stdio: ['ignore', 'pipe', 'inherit']});
+			const holderPort = await listenOn(holder);
+			const child = spawn(process.execPath, [path.join(target, `${program}.js`), 'direct', ...shared, ...own, '--metrics-port', String(holderPort)], {stdio: ['ignore', 'pipe', 'inherit']});
 			let output = '';
 			child.stdout.on('data', chunk => {
 				output += String(chunk);
--- a/packages/cli/test/silent-store.test.ts
+++ b/packages/cli/test/silent-store.test.ts
@@ -1,7 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {connectPlatformStore} from '@papayaflow/platform';
 import {
-	createPlatformStore, createSilencingProxy, type PlatformStore, type SilencingProxy,
+	createPlatformStore, createSilencingProxy, listenOn, type PlatformStore, type SilencingProxy,
 } from '@papayaflow/standins';
 import {
 	createContainment, createLog, createMetrics, type Metrics,
@@ -11,7 +11,6 @@
 	afterEach, beforeEach, describe, it,
 } from 'mocha';
 import {openDirectory, watchWaitOf, type Directory} from '../src/directory.js';
-import {listenOn} from './site.js';
 
 /** How often a target reports, in milliseconds, and the bounds that the platform states for its small installations. */
 const reportMs = 1200;
--- a/packages/cli/test/site.ts
+++ b/packages/cli/test/site.ts
@@ -1,14 +1,12 @@
 import {spawn, type ChildProcess} from 'node:child_process';
-import {once} from 'node:events';
 import {
 	Agent, createServer, request,
 } from 'node:http';
-import {type AddressInfo, type Server as TcpServer} from 'node:net';
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	createLimitedTarget, createPlatformStore, startPassServers, type LimitedTarget, type PlatformStore,
+	createLimitedTarget, createPlatformStore, listenOn, startPassServers, type LimitedTarget, type PlatformStore,
 } from '@papayaflow/standins';
 
 const programs = path.join(import.meta.dirname, '../../../target');
@@ -278,13 +276,6 @@
 	return `127.${1 + (Math.floor(process.pid / octets) % octets)}.${1 + (process.pid % octets)}.${index}`;
 }
 
-/** Listens on a free port and returns it. */
-export async function listenOn(server: TcpServer, host = '127.0.0.1'): Promise<number> {
-	server.listen(0, host);
-	await once(server, 'listening');
-	return (server.address() as AddressInfo).port;
-}
-
 /** Finds a port that is free on all hosts. */
 async function findFreePort([host, ...others]: readonly string[]): Promise<number> {
 	const server = createServer();
--- a/packages/cli/test/start.test.ts
+++ b/packages/cli/test/start.test.ts
@@ -1,10 +1,10 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import {createServer} from 'node:http';
-import {type AddressInfo} from 'node:net';
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {listenOn} from '@papayaflow/standins';
 import {expect} from 'chai';
 import {describe, it} from 'mocha';
 
@@ -33,9 +33,8 @@
 	for (const [program, argsOf] of programs) {
 		it(`waits for a port that another process still holds for a moment: ${program}`, async () => {
 			const holder = createServer();
-			holder.listen(0, '127.0.0.1');
-			await once(holder, 'listening');
-			const {child, output} = startProgram(program, argsOf((holder.address() as AddressInfo).port));
+			const holderPort = await listenOn(holder);
+			const {child, output} = startProgram(program, argsOf(holderPort));
 			while (!output().includes('not available yet')) {
 				expect(child.exitCode, output()).to.equal(null);
 				await sleep(20);
@@ -61,9 +60,8 @@
 				req.resume();
 				res.end(bodies[calls++ % bodies.length]);
 			});
-			store.listen(0, '127.0.0.1');
-			await once(store, 'listening');
-			const args = argsOf(0).map(text => text === '127.0.0.1:1' ? `127.0.0.1:${(store.address() as AddressInfo).port}` : text);
+			const storePort = await listenOn(store);
+			const args = argsOf(0).map(text => text === '127.0.0.1:1' ? `127.0.0.1:${storePort}` : text);
 			const {child, output} = startProgram(program, args);
 			while (calls < 2 * bodies.length) {
 				expect(child.exitCode, output()).to.equal(null);
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -23,3 +23,4 @@
 } from './replica.js';
 export {createLimitedTarget, mostArrivals, type LimitedTarget} from './limited-target.js';
 export {createSilencingProxy, type SilencingProxy} from './silencing-proxy.js';
+export {listenOn} from './listen.js';
