--- a/packages/bench/src/process.ts
+++ b/packages/bench/src/process.ts
@@ -19,22 +19,31 @@
 const {cores, megabytes} = await measureProcess(child.pid, 5000);
 */
 export async function measureProcess(pid: number, ms: number): Promise<Usage> {
-	const before = await readCpuTicks(pid);
+	const before = await readCpuSeconds(pid);
 	const startedMs = performance.now();
 	await sleep(ms);
-	const after = await readCpuTicks(pid);
+	const after = await readCpuSeconds(pid);
 	const seconds = (performance.now() - startedMs) / 1000;
 	const statm = await readFile(`/proc/${pid}/statm`, 'utf8');
 	return {
-		cores: (after - before) / clockTicksPerSecond / seconds,
+		cores: (after.user + after.kernel - before.user - before.kernel) / seconds,
 		megabytes: Number(statm.split(' ')[1]) * pageKilobytes / 1024,
 	};
 }
 
-async function readCpuTicks(pid: number): Promise<number> {
+/** The processor time that a process has used since its start, in seconds. */
+export type CpuSeconds = {readonly user: number; readonly kernel: number};
+
+/**
+Reads the processor time of a process.
+
+@example
+const {user, kernel} = await readCpuSeconds(child.pid);
+*/
+export async function readCpuSeconds(pid: number): Promise<CpuSeconds> {
 	const stat = await readFile(`/proc/${pid}/stat`, 'utf8');
 	const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
-	return Number(fields[11]) + Number(fields[12]);
+	return {user: Number(fields[11]) / clockTicksPerSecond, kernel: Number(fields[12]) / clockTicksPerSecond};
 }
 
 /** Fits a line through points by least squares. `base` is the value at x = 0, and `slope` the increase for each unit of x. */
--- a/packages/standins/src/pass-server.ts
+++ b/packages/standins/src/pass-server.ts
@@ -20,6 +20,8 @@
 		| {readonly kind: 'late'; readonly ms: number};
 
 export type PassServerOptions = {
+	/** The name of the group; `g` by default. */
+	readonly name?: string;
 	readonly ranks: number;
 	readonly layers: number;
 	readonly expertsPerLayer: number;
@@ -30,6 +32,8 @@
 	readonly orderDelivery?: (rank: number, operation: string) => OrderDelivery;
 	/** The IP address of each rank's server; the loopback address by default. */
 	readonly hosts?: readonly string[];
+	/** Whether the group has requests, without which it begins no pass; always by default. */
+	readonly hasRequests?: () => boolean;
 	/** Handles requests that are not calls of the platform; status 404 by default. */
 	readonly serve?: (rank: number, req: IncomingMessage, res: ServerResponse) => void;
 };
@@ -61,7 +65,9 @@
 const ranks = await startPassServers({ranks: 3, layers: 1, expertsPerLayer: 6, passMs: 5, demand: (_, expert) => 6 - expert});
 */
 export async function startPassServers(options: PassServerOptions): Promise<PassServers> {
-	const {ranks, layers, expertsPerLayer, orderDelivery: deliveryOf = () => ({kind: 'prompt'})} = options;
+	const {
+		name = 'g', ranks, layers, expertsPerLayer, hasRequests = () => true, orderDelivery: deliveryOf = () => ({kind: 'prompt'}),
+	} = options;
 	const group = createPassGroup(ranks);
 	let isOpen = true;
 	const roundRobinExperts = (rank: number): ExpertLists => Array.from({length: layers}, () => Array.from({length: expertsPerLayer}, (_, expert) => expert).filter(expert => expert % ranks === rank));
@@ -69,7 +75,7 @@
 	const counts = Array.from({length: ranks}, () => Array.from({length: layers * expertsPerLayer}, () => 0));
 
 	const beginPass = (): void => {
-		if (!isOpen || !group.beginPass()) {
+		if (!isOpen || !hasRequests() || !group.beginPass()) {
 			return;
 		}
 
@@ -84,7 +90,7 @@
 		const {map, prepared, armed} = group.ranks[rank];
 		return {
 			group: {
-				name: 'g', epoch: group.formation(), rank, state: isOpen ? 'open' : 'broken',
+				name, epoch: group.formation(), rank, state: isOpen ? 'open' : 'broken',
 			},
 			size: ranks, busy: false, queued: 0, active: 0, kv_used: 0, pace: 1,
 			step: group.pass(), map, prepared: prepared ?? null, armed: armed ? {version: armed.version, step: armed.pass} : null, held: group.held(rank) ?? null,
