Read an idle rank twice a second instead of ten times

Cause: each sidecar polls the state of its engine each 240 ms and its counts each 170 ms over HTTP, 1,900 calls a second in all; a profile has most of a sidecar's time there. The state is the same at all ranks of a group, and counts of a rank without requests are zeros. Now only the coordinator and the candidates poll at the old rates; other members each 2 s, and at once when a candidate's notice differs from their own state. Counts are read each second while they don't change.

--- a/packages/group/src/membership.ts
+++ b/packages/group/src/membership.ts
@@ -17,6 +17,8 @@
 	member(group: string, rank: number): Member | undefined;
 	/** Whether the sidecar of a rank stopped responding (`silent`) and has not connected again. */
 	isSilent(group: string, rank: number): boolean;
+	/** Whether all connected candidates of a group report the same state of it as this notice. */
+	agrees(notice: RankNotice): boolean;
 	/** The peers whose notices say that they coordinate a group. */
 	coordinators(group: string): readonly Peer[];
 	/** Whether the sidecar of a lower rank coordinates the group, according to its notice. */
@@ -49,6 +51,7 @@
 			const target = lastTargetOf(group, rank);
 			return target !== undefined && notices.isSilent(target);
 		},
+		agrees: ({group, formation, isOpen}) => notices.ofGroup(group).every(([, other]) => other.rank >= candidateCount || (other.formation === formation && other.isOpen === isOpen)),
 		coordinators: group => notices.ofGroup(group).filter(([, {isCoordinator}]) => isCoordinator).map(([peer]) => peer),
 		hasLowerCoordinator: (group, rank) => notices.ofGroup(group).some(([, notice]) => notice.rank < rank && notice.isCoordinator),
 		hasLowerCandidate: (group, rank) => notices.ofGroup(group).some(([, notice]) => notice.rank < rank && notice.rank < candidateCount),
--- a/packages/group/src/own-rank.ts
+++ b/packages/group/src/own-rank.ts
@@ -4,14 +4,20 @@
 import {countsBetween, type CumulativeCounts} from './counts.js';
 
 /** How often a coordinator polls its own rank, in milliseconds: about once per pass, because it measures the pass time. */
-const coordinatorPollMs = 80;
+export const coordinatorPollMs = 80;
 
-/** How often any other sidecar polls its rank, in milliseconds. It only has to notice a new formation. */
-const pollMs = 240;
+/** How often a sidecar polls its rank that may become the coordinator, or that does not know the state of its group, in milliseconds. */
+export const candidatePollMs = 240;
+
+/** How often any other sidecar polls its rank, in milliseconds. The candidates tell it when the state of the group changes, so its own polls only matter while it is connected to none of them. */
+export const memberPollMs = 2000;
 
 /** The interval that one report of counts covers, in milliseconds: several passes, so that a demand shift shows within two reports. */
 const countsIntervalMs = 170;
 
+/** How often the counts of a rank without requests are read, in milliseconds. A group has many ranks, most of which have no requests at times. */
+const idleCountsIntervalMs = 1000;
+
 /**
 The bandwidth limit for the count reports of one rank, in bytes per millisecond: the
 2 KB/s that control traffic may use on an instance. If a report exceeds the limit for
@@ -34,6 +40,8 @@
 	view(): RankView | undefined;
 	/** Polls the rank's state now and returns it. */
 	pollView(): Promise<RankView | undefined>;
+	/** Ends the pause before the next periodic poll, as when the state is known to have changed. */
+	pollSoon(): void;
 	/** Sends a command to the rank and returns its result with the state after it. */
 	command(guarded: GuardedCommand): Promise<CommandReply>;
 };
@@ -42,8 +50,8 @@
 	readonly engine: RankEngine;
 	readonly sleep: (ms: number) => Promise<void>;
 	readonly signal: AbortSignal;
-	/** Whether this sidecar coordinates the group and therefore polls more often. */
-	readonly isCoordinating: () => boolean;
+	/** Returns the pause before the next poll of the state, in milliseconds. */
+	readonly pollIntervalMs: () => number;
 	/** Called with the result of each poll. */
 	readonly onView: (view: RankView | undefined) => void;
 	/** Called with the counts of each reported interval. */
@@ -62,8 +70,9 @@
 const own = pollOwnRank(options);
 own.view()?.pass;
 */
-export function pollOwnRank({engine, sleep, signal, isCoordinating, onView, onCounts, random}: OwnRankOptions): OwnRank {
+export function pollOwnRank({engine, sleep, signal, pollIntervalMs, onView, onCounts, random}: OwnRankOptions): OwnRank {
 	let lastView: RankView | undefined;
+	let endPause = (): void => undefined;
 
 	const pollView = async (): Promise<RankView | undefined> => {
 		lastView = await engine.view();
@@ -71,10 +80,14 @@
 		return lastView;
 	};
 
+	const pauseBeforePoll = async (): Promise<void> => Promise.race([sleep(pollIntervalMs()), new Promise<void>(resolve => {
+		endPause = resolve;
+	})]);
+
 	const pollViews = async (): Promise<void> => {
 		while (!signal.aborted) {
 			await pollView();
-			await sleep(isCoordinating() ? coordinatorPollMs : pollMs);
+			await pauseBeforePoll();
 		}
 	};
 
@@ -84,8 +97,12 @@
 			const now = lastView && await engine.counts();
 			const counts = before && now && countsBetween(before, now);
 			before = now;
-			// A rank without requests has nothing to report.
-			if (now && counts?.some(count => count > 0)) {
+			if (counts?.every(count => count === 0)) {
+				await sleep(idleCountsIntervalMs);
+				continue;
+			}
+
+			if (now && counts) {
 				onCounts({formation: now.formation, pass: now.pass, counts});
 				const pauseMs = ((counts.length / countBytesPerMs) - countsIntervalMs) * (0.5 + random());
 				if (pauseMs > 0) {
@@ -104,6 +121,9 @@
 	return {
 		view: () => lastView,
 		pollView,
+		pollSoon() {
+			endPause();
+		},
 		async command(guarded) {
 			const result = await engine.command(guarded);
 			return {result, view: await pollView()};
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -8,7 +8,9 @@
 import {packCounts, unpackCounts} from './counts.js';
 import {createMapReceiver} from './map-transfer.js';
 import {candidateCount, createMembership} from './membership.js';
-import {pollOwnRank} from './own-rank.js';
+import {
+	candidatePollMs, coordinatorPollMs, memberPollMs, pollOwnRank,
+} from './own-rank.js';
 import {type Member} from './remote-ranks.js';
 
 /** The delay per lower rank before a candidate takes over, in milliseconds, counted from when it last saw a lower candidate connected. A shorter delay leaves the lower candidate no time to reconnect; a longer one prolongs the outage of a group that is held meanwhile. */
@@ -74,7 +76,7 @@
 	let isLeaving = false;
 
 	const own = pollOwnRank({
-		engine: deps.engine, sleep: deps.sleep, signal: deps.signal, isCoordinating: () => coordination !== undefined,
+		engine: deps.engine, sleep: deps.sleep, signal: deps.signal, pollIntervalMs: () => pollIntervalMs(),
 		onView(view) {
 			if (view) {
 				lastViewMs = monotonicMs();
@@ -98,6 +100,15 @@
 		random: deps.random,
 	});
 
+	const pollIntervalMs = (): number => {
+		if (coordination) {
+			return coordinatorPollMs;
+		}
+
+		const isInformed = notice !== undefined && notice.rank >= candidateCount && own.view() !== undefined && membership.agrees(notice);
+		return isInformed ? memberPollMs : candidatePollMs;
+	};
+
 	const addCounts = (formation: number, counts: readonly number[]): void => {
 		if (coordination?.formation === formation) {
 			coordination.tracker.addCounts(counts);
@@ -284,6 +295,9 @@
 	const handlers: FrameHandlers = {
 		rank(peer, {notice: peerNotice}) {
 			membership.set(peer, peerNotice);
+			if (notice && !membership.agrees(notice)) {
+				own.pollSoon();
+			}
 		},
 		place: onPlace,
 		running(peer, {stream}) {
--- a/packages/group/test/counts.test.ts
+++ b/packages/group/test/counts.test.ts
@@ -44,7 +44,7 @@
 					nowMs += ms === 240 ? 0 : ms;
 					await sleep(0);
 				},
-				signal: ending.signal, isCoordinating: () => false, onView: () => undefined, random: () => 0.5,
+				signal: ending.signal, pollIntervalMs: () => 240, onView: () => undefined, random: () => 0.5,
 				onCounts({counts}) {
 					bytes += packCounts(counts).counts.length;
 				},
--- a/packages/group/test/membership.test.ts
+++ b/packages/group/test/membership.test.ts
@@ -96,4 +96,20 @@
 		membership.set(peerOf(), noticeOf(0, {group: 'other'}));
 		expect(membership.member('g', 0)).to.equal(undefined);
 	});
+
+	it('disagrees with a notice as soon as a connected candidate reports another formation or state', () => {
+		const membership = createMembership();
+		const own = noticeOf(5);
+		const [candidate, member] = [peerOf(), peerOf()];
+		expect(membership.agrees(own), 'without candidates').to.equal(true);
+		membership.set(candidate, noticeOf(1));
+		membership.set(member, noticeOf(4, {formation: 2}));
+		expect(membership.agrees(own), 'only another member differs').to.equal(true);
+		membership.set(candidate, noticeOf(1, {isOpen: false}));
+		expect(membership.agrees(own), 'another state').to.equal(false);
+		membership.set(candidate, noticeOf(1, {formation: 2}));
+		expect(membership.agrees(own), 'another formation').to.equal(false);
+		membership.remove(candidate, 'closed');
+		expect(membership.agrees(own), 'the candidate is gone').to.equal(true);
+	});
 });
--- a/packages/group/test/remote-ranks.test.ts
+++ b/packages/group/test/remote-ranks.test.ts
@@ -29,7 +29,7 @@
 		const members = [1, 2].map(rank => createMember(rank, () => ranks, false));
 		const ranks: RemoteRanks = createRemoteRanks({
 			own: {
-				view: () => undefined, pollView: async () => undefined, command: async () => ({result: 'refused', view: undefined}),
+				view: () => undefined, pollView: async () => undefined, pollSoon: () => undefined, command: async () => ({result: 'refused', view: undefined}),
 			},
 			engine: {experts: async () => heldBy(0)}, ownRank: 0, size: 4, reportLagMs: () => 0, sleep: async () => undefined,
 			member: rank => rank === 3 ? {rank, target: '10.0.0.3:80', peer: undefined} : members[rank - 1],
@@ -47,7 +47,7 @@
 	it('reads no experts of a rank whose sidecar does not reply', async () => {
 		const ranks: RemoteRanks = createRemoteRanks({
 			own: {
-				view: () => undefined, pollView: async () => undefined, command: async () => ({result: 'refused', view: undefined}),
+				view: () => undefined, pollView: async () => undefined, pollSoon: () => undefined, command: async () => ({result: 'refused', view: undefined}),
 			},
 			engine: {experts: async () => undefined}, ownRank: 0, size: 2, reportLagMs: () => 0, sleep: async () => undefined, member: rank => createMember(rank, () => ranks, true),
 			connect() {
