Follow three peers instead of being told by all of them

Cause: every process announced each change to all its peers, and entries an unchanged revision to every sidecar, so the frames grew with entries x sidecars x changes. Now each process follows three of its peers, chosen by rendezvous hashing, entries first and one in another zone, and says so in the frame 'known'; 16 while an entry can't read the store. A followed entry that is silent for 2.5 s is replaced. Processes of earlier versions ignore the field and announce to all, as before.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -103,7 +103,7 @@
 	const pauses = createPauses({monotonicMs, metrics, log});
 	const directory = openDirectory({
 		instance, zone, store: connectPlatformStore({address: addressOf(settings.store), timeoutMs: settings.storeTimeoutMs}),
-		pauseMs: storePauseOf(settings), reportMs: settings.reportMs, prefersPeers: false, entries: () => groupPlacer.entries(), log, metrics, monotonicMs, random, containment, sleep: pause, signal: shutdown.signal,
+		pauseMs: storePauseOf(settings), reportMs: settings.reportMs, prefersPeers: false, log, metrics, monotonicMs, random, containment, sleep: pause, signal: shutdown.signal,
 		onTable({configuration}) {
 			front.applyTimeouts(configuration.limits);
 			targets.update(directory.records());
--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -48,7 +48,7 @@
 	const target = addressOf(settings.target);
 	const store = connectPlatformStore({address: addressOf(settings.store), timeoutMs: settings.storeTimeoutMs});
 	const directory = openDirectory({
-		instance, zone, store, pauseMs: storePauseOf(settings), reportMs: settings.reportMs, prefersPeers: true, entries: () => undefined, log, metrics, monotonicMs, random, containment, sleep: pause, signal: shutdown.signal,
+		instance, zone, store, pauseMs: storePauseOf(settings), reportMs: settings.reportMs, prefersPeers: true, log, metrics, monotonicMs, random, containment, sleep: pause, signal: shutdown.signal,
 		onTable() {
 			updateTargets();
 		},
--- a/packages/cli/src/directory.ts
+++ b/packages/cli/src/directory.ts
@@ -13,6 +13,7 @@
 import {type Entry, type Store} from '@papayaflow/store';
 import {type Containment, type Log, type Metrics} from '@papayaflow/telemetry';
 import {createPuller} from './pull.js';
+import {createSources} from './sources.js';
 
 /** The bounds of the time for which one watch of the store waits for a change, in milliseconds. */
 const minWatchWaitMs = 250;
@@ -27,14 +28,8 @@
 /** How long after a store outage a target whose registration lapsed is kept so that it can register again, in milliseconds. Twice the time that the platform guarantees, because timers and calls can be late. */
 const reregistrationGraceMs = 2500;
 
-/** The shortest time between two announcements of an unchanged revision to the same peer, in milliseconds. */
-const minAnnounceIntervalMs = 1000;
-
-/** How many announcements of an unchanged revision each peer gets per second from all entries together, if their number is known. */
-const announcementsPerSecond = 4;
-
-/** The longest time between two announcements of an unchanged revision to the same peer, in milliseconds. */
-const maxAnnounceIntervalMs = 8000;
+/** The time between two announcements of an unchanged revision to the peers that follow this process, in milliseconds. */
+const announceIntervalMs = 2000;
 
 /** How often it is checked whether an announcement is due, in milliseconds. */
 const announceCheckMs = 250;
@@ -42,11 +37,15 @@
 /** The largest part by which an interval between announcements is shortened at random, so that the entries don't announce at the same time. */
 const announceJitterRatio = 0.2;
 
-const msPerSecond = 1000;
-
 /** How long a process that prefers its peers goes without an announcement from them before it reads the store itself, in milliseconds. */
 const peerUpdateTimeoutMs = 2500;
 
+/** How many peers a process follows, so that two may be lost at once. */
+const sourceCount = 3;
+
+/** How many peers a process follows that can't read the store itself. */
+const sourceCountWithoutStore = 16;
+
 export type DirectoryDeps = {
 	/** The name of this instance. */
 	readonly instance: string;
@@ -68,8 +67,6 @@
 	readonly signal: AbortSignal;
 	readonly onTable: (table: RouteTable) => void;
 	readonly onRecords: (records: readonly TargetRecord[]) => void;
-	/** The number of entries that announce their revisions to the same peers; `undefined` if it is not known. */
-	readonly entries: () => number | undefined;
 };
 
 /** The configuration and the targets as this process knows them from the store and from its peers. */
@@ -86,10 +83,9 @@
 
 /**
 Opens a directory. It follows the store, or its peers if it prefers them or while the
-store does not deliver what they announce. It announces each change to its peers, and
-its revision periodically while it reads the store, the less often the more entries do
-so. An older revision of a key never
-replaces a newer one. When the store comes back from an older copy, the content that it
+store does not deliver what they announce. It follows a fixed number of its peers, and
+announces each change, and its revision periodically while it reads the store, to those that
+follow it. An older revision of a key never replaces a newer one. When the store comes back from an older copy, the content that it
 has then counts, but no configuration or registration goes back to an earlier state.
 
 @example
@@ -97,7 +93,8 @@
 */
 export function openDirectory(deps: DirectoryDeps): Directory {
 	const {log, metrics, containment, monotonicMs} = deps;
-	const peers = new Set<Peer>();
+	/** The connected peers, each with whether it follows this process. */
+	const followers = new Map<Peer, boolean>();
 	const malformedRevisions = new Map<string, number>();
 	let table: RouteTable | undefined;
 	let records: readonly TargetRecord[] = [];
@@ -173,8 +170,10 @@
 	};
 
 	const announceRevision = (): void => {
-		for (const peer of peers) {
-			peer.send({kind: 'known', changedAt: mirror.changedAt()});
+		for (const [peer, isFollowing] of followers) {
+			if (isFollowing) {
+				peer.send({kind: 'known', changedAt: mirror.changedAt()});
+			}
 		}
 	};
 
@@ -212,12 +211,29 @@
 			}, 'store came back from an older copy; all keys listed again');
 		},
 	});
-	const announceIntervalMs = (): number => Math.min(maxAnnounceIntervalMs, Math.max(minAnnounceIntervalMs, (deps.entries() ?? 0) * msPerSecond / announcementsPerSecond));
+	const announceTo = (peer: Peer): void => {
+		peer.send({kind: 'known', changedAt: mirror.changedAt(), follows: sources.isFollowed(peer)});
+	};
+
+	const sources = createSources({
+		instance: deps.instance, zone: deps.zone, maxSilenceMs: peerUpdateTimeoutMs, monotonicMs,
+		count: () => isStoreAvailable || deps.prefersPeers ? sourceCount : sourceCountWithoutStore,
+		onChange(peer) {
+			if (followers.has(peer)) {
+				announceTo(peer);
+			}
+
+			if (!sources.isFollowed(peer)) {
+				puller.onDown(peer);
+			}
+		},
+	});
 	// The first announcement comes at a random moment of the interval, so that those of many entries are spread over it.
-	let lastAnnouncedMs = monotonicMs() - (deps.random() * minAnnounceIntervalMs);
+	let lastAnnouncedMs = monotonicMs() - (deps.random() * announceIntervalMs);
 	const announceTimer = setInterval(() => {
+		sources.update();
 		// A process that only follows its peers announces changes, but must not keep others from reading the store.
-		if (isReader() && monotonicMs() - lastAnnouncedMs >= announceIntervalMs() * (1 - (deps.random() * announceJitterRatio))) {
+		if (isReader() && monotonicMs() - lastAnnouncedMs >= announceIntervalMs * (1 - (deps.random() * announceJitterRatio))) {
 			lastAnnouncedMs = monotonicMs();
 			announceRevision();
 		}
@@ -231,12 +247,23 @@
 	});
 
 	const handlers: FrameHandlers = {
-		known(peer, {changedAt}) {
+		known(peer, {changedAt, follows}) {
 			if (changedAt > 0) {
 				lastPeerUpdateMs = monotonicMs();
+				sources.onAnnounced(peer);
+			}
+
+			if (follows !== undefined) {
+				const wasFollowing = followers.get(peer);
+				followers.set(peer, follows);
+				if (follows && wasFollowing === false) {
+					peer.send({kind: 'known', changedAt: mirror.changedAt()});
+				}
 			}
 
-			puller.onKnown(peer, changedAt);
+			if (sources.isFollowed(peer)) {
+				puller.onKnown(peer, changedAt);
+			}
 		},
 		pull(peer, {after}) {
 			const copy = copySince(mirror, after);
@@ -259,11 +286,13 @@
 		records: () => records,
 		revision: () => mirror.revision(),
 		onUp(peer) {
-			peers.add(peer);
-			peer.send({kind: 'known', changedAt: mirror.changedAt()});
+			sources.onUp(peer);
+			followers.set(peer, true);
+			announceTo(peer);
 		},
 		onDown(peer) {
-			peers.delete(peer);
+			followers.delete(peer);
+			sources.onDown(peer);
 			puller.onDown(peer);
 		},
 		onFrame: (peer, frame) => handleFrame(handlers, peer, frame),
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -189,7 +189,11 @@
 	/** The reply to `askExperts`; without `held` if the rank did not answer. */
 		| {readonly kind: 'experts'; readonly id: number; readonly held?: RankExperts}
 	/** The revision of the last change known to the sender, for receivers that do not or cannot read the key-value service themselves. */
-		| {readonly kind: 'known'; readonly changedAt: number}
+		| {
+			readonly kind: 'known'; readonly changedAt: number;
+			/** Whether the sender wants to be told of changes; absent in frames that do not alter that. A peer that has never said so is told. */
+			readonly follows?: boolean;
+		}
 		| {readonly kind: 'pull'; readonly after: number}
 		| {readonly kind: 'copy'; readonly copy: StoreCopy}
 	/** An entry asks for the permission to send one request to a target; `perSecond` is the limit that it knows. */
