Keep candidates connected to their own group only

Cause: the three candidates of each group held a connection to every sidecar of their service, since the group of a sidecar is only known from its notice: 1,719 connections with 192 sidecars in three groups, each with a heartbeat each way each 2 s, and 2,786 rank notices a second at a start. Now a candidate drops the connection to a sidecar that has said that it belongs to another group, and leaves it alone for ten minutes: 567 connections. A target whose group is not known is connected to as before.

--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -166,9 +166,10 @@
 	const setLinkedHosts = maintainHostLinks({
 		port: settings.peerPort, options, events, signal: shutdown.signal,
 	});
-	// Only the sidecars that may coordinate the group open links to the others; the rest accept them.
+	// Only the sidecars that may coordinate the group open links to the others; the rest accept them. The group of a sidecar is known once it has been connected.
 	const updateLinks = (): void => {
-		setLinkedHosts(group.isCandidate() ? serviceRecords.map(({host}) => host).filter(host => host !== settings.address) : []);
+		const members = group.isCandidate() ? serviceRecords.filter(record => group.mayBeMember(addressOf(record))) : [];
+		setLinkedHosts(members.map(({host}) => host).filter(host => host !== settings.address));
 	};
 
 	const linkUpdateTimer = setInterval(updateLinks, linkUpdateIntervalMs).unref();
--- a/packages/group/src/membership.ts
+++ b/packages/group/src/membership.ts
@@ -1,11 +1,18 @@
 import {
 	createRankNotices, type DownCause, type Peer, type RankNotice, type RankNotices,
 } from '@papayaflow/peer';
+import {LRUCache} from 'lru-cache';
 import {type Member} from './remote-ranks.js';
 
 /** The number of lowest ranks whose sidecars may coordinate the group: three, so that two may be down. */
 export const candidateCount = 3;
 
+/** How many targets it is remembered of in which group they are. */
+const maxKnownTargets = 10_000;
+
+/** How long it is remembered in which group a target is, in milliseconds. The platform may form the groups differently. */
+const groupValidMs = 600_000;
+
 /** The members of groups, as known from the rank notices that their sidecars have sent. */
 export type Membership = {
 	/** Stores the latest notice of a peer. */
@@ -15,6 +22,8 @@
 	isCandidate(peer: Peer, group: string | undefined): boolean;
 	/** The member that has a rank of a group; `undefined` if none was ever known. After its sidecar disconnects, it has its last known target and no peer. */
 	member(group: string, rank: number): Member | undefined;
+	/** The group of a target's rank according to the latest notice of its sidecar, connected or not; `undefined` if there was none. */
+	groupOf(target: string): string | undefined;
 	/** Whether the sidecar of a rank stopped responding (`silent`) and has not connected again. */
 	isSilent(group: string, rank: number): boolean;
 	/** Whether all connected candidates of a group report the same state of it as this notice. */
@@ -32,13 +41,16 @@
 	const notices = createRankNotices();
 	/** The last known target of each rank, by `GROUP/RANK`. */
 	const lastTargets = new Map<string, string>();
+	const lastGroups = new LRUCache<string, string>({max: maxKnownTargets, ttl: groupValidMs});
 	const lastTargetOf = (group: string, rank: number): string | undefined => lastTargets.get(`${group}/${rank}`);
 	return {
 		set(peer, notice) {
 			notices.set(peer, notice);
+			lastGroups.set(notice.target, notice.group);
 			lastTargets.set(`${notice.group}/${notice.rank}`, notice.target);
 		},
 		remove: notices.remove,
+		groupOf: target => lastGroups.get(target),
 		isCandidate(peer, group) {
 			const notice = notices.of(peer);
 			return notice === undefined || (notice.group === group && notice.rank < candidateCount);
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -44,6 +44,8 @@
 	isNear(peer: Peer): boolean;
 	/** Whether this sidecar may coordinate the group and therefore connects to all other sidecars of the group. */
 	isCandidate(): boolean;
+	/** Whether the engine at an address may belong to the own group: unless its sidecar has lately said that it belongs to another one. */
+	mayBeMember(target: string): boolean;
 	/** Stops coordinating, so that the next candidate takes over; resolves when this sidecar no longer holds the group. */
 	leave(): Promise<void>;
 	/** The group's part of the status page. */
@@ -356,6 +358,10 @@
 			const isCandidate = (notice?.rank ?? 0) < candidateCount;
 			return isCandidate && membership.isCandidate(peer, notice?.group);
 		},
+		mayBeMember(target) {
+			const group = membership.groupOf(target);
+			return notice === undefined || group === undefined || group === notice.group;
+		},
 		isCandidate: () => (own.view()?.rank ?? candidateCount) < candidateCount,
 		async leave() {
 			isLeaving = true;
--- a/packages/group/test/membership.test.ts
+++ b/packages/group/test/membership.test.ts
@@ -112,4 +112,14 @@
 		membership.remove(candidate, 'closed');
 		expect(membership.agrees(own), 'the candidate is gone').to.equal(true);
 	});
+
+	// Guards against candidates that stay connected to the members of all groups, whose number grows with the fleet.
+	it('remembers in which group a target is after its sidecar is gone', () => {
+		const membership = createMembership();
+		const peer = peerOf();
+		expect(membership.groupOf('10.0.0.7:80')).to.equal(undefined);
+		membership.set(peer, noticeOf(7, {group: 'other'}));
+		membership.remove(peer, 'closed');
+		expect(membership.groupOf('10.0.0.7:80')).to.equal('other');
+	});
 });
