Let sidecars read the store the less often the more of them have no entry

Now a sidecar waits a second for an entry, and all sidecars together read 20 times a second at most, by the number of targets; fewer than 28 sidecars read as before. Entries are not affected.

--- a/packages/cli/src/directory.ts
+++ b/packages/cli/src/directory.ts
@@ -40,6 +40,14 @@
 /** How long a process that prefers its peers goes without an announcement from them before it reads the store itself, in milliseconds. */
 const peerUpdateTimeoutMs = 2500;
 
+/** How long after its start a process that prefers its peers waits for one to announce a revision, in milliseconds, before it reads the store itself. */
+const firstReadDelayMs = 1000;
+
+/** How many reads of the store per second all processes that prefer their peers make together, if none of them has one. Each of them runs beside a target. */
+const standbyReadsPerSecond = 20;
+
+const msPerSecond = 1000;
+
 /** How many peers a process follows, so that two may be lost at once. */
 const sourceCount = 3;
 
@@ -98,7 +106,7 @@
 	const malformedRevisions = new Map<string, number>();
 	let table: RouteTable | undefined;
 	let records: readonly TargetRecord[] = [];
-	let lastPeerUpdateMs = deps.prefersPeers ? Number.NEGATIVE_INFINITY : 0;
+	let lastPeerUpdateMs = monotonicMs() + firstReadDelayMs - peerUpdateTimeoutMs;
 	let isStoreAvailable = false;
 
 	const mirror = createMirror({
@@ -179,10 +187,13 @@
 
 	const isReader = (): boolean => !deps.prefersPeers || monotonicMs() - lastPeerUpdateMs > peerUpdateTimeoutMs;
 
+	// Before the first configuration no process knows which others there are, and each sidecar of a large fleet reads the store by itself.
+	const standbyPauseMs = (): number => Math.max(deps.pauseMs, records.length * msPerSecond / standbyReadsPerSecond * (0.5 + deps.random()));
+
 	const expiryMs = reportsToExpiry * deps.reportMs;
 	void followStore(deps.store, mirror, {
 		// One watch covers both configuration and registrations, because each answer to a watch counts as a call to the store.
-		prefix: '', pauseMs: deps.pauseMs, waitMs: watchWaitOf(deps), expiredKeyGraceMs: reregistrationGraceMs, expiryMs, isReader, nowMs: monotonicMs, random: deps.random, sleep: deps.sleep, signal: deps.signal,
+		prefix: '', pauseMs: deps.pauseMs, ...(deps.prefersPeers && {standbyPauseMs}), waitMs: watchWaitOf(deps), expiredKeyGraceMs: reregistrationGraceMs, expiryMs, isReader, nowMs: monotonicMs, random: deps.random, sleep: deps.sleep, signal: deps.signal,
 		onError(error) {
 			containment.report('store', error);
 		},
--- a/packages/mirror/src/follow.ts
+++ b/packages/mirror/src/follow.ts
@@ -7,8 +7,10 @@
 
 export type FollowOptions = {
 	readonly prefix: string;
-	/** The pause between two polls in milliseconds, which bounds the calls per second. */
+	/** The pause between two polls in milliseconds, which bounds the calls per second, and the pause before it is checked again whether to poll. */
 	readonly pauseMs: number;
+	/** The pause between two polls of a process that polls only while no peer keeps it up to date, in milliseconds. Called before each pause; `pauseMs` by default. */
+	readonly standbyPauseMs?: () => number;
 	/** How long one poll waits for changes, in milliseconds. */
 	readonly waitMs: number;
 	/**
@@ -149,7 +151,7 @@
 				backoffMs = initialBackoffMs;
 			}
 
-			await sleep(mustList ? 0 : options.pauseMs);
+			await sleep(mustList ? 0 : options.standbyPauseMs?.() ?? options.pauseMs);
 			continue;
 		}
 
