Probe the connections of entries and sidecars instead of sending heartbeats each 5 s

Cause: 35 entries x 192 sidecars exchange 2,688 heartbeats a second, more than all frames with news. Where neither end depends on the other they send one each 15 s now, and the operating system probes the connection after 5 s without traffic, so a lost machine is noticed after 15 s (20 s before); a process that hangs, after a minute.

--- a/packages/peer/src/peer.ts
+++ b/packages/peer/src/peer.ts
@@ -8,8 +8,15 @@
 /** The heartbeat interval between sidecars otherwise. With hundreds of peers, short intervals would make heartbeats most of the work. */
 const longHeartbeatIntervalMs = 2000;
 
-/** The heartbeat interval between an entry and a sidecar otherwise. There is such a connection for each pair of them, and neither depends on most of the others. */
-const entryHeartbeatIntervalMs = 5000;
+/**
+The heartbeat interval between an entry and a sidecar otherwise. There is such a connection for
+each pair of them, and neither depends on most of the others, so most of what they say to each
+other would be heartbeats. The probes of the operating system notice a lost machine earlier.
+*/
+const entryHeartbeatIntervalMs = 15_000;
+
+/** The time without traffic after which the operating system probes a connection, in milliseconds. It gives up after ten probes, one a second. */
+const probeDelayMs = 5000;
 
 /** The number of missed heartbeats after which a connection counts as lost. */
 const maxMissedHeartbeats = 4;
@@ -76,14 +83,16 @@
 Serves one connection, from the exchange of `hello` frames until it ends. A network
 partition causes no socket error, so the connection is closed if nothing arrives for
 four of the peer's announced heartbeat intervals: one second if either end asks for
-short intervals (`isNear`), else eight seconds between sidecars and twenty between an
-entry and a sidecar.
+short intervals (`isNear`), else eight seconds between sidecars. Between an entry and a sidecar it is a
+minute, and some fifteen seconds if the machine of the other end is gone, since the operating
+system probes the connection.
 
 @example
 createServer(socket => void servePeer(socket, options, events)).listen(7340);
 */
 export async function servePeer(socket: Socket, options: PeerOptions, events: PeerEvents): Promise<void> {
 	const connection = openConnection(socket);
+	socket.setKeepAlive(true, probeDelayMs);
 	let lastReceivedMs = options.monotonicMs();
 	let peer: Peer | undefined;
 	connection.send({
@@ -130,12 +139,17 @@
 	}
 
 	try {
-		events.onDown(peer, downCause);
+		events.onDown(peer, wasProbedInVain(socket) ? 'silent' : downCause);
 	} catch (error) {
 		events.onError(error);
 	}
 }
 
+/** Whether a connection ended because its other end did not answer the probes of the operating system. */
+function wasProbedInVain({errored}: Socket): boolean {
+	return (errored as NodeJS.ErrnoException | undefined)?.code === 'ETIMEDOUT';
+}
+
 /**
 Maintains a connection to a peer until `signal` is aborted. Reconnects after a delay
 whenever the connection is lost or can't be opened.
