Share one timer for periodic checks; load neither HTTP/2 nor compression

A sidecar woke 14 times a second for four timers of its own: heartbeats, announcements, links and samples of the event loop; they share the ticker now, 4 times a second.

--- a/build.js
+++ b/build.js
@@ -25,7 +25,7 @@
 // undici, and the log writer of the histograms loads number formats.
 // esbuild matches the pattern in Go, which knows no flag `v`.
 // eslint-disable-next-line require-unicode-regexp
-const unusedModules = /node_modules\/(?:undici\/lib\/(?:mock|web\/(?:cookies|eventsource|websocket))\/|hdr-histogram-js\/dist\/HistogramLogWriter\.js)/;
+const unusedModules = /node_modules\/(?:undici\/lib\/(?:mock\/|web\/(?:cookies|eventsource|websocket)\/|dispatcher\/client-h2\.js)|pako\/|hdr-histogram-js\/dist\/HistogramLogWriter\.js)/;
 
 const omitUnusedModules = {
 	name: 'omit-unused-modules',
--- a/packages/bench/src/fleet-cost.ts
+++ b/packages/bench/src/fleet-cost.ts
@@ -121,7 +121,7 @@
 	const host = role === 'entry' ? hostOf(42, index) : targets[index].split(':')[0];
 	const isProfiled = args.profile === role && index === (role === 'entry' ? 0 : 5);
 	const child = spawn(process.execPath, [
-		...(isProfiled ? ['--cpu-prof', `--cpu-prof-name=fleet-${role}.cpuprofile`] : []),
+		...(isProfiled ? ['--cpu-prof', '--cpu-prof-interval=200', `--cpu-prof-name=fleet-${role}.cpuprofile`] : []),
 		`--max-old-space-size=${role === 'entry' ? 200 : 120}`,
 		path.join(args.programs, `papayaflow-${role}.js`),
 		'direct',
--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -7,7 +7,7 @@
 } from '@papayaflow/limit';
 import {lossReasons, refusalReasons} from '@papayaflow/outcome';
 import {
-	createHeartbeatTicker, handleFrame, maintainHostLinks, type FrameHandlers, type Peer, type PeerEvents,
+	handleFrame, maintainHostLinks, type FrameHandlers, type Peer, type PeerEvents,
 } from '@papayaflow/peer';
 import {connectPlatformStore, platformDialect} from '@papayaflow/platform';
 import {createResendBudget, rendezvousOrder} from '@papayaflow/policy';
@@ -80,7 +80,7 @@
 export async function startDirectEntry(settings: SettingsOf<typeof directEntrySettings>): Promise<RunningProgram> {
 	const {instance, zone} = settings;
 	const {
-		incarnation, log, metrics, containment, shutdown, monotonicMs, random, pause,
+		incarnation, log, metrics, containment, shutdown, monotonicMs, random, pause, ticker,
 	} = createProcessContext('papayaflow-entry', settings);
 	let stopPlan: StopPlan | undefined;
 	metrics.declare('refusals', 'reason', refusalReasons);
@@ -103,7 +103,7 @@
 	const pauses = createPauses({monotonicMs, metrics, log});
 	const directory = openDirectory({
 		instance, zone, store: connectPlatformStore({address: addressOf(settings.store), timeoutMs: settings.storeTimeoutMs}),
-		pauseMs: storePauseOf(settings), reportMs: settings.reportMs, prefersPeers: false, log, metrics, monotonicMs, random, containment, sleep: pause, signal: shutdown.signal,
+		pauseMs: storePauseOf(settings), reportMs: settings.reportMs, prefersPeers: false, log, metrics, monotonicMs, random, containment, ticker, sleep: pause, signal: shutdown.signal,
 		onTable({configuration}) {
 			front.applyTimeouts(configuration.limits);
 			targets.update(directory.records());
@@ -215,7 +215,7 @@
 	const setLinkedHosts = maintainHostLinks({
 		port: settings.peerPort, events, signal: shutdown.signal,
 		options: {
-			role: 'entry', instance, incarnation, zone, monotonicMs, sleep: pause, heartbeats: createHeartbeatTicker(),
+			role: 'entry', instance, incarnation, zone, monotonicMs, sleep: pause, ticker,
 		},
 	});
 	// Each engine has a sidecar on the same machine.
--- a/packages/cli/src/direct-process.ts
+++ b/packages/cli/src/direct-process.ts
@@ -1,6 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {createTicker, tickIntervalMs, type Ticker} from '@papayaflow/peer';
 import {type SettingsOf} from '@papayaflow/settings';
 import {
 	createContainment, createLog, createMetrics, sampleLoopDelay, type Containment, type Log, type Metrics,
@@ -18,6 +19,8 @@
 	readonly shutdown: AbortController;
 	readonly monotonicMs: () => number;
 	readonly random: () => number;
+	/** Calls what the parts of the program check several times a second. */
+	readonly ticker: Ticker;
 	/** Waits without keeping the process alive. */
 	readonly pause: (ms: number) => Promise<void>;
 };
@@ -33,11 +36,12 @@
 	const metrics = createMetrics();
 	const shutdown = new AbortController();
 	const monotonicMs = (): number => performance.now();
+	const ticker = createTicker();
 	sampleLoopDelay({
-		metrics, log, monotonicMs, signal: shutdown.signal,
+		metrics, log, monotonicMs, intervalMs: tickIntervalMs, onTick: ticker.add, signal: shutdown.signal,
 	});
 	return {
-		incarnation: randomUUID(), log, metrics, containment: createContainment({metrics, log}), shutdown, monotonicMs, random: Math.random,
+		incarnation: randomUUID(), log, metrics, containment: createContainment({metrics, log}), shutdown, monotonicMs, random: Math.random, ticker,
 		async pause(ms) {
 			await sleep(ms, undefined, {ref: false});
 		},
--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -4,7 +4,7 @@
 import {createGroupSidecar, type RankEngine} from '@papayaflow/group';
 import {createDispenser, ownedTargets} from '@papayaflow/limit';
 import {
-	createHeartbeatTicker, handleFrame, maintainHostLinks, servePeer, type FrameHandlers, type Peer, type PeerEvents,
+	handleFrame, maintainHostLinks, servePeer, type FrameHandlers, type Peer, type PeerEvents,
 } from '@papayaflow/peer';
 import {connectPlatformStore, connectRank} from '@papayaflow/platform';
 import {createSuspicionRelay} from '@papayaflow/quarantine';
@@ -42,13 +42,13 @@
 export async function startDirectSidecar(settings: SettingsOf<typeof directSidecarSettings>): Promise<RunningProgram> {
 	const {instance, zone} = settings;
 	const {
-		incarnation, log, metrics, containment, shutdown, monotonicMs, random, pause,
+		incarnation, log, metrics, containment, shutdown, monotonicMs, random, pause, ticker,
 	} = createProcessContext('papayaflow-sidecar', settings);
 	let isLeaving = false;
 	const target = addressOf(settings.target);
 	const store = connectPlatformStore({address: addressOf(settings.store), timeoutMs: settings.storeTimeoutMs});
 	const directory = openDirectory({
-		instance, zone, store, pauseMs: storePauseOf(settings), reportMs: settings.reportMs, prefersPeers: true, log, metrics, monotonicMs, random, containment, sleep: pause, signal: shutdown.signal,
+		instance, zone, store, pauseMs: storePauseOf(settings), reportMs: settings.reportMs, prefersPeers: true, log, metrics, monotonicMs, random, containment, ticker, sleep: pause, signal: shutdown.signal,
 		onTable() {
 			updateTargets();
 		},
@@ -161,7 +161,7 @@
 		},
 	};
 	const options = {
-		role: 'sidecar', instance, incarnation, zone, monotonicMs, sleep: pause, heartbeats: createHeartbeatTicker(),
+		role: 'sidecar', instance, incarnation, zone, monotonicMs, sleep: pause, ticker,
 	} as const;
 	const setLinkedHosts = maintainHostLinks({
 		port: settings.peerPort, options, events, signal: shutdown.signal,
@@ -172,7 +172,8 @@
 		setLinkedHosts(members.map(({host}) => host).filter(host => host !== settings.address));
 	};
 
-	const linkUpdateTimer = setInterval(updateLinks, linkUpdateIntervalMs).unref();
+	// The rank of an engine, and with it whether its sidecar may coordinate, can change with each formation.
+	const stopLinkUpdates = ticker.add(updateLinks);
 	const admin = serveAdmin({
 		metrics, containment,
 		ready: () => isLeaving ? {ready: false, reason: 'stopping'} : {ready: true},
@@ -197,7 +198,7 @@
 			const graceMs = settings.graceS * msPerSecond;
 			log.info({graceMs}, 'sidecar is stopping');
 			await Promise.race([group.leave(), sleep(graceMs / 2)]);
-			clearInterval(linkUpdateTimer);
+			stopLinkUpdates();
 			directory.stop();
 			shutdown.abort();
 			server.close();
@@ -206,6 +207,3 @@
 		},
 	};
 }
-
-/** How often the links to other sidecars are updated, in milliseconds. The rank of an engine, and with it whether its sidecar may coordinate, can change with each formation. */
-const linkUpdateIntervalMs = 500;
--- a/packages/cli/src/directory.ts
+++ b/packages/cli/src/directory.ts
@@ -2,7 +2,7 @@
 	copySince, createMirror, followStore, applyCopy,
 } from '@papayaflow/mirror';
 import {
-	handleFrame, type Frame, type FrameHandlers, type Peer,
+	handleFrame, type Frame, type FrameHandlers, type Peer, type Ticker,
 } from '@papayaflow/peer';
 import {
 	configurationKey, decodeConfiguration, decodeRegistration, isEarlierState, isRemovedState, maxWatchDelayMs, registrationPrefix, type RegistrationResult,
@@ -31,9 +31,6 @@
 /** The time between two announcements of an unchanged revision to the peers that follow this process, in milliseconds. */
 const announceIntervalMs = 2000;
 
-/** How often it is checked whether an announcement is due, in milliseconds. */
-const announceCheckMs = 250;
-
 /** The largest part by which an interval between announcements is shortened at random, so that the entries don't announce at the same time. */
 const announceJitterRatio = 0.2;
 
@@ -71,6 +68,8 @@
 	readonly containment: Containment;
 	readonly monotonicMs: () => number;
 	readonly random: () => number;
+	/** Calls the periodic announcements and the choice of the peers to follow. */
+	readonly ticker: Ticker;
 	readonly sleep: (ms: number) => Promise<void>;
 	readonly signal: AbortSignal;
 	readonly onTable: (table: RouteTable) => void;
@@ -241,14 +240,14 @@
 	});
 	// The first announcement comes at a random moment of the interval, so that those of many entries are spread over it.
 	let lastAnnouncedMs = monotonicMs() - (deps.random() * announceIntervalMs);
-	const announceTimer = setInterval(() => {
+	const stopAnnouncements = deps.ticker.add(() => {
 		sources.update();
 		// A process that only follows its peers announces changes, but must not keep others from reading the store.
 		if (isReader() && monotonicMs() - lastAnnouncedMs >= announceIntervalMs * (1 - (deps.random() * announceJitterRatio))) {
 			lastAnnouncedMs = monotonicMs();
 			announceRevision();
 		}
-	}, announceCheckMs).unref();
+	});
 	const puller = createPuller({
 		instance: deps.instance, zone: deps.zone, revision: () => mirror.revision(), monotonicMs,
 		isStoreAvailable: () => isStoreAvailable && !deps.prefersPeers,
@@ -308,7 +307,7 @@
 		},
 		onFrame: (peer, frame) => handleFrame(handlers, peer, frame),
 		stop() {
-			clearInterval(announceTimer);
+			stopAnnouncements();
 			puller.stop();
 		},
 	};
--- a/packages/cli/test/directory.test.ts
+++ b/packages/cli/test/directory.test.ts
@@ -1,7 +1,7 @@
 import {once} from 'node:events';
 import {type AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {type Peer} from '@papayaflow/peer';
+import {createTicker, type Peer} from '@papayaflow/peer';
 import {connectPlatformStore} from '@papayaflow/platform';
 import {createPlatformStore, type PlatformStore} from '@papayaflow/standins';
 import {
@@ -57,7 +57,7 @@
 		const log = createLog({}, 'error');
 		const directory = openDirectory({
 			instance: `instance-${storePort}-${pauseMs}`, zone: 'z', store: connectPlatformStore({address: `127.0.0.1:${storePort}`, timeoutMs: 100}), pauseMs, reportMs: 0, prefersPeers,
-			log, metrics, containment: createContainment({metrics, log}), monotonicMs: () => performance.now(), random: () => 0.5, signal: ending.signal,
+			log, metrics, containment: createContainment({metrics, log}), monotonicMs: () => performance.now(), random: () => 0.5, ticker: createTicker(), signal: ending.signal,
 			async sleep(ms) {
 				await sleep(ms, undefined, {ref: false});
 			},
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -8,7 +8,7 @@
 	type GroupFrame, type GroupLoad, type LoadReport, type MapUpdate, type RequestPathFrame, type PeerCommand, type PeerRequest, type PeerPlacementRequest,
 	type RankNotice, type StoreCopy, type StreamNotice,
 } from './frame.js';
-export {createHeartbeatTicker, type HeartbeatTicker} from './heartbeat.js';
+export {createTicker, tickIntervalMs, type Ticker} from './ticker.js';
 export {maintainHostLinks, type LinksOptions} from './links.js';
 export {createRankNotices, type RankNotices} from './rank-notices.js';
 export {
--- a/packages/peer/src/peer.ts
+++ b/packages/peer/src/peer.ts
@@ -3,7 +3,7 @@
 	openConnection, openSocket, serveFrames, type Connection,
 } from './connection.js';
 import {protocolVersion, type Frame, type FrameFault} from './frame.js';
-import {shortHeartbeatIntervalMs, type HeartbeatTicker} from './heartbeat.js';
+import {tickIntervalMs, type Ticker} from './ticker.js';
 
 /** The heartbeat interval between sidecars otherwise. With hundreds of peers, short intervals would make heartbeats most of the work. */
 const longHeartbeatIntervalMs = 2000;
@@ -75,8 +75,8 @@
 	readonly zone: string;
 	readonly monotonicMs: () => number;
 	readonly sleep: (ms: number) => Promise<void>;
-	/** Shared by all connections of the process. */
-	readonly heartbeats: HeartbeatTicker;
+	/** Calls the heartbeat checks of all connections of the process. */
+	readonly ticker: Ticker;
 };
 
 /**
@@ -100,12 +100,12 @@
 	});
 	let downCause: DownCause = 'closed';
 	let lastCheckMs = lastReceivedMs;
-	let announcedIntervalMs = shortHeartbeatIntervalMs;
+	let announcedIntervalMs = tickIntervalMs;
 	let lastHeartbeatMs = lastReceivedMs;
-	let peerHeartbeat = {isNear: true, everyMs: shortHeartbeatIntervalMs};
-	const stopHeartbeats = options.heartbeats.add(() => {
+	let peerHeartbeat = {isNear: true, everyMs: tickIntervalMs};
+	const stopHeartbeats = options.ticker.add(() => {
 		const now = options.monotonicMs();
-		const wasPaused = now - lastCheckMs > maxCheckDelayRatio * shortHeartbeatIntervalMs;
+		const wasPaused = now - lastCheckMs > maxCheckDelayRatio * tickIntervalMs;
 		lastCheckMs = now;
 		if (now - lastReceivedMs > maxMissedHeartbeats * peerHeartbeat.everyMs) {
 			downCause = wasPaused ? 'closed' : 'silent';
@@ -115,8 +115,8 @@
 
 		const isNear = peer === undefined || events.isNear(peer);
 		const farIntervalMs = options.role === 'entry' || peer?.hello.role === 'entry' ? entryHeartbeatIntervalMs : longHeartbeatIntervalMs;
-		const everyMs = isNear || peerHeartbeat.isNear ? shortHeartbeatIntervalMs : farIntervalMs;
-		if (everyMs !== announcedIntervalMs || now - lastHeartbeatMs >= everyMs - (shortHeartbeatIntervalMs / 2)) {
+		const everyMs = isNear || peerHeartbeat.isNear ? tickIntervalMs : farIntervalMs;
+		if (everyMs !== announcedIntervalMs || now - lastHeartbeatMs >= everyMs - (tickIntervalMs / 2)) {
 			announcedIntervalMs = everyMs;
 			lastHeartbeatMs = now;
 			connection.send({kind: 'alive', isNear, everyMs});
--- a/packages/peer/test/peer.test.ts
+++ b/packages/peer/test/peer.test.ts
@@ -8,11 +8,11 @@
 	afterEach, beforeEach, describe, it,
 } from 'mocha';
 import {
-	createHeartbeatTicker, maintainHostLinks, maintainPeerLink, handleFrame, openConnection, serveFrames, servePeer, type Frame, type Peer, type PeerEvents, type PeerOptions,
+	createTicker, maintainHostLinks, maintainPeerLink, handleFrame, openConnection, serveFrames, servePeer, type Frame, type Peer, type PeerEvents, type PeerOptions,
 } from '@papayaflow/peer';
 
-const optionsOf = (instance: string, heartbeats = createHeartbeatTicker()): PeerOptions => ({
-	role: 'sidecar', instance, incarnation: 'x', zone: 'z', monotonicMs: () => performance.now(), heartbeats,
+const optionsOf = (instance: string, ticker = createTicker()): PeerOptions => ({
+	role: 'sidecar', instance, incarnation: 'x', zone: 'z', monotonicMs: () => performance.now(), ticker,
 	async sleep(ms) {
 		await sleep(ms);
 	},
--- a/packages/telemetry/src/loop-delay.ts
+++ b/packages/telemetry/src/loop-delay.ts
@@ -11,6 +11,10 @@
 	readonly metrics: Metrics;
 	readonly log: Log;
 	readonly monotonicMs: () => number;
+	/** The time between two samples, in milliseconds. */
+	readonly intervalMs?: number;
+	/** Calls a function each `intervalMs` until the function that it returns is called; a timer of its own by default. */
+	readonly onTick?: (check: () => void) => () => void;
 	/** Ends the sampling. */
 	readonly signal: AbortSignal;
 };
@@ -23,18 +27,25 @@
 @example
 sampleLoopDelay({metrics, log, monotonicMs: () => performance.now(), signal});
 */
-export function sampleLoopDelay({metrics, log, monotonicMs, signal}: LoopDelayOptions): void {
-	let expectedMs = monotonicMs() + sampleIntervalMs;
-	const timer = setInterval(() => {
+export function sampleLoopDelay({metrics, log, monotonicMs, intervalMs = sampleIntervalMs, onTick = ownTimer(intervalMs), signal}: LoopDelayOptions): void {
+	let expectedMs = monotonicMs() + intervalMs;
+	const stop = onTick(() => {
 		const now = monotonicMs();
 		const delayMs = Math.max(0, now - expectedMs);
-		expectedMs = now + sampleIntervalMs;
+		expectedMs = now + intervalMs;
 		metrics.latency('event_loop_delay', delayMs);
 		if (delayMs >= loggedDelayMs) {
 			log.warn({delayMs: Math.round(delayMs)}, 'event loop delayed');
 		}
-	}, sampleIntervalMs).unref();
-	signal.addEventListener('abort', () => {
-		clearInterval(timer);
-	}, {once: true});
+	});
+	signal.addEventListener('abort', stop, {once: true});
+}
+
+function ownTimer(intervalMs: number): (check: () => void) => () => void {
+	return check => {
+		const timer = setInterval(check, intervalMs).unref();
+		return () => {
+			clearInterval(timer);
+		};
+	};
 }
