Suspect a request itself when a target crashes with it, and keep it back after the second crash

Cause: only parts that a prompt shares with others could be suspected, so requests without a prompt, and those whose parts answers clear, left no trace of a crash. Now each request that a target had not begun to answer is suspected as well, by a digest of its method, path, organisation and body. It travels, merges, is tried, listed and cleared like a part: one mechanism, whose subjects are parts and requests. The first crash has no effect on requests, since most of those that fall with a target are sound; one that was at two crashes waits for a trial, half a minute later if it alone explains them, a second if another shares them. A request that comes again explains the crashes of its parts if it had one without them; it is no trial of them. The digest is made only for lost requests, and for others while any request is suspected. Calls of the test sites are now distinct requests by their path; they were all the same one by this definition.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	createAnswerBuffers, createBodyBuffers, createCrashDetector, createFront, createGroupPlacer, createLimitedPlacer, createPlainPlacer, createQuarantinedPlacer, createTargets, type StopPlan,
+	createAnswerBuffers, createBodyBuffers, createCrashDetector, createFront, createGroupPlacer, createLimitedPlacer, createPlainPlacer, createQuarantinedPlacer, createTargets, subjectsOf, type StopPlan,
 } from '@papayaflow/direct';
 import {
 	createBeliefs, createEngineChoice, createPauses, createPermits, limitChanges, permitResults, type DispenserLink, type TargetLifetime,
@@ -242,8 +242,8 @@
 				quarantine.onCrash(record.id, requests);
 			},
 		}),
-		onBegun({sharedParts}) {
-			quarantine.onBegun(sharedParts);
+		onBegun(call) {
+			quarantine.onBegun(subjectsOf(call, quarantine));
 		},
 		silenceTimeoutMs: ({route}) => route.kind === 'stream' ? settings.stallMs + stallMarginMs : Math.max(route.objectiveMs, minSilenceMs),
 		onAnswer(target, {limit, pause: namedPause, leaving}, sentMs) {
--- a/packages/cli/test/site.ts
+++ b/packages/cli/test/site.ts
@@ -13,8 +13,8 @@
 /** The time that a target takes for each request, in milliseconds: long enough that the load of a test keeps all targets busy. */
 const workMs = 100;
 
-/** The time after which a crashed engine is back, in milliseconds. */
-const restartMs = 1000;
+/** The time after which a crashed target is back by default, in milliseconds. */
+const defaultRestartMs = 1000;
 
 const readyTimeoutMs = 15_000;
 
@@ -46,17 +46,20 @@
 	startSidecar(rank: number): Promise<SiteProcess>;
 	/** Writes the configuration to the store with another version. */
 	putConfiguration(version: number): void;
-	/** Sends a call to the plain service (`plain`) or to the group (`model`) through an entry; `prefix` lists the parts of its prompt. */
-	call(entry: SiteProcess, service: 'plain' | 'model', prefix?: string): Promise<CallResult>;
+	/** Sends a call to the plain service (`plain`), also by its route for calls that may run once only (`payment`), or to the group (`model`) through an entry; `prefix` lists the parts of its prompt. Calls of the same `name` are the same request; without one, each is another. */
+	call(entry: SiteProcess, service: Route, prefix?: string, name?: string): Promise<CallResult>;
 	stop(): Promise<void>;
 };
 
-const routeOf = (service: string, kind: string): unknown => ({
-	name: service, host: 'h.example', prefix: `/${service}/`, route_kind: kind, timeout_ms: 3000, target_latency_ms: 300, target_gap_ms: 200, service, max_attempts: 2, public: true, resumable: true,
+/** The routes of a site. */
+export type Route = 'plain' | 'payment' | 'model';
+
+const routeOf = (name: Route, kind: string, service: string = name): unknown => ({
+	name, host: 'h.example', prefix: `/${name}/`, route_kind: kind, timeout_ms: 3000, target_latency_ms: 300, target_gap_ms: 200, service, max_attempts: 2, public: true, resumable: true,
 });
 
 const configurationOf = (maxBodyBytes: number): Readonly<Record<string, unknown>> => ({
-	routes: [routeOf('plain', 'idempotent'), routeOf('model', 'streaming')],
+	routes: [routeOf('plain', 'idempotent'), routeOf('payment', 'non_idempotent', 'plain'), routeOf('model', 'streaming')],
 	services: [{name: 'plain', max_connections: 100}, {
 		name: 'model', max_connections: 100,
 		engine: {
@@ -78,7 +81,8 @@
 const site = await startSite({entries: 4, ranks: 3, plains: 3});
 const {status} = await site.call(site.entries[0], 'plain');
 */
-export async function startSite(counts: {readonly entries: number; readonly ranks: number; readonly plains: number}, maxBodyBytes = 10_000): Promise<Site> {
+export async function startSite(counts: {readonly entries: number; readonly ranks: number; readonly plains: number; readonly restartMs?: number}, maxBodyBytes = 10_000): Promise<Site> {
+	const {restartMs = defaultRestartMs} = counts;
 	const store = createPlatformStore(Date.now);
 	const storePort = await listenOn(store.server);
 	const engines = Array.from({length: counts.ranks}, () => createLimitedTarget({workMs}));
@@ -104,6 +108,24 @@
 
 	const plains = Array.from({length: counts.plains}, () => createLimitedTarget({workMs}));
 	const plainServers = plains.map(({handle}) => createServer(handle));
+	const crashPlain = async (index: number): Promise<void> => {
+		const server = plainServers[index];
+		if (!server.listening) {
+			return;
+		}
+
+		server.close();
+		server.closeAllConnections();
+		await sleep(restartMs);
+		server.listen(Number(plainAddresses[index].split(':')[1]), '127.0.0.1');
+	};
+
+	for (const [index, plain] of plains.entries()) {
+		plain.crash = () => {
+			void crashPlain(index);
+		};
+	}
+
 	const plainAddresses = await Promise.all(plainServers.map(async server => `127.0.0.1:${await listenOn(server)}`));
 	const register = (id: string, service: string, address: string): void => {
 		store.put(`servers/${id}`, JSON.stringify({
@@ -169,7 +191,7 @@
 	const agent = new Agent({keepAlive: true});
 	let callCount = 0;
 
-	const call = async (entry: SiteProcess, service: 'plain' | 'model', prefix?: string): Promise<CallResult> => new Promise(resolve => {
+	const call = async (entry: SiteProcess, service: Route, prefix?: string, name?: string): Promise<CallResult> => new Promise(resolve => {
 		const startedMs = performance.now();
 		const requestId = `c-${callCount++}`;
 		const toResult = (status: number, details: {readonly error?: string; readonly retryAfter?: string; readonly body?: string} = {}): CallResult => ({
@@ -177,7 +199,7 @@
 			reason: /"reason":"(\w+)"/v.exec(details.body ?? '')?.[1], tookMs: performance.now() - startedMs,
 		});
 		const req = request({
-			agent, host: '127.0.0.1', port: entry.port, path: `/${service}/x`,
+			agent, host: '127.0.0.1', port: entry.port, path: `/${service}/${name ?? requestId}`, method: service === 'payment' ? 'POST' : 'GET',
 			headers: {
 				host: 'h.example', 'x-request-id': requestId, 'x-deadline-ms': '3000', ...(prefix !== undefined && {'x-token-counts': '20,8', 'x-prompt-prefix': prefix}),
 			},
--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -20,6 +20,8 @@
 	readonly generation: Generation | undefined;
 	/** The ids of the parts of the prompt that other requests may have too, each once. */
 	readonly sharedParts: readonly string[];
+	/** Returns the id under which the request is suspected if it crashes targets. */
+	readonly subject: () => string;
 	/** The caller's deadline or the timeout of the route, whichever is shorter, in milliseconds from the arrival. */
 	readonly deadlineMs: number;
 	/** When the request arrived, in milliseconds of the monotonic clock. */
--- a/packages/direct/src/crash.ts
+++ b/packages/direct/src/crash.ts
@@ -8,7 +8,7 @@
 /** How long to wait for other requests that the same crash has cut off, in milliseconds. Their connections close together. */
 const settleMs = 10;
 
-/** A request that a target had not begun to answer when its connection closed. */
+/** A request that a target had not begun to answer when its connection closed, with what it may be suspected for: the shared parts of its prompt and its own id. */
 export type LostRequest = {readonly requestId: string; readonly parts: readonly string[]};
 
 export type CrashDetectorOptions = {
@@ -50,7 +50,7 @@
 
 		metrics.count('target_crashes');
 		log.warn({
-			target: id, service, requests: requests.map(({requestId, parts}) => ({requestId, parts: parts.slice(0, maxLoggedParts)})),
+			target: id, service, requests: requests.map(({requestId, parts}) => ({requestId, parts: parts.slice(-maxLoggedParts)})),
 		}, 'target crashed before it began to answer these requests');
 		onCrash(target, requests);
 	};
--- a/packages/direct/src/forward.ts
+++ b/packages/direct/src/forward.ts
@@ -198,8 +198,8 @@
 /** Waits until it is known whether a target that closed the connection before its answer had begun has crashed. */
 async function checkForCrash({call, signal}: AdmittedCall, target: Target, {result, events}: {readonly result: AttemptResult; readonly events: number}, {crashes}: ForwardDeps): Promise<void> {
 	const isClosed = result.kind === 'lost' && (result.reason === 'targetLost' || result.reason === 'truncated');
-	if (isClosed && events < begunEvents && !signal.aborted && call.sharedParts.length > 0) {
-		await crashes.onLost(target, {requestId: call.requestId, parts: call.sharedParts});
+	if (isClosed && events < begunEvents && !signal.aborted) {
+		await crashes.onLost(target, {requestId: call.requestId, parts: [...call.sharedParts, call.subject()]});
 	}
 }
 
--- a/packages/direct/src/front.ts
+++ b/packages/direct/src/front.ts
@@ -7,6 +7,7 @@
 	readBody, trackConnections, type Body, type CallerConnections,
 } from '@papayaflow/caller';
 import {type LossReason, type RefusalReason} from '@papayaflow/outcome';
+import {requestSubject} from '@papayaflow/quarantine';
 import {drawService, identifyCaller, type RouteTable} from '@papayaflow/routing';
 import {type Containment} from '@papayaflow/telemetry';
 import {createCallerAnswer, type CallerAnswer} from './answer.js';
@@ -185,10 +186,17 @@
 		}
 
 		const organisation = identified.kind === 'organisation' ? identified.organisation : undefined;
+		let subject: string | undefined;
 		const call: Call = {
 			requestId, route, service, version: configuration.version, organisation: organisation?.name, priority: organisation?.priority ?? route.priority,
 			method: req.method ?? 'GET', path: req.url ?? '/', rawHeaders: req.rawHeaders, body: body.bytes, generation: caller.generation, sharedParts: caller.sharedParts,
 			deadlineMs, arrivedMs,
+			subject() {
+				subject ??= requestSubject({
+					method: call.method, path: call.path, organisation: call.organisation, body: call.body,
+				});
+				return subject;
+			},
 		};
 		const result = await forwardCall(call, answer, res);
 		finishCall(call, result, answer, res);
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -24,4 +24,4 @@
 export {createPool, type Pool} from './pool.js';
 export {createLimitedPlacer, type LimitedPlacerOptions} from './limit-place.js';
 export {createGroupPlacer, type GroupPlacer, type GroupPlacerOptions} from './group-place.js';
-export {createQuarantinedPlacer, type QuarantinedPlacerOptions} from './quarantine-place.js';
+export {createQuarantinedPlacer, subjectsOf, type QuarantinedPlacerOptions} from './quarantine-place.js';
--- a/packages/direct/test/group-place.test.ts
+++ b/packages/direct/test/group-place.test.ts
@@ -18,7 +18,7 @@
 });
 
 const callOf = (requestId: string): Call => ({
-	requestId, service: 's', organisation: undefined, priority: 1, version: 1, method: 'POST', path: '/', rawHeaders: [], body: new Uint8Array(0), generation: undefined, sharedParts: [],
+	requestId, service: 's', organisation: undefined, priority: 1, version: 1, method: 'POST', path: '/', rawHeaders: [], body: new Uint8Array(0), generation: undefined, sharedParts: [], subject: () => 'request:r',
 	deadlineMs: 1000, arrivedMs: performance.now(),
 	route: {
 		name: 'r', host: 'h', pathPrefix: '/', weightedServices: [], kind: 'stream', maxAttempts: 2, timeoutMs: 1000, objectiveMs: 20, gapObjectiveMs: 20, priority: 1,
--- a/packages/direct/test/limit-place.test.ts
+++ b/packages/direct/test/limit-place.test.ts
@@ -11,7 +11,7 @@
 const ids = ['a', 'b', 'c'];
 
 const call: Call = {
-	requestId: 'r', service: 's', organisation: undefined, priority: 1, version: 1, method: 'GET', path: '/', rawHeaders: [], body: new Uint8Array(0), generation: undefined, sharedParts: [],
+	requestId: 'r', service: 's', organisation: undefined, priority: 1, version: 1, method: 'GET', path: '/', rawHeaders: [], body: new Uint8Array(0), generation: undefined, sharedParts: [], subject: () => 'request:r',
 	deadlineMs: 1000, arrivedMs: 0,
 	route: {
 		name: 'r', host: 'h', pathPrefix: '/', weightedServices: [], kind: 'idempotent', maxAttempts: 2, timeoutMs: 1000, objectiveMs: 20, gapObjectiveMs: undefined, priority: 1,
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -1,8 +1,9 @@
 import {type Log, type Metrics} from '@papayaflow/telemetry';
 import {LRUCache} from 'lru-cache';
 import {
-	isBlocked, type AgedSuspicion, type Suspicion,
+	isBlocked, isSameCrash, type AgedSuspicion, type Suspicion,
 } from './suspicion.js';
+import {isRequestSubject} from './subject.js';
 import {createSuspicions, type SuspicionChange} from './suspicions.js';
 
 /** How long the effect of a trial is waited for, in milliseconds: a queue at the target and the prefill of a long prompt. */
@@ -36,9 +37,11 @@
 		| {readonly kind: 'trial'; readonly part: string}
 		| {readonly kind: 'refused'; readonly part: string; readonly retryAfterMs: number};
 
-/** What one instance knows of parts that crash targets. Parts are those that a request shares with others. */
+/** What one instance knows of subjects that crash targets. The subjects of a request are the parts of its prompt that it shares with others, and its own id by `requestSubject`. */
 export type Quarantine = {
-	/** Decides on a request with these parts. */
+	/** Whether any request is suspected; only then do the ids of requests matter to `check`, `admit` and `onBegun`. */
+	knowsRequests(): boolean;
+	/** Decides on a request with these subjects. */
 	check(parts: readonly string[]): Admission;
 	/** Decides as `check` does when the request is about to be sent to a target; a trial is announced to the other instances. */
 	admit(parts: readonly string[], target: string): Admission;
@@ -66,8 +69,13 @@
 part; a crash blocks it for five minutes, and for longer after each further trial. Requests
 without a suspected part are not affected.
 
+The request itself is suspected too, since it may come again. Most requests that fall with a
+target are sound, so the first crash has no effect on them; after the second one the request
+is kept back like a part. An answer that begins clears it.
+
 Load pattern: requests that crash each target that begins to answer them come at all
-instances, mixed with sound ones of the same organisations, routes and first parts.
+instances, mixed with sound ones of the same organisations, routes and first parts; no two of them
+alike, or the same one again and again.
 
 @example
 const admission = quarantine.admit(['5c1e07a2', '91bd3f06'], 'i-7f3a91c2');
@@ -81,7 +89,7 @@
 		metrics.count('suspicion_changes', {change});
 		log.warn({
 			part, round, source, crashes: crashes.map(({target, atMs, isTrial}) => ({target, ageMs: Math.round(monotonicMs() - atMs), isTrial})),
-		}, `prompt part ${change}`);
+		}, `${isRequestSubject(part) ? 'request' : 'prompt part'} ${change}`);
 	};
 
 	/** Merges what this instance has found out, and tells the others. */
@@ -121,6 +129,10 @@
 	const isTrialUnderWay = ({crashes, trial}: Suspicion): boolean => trial !== undefined && !trial.isOver
 		&& monotonicMs() - trial.atMs < trialMs && crashes.every(({target, atMs}) => target !== trial.target || atMs < trial.atMs);
 
+	/** Whether the request itself may have caused a crash for which its part is suspected. A trial of the part with that request could not tell which of them it was. */
+	const isRivalOf = (part: string, subjects: readonly string[]): boolean => !isRequestSubject(part) && subjects.filter(subject => isRequestSubject(subject))
+		.some(subject => suspicions.get(subject)?.crashes.some(crash => suspicions.get(part)?.crashes.some(other => isSameCrash(crash, other))));
+
 	const check = (parts: readonly string[]): Admission => {
 		let trialPart: string | undefined;
 		for (const part of parts) {
@@ -137,16 +149,21 @@
 			trialPart ??= part;
 		}
 
+		if (trialPart !== undefined && isRivalOf(trialPart, parts)) {
+			return {kind: 'refused', part: trialPart, retryAfterMs: minRetryAfterMs * (1 + (random() / 2))};
+		}
+
 		return trialPart === undefined ? {kind: 'admitted'} : {kind: 'trial', part: trialPart};
 	};
 
 	return {
+		knowsRequests: () => suspicions.hasRequests(),
 		check,
 		admit(parts, target) {
 			const admission = check(parts);
 			if (admission.kind === 'trial') {
 				const now = monotonicMs();
-				log.info({part: admission.part, target}, 'trial of a prompt part began');
+				log.info({part: admission.part, target}, `trial of a ${isRequestSubject(admission.part) ? 'suspected request' : 'prompt part'} began`);
 				metrics.count('part_trials');
 				publish([{
 					...suspicions.get(admission.part)!, changedAtMs: now, trial: {
@@ -166,7 +183,11 @@
 		onBegun(parts) {
 			const now = monotonicMs();
 			for (const part of parts) {
-				begunAtMs.set(part, now);
+				// A request that comes again after a long time may meet targets with new software, so its earlier answers prove nothing.
+				if (!isRequestSubject(part)) {
+					begunAtMs.set(part, now);
+				}
+
 				const suspicion = suspicions.get(part);
 				if (suspicion && suspicion.crashes.length > 0) {
 					publish([cleared(suspicion)], instance);
--- a/packages/quarantine/src/suspicion.ts
+++ b/packages/quarantine/src/suspicion.ts
@@ -1,3 +1,5 @@
+import {isRequestSubject} from './subject.js';
+
 /** How far apart two reports of one crash of a target can be, in milliseconds. A target takes longer than this to crash again. */
 const sameCrashMs = 2000;
 
@@ -7,6 +9,9 @@
 /** The pause before a part is tried that shares its crashes with other suspected parts, in milliseconds: long enough for all instances to know of it. */
 const sharedPauseMs = 1000;
 
+/** The crashes after which a request is suspected that may have caused each of them. Most requests that fall with a target are sound and may be sent again at once. */
+const requestCrashes = 2;
+
 /** The pause before a part is tried that alone explains a crash, in milliseconds. A crash costs all requests of a group for some seconds, which is more than the requests with one part do in this time. */
 const solePauseMs = 30_000;
 
@@ -15,16 +20,16 @@
 const blockedPauseFactor = 5;
 const maxBlockedPauseMs = 3_600_000;
 
-/** A crash of a target that a part of a prompt may have caused. */
+/** A crash of a target that a subject, a part of a prompt or a request, may have caused. */
 export type SuspectedCrash = {
 	readonly target: string;
 	/** When the crash was noticed, in milliseconds of the monotonic clock of this process. */
 	readonly atMs: number;
-	/** Whether the target was running the trial of this part. */
+	/** Whether the target was running the trial of this subject. */
 	readonly isTrial: boolean;
 };
 
-/** One request with a suspected part that an instance sends to find out whether the part crashes targets. */
+/** One request that an instance sends to find out whether a subject crashes targets. */
 export type Trial = {
 	readonly instance: string;
 	readonly target: string;
@@ -35,10 +40,11 @@
 };
 
 /**
-What is known against one part of prompts. Every answer that was begun with the part
-clears it, which starts a new round without crashes.
+What is known against one subject: a part of prompts, or one request that may come again. Every answer
+that was begun with it clears it, which starts a new round without crashes.
 */
 export type Suspicion = {
+	/** The id of a part, or that of a request by `requestSubject`. */
 	readonly part: string;
 	readonly round: number;
 	readonly crashes: readonly SuspectedCrash[];
@@ -57,35 +63,56 @@
 };
 
 /**
-Whether a part counts as the cause of crashes: a trial of it crashed a target. Several
-crashes without a trial do not suffice, since targets that fail together may all have
-had requests with a sound part.
+Whether a subject counts as the cause of crashes: a trial of it crashed a target, or it is a
+request that may have caused two crashes. Several crashes without a trial do not suffice
+for a part, since targets that fail together may all have had requests with a sound part.
 */
-export function isBlocked({crashes}: Suspicion): boolean {
+export function isBlocked(suspicion: Suspicion): boolean {
+	return hasFailedTrial(suspicion) || isRepeated(suspicion);
+}
+
+function hasFailedTrial({crashes}: Suspicion): boolean {
 	return crashes.some(({isTrial}) => isTrial);
 }
 
+function isRepeated({part, crashes}: Suspicion): boolean {
+	return isRequestSubject(part) && crashes.length >= requestCrashes;
+}
+
+const mayHaveCaused = ({crashes}: Suspicion, crash: SuspectedCrash): boolean => crashes.some(other => isSameCrash(crash, other));
+
+/**
+Whether a crash that `suspicion` may have caused is put down to `other`: after a failed trial of that, and for a part
+if `other` is a request that came again and had another crash without the part.
+*/
+function isExplainedBy(crash: SuspectedCrash, suspicion: Suspicion, other: Suspicion): boolean {
+	if (!mayHaveCaused(other, crash)) {
+		return false;
+	}
+
+	return hasFailedTrial(other) || (isRepeated(other) && !isRequestSubject(suspicion.part) && other.crashes.some(one => !mayHaveCaused(suspicion, one)));
+}
+
 /** Whether two crashes are one, as reported by two instances or for two parts. */
 export function isSameCrash(a: SuspectedCrash, b: SuspectedCrash): boolean {
 	return a.target === b.target && Math.abs(a.atMs - b.atMs) < sameCrashMs;
 }
 
 /**
-Returns from when a request with the part may be sent as a trial, in milliseconds of the
-monotonic clock; `undefined` if nothing speaks against the part. Crashes that a blocked
-part among `others` explains do not count. The pause is short while other parts may
-have caused the same crashes, and grows with each trial that crashed its target, up to
-an hour.
+Returns from when a request with the subject may be sent as a trial, in milliseconds of the
+monotonic clock; `undefined` if too little speaks against it to keep it back: no crash, or a
+single one if it is a request. Crashes that others among `others` explain do not count. The
+pause is short while other subjects of the same kind may have caused the same crashes, and grows
+with each trial that crashed its target, up to an hour.
 
 @example
 trialFromMs({part: '5c1e07a2', round: 0, crashes: [], changedAtMs: 0}, []); // undefined
 */
 export function trialFromMs(suspicion: Suspicion, others: readonly Suspicion[]): number | undefined {
 	const trialCrashes = suspicion.crashes.filter(({isTrial}) => isTrial).length;
-	const isCandidateWith = (crash: SuspectedCrash, {crashes}: Suspicion): boolean => crashes.some(other => isSameCrash(crash, other));
-	const blocked = others.filter(other => isBlocked(other));
-	const unexplained = suspicion.crashes.filter(crash => crash.isTrial || !blocked.some(other => isCandidateWith(crash, other)));
-	if (unexplained.length === 0) {
+	const isRequest = isRequestSubject(suspicion.part);
+	const unexplained = suspicion.crashes.filter(crash => crash.isTrial || !others.some(other => isExplainedBy(crash, suspicion, other)));
+	if (unexplained.length === 0 || (isRequest && trialCrashes === 0 && unexplained.length < requestCrashes)) {
 		return undefined;
 	}
 
@@ -94,7 +121,8 @@
 		return lastCrashMs + Math.min(maxBlockedPauseMs, blockedPauseMs * (blockedPauseFactor ** (trialCrashes - 1)));
 	}
 
-	const isSole = unexplained.some(crash => !others.some(other => isCandidateWith(crash, other)));
+	const rivals = others.filter(other => isRequest ? isRepeated(other) : !isRequestSubject(other.part));
+	const isSole = unexplained.some(crash => !rivals.some(rival => mayHaveCaused(rival, crash)));
 	return lastCrashMs + (isSole ? solePauseMs : sharedPauseMs);
 }
 
--- a/packages/quarantine/src/suspicions.ts
+++ b/packages/quarantine/src/suspicions.ts
@@ -2,9 +2,11 @@
 import {
 	ageOf, fromAged, isBlocked, isSameCrash, isSameTrial, mergeSuspicions, trialFromMs, type AgedSuspicion, type Suspicion,
 } from './suspicion.js';
+import {isRequestSubject} from './subject.js';
 
-/** How many parts are kept. Parts whose suspicion has not changed for the longest time are dropped first. */
+/** How many parts, and how many requests, are kept. Those whose suspicion has not changed for the longest time are dropped first. Each crash adds all requests that the target had not begun to answer. */
 const maxParts = 256;
+const maxRequests = 1024;
 
 /** How long a suspicion is kept without a change, in milliseconds: longer than the longest pause before a trial. */
 const forgetAfterMs = 7_200_000;
@@ -17,6 +19,8 @@
 	get(part: string): Suspicion | undefined;
 	/** The suspicions, including those of parts that were cleared. */
 	all(): readonly Suspicion[];
+	/** Whether any request is suspected, so that the ids of requests matter. */
+	hasRequests(): boolean;
 	/** From when a request with the part may be sent as a trial, in milliseconds of the monotonic clock; `undefined` if nothing speaks against the part. */
 	trialFromMs(part: string): number | undefined;
 	/** Merges a suspicion into the table. Returns whether that changed it, and how the belief about the part changed. */
@@ -28,40 +32,44 @@
 };
 
 /**
-Creates an empty table. It keeps 256 parts at most, and each for two hours at most.
+Creates an empty table. It keeps 256 parts and 1,024 requests at most, and each for two hours at most.
 
 @example
 const suspicions = createSuspicions(() => performance.now());
 suspicions.merge({part: '91bd3f06', round: 0, crashes: [{target: 'i-1', atMs: 5, isTrial: false}], changedAtMs: 5});
 */
 export function createSuspicions(nowMs: () => number): Suspicions {
-	const byPart = new LRUCache<string, Suspicion>({max: maxParts});
+	const parts = new LRUCache<string, Suspicion>({max: maxParts});
+	const requests = new LRUCache<string, Suspicion>({max: maxRequests});
+	const tableOf = (subject: string): LRUCache<string, Suspicion> => isRequestSubject(subject) ? requests : parts;
+	const get = (subject: string): Suspicion | undefined => tableOf(subject).peek(subject);
 
 	const merge = (next: Suspicion): {readonly isNews: boolean; readonly change: SuspicionChange | undefined} => {
-		const held = byPart.peek(next.part);
+		const held = get(next.part);
 		const merged = held ? mergeSuspicions(held, next) : next;
 		if (nowMs() - merged.changedAtMs > forgetAfterMs || (held && isSame(held, merged))) {
 			return {isNews: false, change: undefined};
 		}
 
-		byPart.set(next.part, merged);
+		tableOf(next.part).set(next.part, merged);
 		return {isNews: true, change: changeBetween(held, merged)};
 	};
 
-	const all = (): readonly Suspicion[] => [...byPart.values()].filter(({changedAtMs}) => nowMs() - changedAtMs <= forgetAfterMs);
+	const all = (): readonly Suspicion[] => [...parts.values(), ...requests.values()].filter(({changedAtMs}) => nowMs() - changedAtMs <= forgetAfterMs);
 
 	return {
-		get: part => byPart.peek(part),
+		get,
 		all,
+		hasRequests: () => requests.size > 0,
 		trialFromMs(part) {
-			const suspicion = byPart.peek(part);
+			const suspicion = get(part);
 			return suspicion && trialFromMs(suspicion, all().filter(other => other.part !== part));
 		},
 		merge,
 		aged: suspicions => suspicions.map(suspicion => ageOf(suspicion, nowMs())),
 		mergeAged: received => received.flatMap(aged => {
 			const {isNews, change} = merge(fromAged(aged, nowMs()));
-			return isNews ? [{suspicion: byPart.peek(aged.part)!, change}] : [];
+			return isNews ? [{suspicion: get(aged.part)!, change}] : [];
 		}),
 	};
 }
--- a/packages/quarantine/test/quarantine.test.ts
+++ b/packages/quarantine/test/quarantine.test.ts
@@ -2,7 +2,7 @@
 import {
 	beforeEach, describe, it,
 } from 'mocha';
-import {createSuspicionRelay, type Quarantine} from '../src/index.js';
+import {createSuspicionRelay, requestSubject, type Quarantine} from '../src/index.js';
 import {createInstances, type Instances} from './helper.js';
 
 const minuteMs = 60_000;
@@ -190,4 +190,99 @@
 		expect(first.all()).to.have.length(256);
 		expect([first.check(['part-0']).kind, first.check(['part-299']).kind]).to.deep.equal(['admitted', 'refused']);
 	});
+
+	describe('of requests that come again', () => {
+		const idOf = (text: string): string => requestSubject({
+			method: 'POST', path: '/pay', organisation: 'acme', body: new TextEncoder().encode(text),
+		});
+		const bad = idOf('bad');
+		const sound = idOf('sound');
+
+		// Guards against a request without shared parts that crashes target after target.
+		it('keeps back a request that was at two targets when they crashed, at all instances', () => {
+			crash(first, 'i-1', [bad]);
+			expect(kinds([bad]), 'after one crash').to.deep.equal(['admitted', 'admitted']);
+			clock.nowMs += 100;
+			crash(second, 'i-2', [bad], [sound]);
+			expect(kinds([bad])).to.deep.equal(['refused', 'refused']);
+			expect(kinds([sound])).to.deep.equal(['admitted', 'admitted']);
+		});
+
+		it('lets all sound requests that fell with a target go on at once', () => {
+			const fallen = Array.from({length: 8}, (_, i) => [idOf(`sound ${i}`)]);
+			crash(first, 'i-1', [bad], ...fallen);
+			for (const subjects of fallen) {
+				expect(kinds(subjects)).to.deep.equal(['admitted', 'admitted']);
+				second.onBegun(subjects);
+			}
+
+			instances.deliver();
+			crash(first, 'i-2', [bad], fallen[0]);
+			expect(kinds([bad])).to.deep.equal(['refused', 'refused']);
+			expect(kinds(fallen[0]), 'it was answered between the two crashes').to.deep.equal(['admitted', 'admitted']);
+		});
+
+		it('tries a request that alone can explain its crashes after half a minute, and blocks it for five after another crash', () => {
+			crash(first, 'i-1', [bad]);
+			clock.nowMs += 3000;
+			crash(first, 'i-2', [bad]);
+			clock.nowMs += 29_999;
+			expect(kinds([bad])).to.deep.equal(['refused', 'refused']);
+			clock.nowMs += 1;
+			expect(second.admit([bad], 'i-3').kind).to.equal('trial');
+			instances.deliver();
+			crash(second, 'i-3', [bad], [sound]);
+			expect(kinds([sound]), 'fell with the trial').to.deep.equal(['admitted', 'admitted']);
+			clock.nowMs += (5 * minuteMs) - 1;
+			expect(kinds([bad])).to.deep.equal(['refused', 'refused']);
+			clock.nowMs += 1;
+			expect(kinds([bad])).to.deep.equal(['trial', 'trial']);
+		});
+
+		it('tries two requests that had the same crashes after a second, one after the other', () => {
+			crash(first, 'i-1', [bad], [sound]);
+			clock.nowMs += 3000;
+			crash(first, 'i-2', [bad], [sound]);
+			expect(kinds([sound])).to.deep.equal(['refused', 'refused']);
+			clock.nowMs += 1000;
+			expect(first.admit([sound], 'i-3').kind).to.equal('trial');
+			instances.deliver();
+			expect(kinds([bad])).to.deep.equal(['refused', 'refused']);
+			first.onBegun([sound]);
+			instances.deliver();
+			expect(kinds([sound])).to.deep.equal(['admitted', 'admitted']);
+		});
+
+		it('clears the parts of such a request, with which others are sound', () => {
+			crash(first, 'i-1', ['rare', bad]);
+			expect(kinds(['rare', sound])).to.deep.equal(['refused', 'refused']);
+			clock.nowMs += 30_000;
+			expect(kinds(['rare', bad]), 'a trial with it could not tell which of them it was').to.deep.equal(['refused', 'refused']);
+			expect(first.admit(['rare', sound], 'i-2').kind).to.equal('trial');
+			instances.deliver();
+			first.onBegun(['rare', sound]);
+			instances.deliver();
+			expect(kinds(['rare', bad])).to.deep.equal(['admitted', 'admitted']);
+			crash(second, 'i-3', ['rare', bad]);
+			expect(kinds(['rare', bad])).to.deep.equal(['refused', 'refused']);
+			expect(kinds(['rare', sound])).to.deep.equal(['admitted', 'admitted']);
+		});
+
+		it('is cleared by an operator', () => {
+			crash(first, 'i-1', [bad]);
+			crash(first, 'i-2', [bad]);
+			expect(first.clear(bad)).to.equal(1);
+			instances.deliver();
+			expect(kinds([bad])).to.deep.equal(['admitted', 'admitted']);
+		});
+
+		it('knows a request by its method, path, organisation and body', () => {
+			const content = {
+				method: 'POST', path: '/pay?a=1', organisation: 'acme', body: new Uint8Array([1, 2]),
+			};
+			expect(requestSubject({...content})).to.equal(requestSubject(content));
+			const others = [{method: 'PUT'}, {path: '/pay?a=2'}, {organisation: undefined}, {body: new Uint8Array([1])}, {path: '/pay?a=1a', organisation: 'cme'}];
+			expect(new Set(others.map(other => requestSubject({...content, ...other}))).add(requestSubject(content)).size).to.equal(others.length + 1);
+		});
+	});
 });
--- a/packages/standins/src/limited-target.ts
+++ b/packages/standins/src/limited-target.ts
@@ -1,7 +1,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 
-/** A target that says in its answers what it takes, may crash on parts of prompts, and records what it gets. */
+/** A target that says in its answers what it takes, may crash on requests, and records what it gets. */
 export type LimitedTarget = {
 	/** The value of `Server-Limit` in each answer; `undefined` sends no such header. */
 	limit: string | undefined;
@@ -19,7 +19,9 @@
 	readonly requestIds: Set<string>;
 	/** The target calls `crash` when it begins to answer a prompt with one of these parts before its last part. */
 	readonly crashingParts: Set<string>;
-	/** When each request with such a part arrived, in milliseconds of the monotonic clock. */
+	/** The target calls `crash` when it begins to answer a request of one of these paths. */
+	readonly crashingPaths: Set<string>;
+	/** When each request that crashes the target arrived, in milliseconds of the monotonic clock. */
 	readonly crashingArrivalsMs: number[];
 	/** Closes all connections of the target; replaced by what runs its server. */
 	crash: () => void;
@@ -36,13 +38,13 @@
 */
 export function createLimitedTarget({limit, workMs = 5}: {readonly limit?: string; readonly workMs?: number} = {}): LimitedTarget {
 	const target: LimitedTarget = {
-		limit, workMs, leaving: undefined, turnsAwayFor: undefined, arrivalsMs: [], refusalsMs: [], requestIds: new Set(), crashingParts: new Set(), crashingArrivalsMs: [],
+		limit, workMs, leaving: undefined, turnsAwayFor: undefined, arrivalsMs: [], refusalsMs: [], requestIds: new Set(), crashingParts: new Set(), crashingPaths: new Set(), crashingArrivalsMs: [],
 		crash: () => undefined,
 		async handle(req, res) {
 			target.arrivalsMs.push(performance.now());
 			target.requestIds.add(String(req.headers['x-request-id']));
 			const parts = String(req.headers['x-prompt-prefix'] ?? '').split(',').slice(0, -1).map(part => part.split(':', 1)[0]);
-			const isCrashing = parts.some(part => target.crashingParts.has(part));
+			const isCrashing = parts.some(part => target.crashingParts.has(part)) || target.crashingPaths.has(req.url ?? '');
 			if (isCrashing) {
 				target.crashingArrivalsMs.push(performance.now());
 			}
