--- a/packages/quarantine/src/suspicion.ts
+++ b/packages/quarantine/src/suspicion.ts
@@ -112,7 +112,7 @@
 	const trialCrashes = suspicion.crashes.filter(({isTrial}) => isTrial).length;
 	const isRequest = isRequestSubject(suspicion.part);
 	const unexplained = suspicion.crashes.filter(crash => crash.isTrial || !others.some(other => isExplainedBy(crash, suspicion, other)));
-	if (unexplained.length === 0 || (isRequest && trialCrashes === 0 && unexplained.length < requestCrashes)) {
+	if (unexplained.length === 0 || (isRequest && suspicion.crashes.length < requestCrashes && trialCrashes === 0)) {
 		return undefined;
 	}
 
