Keep back a request that alone explains why a group stands still after one crash

A second crash of a rank costs a group of 12 ranks some 3.3 s and dozens of requests; a sound request that fell alone and has to wait costs one. So such a request waits for the trial half a minute later, as a part does; if others fell with it, all go on at once.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -239,7 +239,7 @@
 		crashes: createCrashDetector({
 			connectMs: connectTimeoutMs, log, metrics,
 			onCrash({record}, requests) {
-				quarantine.onCrash(record.id, requests);
+				quarantine.onCrash(record.id, requests, {stopsGroup: model(record.service)?.experts !== undefined});
 			},
 		}),
 		onBegun(call) {
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -49,8 +49,8 @@
 	endTrial(part: string): void;
 	/** Records that a target has begun to answer a request with these parts. */
 	onBegun(parts: readonly string[]): void;
-	/** Records that a target crashed before it had begun to answer these requests. */
-	onCrash(target: string, requests: ReadonlyArray<{readonly parts: readonly string[]}>): void;
+	/** Records that a target crashed before it had begun to answer these requests, and whether a group stands still after it. */
+	onCrash(target: string, requests: ReadonlyArray<{readonly parts: readonly string[]}>, effect?: {readonly stopsGroup: boolean}): void;
 	/** Takes in what another process knows. */
 	onReceived(source: string, received: readonly AgedSuspicion[]): void;
 	/** Clears a part, or all parts, on behalf of an operator. Returns how many were suspected. */
@@ -70,8 +70,9 @@
 without a suspected part are not affected.
 
 The request itself is suspected too, since it may come again. Most requests that fall with a
-target are sound, so the first crash has no effect on them; after the second one the request
-is kept back like a part. An answer that begins clears it.
+target are sound, so the first crash has no effect on them, unless one of them alone can explain why a
+group stands still; after the second one the request is kept back like a part. An answer that begins
+clears it.
 
 Load pattern: requests that crash each target that begins to answer them come at all
 instances, mixed with sound ones of the same organisations, routes and first parts; no two of them
@@ -194,7 +195,7 @@
 				}
 			}
 		},
-		onCrash(target, requests) {
+		onCrash(target, requests, effect) {
 			const now = monotonicMs();
 			const trials = suspicions.all().filter(suspicion => suspicion.trial?.target === target && isTrialUnderWay(suspicion)).map(({part}) => part);
 			const candidates = [...new Set(requests.flatMap(({parts}) => parts))].filter(part => {
@@ -206,7 +207,9 @@
 			publish(suspected.map(part => {
 				const held = suspicions.get(part);
 				return {
-					part, round: held?.round ?? 0, changedAtMs: now, crashes: [...held?.crashes ?? [], {target, atMs: now, isTrial: trials.includes(part)}], ...(held?.trial && {trial: held.trial}),
+					part, round: held?.round ?? 0, changedAtMs: now, crashes: [...held?.crashes ?? [], {
+						target, atMs: now, isTrial: trials.includes(part), ...(effect?.stopsGroup && {stopsGroup: true}),
+					}], ...(held?.trial && {trial: held.trial}),
 				};
 			}), instance);
 		},
--- a/packages/quarantine/src/suspicion.ts
+++ b/packages/quarantine/src/suspicion.ts
@@ -9,9 +9,12 @@
 /** The pause before a part is tried that shares its crashes with other suspected parts, in milliseconds: long enough for all instances to know of it. */
 const sharedPauseMs = 1000;
 
-/** The crashes after which a request is suspected that may have caused each of them. Most requests that fall with a target are sound and may be sent again at once. */
+/** The crashes after which a request is kept back that may have caused each of them. Most requests that fall with a target are sound and may be sent again at once. */
 const requestCrashes = 2;
 
+/** The same for a request that alone can explain the crash of a whole group, which costs dozens of other requests. */
+const groupRequestCrashes = 1;
+
 /** The pause before a part is tried that alone explains a crash, in milliseconds. A crash costs all requests of a group for some seconds, which is more than the requests with one part do in this time. */
 const solePauseMs = 30_000;
 
@@ -27,6 +30,8 @@
 	readonly atMs: number;
 	/** Whether the target was running the trial of this subject. */
 	readonly isTrial: boolean;
+	/** Whether the other targets of a group stood still after the crash. */
+	readonly stopsGroup?: boolean;
 };
 
 /** One request that an instance sends to find out whether a subject crashes targets. */
@@ -58,7 +63,7 @@
 	readonly part: string;
 	readonly round: number;
 	readonly ageMs: number;
-	readonly crashes: ReadonlyArray<{readonly target: string; readonly ageMs: number; readonly isTrial: boolean}>;
+	readonly crashes: ReadonlyArray<Omit<SuspectedCrash, 'atMs'> & {readonly ageMs: number}>;
 	readonly trial?: {readonly instance: string; readonly target: string; readonly ageMs: number; readonly isOver: boolean};
 };
 
@@ -101,7 +106,7 @@
 /**
 Returns from when a request with the subject may be sent as a trial, in milliseconds of the
 monotonic clock; `undefined` if too little speaks against it to keep it back: no crash, or a
-single one if it is a request. Crashes that others among `others` explain do not count. The
+single one if it is a request, unless that alone can explain why a group stands still. Crashes that others among `others` explain do not count. The
 pause is short while other subjects of the same kind may have caused the same crashes, and grows
 with each trial that crashed its target, up to an hour.
 
@@ -112,7 +117,7 @@
 	const trialCrashes = suspicion.crashes.filter(({isTrial}) => isTrial).length;
 	const isRequest = isRequestSubject(suspicion.part);
 	const unexplained = suspicion.crashes.filter(crash => crash.isTrial || !others.some(other => isExplainedBy(crash, suspicion, other)));
-	if (unexplained.length === 0 || (isRequest && suspicion.crashes.length < requestCrashes && trialCrashes === 0)) {
+	if (unexplained.length === 0 || (isRequest && suspicion.crashes.length < crashesToKeepBack(suspicion, others))) {
 		return undefined;
 	}
 
@@ -126,6 +131,11 @@
 	return lastCrashMs + (isSole ? solePauseMs : sharedPauseMs);
 }
 
+function crashesToKeepBack({crashes}: Suspicion, others: readonly Suspicion[]): number {
+	const stopsGroupAlone = crashes.some(crash => crash.stopsGroup && !others.some(other => isRequestSubject(other.part) && mayHaveCaused(other, crash)));
+	return stopsGroupAlone ? groupRequestCrashes : requestCrashes;
+}
+
 /**
 Merges what two instances know of one part. The higher round wins; in one round the
 crashes are united, and the later trial counts. The order of merges does not matter.
@@ -148,7 +158,9 @@
 		if (index === -1) {
 			united.push(crash);
 		} else {
-			united[index] = {...united[index], isTrial: united[index].isTrial || crash.isTrial};
+			const known = united[index];
+			const stopsGroup = known.stopsGroup ?? crash.stopsGroup;
+			united[index] = {...known, isTrial: known.isTrial || crash.isTrial, ...(stopsGroup && {stopsGroup})};
 		}
 	}
 
@@ -173,7 +185,7 @@
 export function ageOf({part, round, crashes, trial, changedAtMs}: Suspicion, nowMs: number): AgedSuspicion {
 	return {
 		part, round, ageMs: nowMs - changedAtMs,
-		crashes: crashes.map(({target, atMs, isTrial}) => ({target, ageMs: nowMs - atMs, isTrial})),
+		crashes: crashes.map(({atMs, ...crash}) => ({...crash, ageMs: nowMs - atMs})),
 		...(trial && {
 			trial: {
 				instance: trial.instance, target: trial.target, ageMs: nowMs - trial.atMs, isOver: trial.isOver,
@@ -186,7 +198,7 @@
 export function fromAged({part, round, ageMs, crashes, trial}: AgedSuspicion, nowMs: number): Suspicion {
 	return {
 		part, round, changedAtMs: nowMs - ageMs,
-		crashes: crashes.map(crash => ({target: crash.target, atMs: nowMs - crash.ageMs, isTrial: crash.isTrial})),
+		crashes: crashes.map(({ageMs: crashAgeMs, ...crash}) => ({...crash, atMs: nowMs - crashAgeMs})),
 		...(trial && {
 			trial: {
 				instance: trial.instance, target: trial.target, atMs: nowMs - trial.ageMs, isOver: trial.isOver,
--- a/packages/quarantine/test/merge.test.ts
+++ b/packages/quarantine/test/merge.test.ts
@@ -6,7 +6,9 @@
 } from '../src/index.js';
 
 const instances = ['instance-0', 'instance-1', 'instance-2'];
-const crash = fc.record({target: fc.constantFrom('i-1', 'i-2', 'i-3'), atMs: fc.integer({min: 0, max: 5}).map(step => step * 10_000), isTrial: fc.boolean()});
+const crash = fc.record({
+	target: fc.constantFrom('i-1', 'i-2', 'i-3'), atMs: fc.integer({min: 0, max: 5}).map(step => step * 10_000), isTrial: fc.boolean(), stopsGroup: fc.boolean(),
+}).map(({stopsGroup, ...rest}) => ({...rest, ...(stopsGroup && {stopsGroup})}));
 const suspicion: fc.Arbitrary<Suspicion> = fc.record({
 	part: fc.constant('p'), round: fc.integer({min: 0, max: 2}), crashes: fc.uniqueArray(crash, {maxLength: 4, selector: ({target, atMs}) => `${target}/${atMs}`}), changedAtMs: fc.constant(0),
 	trial: fc.option(fc.record({
@@ -15,7 +17,7 @@
 }).map(({trial, ...rest}) => ({...rest, crashes: rest.crashes.toSorted((a, b) => a.atMs - b.atMs || a.target.localeCompare(b.target)), ...(trial && {trial})}));
 
 const normalized = ({round, crashes, trial}: Suspicion): unknown => ({
-	round, trial, crashes: crashes.map(({target, atMs, isTrial}) => `${target}/${atMs}/${isTrial}`).toSorted(),
+	round, trial, crashes: crashes.map(({target, atMs, isTrial, stopsGroup}) => `${target}/${atMs}/${isTrial}/${stopsGroup}`).toSorted(),
 });
 
 const normalizedAll = (table: Suspicions): unknown => table.all().map(known => normalized(known));
--- a/packages/quarantine/test/quarantine.test.ts
+++ b/packages/quarantine/test/quarantine.test.ts
@@ -253,6 +253,18 @@
 			expect(kinds([sound])).to.deep.equal(['admitted', 'admitted']);
 		});
 
+		// Guards against a second outage of all targets of a group, which costs far more than the one request that waits.
+		it('keeps back a request after one crash if it alone can explain why a group stands still', () => {
+			first.onCrash('i-1', [{parts: [bad]}], {stopsGroup: true});
+			instances.deliver();
+			expect(kinds([bad])).to.deep.equal(['refused', 'refused']);
+			expect(kinds([sound])).to.deep.equal(['admitted', 'admitted']);
+			second.onCrash('i-1', [{parts: [sound]}], {stopsGroup: true});
+			instances.deliver();
+			expect(kinds([bad]), 'another request fell with it').to.deep.equal(['admitted', 'admitted']);
+			expect(kinds([sound])).to.deep.equal(['admitted', 'admitted']);
+		});
+
 		it('clears the parts of such a request, with which others are sound', () => {
 			crash(first, 'i-1', ['rare', bad]);
 			expect(kinds(['rare', sound])).to.deep.equal(['refused', 'refused']);
