--- a/packages/quarantine/src/suspicions.ts
+++ b/packages/quarantine/src/suspicions.ts
@@ -78,7 +78,7 @@
 function isSame(a: Suspicion, b: Suspicion): boolean {
 	const areTrialsSame = a.trial && b.trial ? isSameTrial(a.trial, b.trial) && a.trial.isOver === b.trial.isOver : a.trial === b.trial;
 	return areTrialsSame && a.round === b.round && a.crashes.length === b.crashes.length
-		&& a.crashes.every(crash => b.crashes.some(other => isSameCrash(crash, other) && crash.isTrial === other.isTrial));
+		&& a.crashes.every(crash => b.crashes.some(other => isSameCrash(crash, other) && crash.isTrial === other.isTrial && crash.stopsGroup === other.stopsGroup));
 }
 
 function changeBetween(before: Suspicion | undefined, after: Suspicion): SuspicionChange | undefined {
