Take neither an empty stream nor a repeated refusal at a target's word

An empty body of a call that is not a stream stays whole, as the protocol allows it. - An idempotent call that a target had refused could go back to it on the same connection, where a second copy of the refusal bears its own id: the call then counted as not run though it ran, and ran again (2 runs, 1 allowed). A call goes back to a target on a new connection only. Payments always did.

--- a/packages/direct/src/answer-receiver.ts
+++ b/packages/direct/src/answer-receiver.ts
@@ -57,10 +57,12 @@
 	const chunks: Uint8Array[] = [];
 	let bufferedBytes = 0;
 	let head: TargetAnswerHead | undefined;
+	let events = 0;
 	const isStreaming = (): boolean => call.route.kind === 'stream' && head !== undefined && head.status < 300;
 
 	const relayEvents = (bytes: Uint8Array): void => {
 		for (const event of splitter.push(bytes)) {
+			events++;
 			onEvent();
 			// A target that resumes a stream may repeat events that the caller already has.
 			if (event.id !== undefined && event.id <= progress.lastEventId) {
@@ -113,13 +115,13 @@
 				}
 
 				case 'complete': {
-					return finishComplete();
+					return finishComplete(exchangeResult.isFramed);
 				}
 			}
 		},
 	};
 
-	function finishComplete(): AttemptResult {
+	function finishComplete(isFramed: boolean): AttemptResult {
 		if (!head) {
 			return {kind: 'lost', reason: 'truncated', detail: 'no head'};
 		}
@@ -129,6 +131,11 @@
 				return {kind: 'lost', reason: 'truncated', detail: 'ends within an event'};
 			}
 
+			// A target that stops after its head looks the same as one that has nothing to send.
+			if (!isFramed && events === 0) {
+				return {kind: 'lost', reason: 'truncated', detail: 'ends after its head'};
+			}
+
 			if (!answer.headersSent) {
 				answer.head(head.status, head.rawHeaders);
 			}
--- a/packages/direct/src/exchange.ts
+++ b/packages/direct/src/exchange.ts
@@ -29,13 +29,13 @@
 /**
 How one exchange ended.
 
-- `complete`: the sink has the whole response.
+- `complete`: the sink has the whole response. Unless it was framed, by a length or in chunks, only the end of the connection says so.
 - `notSent`: no byte of the request was sent.
 - `notRun`: the target states that it did not run the request.
 - `broken`: the request was sent, but no whole response to it arrived.
 */
 export type ExchangeResult
-	= | {readonly kind: 'complete'}
+	= | {readonly kind: 'complete'; readonly isFramed: boolean}
 		| {readonly kind: 'notSent'; readonly detail: string}
 		| {readonly kind: 'notRun'; readonly status: number; readonly isMisdirected: boolean; readonly culprit: string | undefined}
 		| {readonly kind: 'broken'; readonly reason: BrokenReason; readonly detail: string};
@@ -197,7 +197,7 @@
 				if (isTruncated && !notRun) {
 					settle({kind: 'broken', reason: 'truncated', detail: `the connection ${connection.remoteState} before the answer was whole`}, false);
 				} else {
-					settle(notRun ?? {kind: 'complete'}, !isTruncated);
+					settle(notRun ?? {kind: 'complete', isFramed: hasFraming}, !isTruncated);
 				}
 			},
 			onResponseError(_current, error) {
--- a/packages/direct/src/forward.ts
+++ b/packages/direct/src/forward.ts
@@ -143,10 +143,11 @@
 			return giveUp({kind: 'notRun', reason: 'resendBudgetSpent', retryAfterMs: refusalRetryAfterMs});
 		}
 
+		const isSentAgain = tried.has(id);
 		tried.add(id);
 		let attempt: Awaited<ReturnType<typeof sendAttempt>>;
 		try {
-			attempt = await sendAttempt(admitted, place, progress, deps);
+			attempt = await sendAttempt(admitted, {place, isSentAgain}, progress, deps);
 		} catch (error) {
 			place.ended('neutral');
 			throw error;
@@ -203,7 +204,7 @@
 	}
 }
 
-async function sendAttempt(admitted: AdmittedCall, place: Place, progress: Progress, deps: ForwardDeps): Promise<{readonly result: AttemptResult; readonly events: number}> {
+async function sendAttempt(admitted: AdmittedCall, {place, isSentAgain}: {readonly place: Place; readonly isSentAgain: boolean}, progress: Progress, deps: ForwardDeps): Promise<{readonly result: AttemptResult; readonly events: number}> {
 	const {call, answer, signal} = admitted;
 	const startedMs = deps.monotonicMs();
 	let sentAfterMs: number | undefined;
@@ -250,7 +251,10 @@
 			deadlineMs: leftMs, targetId: place.target.record.id, organisation: call.organisation, lastEventId: progress.hasSentEvents ? String(progress.lastEventId) : undefined,
 		}),
 	}, receiver, {
-		dialect: deps.dialect, maxIdleMs: isRetryable(call) ? retryableMaxIdleMs : 0, signal: AbortSignal.any([signal, silenceController.signal]),
+		dialect: deps.dialect,
+		// On a connection that has carried the call before, a copy of the earlier answer would bear its id.
+		maxIdleMs: isRetryable(call) && !isSentAgain ? retryableMaxIdleMs : 0,
+		signal: AbortSignal.any([signal, silenceController.signal]),
 		mayStart: place.mayStart,
 		onSent() {
 			sentAfterMs = Math.round(deps.monotonicMs() - startedMs);
