--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -211,7 +211,7 @@
 	},
 	{
 		name: 'a non-idempotent call is sent on a new connection', file: 'direct/src/forward.ts',
-		find: 'isRetryable(call) ? retryableMaxIdleMs : 0', replace: 'retryableMaxIdleMs',
+		find: 'isRetryable(call) && !isSentAgain ? retryableMaxIdleMs : 0', replace: 'retryableMaxIdleMs',
 		spec: '../platform/test/direct/calls.test.ts', test: 'non-idempotent call on a new connection',
 	},
 	{
@@ -535,4 +535,54 @@
 		find: 'held.set(splitter.partialBytes) && splitter', replace: 'splitter',
 		spec: '../platform/test/direct/endless.test.ts', test: 'in events of many streams at once',
 	},
+	{
+		name: 'a call goes back to a target on a new connection only', file: 'direct/src/forward.ts',
+		find: 'isRetryable(call) && !isSentAgain ?', replace: 'isRetryable(call) ?',
+		spec: '../platform/test/direct/faulty-answers.test.ts', test: 'by repeating the refusal of its first attempt',
+	},
+	{
+		name: 'a stream without events and framing is not whole', file: 'direct/src/answer-receiver.ts',
+		find: 'if (!isFramed && events === 0) {', replace: 'if (!isFramed && events === -1) {',
+		spec: '../platform/test/direct/faulty-answers.test.ts', test: 'ends its connection after its head',
+	},
+	{
+		name: 'an idle rank is read less often', file: 'group/src/own-rank.ts',
+		find: 'await sleep(idleCountsIntervalMs);', replace: 'await sleep(countsIntervalMs);',
+		spec: 'group/test/own-rank.test.ts', test: 'reads an idle rank at most twice a second',
+	},
+	{
+		name: 'a process tells only its followers of changes', file: 'cli/src/directory.ts',
+		find: 'if (isFollowing) {', replace: 'if (isFollowing || followers.size > 0) {',
+		spec: 'cli/test/directory.test.ts', test: 'from three peers at most',
+	},
+	{
+		name: 'a followed entry that is silent is replaced', file: 'cli/src/sources.ts',
+		find: 'candidate.isSilent = true;', replace: 'candidate.isSilent = false;',
+		spec: 'cli/test/sources.test.ts', test: 'replaces a peer that is lost at once',
+	},
+	{
+		name: 'one of the followed peers is in another zone', file: 'cli/src/sources.ts',
+		find: 'const elsewhere = last && size > 1', replace: 'const elsewhere = last && size > 100',
+		spec: 'cli/test/sources.test.ts', test: 'one of them in another zone',
+	},
+	{
+		name: 'a request is kept back after its second crash', file: 'quarantine/src/suspicion.ts',
+		find: 'const requestCrashes = 2;', replace: 'const requestCrashes = 3;',
+		spec: 'quarantine/test/quarantine.test.ts', test: 'keeps back a request that was at two targets',
+	},
+	{
+		name: 'a request goes on after one crash with others', file: 'quarantine/src/suspicion.ts',
+		find: 'return stopsGroupAlone ? groupRequestCrashes : requestCrashes;', replace: 'return groupRequestCrashes;',
+		spec: 'quarantine/test/quarantine.test.ts', test: 'lets all sound requests that fell with a target go on',
+	},
+	{
+		name: 'a request that alone stops a group is kept back at once', file: 'quarantine/src/suspicion.ts',
+		find: 'return stopsGroupAlone ? groupRequestCrashes : requestCrashes;', replace: 'return requestCrashes;',
+		spec: 'quarantine/test/quarantine.test.ts', test: 'if it alone can explain why a group stands still',
+	},
+	{
+		name: 'a request under suspicion is no trial of its part', file: 'quarantine/src/quarantine.ts',
+		find: 'if (trialPart !== undefined && isRivalOf(trialPart, parts)) {', replace: 'if (trialPart === \'\') {',
+		spec: 'quarantine/test/quarantine.test.ts', test: 'clears the parts of such a request',
+	},
 ];
