Keep checks of the shared ticker apart; follow an entry again that was silent once

And an entry that had been silent once stayed out for good, since it is told to announce nothing: with time, few entries would have had all followers.

--- a/packages/cli/src/direct-process.ts
+++ b/packages/cli/src/direct-process.ts
@@ -36,12 +36,15 @@
 	const metrics = createMetrics();
 	const shutdown = new AbortController();
 	const monotonicMs = (): number => performance.now();
-	const ticker = createTicker();
+	const containment = createContainment({metrics, log});
+	const ticker = createTicker(error => {
+		containment.report('tick', error);
+	});
 	sampleLoopDelay({
 		metrics, log, monotonicMs, intervalMs: tickIntervalMs, onTick: ticker.add, signal: shutdown.signal,
 	});
 	return {
-		incarnation: randomUUID(), log, metrics, containment: createContainment({metrics, log}), shutdown, monotonicMs, random: Math.random, ticker,
+		incarnation: randomUUID(), log, metrics, containment, shutdown, monotonicMs, random: Math.random, ticker,
 		async pause(ms) {
 			await sleep(ms, undefined, {ref: false});
 		},
--- a/packages/cli/src/sources.ts
+++ b/packages/cli/src/sources.ts
@@ -26,7 +26,11 @@
 	update(): void;
 };
 
-type Candidate = {readonly peer: Peer; readonly score: number; heardMs: number; isSilent: boolean};
+/** How long an entry that fell silent is left out, in milliseconds, unless it announces something. It is no longer told to announce anything. */
+const silentForMs = 30_000;
+
+/** A connected peer, when it was heard of last, and until when it counts as silent. */
+type Candidate = {readonly peer: Peer; readonly score: number; heardMs: number; silentUntilMs: number};
 
 /**
 Creates the choice of the peers that a process follows: a fixed number of those that it is
@@ -45,7 +49,9 @@
 	let followed = new Set<Peer>();
 	let mustChoose = false;
 
-	const compare = (a: Candidate, b: Candidate): number => Number(a.isSilent) - Number(b.isSilent)
+	const isSilent = ({silentUntilMs}: Candidate): boolean => monotonicMs() < silentUntilMs;
+
+	const compare = (a: Candidate, b: Candidate): number => Number(isSilent(a)) - Number(isSilent(b))
 		|| Number(a.peer.hello.role === 'sidecar') - Number(b.peer.hello.role === 'sidecar')
 		|| Number(a.peer.hello.zone !== zone) - Number(b.peer.hello.zone !== zone)
 		|| b.score - a.score;
@@ -58,7 +64,7 @@
 		const last = chosen.at(-1);
 		// A partition can cut off all processes of a zone from the others.
 		const elsewhere = last && size > 1 && chosen.every(({peer}) => peer.hello.zone === last.peer.hello.zone)
-			? ordered.slice(size).find(({peer, isSilent}) => peer.hello.zone !== last.peer.hello.zone && peer.hello.role === last.peer.hello.role && !isSilent)
+			? ordered.slice(size).find(other => other.peer.hello.zone !== last.peer.hello.zone && other.peer.hello.role === last.peer.hello.role && !isSilent(other))
 			: undefined;
 		const previous = followed;
 		followed = new Set([...chosen.slice(0, elsewhere ? -1 : undefined), ...(elsewhere ? [elsewhere] : [])].map(({peer}) => peer));
@@ -74,7 +80,7 @@
 		isFollowed: peer => followed.has(peer),
 		onUp(peer) {
 			candidates.set(peer, {
-				peer, score: hashText(`${instance}\n${peer.hello.instance}`), heardMs: monotonicMs(), isSilent: false,
+				peer, score: hashText(`${instance}\n${peer.hello.instance}`), heardMs: monotonicMs(), silentUntilMs: Number.NEGATIVE_INFINITY,
 			});
 			mustChoose = true;
 			if (followed.size < count()) {
@@ -91,8 +97,8 @@
 			const candidate = candidates.get(peer);
 			if (candidate) {
 				candidate.heardMs = monotonicMs();
-				mustChoose ||= candidate.isSilent;
-				candidate.isSilent = false;
+				mustChoose ||= isSilent(candidate);
+				candidate.silentUntilMs = Number.NEGATIVE_INFINITY;
 			}
 		},
 		update() {
@@ -101,7 +107,7 @@
 				const candidate = candidates.get(peer)!;
 				// Sidecars announce only changes.
 				if (peer.hello.role === 'entry' && now - candidate.heardMs > maxSilenceMs) {
-					candidate.isSilent = true;
+					candidate.silentUntilMs = now + silentForMs;
 					mustChoose = true;
 				}
 			}
--- a/packages/cli/test/directory.test.ts
+++ b/packages/cli/test/directory.test.ts
@@ -57,7 +57,7 @@
 		const log = createLog({}, 'error');
 		const directory = openDirectory({
 			instance: `instance-${storePort}-${pauseMs}`, zone: 'z', store: connectPlatformStore({address: `127.0.0.1:${storePort}`, timeoutMs: 100}), pauseMs, reportMs: 0, prefersPeers,
-			log, metrics, containment: createContainment({metrics, log}), monotonicMs: () => performance.now(), random: () => 0.5, ticker: createTicker(), signal: ending.signal,
+			log, metrics, containment: createContainment({metrics, log}), monotonicMs: () => performance.now(), random: () => 0.5, ticker: createTicker(() => undefined), signal: ending.signal,
 			async sleep(ms) {
 				await sleep(ms, undefined, {ref: false});
 			},
--- a/packages/cli/test/silent-store.test.ts
+++ b/packages/cli/test/silent-store.test.ts
@@ -65,7 +65,7 @@
 		const log = createLog({}, 'error');
 		directory = openDirectory({
 			instance: 'entry-1', zone: 'z', store: connectPlatformStore({address: `127.0.0.1:${port}`, timeoutMs: 1000}), pauseMs, reportMs, prefersPeers: false,
-			log, metrics, containment: createContainment({metrics, log}), monotonicMs: () => performance.now(), random: () => 0.5, ticker: createTicker(), signal: ending.signal,
+			log, metrics, containment: createContainment({metrics, log}), monotonicMs: () => performance.now(), random: () => 0.5, ticker: createTicker(() => undefined), signal: ending.signal,
 			async sleep(ms) {
 				await sleep(ms, undefined, {ref: false});
 			},
--- a/packages/cli/test/sources.test.ts
+++ b/packages/cli/test/sources.test.ts
@@ -102,4 +102,39 @@
 		sources.update();
 		expect(followedOf(sources, entries)).to.have.length(3);
 	});
+
+	// Guards against entries that no process follows any more because each of them was slow once.
+	it('follows a silent entry again after a while, although it has been told to announce nothing', () => {
+		const clock = {nowMs: 0};
+		const entries = Array.from({length: 8}, (_, i) => peerOf(`edge-${i}`));
+		const sources = createTestSources({clock});
+		for (const peer of entries) {
+			sources.onUp(peer);
+		}
+
+		sources.update();
+		const silent = entries.find(peer => sources.isFollowed(peer))!;
+		const others = entries.filter(peer => peer !== silent);
+		const pass = (ms: number): void => {
+			for (const endMs = clock.nowMs + ms; clock.nowMs < endMs; clock.nowMs += 500) {
+				for (const peer of others) {
+					sources.onAnnounced(peer);
+				}
+
+				sources.update();
+			}
+		};
+
+		/** Disconnects one of the followed peers, so that another one is chosen. */
+		const lose = (): void => {
+			sources.onDown(others.find(peer => sources.isFollowed(peer))!);
+		};
+
+		pass(5000);
+		lose();
+		expect(sources.isFollowed(silent)).to.equal(false);
+		pass(30_000);
+		lose();
+		expect(sources.isFollowed(silent)).to.equal(true);
+	});
 });
--- a/packages/peer/src/ticker.ts
+++ b/packages/peer/src/ticker.ts
@@ -10,12 +10,13 @@
 /**
 Creates the ticker of one process, which calls all checks each 250 ms. They share one timer,
 because a timer for each of them, such as for each connection, would wake the process hundreds of times a second.
+What a check throws goes to `onError`, and the others are called all the same.
 
 @example
-const ticker = createTicker();
+const ticker = createTicker(error => containment.report('tick', error));
 const remove = ticker.add(() => connection.send({kind: 'alive', isNear: true, everyMs: 250}));
 */
-export function createTicker(): Ticker {
+export function createTicker(onError: (error: unknown) => void): Ticker {
 	const checks = new Set<() => void>();
 	let timer: NodeJS.Timeout | undefined;
 	return {
@@ -23,7 +24,11 @@
 			checks.add(check);
 			timer ??= setInterval(() => {
 				for (const other of checks) {
-					other();
+					try {
+						other();
+					} catch (error) {
+						onError(error);
+					}
 				}
 			}, tickIntervalMs).unref();
 			return () => {
--- a/packages/peer/test/peer.test.ts
+++ b/packages/peer/test/peer.test.ts
@@ -11,7 +11,7 @@
 	createTicker, maintainHostLinks, maintainPeerLink, handleFrame, openConnection, serveFrames, servePeer, type Frame, type Peer, type PeerEvents, type PeerOptions,
 } from '@papayaflow/peer';
 
-const optionsOf = (instance: string, ticker = createTicker()): PeerOptions => ({
+const optionsOf = (instance: string, ticker = createTicker(fail)): PeerOptions => ({
 	role: 'sidecar', instance, incarnation: 'x', zone: 'z', monotonicMs: () => performance.now(), ticker,
 	async sleep(ms) {
 		await sleep(ms);
--- a/packages/telemetry/src/containment.ts
+++ b/packages/telemetry/src/containment.ts
@@ -2,7 +2,7 @@
 import {type Metrics} from './metrics.js';
 
 /** Where an unforeseen exception was caught, as it stands in the log and in the label of the counter. */
-export const containmentPlaces = ['request', 'admin', 'frame', 'directory', 'store', 'accept', 'process'] as const;
+export const containmentPlaces = ['request', 'admin', 'frame', 'directory', 'tick', 'store', 'accept', 'process'] as const;
 
 export type ContainmentPlace = typeof containmentPlaces[number];
 
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -557,7 +557,7 @@
 	},
 	{
 		name: 'a followed entry that is silent is replaced', file: 'cli/src/sources.ts',
-		find: 'candidate.isSilent = true;', replace: 'candidate.isSilent = false;',
+		find: 'candidate.silentUntilMs = now + silentForMs;', replace: '',
 		spec: 'cli/test/sources.test.ts', test: 'replaces a peer that is lost at once',
 	},
 	{
