--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -184,7 +184,7 @@
 		onBegun(parts) {
 			const now = monotonicMs();
 			for (const part of parts) {
-				// A request that comes again after a long time may meet targets with new software, so its earlier answers prove nothing.
+				// Two crashes in a row outweigh the earlier answers to a request, so only those that clear it count.
 				if (!isRequestSubject(part)) {
 					begunAtMs.set(part, now);
 				}
--- a/packages/quarantine/src/subject.ts
+++ b/packages/quarantine/src/subject.ts
@@ -14,8 +14,8 @@
 
 /**
 Returns the id under which a request is suspected of crashing targets. A request that comes
-again, at whichever instance, has the same id; two others have different ones. It costs some
-microseconds for a small body and about 2 ms for one of 4 MB.
+again, at whichever instance, has the same id; two others have different ones. It costs
+microseconds for a small body and milliseconds for one of several megabytes.
 
 @example
 const id = requestSubject({method: 'POST', path: '/pay', organisation: 'acme', body});
--- a/packages/quarantine/src/suspicions.ts
+++ b/packages/quarantine/src/suspicions.ts
@@ -19,7 +19,7 @@
 	get(part: string): Suspicion | undefined;
 	/** The suspicions, including those of parts that were cleared. */
 	all(): readonly Suspicion[];
-	/** Whether any request is suspected, so that the ids of requests matter. */
+	/** Whether any request is suspected and was not cleared, so that the ids of requests matter. */
 	hasRequests(): boolean;
 	/** From when a request with the part may be sent as a trial, in milliseconds of the monotonic clock; `undefined` if nothing speaks against the part. */
 	trialFromMs(part: string): number | undefined;
@@ -40,7 +40,17 @@
 */
 export function createSuspicions(nowMs: () => number): Suspicions {
 	const parts = new LRUCache<string, Suspicion>({max: maxParts});
-	const requests = new LRUCache<string, Suspicion>({max: maxRequests});
+	const requests = new LRUCache<string, Suspicion>({
+		max: maxRequests,
+		dispose(_suspicion, id, reason) {
+			if (reason === 'evict') {
+				suspectedRequests.delete(id);
+			}
+		},
+	});
+	/** The requests that were not cleared, and when one of them last became suspected. */
+	const suspectedRequests = new Set<string>();
+	let lastSuspectedMs = Number.NEGATIVE_INFINITY;
 	const tableOf = (subject: string): LRUCache<string, Suspicion> => isRequestSubject(subject) ? requests : parts;
 	const get = (subject: string): Suspicion | undefined => tableOf(subject).peek(subject);
 
@@ -52,6 +62,13 @@
 		}
 
 		tableOf(next.part).set(next.part, merged);
+		if (isRequestSubject(next.part) && merged.crashes.length > 0) {
+			suspectedRequests.add(next.part);
+			lastSuspectedMs = Math.max(lastSuspectedMs, merged.changedAtMs);
+		} else {
+			suspectedRequests.delete(next.part);
+		}
+
 		return {isNews: true, change: changeBetween(held, merged)};
 	};
 
@@ -60,7 +77,7 @@
 	return {
 		get,
 		all,
-		hasRequests: () => requests.size > 0,
+		hasRequests: () => suspectedRequests.size > 0 && nowMs() - lastSuspectedMs <= forgetAfterMs,
 		trialFromMs(part) {
 			const suspicion = get(part);
 			return suspicion && trialFromMs(suspicion, all().filter(other => other.part !== part));
--- a/packages/quarantine/test/quarantine.test.ts
+++ b/packages/quarantine/test/quarantine.test.ts
@@ -280,6 +280,19 @@
 			expect(kinds(['rare', sound])).to.deep.equal(['admitted', 'admitted']);
 		});
 
+		// Guards against a digest of each body for hours after a crash.
+		it('matters only while a request is suspected that was not cleared', () => {
+			expect(instances.quarantines.map(quarantine => quarantine.knowsRequests())).to.deep.equal([false, false]);
+			crash(first, 'i-1', [sound]);
+			expect(instances.quarantines.map(quarantine => quarantine.knowsRequests())).to.deep.equal([true, true]);
+			second.onBegun([sound]);
+			instances.deliver();
+			expect(instances.quarantines.map(quarantine => quarantine.knowsRequests())).to.deep.equal([false, false]);
+			crash(first, 'i-2', [sound]);
+			clock.nowMs += 121 * minuteMs;
+			expect(first.knowsRequests(), 'after two hours').to.equal(false);
+		});
+
 		it('is cleared by an operator', () => {
 			crash(first, 'i-1', [bad]);
 			crash(first, 'i-2', [bad]);
