Change the configuration only after both directories have read the store

The change comes after that read and an exchange of announcements now; without the guard the test fails again (versions 3 and 3, 4 and 4 expected).

--- a/packages/cli/test/directory.test.ts
+++ b/packages/cli/test/directory.test.ts
@@ -242,13 +242,15 @@
 	it('reads the store while all its peers are processes that prefer their peers', async () => {
 		const [first, second] = [open(port, true), open(port, true)];
 		link(first.directory, second.directory);
-		await sleep(100);
+		// Both have read the store once and announced what they found to each other.
+		await waitFor(async () => [first, second].every(({versions}) => versions.at(-1) === 3) || undefined);
+		await sleep(2500);
 		standin.put('op/config', configuration(4));
 		await sleep(4000);
 		expect([first.versions.at(-1), second.versions.at(-1)]).to.deep.equal([4, 4]);
 		first.directory.stop();
 		second.directory.stop();
-	});
+	}).timeout(12_000);
 
 	it('keeps the current configuration when the next one is malformed', async () => {
 		const {directory} = open(port, false);
