--- a/packages/bench/src/fleet-cost.ts
+++ b/packages/bench/src/fleet-cost.ts
@@ -39,12 +39,11 @@
 const requestsPerSecond = Number(args['per-second']);
 
 type Program = {readonly role: string; readonly host: string; readonly child: ChildProcess};
-type Sample = {readonly cpu: readonly CpuSeconds[]; readonly frames: ReadonlyMap<string, number>; readonly storeCalls: number; readonly engineCalls: number};
+type Sample = {readonly cpu: readonly CpuSeconds[]; readonly frames: ReadonlyMap<string, number>; readonly storeCalls: number};
 
 const store = createPlatformStore(Date.now);
 const storePort = await listenOn(store.server);
 let running = 0;
-const engineCalls = 0;
 const hostOf = (kind: number, index: number): string => `127.${kind}.${Math.floor(index / 250)}.${1 + (index % 250)}`;
 
 async function streamEvents(req: IncomingMessage, res: ServerResponse): Promise<void> {
@@ -158,7 +157,7 @@
 	for (const {host} of started.filter(program => program.role === role)) {
 		const res = await fetch(`http://${host}:${metricsPort}/metrics`).catch(() => undefined);
 		const text = await res?.text() ?? '';
-		for (const [, name, value] of text.matchAll(/^papayaflow_((?:frames_received|pulls|copies_sent|engine_polls)\S*) (\d+)/gmv)) {
+		for (const [, name, value] of text.matchAll(/^papayaflow_((?:frames_received|pulls|copies_sent)\S*) (\d+)/gmv)) {
 			totals.set(`${role} ${name}`, (totals.get(`${role} ${name}`) ?? 0) + Number(value));
 		}
 	}
@@ -170,7 +169,7 @@
 	const cpu = await Promise.all(started.map(async ({child}) => readCpuSeconds(child.pid ?? 0)));
 	const frames = new Map([...await readFrames('entry'), ...await readFrames('sidecar')]);
 	return {
-		cpu, frames, storeCalls: [...store.calls.values()].reduce((sum, count) => sum + count, 0), engineCalls,
+		cpu, frames, storeCalls: [...store.calls.values()].reduce((sum, count) => sum + count, 0),
 	};
 };
 
--- a/packages/group/src/membership.ts
+++ b/packages/group/src/membership.ts
@@ -7,10 +7,10 @@
 /** The number of lowest ranks whose sidecars may coordinate the group: three, so that two may be down. */
 export const candidateCount = 3;
 
-/** How many targets it is remembered of in which group they are. */
+/** The most targets whose group is remembered. */
 const maxKnownTargets = 10_000;
 
-/** How long it is remembered in which group a target is, in milliseconds. The platform may form the groups differently. */
+/** How long the group of a target is remembered after its last notice, in milliseconds. The platform may form the groups differently. */
 const groupValidMs = 600_000;
 
 /** The members of groups, as known from the rank notices that their sidecars have sent. */
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -1,7 +1,7 @@
 import {type Log, type Metrics} from '@papayaflow/telemetry';
 import {LRUCache} from 'lru-cache';
 import {
-	isBlocked, isSameCrash, type AgedSuspicion, type Suspicion,
+	isBlocked, mayHaveCaused, type AgedSuspicion, type Suspicion,
 } from './suspicion.js';
 import {isRequestSubject} from './subject.js';
 import {createSuspicions, type SuspicionChange} from './suspicions.js';
@@ -131,8 +131,17 @@
 		&& monotonicMs() - trial.atMs < trialMs && crashes.every(({target, atMs}) => target !== trial.target || atMs < trial.atMs);
 
 	/** Whether the request itself may have caused a crash for which its part is suspected. A trial of the part with that request could not tell which of them it was. */
-	const isRivalOf = (part: string, subjects: readonly string[]): boolean => !isRequestSubject(part) && subjects.filter(subject => isRequestSubject(subject))
-		.some(subject => suspicions.get(subject)?.crashes.some(crash => suspicions.get(part)?.crashes.some(other => isSameCrash(crash, other))));
+	const isRivalOf = (part: string, subjects: readonly string[]): boolean => {
+		const suspicion = suspicions.get(part);
+		if (!suspicion || isRequestSubject(part)) {
+			return false;
+		}
+
+		const requests = subjects.filter(subject => isRequestSubject(subject)).flatMap(subject => suspicions.get(subject) ?? []);
+		return requests.some(({crashes}) => crashes.some(crash => mayHaveCaused(suspicion, crash)));
+	};
+
+	const refusalOf = (part: string, waitMs = 0): Admission => ({kind: 'refused', part, retryAfterMs: Math.max(minRetryAfterMs, waitMs) * (1 + (random() / 2))});
 
 	const check = (parts: readonly string[]): Admission => {
 		let trialPart: string | undefined;
@@ -144,14 +153,14 @@
 
 			const waitMs = fromMs - monotonicMs();
 			if (waitMs > 0 || suspicions.all().some(other => isTrialUnderWay(other))) {
-				return {kind: 'refused', part, retryAfterMs: Math.max(minRetryAfterMs, waitMs) * (1 + (random() / 2))};
+				return refusalOf(part, waitMs);
 			}
 
 			trialPart ??= part;
 		}
 
 		if (trialPart !== undefined && isRivalOf(trialPart, parts)) {
-			return {kind: 'refused', part: trialPart, retryAfterMs: minRetryAfterMs * (1 + (random() / 2))};
+			return refusalOf(trialPart);
 		}
 
 		return trialPart === undefined ? {kind: 'admitted'} : {kind: 'trial', part: trialPart};
--- a/packages/quarantine/src/suspicion.ts
+++ b/packages/quarantine/src/suspicion.ts
@@ -84,7 +84,10 @@
 	return isRequestSubject(part) && crashes.length >= requestCrashes;
 }
 
-const mayHaveCaused = ({crashes}: Suspicion, crash: SuspectedCrash): boolean => crashes.some(other => isSameCrash(crash, other));
+/** Whether a subject is suspected of having caused a crash. */
+export function mayHaveCaused({crashes}: Suspicion, crash: SuspectedCrash): boolean {
+	return crashes.some(other => isSameCrash(crash, other));
+}
 
 /**
 Whether a crash that `suspicion` may have caused is put down to `other`: after a failed trial of that, and for a part
@@ -106,9 +109,10 @@
 /**
 Returns from when a request with the subject may be sent as a trial, in milliseconds of the
 monotonic clock; `undefined` if too little speaks against it to keep it back: no crash, or a
-single one if it is a request, unless that alone can explain why a group stands still. Crashes that others among `others` explain do not count. The
-pause is short while other subjects of the same kind may have caused the same crashes, and grows
-with each trial that crashed its target, up to an hour.
+single one if it is a request, unless that alone can explain why a group stands still. Crashes
+that one of `others` explains do not count. The pause is short while other subjects of the same
+kind may have caused the same crashes, and grows with each trial that crashed its target, up to
+an hour.
 
 @example
 trialFromMs({part: '5c1e07a2', round: 0, crashes: [], changedAtMs: 0}, []); // undefined
