Tell a returned request by its prompt, not by a shorter deadline

Callers saw: two of three streams of a large fleet late, many of them refused after 0.7 s.

Cause: an entry took the difference between the longest deadline of a route and that of a request for time that its caller had waited. Fleets whose callers all set the same deadline never showed it.

Change: an entry recognises a retry by the prompt, the organisation and the path of a request that was refused. Coordinators tell all entries what they refused, with the reports of their load. An entry waits as long as the coordinator may keep a request.

Ruled out: an id of the caller's attempts (each has its own), the body (its digest costs time).

--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -1,13 +1,14 @@
 import {
 	createRankNotices, handleFrame, type DownCause, type Frame, type FrameHandlers, type GroupLoad, type Peer, type PeerPlacementRequest, type StreamNotice,
 } from '@papayaflow/peer';
-import {refusalRetryDelayMs} from '@papayaflow/policy';
+import {maxPlacementWaitMs, refusalRetryDelayMs} from '@papayaflow/policy';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
 import {type EngineModel} from '@papayaflow/routing';
 import {type Call} from './call.js';
 import {
 	type Place, type PlaceResult, type PlaceRequest, type Placer,
 } from './place.js';
+import {createRefusedRequests, generationIdentity} from './refused-requests.js';
 import {type Target, type Targets} from './targets.js';
 
 /** The time added to the longest wait for a coordinator's decision, in milliseconds. It covers a round trip between zones and a delayed event loop. */
@@ -19,8 +20,8 @@
 /** The assumed number of entries that share a group without a recent load report. */
 const assumedEntryCount = 4;
 
-/** The longest wait for a coordinator's decision, as a multiple of the latency objective. */
-const maxWaitObjectiveRatio = 1;
+/** The shortest time after which a coordinator that does not answer counts as silent, as a multiple of the latency objective. Its decision on a first attempt may be due much sooner, but its machine may be busy. */
+const minReplyTimeoutRatio = 1;
 
 /** The assumed length of an answer without a length hint, as a ratio of its maximum length. */
 const defaultAnswerTokensRatio = 0.5;
@@ -66,12 +67,7 @@
 	const loads = new Map<string, {readonly load: GroupLoad; readonly atMs: number}>();
 	const pendingReplies = new Map<string, (frame: Extract<Frame, {kind: 'placed' | 'turnedAway'}>) => void>();
 	const streams = new Map<string, Stream>();
-	/**
-	The longest deadline of any call so far, by route. A caller sends a retry with the
-	remaining part of its deadline, so the longest deadline minus the deadline of the retry
-	is the time that the caller has already waited.
-	*/
-	const longestDeadlineMsByRoute = new Map<string, number>();
+	const refusedRequests = createRefusedRequests(monotonicMs);
 
 	const groupOf = ({address}: Target): string | undefined => {
 		const peer = notices.peerBeside(address);
@@ -80,20 +76,20 @@
 
 	const createPlacementRequest = ({call, tried, excluded, hasBegun}: PlaceRequest): PeerPlacementRequest => {
 		const {route, generation} = call;
-		const longestDeadlineMs = Math.max(longestDeadlineMsByRoute.get(route.name) ?? 0, call.deadlineMs);
-		longestDeadlineMsByRoute.set(route.name, longestDeadlineMs);
+		const identity = generationIdentity(call);
 		const elapsedMs = monotonicMs() - call.arrivedMs;
-		const earlierWaitMs = longestDeadlineMs - call.deadlineMs;
+		const sinceFirstSentMs = identity === undefined ? undefined : refusedRequests.waitedMs(identity);
 		return {
 			id: call.requestId,
+			...(identity !== undefined && {identity}),
 			promptTokens: generation?.promptTokens ?? options.model(call.service)?.usualPromptTokens ?? 0,
 			answerTokens: answerTokensOf(call),
-			waitedMs: earlierWaitMs + elapsedMs,
+			waitedMs: sinceFirstSentMs ?? elapsedMs,
 			objectiveMs: route.objectiveMs,
 			gapMs: route.gapObjectiveMs ?? route.objectiveMs,
 			deadlineMs: call.deadlineMs - elapsedMs,
 			priority: call.priority,
-			hasReturned: earlierWaitMs > 0 || tried.size > 0,
+			hasReturned: sinceFirstSentMs !== undefined || tried.size > 0,
 			isResumed: hasBegun,
 			excluded: [...new Set([
 				...[...tried, ...excluded].flatMap(id => targets.byId(id)?.address ?? []),
@@ -199,7 +195,7 @@
 			settle('withdrawn');
 		};
 
-		const timer = setTimeout(settle, (placementRequest.objectiveMs * maxWaitObjectiveRatio) + replyMarginMs, 'silent');
+		const timer = setTimeout(settle, Math.max(placementRequest.objectiveMs * minReplyTimeoutRatio, maxPlacementWaitMs(placementRequest)) + replyMarginMs, 'silent');
 		signal.addEventListener('abort', withdraw, {once: true});
 		pendingReplies.set(placementRequest.id, settle);
 		coordinator.send({kind: 'place', ask: placementRequest});
@@ -222,6 +218,16 @@
 	};
 
 	const place: Placer = async request => {
+		const result = await placeOnce(request);
+		const identity = generationIdentity(request.call);
+		if (result.kind === 'refused' && identity !== undefined) {
+			refusedRequests.add(identity, monotonicMs() - request.call.arrivedMs);
+		}
+
+		return result;
+	};
+
+	const placeOnce: Placer = async request => {
 		const {call, tried, excluded, signal} = request;
 		const serving = targets.servingTargets(call.service).filter(({record}) => !excluded.has(record.id));
 		const untried = serving.filter(({record}) => !tried.has(record.id));
@@ -280,6 +286,9 @@
 		turnedAway: handleReply,
 		groupLoad(_peer, {group, load}) {
 			loads.set(group, {load, atMs: monotonicMs()});
+			for (const [identity, waitedMs] of load.refused ?? []) {
+				refusedRequests.add(identity, waitedMs);
+			}
 		},
 	};
 
--- a/packages/direct/test/group-place.test.ts
+++ b/packages/direct/test/group-place.test.ts
@@ -1,6 +1,8 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {beforeEach, describe, it} from 'mocha';
-import {type Peer, type RankNotice} from '@papayaflow/peer';
+import {type Frame, type Peer, type RankNotice} from '@papayaflow/peer';
+import {maxPlacementWaitMs} from '@papayaflow/policy';
 import {createLog, createMetrics} from '@papayaflow/telemetry';
 import {
 	createGroupPlacer, createTargets, type Call, type GroupPlacer,
@@ -160,3 +162,102 @@
 		expect(reads).to.be.at.most(3 * sidecarCount);
 	});
 });
+
+describe('a group placer whose callers return after a refusal', () => {
+	let nowMs: number;
+	let asks: Array<Extract<Frame, {kind: 'place'}>['ask']>;
+	let answer: (id: string) => Frame | undefined;
+	let placer: GroupPlacer;
+	const coordinator: Peer = {
+		...peerOf(0),
+		send(frame) {
+			if (frame.kind === 'place') {
+				asks.push(frame.ask);
+				const reply = answer(frame.ask.id);
+				queueMicrotask(() => reply && placer.onFrame(coordinator, reply));
+			}
+		},
+	};
+	const refuse = (id: string): Frame => ({
+		kind: 'turnedAway', id, reason: 'overloaded', retryAfterMs: 150,
+	});
+	const accept = (id: string): Frame => ({kind: 'placed', id, target: addressOf(0)});
+
+	beforeEach(() => {
+		nowMs = 1000;
+		asks = [];
+		answer = accept;
+		const targets = createTargets({
+			connectMs: 100, ejection: {ejectAfterFailures: 3, ejectMs: 1000, maxEjectedRatio: 0.5}, nowMs: () => nowMs, isKnownService: () => true, onChange: () => undefined,
+		});
+		targets.update([{
+			id: 'i-0', incarnation: 0, registeredAt: 1, service: 's', host: '10.0.0.0', port: 80, zone: 'z', slots: 8, state: 'serving', warmingMs: 0,
+		}]);
+		placer = createGroupPlacer({
+			targets, model: () => undefined, monotonicMs: () => nowMs, random: () => 0.5, metrics: createMetrics(), log: createLog({}, 'error'),
+		});
+		placer.onFrame(coordinator, {
+			kind: 'rank', notice: {
+				group: 'g', formation: 1, rank: 0, size: 1, isOpen: true, target: addressOf(0), isCoordinator: true, term: 1,
+			},
+		});
+	});
+
+	const place = async (requestId: string, {part = 'p', deadlineMs = 8000}: {readonly part?: string; readonly deadlineMs?: number} = {}): Promise<string> => {
+		const result = await placer.place({
+			call: {
+				...callOf(requestId), arrivedMs: nowMs, deadlineMs, generation: {
+					promptTokens: 700, maxAnswerTokens: 90, hintedAnswerTokens: undefined, parts: [{id: 'shared', tokens: 40}, {id: part, tokens: 660}],
+				},
+			},
+			hasBegun: false, tried: new Set(), excluded: new Set(), signal: new AbortController().signal,
+		});
+		return result.kind;
+	};
+
+	// Guards against queues of late streams: callers set deadlines of different lengths, and the difference was taken for time that they had waited.
+	it('takes a call with a shorter deadline than others for a first attempt', async () => {
+		await place('a', {part: 'a', deadlineMs: 8000});
+		await place('b', {part: 'b', deadlineMs: 6900});
+		expect(asks.map(({hasReturned, waitedMs}) => ({hasReturned, waitedMs}))).to.deep.equal([{hasReturned: false, waitedMs: 0}, {hasReturned: false, waitedMs: 0}]);
+	});
+
+	it('recognises a call that it refused by its prompt, and how long its caller has waited', async () => {
+		answer = refuse;
+		expect(await place('first')).to.equal('refused');
+		nowMs += 180;
+		await place('again', {deadlineMs: 7820});
+		expect(asks[1]).to.include({hasReturned: true, waitedMs: 180});
+	});
+
+	it('recognises a call that the coordinator refused to another entry', async () => {
+		await place('first');
+		placer.onFrame(coordinator, {
+			kind: 'groupLoad', group: 'g', load: {
+				running: 0, room: 100, entries: 2, passMs: 10, refused: [[asks[0].identity!, 90]],
+			},
+		});
+		nowMs += 110;
+		await place('again');
+		expect(asks[1]).to.include({hasReturned: true, waitedMs: 200});
+	});
+
+	it('forgets a refused call once its caller can no longer return', async () => {
+		answer = refuse;
+		await place('first');
+		nowMs += 20_000;
+		await place('same prompt');
+		expect(asks[1]).to.include({hasReturned: false, waitedMs: 0});
+	});
+
+	// Guards against streams placed beyond the capacity of a group: the entry gave up on a returned call before its coordinator decided.
+	it('waits for the decision on a returned call as long as the coordinator may keep it', async () => {
+		answer = refuse;
+		await place('first');
+		answer = () => undefined;
+		const placing = place('again');
+		await sleep(maxPlacementWaitMs({objectiveMs: 20, hasReturned: true, deadlineMs: 1000}) + 70);
+		placer.onFrame(coordinator, refuse('again'));
+		expect(await placing).to.equal('refused');
+	});
+});
--- a/packages/group/src/coordination.ts
+++ b/packages/group/src/coordination.ts
@@ -1,5 +1,5 @@
 import {type LayeredMap, type RankView} from '@papayaflow/experts';
-import {type GroupLoad} from '@papayaflow/peer';
+import {type GroupLoad, type RefusedRequest} from '@papayaflow/peer';
 import {
 	balancingNeed, createGroupAdmission, type GroupAdmission, type GroupState,
 } from '@papayaflow/policy';
@@ -12,11 +12,14 @@
 import {createRemoteRanks, type Member, type RemoteRanks} from './remote-ranks.js';
 import {createSkewMonitor} from './skew-monitor.js';
 
-/** How often the group's load is sent to the entries, in milliseconds. */
+/** How often the group's load is sent to the entries, in milliseconds, unless requests have been refused. */
 const loadIntervalMs = 200;
 
-/** The number of times that the load is sent per log line, so that it is logged once per second. */
-const loadsPerLogLine = 5;
+/** How often the entries are told which requests have been refused, in milliseconds: before the callers return, who are told to wait for at least a fifth of their objective. */
+const refusedIntervalMs = 100;
+
+/** How often the load is logged, in milliseconds. */
+const loadLogIntervalMs = 1000;
 
 /** How often the admission tries to place waiting requests, in milliseconds: several times per pass. */
 const admissionTickMs = 10;
@@ -73,6 +76,8 @@
 	readonly ranks: RemoteRanks;
 	/** Handles a new view of the own rank, from which the pass time is measured. */
 	onView(view: RankView): void;
+	/** Records a refused request, so that the entries recognise its retry. */
+	onRefused(request: RefusedRequest): void;
 	/** Starts no further map switch; resolves when a switch in progress has ended and no longer holds the group. */
 	stop(): Promise<void>;
 	status(): CoordinationStatus;
@@ -114,11 +119,20 @@
 	const admissionTimer = setInterval(() => {
 		admission.tick();
 	}, admissionTickMs).unref();
-	let loadsSent = 0;
+	let sentMs = Number.NEGATIVE_INFINITY;
+	let loggedMs = monotonicMs();
+	let refused: Array<{readonly identity: string; readonly firstSentMs: number}> = [];
 	const loadTimer = setInterval(() => {
+		const now = monotonicMs();
+		if (refused.length === 0 && now - sentMs < loadIntervalMs - (refusedIntervalMs / 2)) {
+			return;
+		}
+
+		sentMs = now;
 		const {running, waiting, passMs} = admission.state();
 		const room = admission.room();
-		if (++loadsSent % loadsPerLogLine === 0) {
+		if (now - loggedMs >= loadLogIntervalMs) {
+			loggedMs = now;
 			const shifts = skewMonitor.shifts();
 			log.info({
 				group: view.group, running, waiting, room, passMs: Math.round(meter.passMs()), predictedMs: Math.round(passMs), slowdown: round(meter.slowdown()),
@@ -130,8 +144,10 @@
 		metrics.gauge('group_pass_ms', Math.round(meter.passMs()));
 		deps.sendLoad({
 			running, room, entries: deps.entries(), passMs: Math.round(passMs),
+			...(refused.length > 0 && {refused: refused.map(({identity, firstSentMs}) => [identity, Math.round(now - firstSentMs)] as const)}),
 		});
-	}, loadIntervalMs).unref();
+		refused = [];
+	}, refusedIntervalMs).unref();
 
 	const readMap = async (): Promise<{readonly version: number; readonly map: LayeredMap} | undefined> => {
 		const parts = await Promise.all(Array.from({length: view.size}, async (_, rank) => ranks.readExperts(rank)));
@@ -157,6 +173,9 @@
 		onView(ownView) {
 			meter.addSample(ownView, admission.state().passMs / meter.slowdown(), monotonicMs());
 		},
+		onRefused([identity, waitedMs]) {
+			refused.push({identity, firstSentMs: monotonicMs() - waitedMs});
+		},
 		async stop() {
 			clearInterval(admissionTimer);
 			clearInterval(loadTimer);
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -197,13 +197,14 @@
 	};
 
 	const placementRequestOf = (peer: Peer, frame: Extract<Frame, {kind: 'place'}>): PlacementRequest => {
-		const {excluded, ...request} = frame.ask;
+		const {excluded, identity: _, ...request} = frame.ask;
 		const ranks = Array.from({length: notice?.size ?? 0}, (_, rank) => rank);
 		return {...request, zone: peer.hello.zone, excluded: new Set(ranks.filter(rank => excluded.includes(targetOf(rank) ?? '')))};
 	};
 
 	const onPlace = (peer: Peer, frame: Extract<Frame, {kind: 'place'}>): void => {
-		const {id} = frame.ask;
+		const {id, identity} = frame.ask;
+		const askedMs = monotonicMs();
 		if (!coordination) {
 			peer.send({
 				kind: 'turnedAway', id, reason: 'wrongOwner', retryAfterMs: 0,
@@ -226,6 +227,10 @@
 			}
 
 			coordination?.admission.ended(id);
+			if (identity !== undefined) {
+				coordination?.onRefused([identity, frame.ask.waitedMs + monotonicMs() - askedMs]);
+			}
+
 			peer.send({
 				kind: 'turnedAway', id, reason: decision.kind === 'refused' ? decision.reason : 'noTarget', retryAfterMs: decision.kind === 'refused' ? decision.retryAfterMs : 0,
 			});
--- a/packages/group/test/sidecar.test.ts
+++ b/packages/group/test/sidecar.test.ts
@@ -134,6 +134,26 @@
 		await sidecar.leave();
 	});
 
+	it('tells all entries which requests it has refused, so that they recognise the retries', async () => {
+		const {sidecar, stop} = startSidecar(0, {nowMs: 0});
+		const [sent, sentToOther]: [Frame[], Frame[]] = [[], []];
+		const entry = peerOf('entry', sent);
+		sidecar.onUp(entry);
+		sidecar.onUp(peerOf('entry', sentToOther));
+		await sleep(20);
+		const frame = placeFrame('r-1', [targetOf(0)]) as Extract<Frame, {kind: 'place'}>;
+		sidecar.onFrame(entry, {
+			...frame, ask: {
+				...frame.ask, identity: 'prompt', deadlineMs: 0, waitedMs: 40,
+			},
+		});
+		await sleep(250);
+		expect(sent.some(({kind}) => kind === 'turnedAway')).to.equal(true);
+		expect(sentToOther.flatMap(other => other.kind === 'groupLoad' ? other.load.refused ?? [] : [])).to.deep.equal([['prompt', 40]]);
+		stop();
+		await sidecar.leave();
+	});
+
 	it('places no request on a rank whose sidecar fell silent, until that sidecar is connected again', async () => {
 		const {sidecar, stop} = startSidecar(0, {nowMs: 0});
 		const sent: Frame[] = [];
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -77,6 +77,8 @@
 
 /** Asks a group's coordinator to choose an engine for a request of an entry. Excluded engines are given by address, whereas `PlacementRequest` excludes ranks. The zone is that of the connection. */
 export type PeerPlacementRequest = Omit<PlacementRequest, 'excluded' | 'zone'> & {
+	/** What the request has in common with a retry of it, which has another id; absent if its caller states nothing that tells it apart. */
+	readonly identity?: string;
 	/** The addresses of engines that failed the request before, as `IP:PORT`. */
 	readonly excluded: readonly string[];
 };
@@ -100,8 +102,13 @@
 	readonly entries: number;
 	/** The predicted time of one pass, in milliseconds. */
 	readonly passMs: number;
+	/** The requests refused since the previous report, by which entries recognise their retries. */
+	readonly refused?: readonly RefusedRequest[];
 };
 
+/** The identity of a refused request, and the time since its caller first sent it, in milliseconds. */
+export type RefusedRequest = readonly [identity: string, waitedMs: number];
+
 /** An update that one process sends to another for its copy of the key-value service's entries. */
 export type StoreCopy = {
 	readonly revision: number;
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -5,7 +5,7 @@
 export {
 	encodeFrame, frameKinds, isGroupFrame, maxFrameBytes, protocolVersion, readFrames,
 	type ConfigUpdate, type Frame, type FrameFault,
-	type GroupFrame, type GroupLoad, type LoadReport, type MapUpdate, type RequestPathFrame, type PeerCommand, type PeerRequest, type PeerPlacementRequest,
+	type GroupFrame, type GroupLoad, type LoadReport, type RefusedRequest, type MapUpdate, type RequestPathFrame, type PeerCommand, type PeerRequest, type PeerPlacementRequest,
 	type RankNotice, type StoreCopy, type StreamNotice,
 } from './frame.js';
 export {createTicker, tickIntervalMs, type Ticker} from './ticker.js';
--- a/packages/policy/src/group-admission.ts
+++ b/packages/policy/src/group-admission.ts
@@ -17,7 +17,7 @@
 	readonly deadlineMs: number;
 	/** Lower values are served first; 0 is the most urgent. */
 	readonly priority: number;
-	/** Whether this is a retry of a request that was refused before. */
+	/** Whether this request was refused before, so that its caller takes another refusal as final. */
 	readonly hasReturned: boolean;
 	/** Whether the request resumes a stream that was interrupted, so that its caller waits in the middle of an answer. */
 	readonly isResumed: boolean;
@@ -305,12 +305,6 @@
 	/** Returns how long a request can still wait and meet its objective, in milliseconds; negative if it can't meet it. */
 	const slackMs = ({objectiveMs, waitedMs}: PlacementRequest, enqueuedAtMs: number, now: number): number => (objectiveMs * (1 - firstTokenReserveRatio)) - waitedMs - (now - enqueuedAtMs);
 
-	/** Returns how long a request may wait before it is refused, in milliseconds. */
-	const maxWaitMs = (request: PlacementRequest): number => {
-		const {objectiveMs, hasReturned, deadlineMs} = request;
-		return Math.min(deadlineMs, objectiveMs * (hasReturned ? retryWaitRatio : firstWaitRatio));
-	};
-
 	// Orders resumed streams first, then requests that can meet their objective, then late ones; within these by priority and then by least slack.
 	const compareWaiting = (a: WaitingRequest, b: WaitingRequest, now: number): number => {
 		const [slackA, slackB] = [slackMs(a.request, a.enqueuedAtMs, now), slackMs(b.request, b.enqueuedAtMs, now)];
@@ -346,7 +340,7 @@
 			const now = nowMs();
 			lastGapMs = request.gapMs;
 			waiting.set(request.id, {
-				request, enqueuedAtMs: now, expiresAtMs: now + maxWaitMs(request), answer,
+				request, enqueuedAtMs: now, expiresAtMs: now + maxPlacementWaitMs(request), answer,
 			});
 			tick();
 		},
@@ -376,6 +370,16 @@
 	};
 }
 
+/**
+Returns how long a request may wait for capacity before it is refused, in milliseconds.
+
+@example
+maxPlacementWaitMs({objectiveMs: 500, hasReturned: false, deadlineMs: 8000}); // 60
+*/
+export function maxPlacementWaitMs({objectiveMs, hasReturned, deadlineMs}: Pick<PlacementRequest, 'objectiveMs' | 'hasReturned' | 'deadlineMs'>): number {
+	return Math.min(deadlineMs, objectiveMs * (hasReturned ? retryWaitRatio : firstWaitRatio));
+}
+
 /** The cost of a rank in another availability zone than the entry, in milliseconds. Traffic between zones is charged, but not worth a longer pass. */
 const otherZoneMs = 0.01;
 
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -32,7 +32,7 @@
 	defaultDemandOptions, uniformDemand, updateDemand, type Demand, type DemandOptions,
 } from './demand.js';
 export {
-	createGroupAdmission, type GroupAdmission, type GroupAdmissionOptions, type GroupDecision, type GroupModel, type PlacementRequest, type GroupState, type DemandShifts,
+	createGroupAdmission, maxPlacementWaitMs, type GroupAdmission, type GroupAdmissionOptions, type GroupDecision, type GroupModel, type PlacementRequest, type GroupState, type DemandShifts,
 } from './group-admission.js';
 export {
 	predictPassMs, tokenWorkMs, type PassModel, type RankWork,
