--- a/packages/group/src/expert-balancer.ts
+++ b/packages/group/src/expert-balancer.ts
@@ -2,7 +2,7 @@
 	resolvePass, switchPass, type LayeredMap, type PassSwitchOptions, type RankView,
 } from '@papayaflow/experts';
 import {
-	skewOfLayers, type Demand, type Spread,
+	skewOfLayer, type Demand, type Spread,
 } from '@papayaflow/policy';
 import {type ExpertModel} from '@papayaflow/routing';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
@@ -43,7 +43,7 @@
 /** The map versions of a coordinator start at its token times this number, so that they are higher than those of earlier coordinators. */
 const versionsPerToken = 10_000;
 
-/** The shortest time between two plans, as a multiple of the time that the last one took. A demand that seems to shift all the time must not keep the processor busy with plans. */
+/** The shortest time between two plans, as a multiple of the time that was spent on the last one. A demand that seems to shift all the time must not keep the processor busy with plans. */
 const planRestRatio = 4;
 
 /** The weights by which a map change is chosen. */
@@ -129,7 +129,7 @@
 	let {map} = takeover;
 	lastHeldPass = takeover.held;
 	let version = Math.max(token * versionsPerToken, takeover.newest);
-	let {copyMs} = deps.model;
+	let overheadMs = 0;
 	let plannedAtMs = Number.NEGATIVE_INFINITY;
 	let restUntilMs = Number.NEGATIVE_INFINITY;
 	deps.onMap(map);
@@ -149,10 +149,17 @@
 		}
 
 		plannedAtMs = deps.nowMs();
-		const chosen = await chooseSpread(map, demands, {copyMs, shiftMs: deps.tracker.meanLayerShiftIntervalMs() ?? defaultShiftIntervalMs, nowMs: plannedAtMs}, deps);
+		const {chosen, workMs, ...considered} = await chooseSpread(map, demands, {overheadMs, shiftMs: deps.tracker.meanLayerShiftIntervalMs() ?? defaultShiftIntervalMs, nowMs: plannedAtMs}, deps);
 		const planMs = deps.nowMs() - plannedAtMs;
 		metrics.latency('map_plan', planMs);
-		restUntilMs = deps.nowMs() + (planMs * planRestRatio);
+		restUntilMs = deps.nowMs() + (workMs * planRestRatio);
+		if (considered.plans.length > 0) {
+			log.info({
+				formation: deps.formation, token, planMs: Math.round(planMs), workMs: Math.round(workMs), need: round(considered.need), skew: round(considered.skew),
+				copies: chosen?.copies ?? 0, mostPerRank: chosen?.mostPerRank ?? 0, plans: considered.plans, demandAgeMs: demandAgesMs(demands, deps.nowMs())[0], reports: demands[0].reports,
+			}, 'map planned');
+		}
+
 		if (!chosen || deps.isStopped()) {
 			continue;
 		}
@@ -170,7 +177,7 @@
 				metrics.count('experts_moved', {}, chosen.copies);
 				metrics.latency('map_prepare', result.preparedMs);
 				metrics.latency('map_hold', result.heldMs);
-				copyMs = chosen.mostPerRank > 0 ? result.preparedMs / chosen.mostPerRank : copyMs;
+				overheadMs += (Math.max(0, result.preparedMs - (deps.model.copyMs * chosen.mostPerRank)) - overheadMs) * overheadWeight;
 				map = chosen.placements;
 				plannedAtMs = Number.NEGATIVE_INFINITY;
 				deps.onMap(map);
@@ -230,51 +237,87 @@
 	return mapAfter ? {map: mapAfter.map, newest: resolved.newestVersion, held: resolved.held} : 'stuck';
 }
 
+/** The choice of the next map. */
+type Choice = {
+	/** The change of the map; `undefined` if none is worth its copies. */
+	readonly chosen: Spread | undefined;
+	/** The time that was spent on plans, in milliseconds. */
+	readonly workMs: number;
+	readonly need: number;
+	readonly skew: number;
+	/** The plans that were compared, for the log. */
+	readonly plans: ReadonlyArray<{readonly mostPerRank: number; readonly skewAfter: number; readonly value: number}>;
+};
+
 /**
-Plans changes of the map with different limits on the copies per rank and returns the
-one with the highest net gain over the time that the demand is expected to last;
-`undefined` if the skew is good already, if passes are short enough as they are, or if
-no change is worth its copies.
+Plans changes of the map with different limits on the copies per rank and chooses the
+one with the highest net gain over the time that the demand is expected to last. Chooses
+none if the skew is good already, if passes are short enough as they are, or if no
+change is worth its copies.
 */
 async function chooseSpread(
 	map: LayeredMap,
 	demands: readonly Demand[],
-	{copyMs, shiftMs, nowMs}: {readonly copyMs: number; readonly shiftMs: number; readonly nowMs: number},
+	{overheadMs, shiftMs, nowMs}: {readonly overheadMs: number; readonly shiftMs: number; readonly nowMs: number},
 	deps: ExpertBalancerDeps,
-): Promise<Spread | undefined> {
+): Promise<Choice> {
 	const {model, weights} = deps;
 	const need = deps.need();
-	if (need === 0 || demands.some(({reports}) => reports === 0)) {
-		return undefined;
-	}
-
 	const layers = map.map((placement, layer) => ({placement, shares: demands[layer].shares}));
-	if (skewOfLayers(layers) <= weights.goodSkew) {
-		return undefined;
+	const skews = layers.map(layer => skewOfLayer(layer));
+	const skew = skews.reduce((sum, layerSkew) => sum + layerSkew, 0) / layers.length;
+	if (need === 0 || demands.some(({reports}) => reports === 0) || skew <= weights.goodSkew) {
+		return {
+			chosen: undefined, workMs: 0, need, skew, plans: [],
+		};
 	}
 
 	// The expected remaining time of a layer's demand is at least half the mean interval: a demand older than the mean may still last.
 	const remainingS = demands.map(({shiftedAtMs = nowMs}) => Math.max(shiftMs / 2, shiftMs - (nowMs - shiftedAtMs)) / msPerSecond);
 	const costPerCopy = weights.copyCost * model.expertGigabytes / map[0].length;
-	let best: Spread | undefined;
-	let bestValue = 0;
-	for (const maxNewPerRank of new Set([1, 2, model.maxNewPerLayer])) {
-		const spread = await planInSlices(layers, {
-			slotsPerRank: model.slotsPerRank, maxNewPerLayer: model.maxNewPerLayer, maxNewPerRank, goodSkew: weights.goodSkew, leastGain: minStepGainRatio,
-		}, deps);
-		const copyS = copyMs * spread.mostPerRank / msPerSecond;
-		const layerGains = layers.map((layer, index) => (skewOfLayers([layer]) - skewOfLayers([{placement: spread.placements[index], shares: layer.shares}])) * Math.max(0, remainingS[index] - copyS));
+	const plans: Array<{readonly spread: Spread; readonly value: number}> = [];
+	const valueOf = (spread: Spread): number => {
+		const copyS = model.copyMs * spread.mostPerRank / msPerSecond;
+		const delayS = (overheadMs / msPerSecond) + copyS;
+		const layerGains = spread.layerSkews.map((layerSkew, layer) => (skews[layer] - layerSkew) * Math.max(0, remainingS[layer] - delayS));
 		const gain = need * weights.workShare * layerGains.reduce((sum, layerGain) => sum + layerGain, 0) / layers.length;
-		const value = gain - (copySlowdownRatio * copyS) - (costPerCopy * spread.copies);
-		if (spread.copies > 0 && value > bestValue) {
-			best = spread;
-			bestValue = value;
-		}
+		return gain - (copySlowdownRatio * copyS) - (costPerCopy * spread.copies);
+	};
+
+	const {workMs} = await planInSlices(layers, {
+		slotsPerRank: model.slotsPerRank, maxNewPerLayer: model.maxNewPerLayer, newPerRankLimits: newPerRankLimits(model), goodSkew: weights.goodSkew, leastGain: minStepGainRatio,
+	}, spread => {
+		const value = valueOf(spread);
+		const isWorse = value <= (plans.at(-1)?.value ?? Number.NEGATIVE_INFINITY);
+		plans.push({spread, value});
+		return isWorse || (value > 0 && deps.nowMs() - nowMs > maxPlanMs);
+	}, deps);
+	const best = plans.filter(({spread, value}) => spread.copies > 0 && value > 0).toSorted((a, b) => b.value - a.value).at(0);
+	return {
+		chosen: best?.spread, workMs, need, skew,
+		plans: plans.map(({spread, value}) => ({mostPerRank: spread.mostPerRank, skewAfter: round(spread.skewAfter), value: round(value)})),
+	};
+}
+
+/** Returns the limits on the experts new to a rank over all layers for which changes are compared: from one up to what the ranks take in all layers. */
+function newPerRankLimits({maxNewPerLayer, layers}: ExpertModel): readonly number[] {
+	const limits: number[] = [];
+	for (let limit = 1; limit <= Math.min(maxNewPerChange, maxNewPerLayer * layers); limit *= 2) {
+		limits.push(limit);
 	}
 
-	return best;
+	return limits;
 }
 
+/** The most experts new to a rank in one change. Beyond some experts the copies delay the change more than they improve it. */
+const maxNewPerChange = 8;
+
+/** How long plans with higher limits are still made, in milliseconds. When other work of the process takes most of the time, a small change soon is worth more than a large one later. */
+const maxPlanMs = 250;
+
+/** The weight of a new measurement in the moving average of the time that a preparation takes beside its copies. */
+const overheadWeight = 0.3;
+
 const msPerSecond = 1000;
 
 /** The minimum gain of one step of a plan, as defined for `leastGain` in `SpreadOptions`. */
--- a/packages/group/src/planning.ts
+++ b/packages/group/src/planning.ts
@@ -11,29 +11,45 @@
 	readonly yieldTurn: () => Promise<void>;
 };
 
+/** The spreads for each limit, and the time that was spent on them without the turns of other work, in milliseconds. */
+export type SlicedPlan = {readonly spreads: readonly Spread[]; readonly workMs: number};
+
 /**
-Does the same as `spreadExperts`, but lets other work of the process run every few
-milliseconds.
+Does the same as `spreadExperts` for each of several limits on the experts new to a
+rank, in ascending order, until `isEnough` returns true for a spread, but lets other
+work of the process run every few milliseconds.
 
 Load pattern: a group of dozens of ranks with many layers shifts its demand while
 requests arrive. A plan then takes some ten milliseconds of processor time, several
 times as long on a small instance, and the same process places the requests.
 
 @example
-const spread = await planInSlices(layers, options, {nowMs: () => performance.now(), yieldTurn: async () => setImmediate()});
+const {spreads} = await planInSlices(layers, {...options, newPerRankLimits: [1, 2, 4]}, ({skewAfter}) => skewAfter < 1.2, deps);
 */
-export async function planInSlices(layers: readonly LayerLoad[], options: SpreadOptions, {nowMs, yieldTurn}: PlanningDeps): Promise<Spread> {
-	const planning = spreadExpertsInSteps(layers, options);
+export async function planInSlices(
+	layers: readonly LayerLoad[],
+	options: Omit<SpreadOptions, 'maxNewPerRank'> & {readonly newPerRankLimits: readonly number[]},
+	isEnough: (spread: Spread) => boolean,
+	{nowMs, yieldTurn}: PlanningDeps,
+): Promise<SlicedPlan> {
+	const spreads: Spread[] = [];
 	let sliceStartMs = nowMs();
-	for (;;) {
-		const step = planning.next();
-		if (step.done) {
-			return step.value;
+	let workMs = 0;
+	for (const spread of spreadExpertsInSteps(layers, options)) {
+		if (spread) {
+			spreads.push(spread);
+			if (isEnough(spread)) {
+				break;
+			}
 		}
 
-		if (nowMs() - sliceStartMs >= sliceMs) {
+		const sliceWorkMs = nowMs() - sliceStartMs;
+		if (sliceWorkMs >= sliceMs) {
+			workMs += sliceWorkMs;
 			await yieldTurn();
 			sliceStartMs = nowMs();
 		}
 	}
+
+	return {spreads, workMs: workMs + nowMs() - sliceStartMs};
 }
--- a/packages/group/test/expert-balancer.test.ts
+++ b/packages/group/test/expert-balancer.test.ts
@@ -13,9 +13,9 @@
 /** The initial map, version 0, which assigns the experts to the ranks round robin. */
 const roundRobinMap: LayeredMap = Array.from({length: layers}, () => Array.from({length: ranks}, (_, rank) => Array.from({length: experts / ranks}, (__, i) => rank + (i * ranks))));
 
-/** The demand right after a shift: in each layer a few experts are hot, different ones in each layer. */
-function shiftedDemands(atMs: number): readonly Demand[] {
-	const random = seededRandom(7);
+/** The demand right after a shift: in each layer a few experts are hot, different ones in each layer and for each seed. */
+function shiftedDemands(atMs: number, seed = 7): readonly Demand[] {
+	const random = seededRandom(seed);
 	return Array.from({length: layers}, () => {
 		const weights = Array.from({length: experts}, () => random() ** 12);
 		const sum = weights.reduce((total, weight) => total + weight, 0);
@@ -26,15 +26,27 @@
 /** Converts a command into an order of the stand-in group, in which a copy takes no time. */
 const orderOf = ({command}: GuardedCommand): PassOrder => command satisfies PassCommand;
 
-type BalancingResult = {readonly skewAt: (ms: number) => number; readonly changes: readonly number[]};
+type BalancingResult = {readonly skewAt: (ms: number) => number; readonly changes: readonly number[]; readonly skewAfterSecondShift: number};
 
-type BalancingOptions = {readonly expertGigabytes: number; readonly need?: number};
+type BalancingOptions = {
+	readonly expertGigabytes: number;
+	readonly need?: number;
+	/** When the demand shifts a second time, in milliseconds. */
+	readonly secondShiftMs?: number;
+	/** How long each reading of the clock takes, in milliseconds, and the other work each time that the plan gives way to it. */
+	readonly clockMs?: number;
+	readonly otherWorkMs?: number;
+};
 
 /** Runs the balancer for three virtual seconds in which a pass takes 100 ms. */
-async function runBalancer({expertGigabytes, need = 1}: BalancingOptions): Promise<BalancingResult> {
+async function runBalancer({expertGigabytes, need = 1, secondShiftMs = Number.POSITIVE_INFINITY, clockMs = 0, otherWorkMs = 0}: BalancingOptions): Promise<BalancingResult> {
 	const group = createPassGroup(ranks);
 	let nowMs = 10_000;
-	const demands = shiftedDemands(nowMs);
+	const firstDemands = shiftedDemands(nowMs);
+	const secondDemands = shiftedDemands(nowMs + secondShiftMs, 8);
+	let demands = firstDemands;
+	let currentMap = roundRobinMap;
+	let skewAfterSecondShift = Number.NaN;
 	const changes: Array<{readonly ms: number; readonly skew: number}> = [];
 	const skewOf = (map: LayeredMap): number => skewOfLayers(map.map((placement, layer) => ({placement, shares: demands[layer].shares})));
 	const view = (rank: number): RankView => {
@@ -54,30 +66,43 @@
 		},
 		ownRank: 0, formation: 1, acquireToken: async () => 1, readMap: async () => ({version: 0, map: roundRobinMap}), view: () => view(0),
 		tracker: {
-			...createDemandTracker({layers, experts}), settle: () => undefined, demands: () => demands, meanLayerShiftIntervalMs: () => 4000,
+			...createDemandTracker({layers, experts}), demands: () => demands, meanLayerShiftIntervalMs: () => 4000,
+			settle() {
+				if (demands === firstDemands && nowMs - 10_000 >= secondShiftMs) {
+					demands = secondDemands;
+					skewAfterSecondShift = skewOf(currentMap);
+				}
+			},
 		},
 		model: {
 			layers, expertsPerLayer: experts, slotsPerRank: 5, maxNewPerLayer: 1, workShare: 0.85, formationMs: 600, expertGigabytes, copyMs: 240,
 		},
 		weights: {goodSkew: 1.05, copyCost: 0.065, workShare: 0.7},
 		log: createLog({}, 'error'), metrics: createMetrics(),
-		nowMs: () => nowMs,
+		nowMs() {
+			nowMs += clockMs;
+			return nowMs;
+		},
 		async sleep(ms) {
 			nowMs += ms;
 			for (; nextPassMs <= nowMs; nextPassMs += 100) {
 				group.beginPass();
 			}
 		},
-		yieldTurn: async () => undefined,
+		async yieldTurn() {
+			nowMs += otherWorkMs;
+		},
 		need: () => need,
 		isStopped: () => nowMs > 13_000,
 		onMap(map) {
+			currentMap = map;
 			changes.push({ms: nowMs - 10_000, skew: skewOf(map)});
 		},
 	});
 	return {
 		skewAt: ms => changes.findLast(change => change.ms <= ms)?.skew ?? skewOf(roundRobinMap),
 		changes: changes.slice(1).map(({ms}) => ms),
+		skewAfterSecondShift,
 	};
 }
 
@@ -90,6 +115,15 @@
 		expect(skewAt(2000)).to.be.below(skewAt(changes[0]));
 	});
 
+	// Guards against a map that comes seconds after a shift: plans were made rarely when other work of the process took most of the time.
+	it('has a better map in force a second after a shift, also when other work takes most turns of the process', async () => {
+		const {changes, skewAt, skewAfterSecondShift} = await runBalancer({
+			expertGigabytes: 0.4, secondShiftMs: 800, clockMs: 0.3, otherWorkMs: 60,
+		});
+		expect(changes.some(ms => ms > 800 && ms <= 1800), changes.join(', ')).to.equal(true);
+		expect(skewAt(1800) - 1).to.be.below((skewAfterSecondShift - 1) / 2);
+	});
+
 	it('copies small experts more freely than large ones', async () => {
 		const [small, large] = [await runBalancer({expertGigabytes: 0.4}), await runBalancer({expertGigabytes: 40})];
 		expect(small.skewAt(2500)).to.be.below(large.skewAt(2500) - 0.2);
--- a/packages/group/test/planning.test.ts
+++ b/packages/group/test/planning.test.ts
@@ -24,13 +24,15 @@
 describe('planInSlices', () => {
 	// Guards against plans for large groups that keep the placements of requests waiting. Each reading of the clock takes a millisecond here, as a step of the plan does.
 	it('lets other work run every few steps and returns the same plan', async () => {
+		const otherWorkMs = 50;
 		let nowMs = 0;
 		let turnStartMs = 0;
 		const turnsMs: number[] = [];
-		const spread = await planInSlices(skewedLayers(), options, {
+		const {spreads: [spread], workMs} = await planInSlices(skewedLayers(), {...options, newPerRankLimits: [options.maxNewPerRank]}, () => false, {
 			nowMs: () => nowMs++,
 			async yieldTurn() {
 				turnsMs.push(nowMs - turnStartMs);
+				nowMs += otherWorkMs;
 				turnStartMs = nowMs;
 			},
 		});
@@ -38,5 +40,6 @@
 		expect(spread.copies).to.be.above(64);
 		expect(turnsMs.length).to.be.above(10);
 		expect(Math.max(...turnsMs)).to.be.at.most(6);
+		expect(workMs, 'own work').to.be.at.most(nowMs - (otherWorkMs * turnsMs.length));
 	});
 });
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -39,5 +39,5 @@
 } from './pass-time.js';
 export {balancingNeed} from './balancing.js';
 export {
-	skewOfLayers, spreadExperts, spreadExpertsInSteps, type LayerLoad, type Placement, type Spread, type SpreadOptions,
+	skewOfLayer, skewOfLayers, spreadExperts, spreadExpertsInSteps, type LayerLoad, type Placement, type Spread, type SpreadOptions,
 } from './spread.js';
