Let a sidecar wait until its rank has copied the experts of a map

Callers saw: placements delayed, 'event loop delayed' at the coordinator, while a map was being prepared.

Cause: the coordinator asked each of up to 64 sidecars every 25 ms whether its rank had copied, some 2,000 frames a second on the process that also places the requests.

Change: the sidecar polls its rank while that copies and replies to the command then, before the coordinator's time-out. Ranks that take longer are asked as before.

--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -22,6 +22,12 @@
 /** How long the own rank may be unreachable before its sidecar stops coordinating, in milliseconds: several polls that time out. */
 const rankTimeoutMs = 1000;
 
+/** How long a sidecar waits for its rank to copy the experts of a map before it replies to the command, in milliseconds: less than the coordinator waits for a reply. */
+const prepareReplyMs = 320;
+
+/** How often a sidecar polls its rank while that copies experts, in milliseconds. */
+const preparePollMs = 25;
+
 /** How long a disconnected entry may take to reconnect before its streams count as ended, in milliseconds. */
 const entryReconnectTimeoutMs = 1200;
 
@@ -277,7 +283,20 @@
 			return {result: 'unknown', view: await own.pollView()};
 		}
 
-		return own.command({...guard, command: {...command, map}});
+		const reply = await own.command({...guard, command: {...command, map}});
+		return {result: reply.result, view: await pollWhileCopying(reply.view)};
+	};
+
+	// The coordinator would otherwise ask dozens of sidecars every few milliseconds, while it also places requests.
+	const pollWhileCopying = async (initialView: RankView | undefined): Promise<RankView | undefined> => {
+		const deadlineMs = monotonicMs() + prepareReplyMs;
+		let view = initialView;
+		while (view?.isCopying && monotonicMs() < deadlineMs && !deps.signal.aborted) {
+			await deps.sleep(preparePollMs);
+			view = await own.pollView();
+		}
+
+		return view;
 	};
 
 	const executeCommand = async (peer: Peer, id: number, guarded: PeerCommand): Promise<void> => {
