--- a/packages/group/test/sidecar.test.ts
+++ b/packages/group/test/sidecar.test.ts
@@ -23,10 +23,10 @@
 const targetOf = (rank: number): string => `10.0.0.${rank}:80`;
 
 /** Starts a sidecar with a clock that the test sets. */
-function startSidecar(rank: number, clock: {nowMs: number}): {sidecar: GroupSidecar; stop: () => void} {
+function startSidecar(rank: number, clock: {nowMs: number}, engine = engineOf(rank)): {sidecar: GroupSidecar; stop: () => void} {
 	const ending = new AbortController();
 	const sidecar = createGroupSidecar({
-		target: targetOf(rank), engine: engineOf(rank), connect: target => engineOf(Number(target.slice(7, 8))),
+		target: targetOf(rank), engine, connect: target => engineOf(Number(target.slice(7, 8))),
 		model: () => ({
 			slots: 8, memoryTokens: 100_000, stepsPerPass: 4, stepMs: 4, sequenceMs: 1, contextMsPerThousand: 0, prefillTokensPerMs: 60, pairsMsPerMillion: 0, chunkTokens: 512,
 			reportLagMs: 1, usualPromptTokens: 800, usualAnswerTokens: 100,
@@ -154,6 +154,39 @@
 		await sidecar.leave();
 	});
 
+	// Guards against delayed placements: the coordinator asked dozens of sidecars every few milliseconds whether their ranks had copied.
+	it('replies to the preparation of a map once its rank has copied the experts', async () => {
+		let viewsUntilCopied = 0;
+		const {sidecar, stop} = startSidecar(2, {nowMs: 0}, {
+			...engineOf(2),
+			async view() {
+				viewsUntilCopied--;
+				return {...viewOf(2), isCopying: viewsUntilCopied > 0, prepared: viewsUntilCopied > 0 ? undefined : 2};
+			},
+			async command() {
+				viewsUntilCopied = 6;
+				return 'obeyed';
+			},
+		});
+		const sent: Frame[] = [];
+		const coordinator = peerOf('sidecar', sent);
+		sidecar.onUp(coordinator);
+		sidecar.onFrame(coordinator, {
+			kind: 'command', id: 1, guarded: {
+				fencingToken: 1, formation: 1, command: {
+					kind: 'prepare', version: 2, map: {
+						base: 'inTurn', layers: 1, ranks: 3, expertsPerLayer: 3, changes: [],
+					},
+				},
+			},
+		});
+		await sleep(60);
+		const replies = sent.filter(frame => frame.kind === 'viewed');
+		expect(replies.map(({view}) => view?.prepared)).to.deep.equal([2]);
+		stop();
+		await sidecar.leave();
+	});
+
 	it('places no request on a rank whose sidecar fell silent, until that sidecar is connected again', async () => {
 		const {sidecar, stop} = startSidecar(0, {nowMs: 0});
 		const sent: Frame[] = [];
