--- a/packages/policy/test/demand.test.ts
+++ b/packages/policy/test/demand.test.ts
@@ -1,7 +1,7 @@
 import process from 'node:process';
 import {expect} from 'chai';
 import {describe, it} from 'mocha';
-import {seededRandom} from '@papayaflow/standins';
+import {createSubjectDemand, seededRandom} from '@papayaflow/standins';
 import {createDemandEstimator, type DemandEstimator} from '@papayaflow/policy';
 
 /** A group whose ranks report counts, with the time between two reports of a rank and the tokens of a stream in one report. */
@@ -38,80 +38,15 @@
 /** How long a stream keeps its slot, in milliseconds. */
 const streamMs = 2000;
 
-const subjectCount = 9;
-
-/** The part of the demand that all subjects have in common. */
-const commonShare = 0.7;
-
-/** The popular experts, of which a shift replaces about half. */
-const popularRatio = 0.2;
-
-type Shares = readonly number[];
-
-function zipfShares(count: number, exponent: number): number[] {
-	const weights = Array.from({length: count}, (_, i) => (i + 1) ** -exponent);
-	const sum = weights.reduce((total, weight) => total + weight, 0);
-	return weights.map(weight => weight / sum);
-}
-
-function shuffled<T>(items: readonly T[], random: () => number): T[] {
-	const result = [...items];
-	for (let i = result.length - 1; i > 0; i--) {
-		const j = Math.floor(random() * (i + 1));
-		[result[i], result[j]] = [result[j], result[i]];
-	}
-
-	return result;
-}
-
-/** Exchanges about half of the popular experts with others. */
-function shifted(shares: Shares, random: () => number): number[] {
-	const next = [...shares];
-	const byShare = [...shares.keys()].toSorted((a, b) => shares[b] - shares[a]);
-	for (const expert of byShare.slice(0, Math.round(shares.length * popularRatio))) {
-		if (random() < 0.51) {
-			const other = Math.floor(random() * shares.length);
-			[next[expert], next[other]] = [next[other], next[expert]];
-		}
-	}
-
-	return next;
-}
-
-function samplePoisson(mean: number, random: () => number): number {
-	if (mean > 30) {
-		return Math.max(0, Math.round(mean + (Math.sqrt(mean) * Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random()))));
-	}
-
-	let count = 0;
-	for (let product = random(); product > Math.exp(-mean); product *= random()) {
-		count++;
-	}
-
-	return count;
-}
-
 type Shift = {readonly atMs: number; readonly layers: number};
 
 /** Plays reports of a group for `lengthMs` and returns when layers were found to have shifted, and how many. */
 function playReports(shape: GroupShape, seed: number, {lengthMs, shiftsMs}: {readonly lengthMs: number; readonly shiftsMs: readonly number[]}): readonly Shift[] {
 	const random = seededRandom(seed);
 	const {ranks, layers, experts, slots, reportMs, picksPerStream} = shape;
-	const drawDemand = (): number[][] => Array.from({length: 1 + subjectCount}, () => shuffled(zipfShares(experts, 0.63), random));
-	let demands = Array.from({length: layers}, drawDemand);
-	const popularity = zipfShares(subjectCount, 0.5);
-	const drawSubject = (): number => {
-		let rest = random();
-		let subject = 0;
-		for (; subject < subjectCount - 1 && rest >= popularity[subject]; subject++) {
-			rest -= popularity[subject];
-		}
-
-		return subject;
-	};
-
+	const demand = createSubjectDemand({layers, experts}, random);
 	// Streams begin and end at different times, so that reports of a rank that follow each other have most streams in common.
-	const streams = Array.from({length: ranks * slots}, () => ({subject: drawSubject(), endMs: random() * streamMs}));
+	const streams = Array.from({length: ranks * slots}, () => ({subject: demand.drawSubject(), endMs: random() * streamMs}));
 	const estimator = createDemandEstimator({layers, experts});
 	const found: Shift[] = [];
 	const nextReportMs = Array.from({length: ranks}, () => random() * reportMs);
@@ -119,7 +54,7 @@
 	for (let nowMs = 0; nowMs < lengthMs; nowMs += 10) {
 		if (nowMs >= pendingShiftsMs[0]) {
 			pendingShiftsMs.shift();
-			demands = demands.map(shares => shares.map(subject => shifted(subject, random)));
+			demand.shift();
 		}
 
 		for (let rank = 0; rank < ranks; rank++) {
@@ -128,29 +63,19 @@
 			}
 
 			nextReportMs[rank] = nowMs + (reportMs * (0.75 + (random() / 2)));
-			const mix = new Float64Array(subjectCount);
-			let picks = 0;
+			const mix = new Float64Array(demand.subjects);
 			for (const stream of streams.slice(rank * slots, (rank + 1) * slots)) {
 				// A new stream's prompt has many more tokens than a stream has in one report.
 				const isNew = nowMs >= stream.endMs;
 				if (isNew) {
-					stream.subject = drawSubject();
+					stream.subject = demand.drawSubject();
 					stream.endMs = nowMs + (streamMs * (0.5 + random()));
 				}
 
-				const streamPicks = picksPerStream * (isNew ? 40 : 1);
-				mix[stream.subject] += streamPicks;
-				picks += streamPicks;
+				mix[stream.subject] += picksPerStream * (isNew ? 40 : 1);
 			}
 
-			estimator.add(demands.flatMap(([common, ...subjects]) => common.map((share, expert) => {
-				let own = 0;
-				for (let subject = 0; subject < subjectCount; subject++) {
-					own += mix[subject] * subjects[subject][expert];
-				}
-
-				return samplePoisson((commonShare * picks * share) + ((1 - commonShare) * own), random);
-			})));
+			estimator.add(demand.sampleCounts(mix));
 		}
 
 		if (nowMs % windowMs === 0 && estimator.hasCounts()) {
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -21,6 +21,7 @@
 export {
 	chunk, lastChunk, notExecutedResponse, sealedResponse, startReplica, streamEvent, eventStreamHead, type Replica, type ReplicaRequest,
 } from './replica.js';
+export {createSubjectDemand, type SubjectDemand} from './subject-demand.js';
 export {createLimitedTarget, mostArrivals, type LimitedTarget} from './limited-target.js';
 export {createSilencingProxy, type SilencingProxy} from './silencing-proxy.js';
 export {listenOn} from './listen.js';
