--- a/packages/direct/src/crash.ts
+++ b/packages/direct/src/crash.ts
@@ -1,8 +1,7 @@
-import {once} from 'node:events';
-import {connect} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
 import {maxLoggedParts} from './call.js';
+import {tryConnect} from './connection-trial.js';
 import {type Target} from './targets.js';
 
 /** How long to wait for other requests that the same crash has cut off, in milliseconds. Their connections close together. */
@@ -36,7 +35,7 @@
 @example
 await detector.onLost(target, {requestId: 'r-1', parts: ['5c1e07a2']});
 */
-export function createCrashDetector({connectMs, log, metrics, onCrash, isRefusing = refusesConnections}: CrashDetectorOptions): CrashDetector {
+export function createCrashDetector({connectMs, log, metrics, onCrash, isRefusing = async (host, port, timeoutMs) => await tryConnect(host, port, timeoutMs) === 'refused'}: CrashDetectorOptions): CrashDetector {
 	const pending = new Map<Target, {readonly requests: LostRequest[]; readonly isKnown: Promise<void>}>();
 
 	const check = async (target: Target, requests: readonly LostRequest[]): Promise<void> => {
@@ -70,15 +69,3 @@
 		},
 	};
 }
-
-async function refusesConnections(host: string, port: number, timeoutMs: number): Promise<boolean> {
-	const socket = connect({host, port});
-	try {
-		await once(socket, 'connect', {signal: AbortSignal.timeout(timeoutMs)});
-		return false;
-	} catch (error) {
-		return (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
-	} finally {
-		socket.destroy();
-	}
-}
--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -74,9 +74,8 @@
 		return peer && notices.of(peer)?.group;
 	};
 
-	const createPlacementRequest = ({call, tried, excluded, hasBegun}: PlaceRequest): PeerPlacementRequest => {
+	const createPlacementRequest = ({call, tried, excluded, hasBegun}: PlaceRequest, identity: string | undefined): PeerPlacementRequest => {
 		const {route, generation} = call;
-		const identity = generationIdentity(call);
 		const elapsedMs = monotonicMs() - call.arrivedMs;
 		const sinceFirstSentMs = identity === undefined ? undefined : refusedRequests.waitedMs(identity);
 		return {
@@ -218,8 +217,8 @@
 	};
 
 	const place: Placer = async request => {
-		const result = await placeOnce(request);
 		const identity = generationIdentity(request.call);
+		const result = await placeOnce(request, identity);
 		if (result.kind === 'refused' && identity !== undefined) {
 			refusedRequests.add(identity, monotonicMs() - request.call.arrivedMs);
 		}
@@ -227,12 +226,12 @@
 		return result;
 	};
 
-	const placeOnce: Placer = async request => {
+	const placeOnce = async (request: PlaceRequest, identity: string | undefined): Promise<PlaceResult> => {
 		const {call, tried, excluded, signal} = request;
 		const serving = targets.servingTargets(call.service).filter(({record}) => !excluded.has(record.id));
 		const untried = serving.filter(({record}) => !tried.has(record.id));
 		const candidates = untried.length > 0 ? untried : serving;
-		const placementRequest = createPlacementRequest(request);
+		const placementRequest = createPlacementRequest(request, identity);
 		if (candidates.length === 0) {
 			return {kind: 'refused', reason: 'noTarget', retryAfterMs: drawRetryAfterMs(placementRequest)};
 		}
--- a/packages/direct/src/reachability.ts
+++ b/packages/direct/src/reachability.ts
@@ -1,5 +1,3 @@
-import {once} from 'node:events';
-import {connect} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 
 /** The delay before the first trial of a target that accepted no connection, in milliseconds. It doubles with each trial that fails. */
@@ -31,7 +29,7 @@
 take part in the trials, so that none waits for a connection that times out.
 
 @example
-const reachability = createReachability({tryConnect: async () => accepts('10.0.0.4', 8000, 300), onChange});
+const reachability = createReachability({tryConnect: async () => await tryConnect('10.0.0.4', 8000, 300) === 'accepted', onChange});
 */
 export function createReachability({tryConnect, onChange, sleep: pause = async ms => sleep(ms, undefined, {ref: false})}: ReachabilityOptions): Reachability {
 	let isReachable = true;
@@ -64,22 +62,3 @@
 		},
 	};
 }
-
-/**
-Opens a connection and closes it again. Resolves to whether it was accepted in time.
-
-@example
-await accepts('10.0.0.4', 8000, 300);
-*/
-export async function accepts(host: string, port: number, timeoutMs: number): Promise<boolean> {
-	const socket = connect({host, port});
-	try {
-		await once(socket, 'connect', {signal: AbortSignal.timeout(timeoutMs)});
-		return true;
-	} catch {
-		// Any error means that the connection was not accepted.
-		return false;
-	} finally {
-		socket.destroy();
-	}
-}
--- a/packages/direct/src/targets.ts
+++ b/packages/direct/src/targets.ts
@@ -5,8 +5,9 @@
 import {
 	addressOf, isSameTarget, latestByAddress, type TargetRecord,
 } from '@papayaflow/routing';
+import {tryConnect} from './connection-trial.js';
 import {createPool, type Pool} from './pool.js';
-import {accepts, createReachability} from './reachability.js';
+import {createReachability} from './reachability.js';
 
 /** The weight of a new sample in the moving average of a target's latency. */
 const latencyWeight = 0.2;
@@ -161,7 +162,7 @@
 		host: initialRecord.host, port: initialRecord.port, connectMs, nowMs,
 	});
 	const reachability = createReachability({
-		tryConnect: async () => accepts(initialRecord.host, initialRecord.port, connectMs),
+		tryConnect: async () => await tryConnect(initialRecord.host, initialRecord.port, connectMs) === 'accepted',
 		onChange(isReachable) {
 			onChange(isReachable ? 'reachable' : 'unreachable', record);
 		},
