--- a/packages/bench/src/group-day.ts
+++ b/packages/bench/src/group-day.ts
@@ -12,7 +12,7 @@
 	createPassGroup, createSubjectDemand, exponential, normal, quantile, seededRandom,
 } from '@papayaflow/standins';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
-import {createVirtualTime} from './virtual-time.js';
+import {createEventQueue} from './events.js';
 
 /** A group of ranks under load whose demand for experts shifts. */
 export type GroupDay = {
@@ -88,9 +88,12 @@
 */
 export async function playGroupDay(day: GroupDay, seed: number): Promise<GroupDayResult> {
 	const random = seededRandom(seed);
-	const time = createVirtualTime();
+	const events = createEventQueue();
+	const nowMs = (): number => events.nowMs;
+	const sleep = async (ms: number): Promise<void> => new Promise(resolve => {
+		events.at(nowMs() + Math.max(0, ms), resolve);
+	});
 	const {ranks, model, experts} = day;
-	const {nowMs, sleep} = time;
 	const endMs = leadMs + day.lengthMs;
 	const demand = createSubjectDemand({layers: experts.layers, experts: experts.expertsPerLayer}, random);
 	const group = createPassGroup(ranks);
@@ -241,11 +244,11 @@
 	const sendRequests = async (): Promise<void> => {
 		await sleep(leadMs);
 		for (let next = 0; nowMs() < endMs; next++) {
-			const events = Math.max(1, Math.round(exponential(random) * day.events));
+			const answerEvents = Math.max(1, Math.round(exponential(random) * day.events));
 			totals.asked++;
 			ask({
 				id: `r-${next}`, sentMs: nowMs(), subject: demand.drawSubject(), promptTokens: Math.round(Math.min(2800, model.usualAnswerTokens + (exponential(random) * 700))),
-				hintedEvents: Math.max(1, Math.round(events * Math.exp(normal(random) / 2))), eventsLeft: events, rank: 0, lastEventMs: undefined, isLate: false,
+				hintedEvents: Math.max(1, Math.round(answerEvents * Math.exp(normal(random) / 2))), eventsLeft: answerEvents, rank: 0, lastEventMs: undefined, isLate: false,
 			}, false);
 			await sleep(exponential(random) * 1000 / day.requestsPerS);
 		}
@@ -313,7 +316,7 @@
 			totals.mapChanges++;
 		},
 	});
-	await time.runUntil(endMs);
+	await events.runUntilAsync(endMs);
 	const {asked, inTime, late, refused, mapChanges} = totals;
 	return {
 		asked, inTime, late, refused, mapChanges, meanSkew: totals.skewMs / totals.passMs, adaptedMs: quantile(adaptedMs, 0.5),
