--- a/packages/direct/test/targets.test.ts
+++ b/packages/direct/test/targets.test.ts
@@ -1,3 +1,6 @@
+import {createServer} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {listenOn} from '@papayaflow/standins';
 import {expect} from 'chai';
 import {describe, it} from 'mocha';
 import {type TargetRecord} from '@papayaflow/routing';
@@ -65,3 +68,33 @@
 		expect(targets.departingAddresses('s')).to.deep.equal([]);
 	});
 });
+
+describe('a target that accepts no connection', () => {
+	it('takes no requests until it accepts one, within a second of listening', async () => {
+		const server = createServer();
+		const port = await listenOn(server);
+		server.close();
+		const targets = targetsOf(record('closed', 1, {host: '127.0.0.1', port}), record('open', 1));
+		targets.byId('closed')?.markUnreachable();
+		expect(servingIds(targets)).to.deep.equal(['open']);
+		expect(targets.departingAddresses('s'), 'told to coordinators').to.deep.equal([`127.0.0.1:${port}`]);
+		await sleep(300);
+		expect(servingIds(targets), 'after trials').to.deep.equal(['open']);
+		server.listen(port, '127.0.0.1');
+		for (let waitedMs = 0; waitedMs < 1000 && servingIds(targets).length < 2; waitedMs += 20) {
+			await sleep(20);
+		}
+
+		expect(servingIds(targets), 'while it listens').to.deep.equal(['closed', 'open']);
+		server.close();
+		targets.update([]);
+	});
+
+	it('takes requests again when it has started anew', () => {
+		const targets = targetsOf(record('a', 1));
+		targets.byId('a')?.markUnreachable();
+		targets.update([record('a', 2, {incarnation: 1})]);
+		expect(servingIds(targets)).to.deep.equal(['a']);
+		targets.update([]);
+	});
+});
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -290,6 +290,36 @@
 		find: 'const candidates = responsive.length > 0 ? responsive : remaining;', replace: 'const candidates = remaining;',
 		spec: 'direct/test/group-place.test.ts', test: 'beside the silent coordinator',
 	},
+	{
+		name: 'a retry is recognised by what coordinators have refused', file: 'direct/src/group-place.ts',
+		find: 'for (const [identity, waitedMs] of load.refused ?? []) {', replace: 'for (const [identity, waitedMs] of []) {',
+		spec: 'direct/test/group-place.test.ts', test: 'recognises a call that the coordinator refused to another entry',
+	},
+	{
+		name: 'an entry waits for its coordinator as long as that may keep a returned request', file: 'direct/src/group-place.ts',
+		find: 'Math.max(placementRequest.objectiveMs * minReplyTimeoutRatio, maxPlacementWaitMs(placementRequest))', replace: '(placementRequest.objectiveMs * minReplyTimeoutRatio)',
+		spec: 'direct/test/group-place.test.ts', test: 'waits for the decision on a returned call',
+	},
+	{
+		name: 'the pause after a plan follows from the work of the plan', file: 'group/src/expert-balancer.ts',
+		find: 'deps.nowMs() + (workMs * planRestRatio)', replace: 'deps.nowMs() + (planMs * planRestRatio)',
+		spec: 'group/test/expert-balancer.test.ts', test: 'has a better map in force a second after a shift',
+	},
+	{
+		name: 'a sidecar replies to a preparation once its rank has copied', file: 'group/src/sidecar.ts',
+		find: 'view: await pollWhileCopying(reply.view)', replace: 'view: reply.view',
+		spec: 'group/test/sidecar.test.ts', test: 'replies to the preparation of a map once',
+	},
+	{
+		name: 'a report of a long prompt weighs about as much as any other', file: 'policy/src/demand.ts',
+		find: 'const weight = total / (total + Math.exp(estimate.logTotal));', replace: 'const weight = total;',
+		spec: 'policy/test/demand.test.ts', test: 'gives a report of a long prompt',
+	},
+	{
+		name: 'a target that accepts no connection gets no calls', file: 'direct/src/targets.ts',
+		find: 'record.service === service && isServing && isReachable);', replace: 'record.service === service && isServing);',
+		spec: 'direct/test/targets.test.ts', test: 'takes no requests until it accepts one',
+	},
 	{
 		name: 'a stalled group refuses new requests at once', file: 'policy/src/group-admission.ts',
 		find: 'if (options.isStalled() && !request.isResumed) {', replace: 'if (request.objectiveMs < 0) {',
@@ -451,8 +481,8 @@
 		spec: 'quarantine/test/quarantine.test.ts', test: 'lets a clearing win',
 	},
 	{
-		name: 'a lost connection is no crash while the target takes the next one', file: 'direct/src/crash.ts',
-		find: 'return false;', replace: 'return true;',
+		name: 'a lost connection is no crash while the target takes the next one', file: 'direct/src/connection-trial.ts',
+		find: 'return \'accepted\';', replace: 'return \'refused\';',
 		spec: '../platform/test/direct/crashes.test.ts', test: 'has not crashed if it takes the next connection',
 	},
 	{
@@ -487,7 +517,7 @@
 	},
 	{
 		name: 'a plan lets other work of the process run', file: 'group/src/planning.ts',
-		find: 'if (nowMs() - sliceStartMs >= sliceMs) {', replace: 'if (nowMs() < sliceStartMs) {',
+		find: 'if (sliceWorkMs >= sliceMs) {', replace: 'if (sliceWorkMs < 0) {',
 		spec: 'group/test/planning.test.ts', test: 'lets other work run',
 	},
 	{
