--- a/packages/group/src/coordination.ts
+++ b/packages/group/src/coordination.ts
@@ -6,7 +6,8 @@
 import {type EngineModel} from '@papayaflow/routing';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
 import {createDemandTracker, type DemandTracker} from './demand-tracker.js';
-import {balanceExperts, type BalancingWeights} from './expert-balancer.js';
+import {balanceExperts} from './expert-balancer.js';
+import {type BalancingWeights} from './map-choice.js';
 import {type OwnRank, type RankEngine} from './own-rank.js';
 import {createPassMeter} from './pass-meter.js';
 import {createRemoteRanks, type Member, type RemoteRanks} from './remote-ranks.js';
--- a/packages/group/src/expert-balancer.ts
+++ b/packages/group/src/expert-balancer.ts
@@ -1,13 +1,11 @@
 import {
 	resolvePass, switchPass, type LayeredMap, type PassSwitchOptions, type RankView,
 } from '@papayaflow/experts';
-import {
-	skewOfLayer, type Demand, type Spread,
-} from '@papayaflow/policy';
+import {type Demand} from '@papayaflow/policy';
 import {type ExpertModel} from '@papayaflow/routing';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
 import {type DemandTracker} from './demand-tracker.js';
-import {planInSlices} from './planning.js';
+import {chooseMapChange, type BalancingWeights} from './map-choice.js';
 import {type RemoteRanks} from './remote-ranks.js';
 
 /** How many passes the held pass comes after the last pass that has begun. Arming all ranks takes less than a pass, so the group seldom has to wait. */
@@ -37,24 +35,17 @@
 /** The time limit for the abort of a switch and for the release of a held group, in milliseconds each. A switch that exceeds it ends as stuck. The coordinator then acquires a new token and reads the state of all ranks again. */
 const decideTimeoutMs = 3000;
 
-/** By what ratio passes take longer while a rank copies experts: the engines' published figure. */
-const copySlowdownRatio = 0.15;
-
 /** The map versions of a coordinator start at its token times this number, so that they are higher than those of earlier coordinators. */
 const versionsPerToken = 10_000;
 
 /** The shortest time between two plans, as a multiple of the time that was spent on the last one. A demand that seems to shift all the time must not keep the processor busy with plans. */
 const planRestRatio = 4;
 
-/** The weights by which a map change is chosen. */
-export type BalancingWeights = {
-	/** The skew up to which a layer is left unchanged. */
-	readonly goodSkew: number;
-	/** The cost of copying one gigabyte to a rank. At 1 it equals the cost of one second in which the passes of that rank take twice as long as at skew 1. */
-	readonly copyCost: number;
-	/** The share of the pass time that the experts' work takes at skew 1. */
-	readonly workShare: number;
-};
+/** The weight of a new measurement in the moving average of the time that a preparation takes beside its copies. */
+const overheadWeight = 0.3;
+
+/** The most time that one measurement adds, in milliseconds. A preparation in which a rank leaves an order unanswered takes much longer, and the next one seldom does. */
+const maxOverheadMs = 400;
 
 export type ExpertBalancerDeps = {
 	readonly ranks: RemoteRanks;
@@ -149,7 +140,7 @@
 		}
 
 		plannedAtMs = deps.nowMs();
-		const {chosen, workMs, ...considered} = await chooseSpread(map, demands, {overheadMs, shiftMs: deps.tracker.meanLayerShiftIntervalMs() ?? defaultShiftIntervalMs, nowMs: plannedAtMs}, deps);
+		const {chosen, workMs, ...considered} = await chooseMapChange(map, demands, {overheadMs, shiftMs: deps.tracker.meanLayerShiftIntervalMs() ?? defaultShiftIntervalMs, nowMs: plannedAtMs}, deps);
 		const planMs = deps.nowMs() - plannedAtMs;
 		metrics.latency('map_plan', planMs);
 		restUntilMs = deps.nowMs() + (workMs * planRestRatio);
@@ -238,95 +229,6 @@
 	return mapAfter ? {map: mapAfter.map, newest: resolved.newestVersion, held: resolved.held} : 'stuck';
 }
 
-/** The choice of the next map. */
-type Choice = {
-	/** The change of the map; `undefined` if none is worth its copies. */
-	readonly chosen: Spread | undefined;
-	/** The time that was spent on plans, in milliseconds. */
-	readonly workMs: number;
-	readonly need: number;
-	readonly skew: number;
-	/** The plans that were compared, for the log. */
-	readonly plans: ReadonlyArray<{readonly mostPerRank: number; readonly skewAfter: number; readonly value: number}>;
-};
-
-/**
-Plans changes of the map with different limits on the copies per rank and chooses the
-one with the highest net gain over the time that the demand is expected to last. Chooses
-none if the skew is good already, if passes are short enough as they are, or if no
-change is worth its copies.
-*/
-async function chooseSpread(
-	map: LayeredMap,
-	demands: readonly Demand[],
-	{overheadMs, shiftMs, nowMs}: {readonly overheadMs: number; readonly shiftMs: number; readonly nowMs: number},
-	deps: ExpertBalancerDeps,
-): Promise<Choice> {
-	const {model, weights} = deps;
-	const need = deps.need();
-	const layers = map.map((placement, layer) => ({placement, shares: demands[layer].shares}));
-	const skews = layers.map(layer => skewOfLayer(layer));
-	const skew = skews.reduce((sum, layerSkew) => sum + layerSkew, 0) / layers.length;
-	if (need === 0 || demands.some(({reports}) => reports === 0) || skew <= weights.goodSkew) {
-		return {
-			chosen: undefined, workMs: 0, need, skew, plans: [],
-		};
-	}
-
-	// The expected remaining time of a layer's demand is at least half the mean interval: a demand older than the mean may still last.
-	const remainingS = demands.map(({shiftedAtMs = nowMs}) => Math.max(shiftMs / 2, shiftMs - (nowMs - shiftedAtMs)) / msPerSecond);
-	const costPerCopy = weights.copyCost * model.expertGigabytes / map[0].length;
-	const plans: Array<{readonly spread: Spread; readonly value: number}> = [];
-	const valueOf = (spread: Spread): number => {
-		const copyS = model.copyMs * spread.mostPerRank / msPerSecond;
-		const delayS = (overheadMs / msPerSecond) + copyS;
-		const layerGains = spread.layerSkews.map((layerSkew, layer) => (skews[layer] - layerSkew) * Math.max(0, remainingS[layer] - delayS));
-		const gain = need * weights.workShare * layerGains.reduce((sum, layerGain) => sum + layerGain, 0) / layers.length;
-		return gain - (copySlowdownRatio * copyS) - (costPerCopy * spread.copies);
-	};
-
-	const {workMs} = await planInSlices(layers, {
-		slotsPerRank: model.slotsPerRank, maxNewPerLayer: model.maxNewPerLayer, newPerRankLimits: newPerRankLimits(model), goodSkew: weights.goodSkew, leastGain: minStepGainRatio,
-	}, spread => {
-		const value = valueOf(spread);
-		const isWorse = value <= (plans.at(-1)?.value ?? Number.NEGATIVE_INFINITY);
-		plans.push({spread, value});
-		return isWorse || (value > 0 && deps.nowMs() - nowMs > maxPlanMs);
-	}, deps);
-	const best = plans.filter(({spread, value}) => spread.copies > 0 && value > 0).toSorted((a, b) => b.value - a.value).at(0);
-	return {
-		chosen: best?.spread, workMs, need, skew,
-		plans: plans.map(({spread, value}) => ({mostPerRank: spread.mostPerRank, skewAfter: round(spread.skewAfter), value: round(value)})),
-	};
-}
-
-/** Returns the limits on the experts new to a rank over all layers for which changes are compared: from one up to what the ranks take in all layers. */
-function newPerRankLimits({maxNewPerLayer, layers}: ExpertModel): readonly number[] {
-	const limits: number[] = [];
-	for (let limit = 1; limit <= Math.min(maxNewPerChange, maxNewPerLayer * layers); limit *= 2) {
-		limits.push(limit);
-	}
-
-	return limits;
-}
-
-/** The most experts new to a rank in one change. Beyond some experts the copies delay the change more than they improve it. */
-const maxNewPerChange = 8;
-
-/** How long plans with higher limits are still made, in milliseconds. When other work of the process takes most of the time, a small change soon is worth more than a large one later. */
-const maxPlanMs = 250;
-
-/** The weight of a new measurement in the moving average of the time that a preparation takes beside its copies. */
-const overheadWeight = 0.3;
-
-/** The most time that one measurement adds, in milliseconds. A preparation in which a rank leaves an order unanswered takes much longer, and the next one seldom does. */
-const maxOverheadMs = 400;
-
-const msPerSecond = 1000;
-
-/** The minimum gain of one step of a plan, as defined for `leastGain` in `SpreadOptions`. */
-const minStepGainRatio = 0.05;
-
 function demandAgesMs(demands: readonly Demand[], nowMs: number): ReadonlyArray<number | undefined> {
 	return demands.map(({shiftedAtMs}) => shiftedAtMs === undefined ? undefined : Math.round(nowMs - shiftedAtMs));
 }
--- a/packages/group/src/index.ts
+++ b/packages/group/src/index.ts
@@ -4,7 +4,8 @@
 } from './counts.js';
 export {createDemandTracker, type DemandTracker} from './demand-tracker.js';
 export {createPassMeter, type PassMeter} from './pass-meter.js';
-export {balanceExperts, type BalancingWeights, type ExpertBalancerDeps} from './expert-balancer.js';
+export {balanceExperts, type ExpertBalancerDeps} from './expert-balancer.js';
+export {type BalancingWeights} from './map-choice.js';
 export {
 	pollOwnRank, type IntervalCounts, type OwnRank, type OwnRankOptions, type RankEngine,
 } from './own-rank.js';
