--- a/packages/policy/src/demand.ts
+++ b/packages/policy/src/demand.ts
@@ -90,7 +90,6 @@
 	const estimates = Array.from({length: layers}, () => createLayerEstimate(experts));
 	let groupExcess = 0;
 	let hasCounts = false;
-	let demands: readonly Demand[] = estimates.map(({demand}) => demand);
 
 	return {
 		add(counts) {
@@ -120,8 +119,7 @@
 				closeWindow(estimate, comparison, hasShifted, nowMs);
 			}
 
-			demands = estimates.map(({demand}) => demand);
-			return demands;
+			return estimates.map(({demand}) => demand);
 		},
 	};
 }
