Compress long values in copies of the store's entries

Cause: each change of the configuration (62 KB with 250 routes, 360 KB with 1,450) was copied to all sidecars uncompressed, a dozen copies from each entry, whose link of some 50 Mbit/s also carries the events of streams.

Change: a process that pulls a copy says that it accepts deflate; values from 2 KB are then sent compressed, once for each value.

--- a/packages/cli/src/directory.ts
+++ b/packages/cli/src/directory.ts
@@ -1,5 +1,5 @@
 import {
-	copySince, createMirror, followStore, applyCopy,
+	applyCopy, compressEntry, copySince, createMirror, expandEntry, followStore,
 } from '@papayaflow/mirror';
 import {
 	handleFrame, type Frame, type FrameHandlers, type Peer, type Ticker,
@@ -275,14 +275,15 @@
 				puller.onKnown(peer, changedAt);
 			}
 		},
-		pull(peer, {after}) {
-			const copy = copySince(mirror, after);
+		pull(peer, {after, accepts}) {
+			const whole = copySince(mirror, after);
+			const copy = accepts === 'deflate' ? {...whole, entries: whole.entries.map(entry => compressEntry(entry))} : whole;
 			metrics.count('copies_sent');
 			metrics.count('copy_bytes_sent', {}, copy.entries.reduce((sum, {value}) => sum + value.length, 0));
 			peer.send({kind: 'copy', copy});
 		},
 		copy(peer, {copy}) {
-			const copyResult = applyCopy(mirror, copy);
+			const copyResult = applyCopy(mirror, {...copy, entries: copy.entries.flatMap(entry => expandEntry(entry) ?? [])});
 			metrics.count('copies', {result: copyResult});
 			log.info({
 				peer: peer.hello.instance, revision: copy.revision, entries: copy.entries.length, result: copyResult,
--- a/packages/cli/src/pull.ts
+++ b/packages/cli/src/pull.ts
@@ -110,7 +110,7 @@
 		asked = next;
 		tried.add(next);
 		onPull();
-		next.send({kind: 'pull', after: revision()});
+		next.send({kind: 'pull', after: revision(), accepts: 'deflate'});
 		callLater(() => {
 			asked = undefined;
 			pullIfBehind();
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -112,8 +112,8 @@
 /** An update that one process sends to another for its copy of the key-value service's entries. */
 export type StoreCopy = {
 	readonly revision: number;
-	/** The entries changed after the revision that the receiver has. */
-	readonly entries: ReadonlyArray<{readonly key: string; readonly value: Uint8Array; readonly revision: number}>;
+	/** The entries changed after the revision that the receiver has; the value of one with an `encoding` is compressed. */
+	readonly entries: ReadonlyArray<{readonly key: string; readonly value: Uint8Array; readonly revision: number; readonly encoding?: 'deflate'}>;
 	/** All keys that exist, from which the receiver finds the removed ones. */
 	readonly keys: readonly string[];
 };
@@ -201,7 +201,8 @@
 			/** Whether the sender wants to be told of changes; absent in frames that do not alter that. A peer that has never said so is told. */
 			readonly follows?: boolean;
 		}
-		| {readonly kind: 'pull'; readonly after: number}
+		/** Asks for a copy of what changed after a revision. Without `accepts`, as processes of earlier versions send it, no value is compressed. */
+		| {readonly kind: 'pull'; readonly after: number; readonly accepts?: 'deflate'}
 		| {readonly kind: 'copy'; readonly copy: StoreCopy}
 	/** An entry asks for the permission to send one request to a target; `perSecond` is the limit that it knows. */
 		| {readonly kind: 'askPermit'; readonly id: string; readonly target: TargetLifetime; readonly perSecond: number}
