Evacuated zones: no new requests while op/evacuate/ZONE exists

Cause: the operator evacuates a zone with a key of the store. Entries and coordinators did not read it and went on sending requests to the zone.

Change: the directory derives the evacuated zones from the mirrored keys, which every process also gets from its peers. An entry does not use a target in such a zone, also not for a request that was placed before and whose connection opens later, and names its address to coordinators. A coordinator places nothing on ranks in the zone; these still take part in passes, commands and maps, and the capacity of the group counts only the ranks that accept requests (all, while none does). If all targets of a service are in evacuated zones, requests are refused at once (503, zoneEvacuated). PAPAYAFLOW_EVACUATE_MS bounds the interval of reads.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -93,6 +93,7 @@
 
 	const targets = createTargets({
 		connectMs: connectTimeoutMs, ejection, nowMs: monotonicMs, isKnownService: service => directory.table()?.configuration.services.has(service) ?? true,
+		isEvacuated: targetZone => directory.evacuatedZones().has(targetZone),
 		onChange(change, {id, service, zone: targetZone, incarnation: targetIncarnation}) {
 			log.info({
 				target: id, service, targetZone, incarnation: targetIncarnation, revision: directory.revision(),
@@ -266,7 +267,7 @@
 		ready: () => stopPlan ? {ready: false, reason: 'stopping'} : (directory.table() ? {ready: true} : {ready: false, reason: 'no configuration yet'}),
 		status: () => ({
 			instance, role: 'entry', zone, incarnation, leaving: stopPlan !== undefined, inFlight: front.inFlight(), connections: front.connections.open(),
-			version: directory.table()?.configuration.version, revision: directory.revision(), groups: groupPlacer.status(),
+			version: directory.table()?.configuration.version, revision: directory.revision(), evacuatedZones: [...directory.evacuatedZones()], groups: groupPlacer.status(),
 			targets: targets.all().map(({record, inFlight, latencyMs, health, isServing}) => ({
 				id: record.id, service: record.service, state: record.state, isServing, inFlight, latencyMs: latencyMs === undefined ? null : Math.round(latencyMs), failures: health.failures,
 			})),
--- a/packages/cli/src/direct-settings.ts
+++ b/packages/cli/src/direct-settings.ts
@@ -27,6 +27,9 @@
 	drainMs: numberSetting('the time within which a leaving target must get no more requests, if the platform names one; the store is read often enough for it', {
 		minimum: 0, maximum: 3_600_000, unit: 'milliseconds', fallback: '0',
 	}),
+	evacuateMs: numberSetting('the time within which the targets of an evacuated zone must get no more requests, if the platform names one; the store is read often enough for it', {
+		minimum: 0, maximum: 3_600_000, unit: 'milliseconds', fallback: '0',
+	}),
 	reportMs: numberSetting('how often a target reports to the store; its registration expires after three missing reports', {
 		minimum: 1, maximum: 3_600_000, unit: 'milliseconds', fallback: '1200',
 	}),
@@ -40,7 +43,7 @@
 	},
 };
 
-/** The pause between two reads of the store, as a ratio of the shorter of the two times. The rest covers a slow read and the way of the change to processes that do not read the store. */
+/** The pause between two reads of the store, as a ratio of the shortest of these times. The rest covers a slow read and the way of the change to processes that do not read the store. */
 const pauseToBoundRatio = 0.35;
 
 /**
@@ -48,8 +51,11 @@
 target ends a watch, so with many targets the pause decides how many calls are made.
 
 @example
-storePauseOf({storePauseMs: 700, configMs: 4000, drainMs: 4000}); // 1400
+storePauseOf({storePauseMs: 700, configMs: 4000, drainMs: 4000, evacuateMs: 5000}); // 1400
 */
-export function storePauseOf({storePauseMs, configMs, drainMs}: {readonly storePauseMs: number; readonly configMs: number; readonly drainMs: number}): number {
-	return Math.max(storePauseMs, Math.min(configMs, drainMs) * pauseToBoundRatio);
+export function storePauseOf({storePauseMs, configMs, drainMs, evacuateMs}: {
+	readonly storePauseMs: number; readonly configMs: number; readonly drainMs: number; readonly evacuateMs: number;
+}): number {
+	// Most platforms name no time for evacuations; they have none, and the other times decide.
+	return Math.max(storePauseMs, Math.min(configMs, drainMs, evacuateMs === 0 ? Number.POSITIVE_INFINITY : evacuateMs) * pauseToBoundRatio);
 }
--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -77,6 +77,7 @@
 
 	const group = createGroupSidecar({
 		target, engine: connectEngine(target), connect: connectEngine, records: () => serviceRecords, metrics, log, monotonicMs, random, sleep: pause, signal: shutdown.signal,
+		isEvacuated: targetZone => directory.evacuatedZones().has(targetZone),
 		yieldTurn: async () => setImmediate(),
 		weights: {goodSkew: settings.goodSkew, copyCost: settings.copyCost},
 		model() {
@@ -179,6 +180,7 @@
 		ready: () => isLeaving ? {ready: false, reason: 'stopping'} : {ready: true},
 		status: () => ({
 			instance, role: 'sidecar', zone, incarnation, leaving: isLeaving, revision: directory.revision(), group: group.status(), limits: dispenser.status(),
+			evacuatedZones: [...directory.evacuatedZones()],
 		}),
 	});
 	const server = createServer(socket => {
--- a/packages/cli/src/directory.ts
+++ b/packages/cli/src/directory.ts
@@ -5,7 +5,7 @@
 	handleFrame, type Frame, type FrameHandlers, type Peer, type Ticker,
 } from '@papayaflow/peer';
 import {
-	configurationKey, decodeConfiguration, decodeRegistration, isEarlierState, isRemovedState, maxWatchDelayMs, registrationPrefix, type RegistrationResult,
+	configurationKey, decodeConfiguration, decodeRegistration, evacuatedZoneOf, isEarlierState, isRemovedState, maxWatchDelayMs, registrationPrefix, type RegistrationResult,
 } from '@papayaflow/platform';
 import {
 	createRouteTable, isSameTarget, type RouteTable, type TargetRecord,
@@ -80,6 +80,8 @@
 export type Directory = {
 	table(): RouteTable | undefined;
 	records(): readonly TargetRecord[];
+	/** The availability zones whose targets get no new requests, by order of the operator. */
+	evacuatedZones(): ReadonlySet<string>;
 	revision(): number;
 	onUp(peer: Peer): void;
 	onDown(peer: Peer): void;
@@ -105,6 +107,7 @@
 	const malformedRevisions = new Map<string, number>();
 	let table: RouteTable | undefined;
 	let records: readonly TargetRecord[] = [];
+	let evacuatedZones: ReadonlySet<string> = new Set();
 	let lastPeerUpdateMs = monotonicMs() + firstReadDelayMs - peerUpdateTimeoutMs;
 	let isStoreAvailable = false;
 
@@ -129,6 +132,10 @@
 			containment.run('directory', applyRegistrations);
 		}
 
+		if (changes.some(change => evacuatedZoneOf(change.kind === 'written' ? change.entry.key : change.key) !== undefined)) {
+			containment.run('directory', applyEvacuations);
+		}
+
 		announceRevision();
 	});
 
@@ -176,6 +183,17 @@
 		deps.onRecords(records);
 	};
 
+	const applyEvacuations = (): void => {
+		const before = evacuatedZones;
+		evacuatedZones = new Set(mirror.entries().flatMap(({key}) => evacuatedZoneOf(key) ?? []));
+		metrics.gauge('evacuated_zones', evacuatedZones.size);
+		for (const zone of new Set([...before, ...evacuatedZones])) {
+			if (before.has(zone) !== evacuatedZones.has(zone)) {
+				log.warn({zone, revision: mirror.revision(), targets: records.filter(record => record.zone === zone).length}, evacuatedZones.has(zone) ? 'zone evacuated' : 'zone taken back');
+			}
+		}
+	};
+
 	const announceRevision = (): void => {
 		for (const [peer, isFollowing] of followers) {
 			if (isFollowing) {
@@ -294,6 +312,7 @@
 	return {
 		table: () => table,
 		records: () => records,
+		evacuatedZones: () => evacuatedZones,
 		revision: () => mirror.revision(),
 		onUp(peer) {
 			sources.onUp(peer);
--- a/packages/cli/test/directory.test.ts
+++ b/packages/cli/test/directory.test.ts
@@ -109,6 +109,31 @@
 		isolated.directory.stop();
 	});
 
+	// Guards against a process without the store that sends requests to a zone which other processes know to be evacuated, or that forgets it.
+	it('knows which zones are evacuated from the store or from a peer, and keeps knowing it while it reaches neither', async () => {
+		const reader = open(port, false);
+		const isolated = open(1, false);
+		link(reader.directory, isolated.directory);
+		const zonesOf = ({directory}: {readonly directory: Directory}): string => [...directory.evacuatedZones()].join(' ');
+		const settle = async (zones: string): Promise<void> => {
+			await waitFor(async () => (zonesOf(reader) === zones && zonesOf(isolated) === zones) || undefined);
+		};
+
+		standin.put('op/evacuate/a', '{}');
+		await settle('a');
+		standin.put('op/evacuate/b', '{}');
+		standin.remove('op/evacuate/a');
+		await settle('b');
+		standin.faults.mode = 'reset';
+		await sleep(300);
+		await settle('b');
+		standin.remove('op/evacuate/b');
+		standin.faults.mode = 'serve';
+		await settle('');
+		reader.directory.stop();
+		isolated.directory.stop();
+	}).timeout(10_000);
+
 	it('does not read the store while a preferred peer keeps it up to date', async () => {
 		const reader = open(port, false);
 		await sleep(60);
--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -92,7 +92,7 @@
 			isResumed: hasBegun,
 			excluded: [...new Set([
 				...[...tried, ...excluded].flatMap(id => targets.byId(id)?.address ?? []),
-				// The coordinator learns only from the store that a target leaves.
+				// The coordinator learns only from the store that a target leaves or that its zone is evacuated.
 				...targets.departingAddresses(call.service),
 			])],
 		};
@@ -147,7 +147,7 @@
 		metrics.count('placed_alone');
 		const remaining = servingTargets.filter(({isServing}) => isServing);
 		if (remaining.length === 0) {
-			return {kind: 'refused', reason: 'noTarget', retryAfterMs: drawRetryAfterMs(placementRequest)};
+			return {kind: 'refused', reason: targets.absenceReason(call.service), retryAfterMs: drawRetryAfterMs(placementRequest)};
 		}
 
 		const isSilent = (address: string): boolean => notices.isSilent(address) || (silentCoordinator !== undefined && notices.of(silentCoordinator)?.target === address);
@@ -233,7 +233,7 @@
 		const candidates = untried.length > 0 ? untried : serving;
 		const placementRequest = createPlacementRequest(request, identity);
 		if (candidates.length === 0) {
-			return {kind: 'refused', reason: 'noTarget', retryAfterMs: drawRetryAfterMs(placementRequest)};
+			return {kind: 'refused', reason: targets.absenceReason(call.service), retryAfterMs: drawRetryAfterMs(placementRequest)};
 		}
 
 		const coordinator = chooseCoordinator(candidates);
--- a/packages/direct/src/place.ts
+++ b/packages/direct/src/place.ts
@@ -62,7 +62,7 @@
 		const candidates = (untried.length > 0 ? untried : serving).map(target => ({target, health: target.health, ownTokens: target.inFlight}));
 		const usable = withoutEjected(candidates, nowMs(), ejection).map(({target}) => target);
 		if (usable.length === 0) {
-			return {kind: 'refused', reason: 'noTarget', retryAfterMs: noTargetRetryAfterMs};
+			return {kind: 'refused', reason: targets.absenceReason(call.service), retryAfterMs: noTargetRetryAfterMs};
 		}
 
 		const lowestLatencyMs = Math.min(...usable.map(({latencyMs}) => latencyMs ?? Number.POSITIVE_INFINITY));
--- a/packages/direct/src/targets.ts
+++ b/packages/direct/src/targets.ts
@@ -1,3 +1,4 @@
+import {type RefusalReason} from '@papayaflow/outcome';
 import {
 	afterFailure, afterSuccess, healthy, type EjectOptions, type Health,
 } from '@papayaflow/policy';
@@ -28,7 +29,7 @@
 	readonly health: Health;
 	/** Whether the target is no longer at its address although it is still registered there. */
 	readonly isGone: boolean;
-	/** Whether the target takes new requests. */
+	/** Whether the target takes new requests; none in an evacuated zone does. */
 	readonly isServing: boolean;
 	/** Whether the target has accepted the last connection of this entry. */
 	readonly isReachable: boolean;
@@ -48,8 +49,10 @@
 export type Targets = {
 	/** Replaces the list of targets. Measurements of targets that are removed or have restarted are discarded. */
 	update(records: readonly TargetRecord[]): void;
-	/** Returns the addresses at which a service has targets that are leaving, by an answer or by their registration, or that accept no connection, but none that takes requests. */
+	/** Returns the addresses at which a service has targets that are leaving, by an answer or by their registration, that are in an evacuated zone or that accept no connection, but none that takes requests. */
 	departingAddresses(service: string): readonly string[];
+	/** Returns why no target of a service takes requests: `zoneEvacuated` if the service has targets and all are in evacuated zones. */
+	absenceReason(service: string): Extract<RefusalReason, 'zoneEvacuated' | 'noTarget'>;
 	/** Returns the targets of a service that take new requests. Among several targets registered at one address, only the latest that is not gone and has a known service counts. */
 	servingTargets(service: string): readonly Target[];
 	byId(id: string): Target | undefined;
@@ -62,6 +65,8 @@
 	readonly nowMs: () => number;
 	/** Whether the configuration names a service. A registration that names another one hides no target at its address; after a change, `update` is to be called. */
 	readonly isKnownService: (service: string) => boolean;
+	/** Whether the targets of an availability zone get no new requests, by order of the operator; asked at each use of a target. */
+	readonly isEvacuated?: (zone: string) => boolean;
 	/** Called when a target is added, removed, leaving, found to be gone, accepts no connection or accepts one again. */
 	readonly onChange: (change: 'added' | 'removed' | 'leaving' | 'gone' | 'unreachable' | 'reachable', record: TargetRecord) => void;
 };
@@ -145,12 +150,16 @@
 			const serving = new Set(departing.length === 0 ? [] : this.servingTargets(service).map(({address}) => address));
 			return departing.map(({address}) => address).filter(address => !serving.has(address));
 		},
+		absenceReason(service) {
+			const zones = [...targets.values()].filter(({record}) => record.service === service).map(({record}) => record.zone);
+			return zones.length > 0 && zones.every(zone => options.isEvacuated?.(zone)) ? 'zoneEvacuated' : 'noTarget';
+		},
 		byId: id => targets.get(id),
 		all: () => [...targets.values()],
 	};
 }
 
-function createTarget(initialRecord: TargetRecord, {connectMs, ejection, nowMs, onChange, onGone, leaving}: CreateTargetOptions): ListedTarget {
+function createTarget(initialRecord: TargetRecord, {connectMs, ejection, nowMs, isEvacuated = () => false, onChange, onGone, leaving}: CreateTargetOptions): ListedTarget {
 	let record = initialRecord;
 	let inFlight = 0;
 	let latencyMs: number | undefined;
@@ -186,7 +195,7 @@
 			return isGone;
 		},
 		get isServing() {
-			return record.state === 'serving' && !isGone && !isLeaving;
+			return record.state === 'serving' && !isGone && !isLeaving && !isEvacuated(record.zone);
 		},
 		get isReachable() {
 			return reachability.isReachable();
--- a/packages/direct/test/targets.test.ts
+++ b/packages/direct/test/targets.test.ts
@@ -2,9 +2,11 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {listenOn} from '@papayaflow/standins';
 import {expect} from 'chai';
-import {describe, it} from 'mocha';
+import {beforeEach, describe, it} from 'mocha';
 import {type TargetRecord} from '@papayaflow/routing';
-import {createTargets, type Targets} from '@papayaflow/direct';
+import {
+	createPlainPlacer, createTargets, type Call, type PlaceResult, type Targets,
+} from '@papayaflow/direct';
 
 const record = (id: string, registeredAt: number, more: Partial<TargetRecord> = {}): TargetRecord => ({
 	id, incarnation: 0, registeredAt, service: 's', host: '10.0.0.1', port: 80, zone: 'z', slots: 4, state: 'serving', warmingMs: 0, ...more,
@@ -98,3 +100,51 @@
 		targets.update([]);
 	});
 });
+
+describe('a target in an evacuated zone', () => {
+	const ejection = {ejectAfterFailures: 3, ejectMs: 1000, maxEjectedRatio: 0.5};
+	const evacuated = new Set<string>();
+	let targets: Targets;
+
+	beforeEach(() => {
+		evacuated.clear();
+		targets = createTargets({
+			connectMs: 100, ejection, nowMs: () => 0, isKnownService: () => true, isEvacuated: zone => evacuated.has(zone), onChange: () => undefined,
+		});
+		targets.update([record('a', 1, {zone: 'a'}), record('b', 1, {zone: 'b', port: 81})]);
+	});
+
+	const place = async (): Promise<PlaceResult> => {
+		const placer = createPlainPlacer({
+			targets, ejection, nowMs: () => 0, random: () => 0.5, zone: 'a',
+		});
+		const call: Partial<Call> = {service: 's'};
+		return placer({
+			call: call as Call, hasBegun: false, tried: new Set(), excluded: new Set(), signal: new AbortController().signal,
+		});
+	};
+
+	it('takes no requests until the zone is taken back, and coordinators are told its address', () => {
+		evacuated.add('a');
+		expect(servingIds(targets)).to.deep.equal(['b']);
+		expect(targets.departingAddresses('s')).to.deep.equal(['10.0.0.1:80']);
+		evacuated.clear();
+		expect(servingIds(targets)).to.deep.equal(['a', 'b']);
+	});
+
+	// Guards against a request that was placed before the evacuation and reaches the target after its connection has opened.
+	it('gets no request that was placed before', async () => {
+		const placed = await place();
+		expect(placed.kind === 'placed' && [placed.place.target.record.id, placed.place.mayStart()]).to.deep.equal(['a', true]);
+		evacuated.add('a');
+		expect(placed.kind === 'placed' && placed.place.mayStart()).to.equal(false);
+	});
+
+	it('is named as the cause of a refusal only if all targets of the service are in such zones', async () => {
+		evacuated.add('a').add('b');
+		expect(await place()).to.include({kind: 'refused', reason: 'zoneEvacuated'});
+		expect(targets.absenceReason('unknown service')).to.equal('noTarget');
+		targets.update([record('a', 1, {zone: 'a'}), record('c', 1, {zone: 'c', port: 82, state: 'leaving'})]);
+		expect(await place()).to.include({kind: 'refused', reason: 'noTarget'});
+	});
+});
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -36,6 +36,8 @@
 	readonly target: string;
 	/** The registered targets of this engine's service. */
 	readonly records: () => readonly TargetRecord[];
+	/** Whether the ranks of an availability zone accept no new requests, by order of the operator; they still take part in passes, commands and maps. */
+	readonly isEvacuated?: (zone: string) => boolean;
 	/** Acquires a new fencing token for a group; `undefined` if it could not be acquired. */
 	readonly acquireToken: (group: string) => Promise<number | undefined>;
 };
@@ -137,8 +139,9 @@
 		const records = latestByAddress(deps.records());
 		openByRank = Array.from({length: view.size}, (_, rank) => {
 			const target = targetOf(rank);
+			const record = target === undefined ? undefined : records.get(target);
 			// A sidecar that stopped responding may be on a frozen machine. A request sent there can't be cancelled: the engine would still run it after the caller has disconnected.
-			return view.isOpen && target !== undefined && records.get(target)?.state === 'serving' && !membership.isSilent(view.group, rank);
+			return view.isOpen && record?.state === 'serving' && !deps.isEvacuated?.(record.zone) && !membership.isSilent(view.group, rank);
 		});
 		zones = openByRank.map((_, rank) => records.get(targetOf(rank) ?? '')?.zone);
 		updateRole(view);
--- a/packages/group/test/sidecar.test.ts
+++ b/packages/group/test/sidecar.test.ts
@@ -23,7 +23,7 @@
 const targetOf = (rank: number): string => `10.0.0.${rank}:80`;
 
 /** Starts a sidecar with a clock that the test sets. */
-function startSidecar(rank: number, clock: {nowMs: number}, engine = engineOf(rank)): {sidecar: GroupSidecar; stop: () => void} {
+function startSidecar(rank: number, clock: {nowMs: number}, engine = engineOf(rank), isEvacuated: (zone: string) => boolean = () => false): {sidecar: GroupSidecar; stop: () => void} {
 	const ending = new AbortController();
 	const sidecar = createGroupSidecar({
 		target: targetOf(rank), engine, connect: target => engineOf(Number(target.slice(7, 8))),
@@ -35,9 +35,9 @@
 			},
 		}),
 		records: () => Array.from({length: size}, (_, index) => ({
-			id: `i-${index}`, incarnation: 1, registeredAt: 1, service: 's', host: `10.0.0.${index}`, port: 80, zone: 'z', slots: 8, state: 'serving' as const, warmingMs: 0,
+			id: `i-${index}`, incarnation: 1, registeredAt: 1, service: 's', host: `10.0.0.${index}`, port: 80, zone: `z-${index}`, slots: 8, state: 'serving' as const, warmingMs: 0,
 		})),
-		acquireToken: async () => 1, weights: {goodSkew: 1.1, copyCost: 0}, metrics: createMetrics(), log: createLog({}, 'error'),
+		isEvacuated, acquireToken: async () => 1, weights: {goodSkew: 1.1, copyCost: 0}, metrics: createMetrics(), log: createLog({}, 'error'),
 		monotonicMs: () => clock.nowMs, random: () => 0.5, signal: ending.signal,
 		async sleep() {
 			await sleep(2);
@@ -134,6 +134,42 @@
 		await sidecar.leave();
 	});
 
+	// Guards against a coordinator that places requests in an evacuated zone for entries that have not heard of it, and one that takes such ranks out of their group.
+	it('places no request on the ranks of an evacuated zone, its own among them, and continues to coordinate', async () => {
+		const evacuated = new Set<string>();
+		const {sidecar, stop} = startSidecar(0, {nowMs: 0}, engineOf(0), zone => evacuated.has(zone));
+		const sent: Frame[] = [];
+		const entry = peerOf('entry', sent);
+		sidecar.onUp(entry);
+		for (const rank of [1, 2]) {
+			const peer = peerOf('sidecar', []);
+			sidecar.onUp(peer);
+			sidecar.onFrame(peer, {kind: 'rank', notice: noticeOf(rank, false)});
+		}
+
+		const targetsOfPlaced = async (prefix: string): Promise<ReadonlySet<string>> => {
+			await sleep(20);
+			sent.length = 0;
+			sidecar.onFrame(entry, {kind: 'streams', streams: []});
+			for (const index of [0, 1, 2, 3]) {
+				sidecar.onFrame(entry, placeFrame(`${prefix}-${index}`, []));
+			}
+
+			return new Set(sent.flatMap(frame => frame.kind === 'placed' ? [frame.target] : []));
+		};
+
+		expect(await targetsOfPlaced('before')).to.have.property('size', 3);
+		evacuated.add('z-0');
+		evacuated.add('z-1');
+		expect(await targetsOfPlaced('evacuated')).to.deep.equal(new Set([targetOf(2)]));
+		expect(isCoordinator(sidecar)).to.equal(true);
+		expect(sent.filter(frame => frame.kind === 'rank'), 'notices that the group is closed').to.deep.equal([]);
+		evacuated.clear();
+		expect(await targetsOfPlaced('after')).to.have.property('size', 3);
+		stop();
+		await sidecar.leave();
+	});
+
 	it('tells all entries which requests it has refused, so that they recognise the retries', async () => {
 		const {sidecar, stop} = startSidecar(0, {nowMs: 0});
 		const [sent, sentToOther]: [Frame[], Frame[]] = [[], []];
--- a/packages/policy/src/group-admission.ts
+++ b/packages/policy/src/group-admission.ts
@@ -148,9 +148,15 @@
 	// The planning skew and the time at which it was computed.
 	let cachedSkew = {skew: 1, atMs: Number.NEGATIVE_INFINITY};
 
-	/** Returns how many requests, spread evenly over the ranks, can decode at once with passes short enough for the allowed pause. */
+	/** Returns for each rank whether it counts for the capacity: those that accept requests, or all while none does, since a group that forms anew will accept them again. */
+	const acceptingRanks = (): readonly boolean[] => {
+		const openRanks = options.openRanks();
+		return openRanks.some(Boolean) ? openRanks : openRanks.map(() => true);
+	};
+
+	/** Returns how many requests, spread evenly over the ranks that accept some, can decode at once with passes short enough for the allowed pause. */
 	const capacityAt = (model: GroupModel, skew: number): number => {
-		const ranks = options.openRanks().length;
+		const ranks = acceptingRanks().filter(Boolean).length;
 		const maxRequests = ranks * model.slots;
 		for (let count = ranks; count <= maxRequests; count += ranks) {
 			if (balancedPassMs(model, count, skew) > maxPassToGapRatio * lastGapMs) {
@@ -161,11 +167,12 @@
 		return maxRequests;
 	};
 
-	/** Predicts the pass time for `count` decoding requests of average progress, spread evenly over the ranks. */
+	/** Predicts the pass time for `count` decoding requests of average progress, spread evenly over the ranks that accept some. */
 	const balancedPassMs = (model: GroupModel, count: number, skew: number): number => {
-		const ranks = options.openRanks().length;
-		const work = Array.from({length: ranks}, () => ({
-			decodingRequests: count / ranks, contextTokens: count / ranks * (model.usualAnswerTokens / 2), prefillTokens: 0,
+		const ranks = acceptingRanks();
+		const perRank = count / ranks.filter(Boolean).length;
+		const work = ranks.map(isAccepting => ({
+			decodingRequests: isAccepting ? perRank : 0, contextTokens: isAccepting ? perRank * (model.usualAnswerTokens / 2) : 0, prefillTokens: 0,
 		}));
 		return options.slowdown() * predictPassMs(model, work, skew);
 	};
--- a/packages/policy/test/group.test.ts
+++ b/packages/policy/test/group.test.ts
@@ -97,6 +97,21 @@
 		expect(admission.state().passMs).to.be.at.most(0.82 * 40);
 	});
 
+	// Load pattern: a zone of a group that lies in several is evacuated, and its ranks only take part in the passes.
+	it('counts only the ranks that accept requests as capacity, and all of them while none does', () => {
+		let open = [true, true, true];
+		const admission = createGroupAdmission({
+			model: () => model, openRanks: () => open, zones: () => [], skew: () => 1, demandShifts: () => undefined, slowdown: () => 1, isStalled: () => false,
+			nowMs: () => 0, random: () => 0.5,
+		});
+		ask(admission, makeRequest('a', {gapMs: 1000}));
+		expect(admission.room()).to.equal(3 * model.slots);
+		open = [true, false, true];
+		expect(admission.room()).to.equal(2 * model.slots);
+		open = [false, false, false];
+		expect(admission.room()).to.equal(3 * model.slots);
+	});
+
 	it('reserves capacity for shifts of demand only if they are frequent', () => {
 		const withoutShifts = fill(admissionOf({nowMs: 0}));
 		const rareShifts = fill(admissionOf({nowMs: 0}, 2, {skew: 1.5, intervalMs: 60_000}));
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -615,4 +615,14 @@
 		find: 'if (trialPart !== undefined && isRivalOf(trialPart, parts)) {', replace: 'if (trialPart === \'\') {',
 		spec: 'quarantine/test/quarantine.test.ts', test: 'clears the parts of such a request',
 	},
+	{
+		name: 'a target in an evacuated zone takes no requests', file: 'direct/src/targets.ts',
+		find: ' && !isEvacuated(record.zone)', replace: '',
+		spec: 'direct/test/targets.test.ts', test: 'gets no request that was placed before',
+	},
+	{
+		name: 'a coordinator places no requests in an evacuated zone', file: 'group/src/sidecar.ts',
+		find: ' && !deps.isEvacuated?.(record.zone)', replace: '',
+		spec: 'group/test/sidecar.test.ts', test: 'places no request on the ranks of an evacuated zone',
+	},
 ];
