Home regions: allowed_regions of routes and organisations

Cause: the configuration may restrict the requests of a route or an organisation to regions; entries ignored the list.

Change: the lists of both are applied to each call, by the table of zones and regions in PAPAYAFLOW_REGIONS. Placers choose only targets in allowed zones, and the zone is checked again when a request is sent. Coordinators are told the zones to exclude, which also replaces the addresses of targets in evacuated zones: with 24 ranks in a zone their list took some 400 bytes of each request for a place. A target in a zone whose region is not known is not used. If no target of the service is in an allowed zone, the request is refused at once (503, noTargetInRegion).

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -13,7 +13,9 @@
 import {createResendBudget, rendezvousOrder} from '@papayaflow/policy';
 import {createQuarantine, suspicionChanges} from '@papayaflow/quarantine';
 import {addressOf, type EngineModel, type TargetRecord} from '@papayaflow/routing';
-import {addressSetting, numberSetting, type SettingsOf} from '@papayaflow/settings';
+import {
+	addressSetting, numberSetting, tableSetting, type SettingsOf,
+} from '@papayaflow/settings';
 import {serveAdmin} from '@papayaflow/telemetry';
 import {createProcessContext} from './direct-process.js';
 import {
@@ -64,6 +66,7 @@
 	resendWindowS: numberSetting('the window in which resends are counted', {
 		minimum: 0.1, maximum: 3600, unit: 'seconds', fallback: '10',
 	}),
+	regions: tableSetting('the region of each availability zone, as ZONE=REGION,ZONE=REGION; needed for routes and organisations whose regions are restricted'),
 	stallMs: numberSetting('how long a group waits for a lost rank before it abandons its work', {
 		minimum: 0, maximum: 3_600_000, unit: 'milliseconds', fallback: '1500',
 	}),
@@ -225,6 +228,7 @@
 	};
 
 	const front = createFront({
+		regionByZone: settings.regions,
 		dialect: platformDialect, metrics, log, containment, monotonicMs, random, table: () => directory.table(), stopPlan: () => stopPlan,
 		place: createQuarantinedPlacer({
 			quarantine,
--- a/packages/direct/src/call.ts
+++ b/packages/direct/src/call.ts
@@ -20,6 +20,8 @@
 	readonly generation: Generation | undefined;
 	/** The ids of the parts of the prompt that other requests may have too, each once. */
 	readonly sharedParts: readonly string[];
+	/** The availability zones whose targets the request may reach; absent if it may reach all. */
+	readonly allowedZones?: ReadonlySet<string>;
 	/** Returns the id under which the request is suspected if it crashes targets. */
 	readonly subject: () => string;
 	/** The caller's deadline or the timeout of the route, whichever is shorter, in milliseconds from the arrival. */
@@ -28,6 +30,11 @@
 	readonly arrivedMs: number;
 };
 
+/** Whether a call may reach the targets of an availability zone. */
+export function mayReach({allowedZones}: Pick<Call, 'allowedZones'>, zone: string): boolean {
+	return allowedZones?.has(zone) ?? true;
+}
+
 /** The most parts of a prompt in a log line. */
 export const maxLoggedParts = 8;
 
--- a/packages/direct/src/front.ts
+++ b/packages/direct/src/front.ts
@@ -8,7 +8,9 @@
 } from '@papayaflow/caller';
 import {type LossReason, type RefusalReason} from '@papayaflow/outcome';
 import {requestSubject} from '@papayaflow/quarantine';
-import {drawService, identifyCaller, type RouteTable} from '@papayaflow/routing';
+import {
+	allowedZonesOf, drawService, identifyCaller, type Organisation, type Route, type RouteTable,
+} from '@papayaflow/routing';
 import {type Containment} from '@papayaflow/telemetry';
 import {createCallerAnswer, type CallerAnswer} from './answer.js';
 import {type BodyBuffers, type BodyBytes} from './buffers.js';
@@ -53,6 +55,8 @@
 	/** Returns the current configuration; `undefined` before the first one is known. */
 	readonly table: () => RouteTable | undefined;
 	readonly random: () => number;
+	/** The region of each availability zone; none is known by default. */
+	readonly regionByZone?: ReadonlyMap<string, string>;
 	readonly bodyBuffers: BodyBuffers;
 	/** The plan of a stop; `undefined` while the entry is not stopping. A stopping entry closes callers' connections after their responses. */
 	readonly stopPlan: () => StopPlan | undefined;
@@ -105,6 +109,8 @@
 		});
 	});
 
+	const zonesFor = (route: Route, organisation: Organisation | undefined): ReadonlySet<string> | undefined => allowedZonesOf(deps.regionByZone ?? new Map(), [route.allowedRegions, organisation?.allowedRegions]);
+
 	/** Returns why a stopping entry does not take a request that has this long left; `undefined` if it takes it. */
 	const reasonNotToTake = (deadlineMs: number): string | undefined => {
 		const plan = deps.stopPlan();
@@ -190,7 +196,7 @@
 		const call: Call = {
 			requestId, route, service, version: configuration.version, organisation: organisation?.name, priority: organisation?.priority ?? route.priority,
 			method: req.method ?? 'GET', path: req.url ?? '/', rawHeaders: req.rawHeaders, body: body.bytes, generation: caller.generation, sharedParts: caller.sharedParts,
-			deadlineMs, arrivedMs,
+			deadlineMs, arrivedMs, allowedZones: zonesFor(route, organisation),
 			subject() {
 				subject ??= requestSubject({
 					method: call.method, path: call.path, organisation: call.organisation, body: call.body,
--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -4,7 +4,7 @@
 import {maxPlacementWaitMs, refusalRetryDelayMs} from '@papayaflow/policy';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
 import {type EngineModel} from '@papayaflow/routing';
-import {type Call} from './call.js';
+import {mayReach, type Call} from './call.js';
 import {
 	type Place, type PlaceResult, type PlaceRequest, type Placer,
 } from './place.js';
@@ -77,6 +77,7 @@
 	const createPlacementRequest = ({call, tried, excluded, hasBegun}: PlaceRequest, identity: string | undefined): PeerPlacementRequest => {
 		const {route, generation} = call;
 		const elapsedMs = monotonicMs() - call.arrivedMs;
+		const closedZones = targets.closedZones(call);
 		const sinceFirstSentMs = identity === undefined ? undefined : refusedRequests.waitedMs(identity);
 		return {
 			id: call.requestId,
@@ -92,9 +93,10 @@
 			isResumed: hasBegun,
 			excluded: [...new Set([
 				...[...tried, ...excluded].flatMap(id => targets.byId(id)?.address ?? []),
-				// The coordinator learns only from the store that a target leaves or that its zone is evacuated.
+				// The coordinator learns only from the store that a target leaves.
 				...targets.departingAddresses(call.service),
 			])],
+			...(closedZones.length > 0 && {excludedZones: closedZones}),
 		};
 	};
 
@@ -112,7 +114,7 @@
 	});
 
 	// Looks up the coordinator for each frame, since it may change during a stream. A new coordinator has already been sent the list of running streams.
-	const reservePlace = (target: Target, placementRequest: PeerPlacementRequest): Place => {
+	const reservePlace = (target: Target, call: Call, placementRequest: PeerPlacementRequest): Place => {
 		const endRequest = target.startRequest();
 		const stream: Stream = {
 			group: groupOf(target), target: target.address, ask: placementRequest, hasBegun: false,
@@ -125,7 +127,7 @@
 		streams.set(placementRequest.id, stream);
 		return {
 			target,
-			mayStart: () => target.isServing,
+			mayStart: () => target.isServing && mayReach(call, target.record.zone),
 			began() {
 				stream.hasBegun = true;
 				notifyCoordinator({kind: 'began', id: placementRequest.id});
@@ -147,7 +149,7 @@
 		metrics.count('placed_alone');
 		const remaining = servingTargets.filter(({isServing}) => isServing);
 		if (remaining.length === 0) {
-			return {kind: 'refused', reason: targets.absenceReason(call.service), retryAfterMs: drawRetryAfterMs(placementRequest)};
+			return {kind: 'refused', reason: targets.absenceReason(call), retryAfterMs: drawRetryAfterMs(placementRequest)};
 		}
 
 		const isSilent = (address: string): boolean => notices.isSilent(address) || (silentCoordinator !== undefined && notices.of(silentCoordinator)?.target === address);
@@ -168,7 +170,7 @@
 			};
 		}
 
-		const place = reservePlace(leastLoaded, placementRequest);
+		const place = reservePlace(leastLoaded, call, placementRequest);
 		if (group !== undefined) {
 			notices.coordinatorOf(group)?.send({kind: 'running', stream: createStreamNotice(placementRequest.id, streams.get(placementRequest.id)!)});
 		}
@@ -228,12 +230,12 @@
 
 	const placeOnce = async (request: PlaceRequest, identity: string | undefined): Promise<PlaceResult> => {
 		const {call, tried, excluded, signal} = request;
-		const serving = targets.servingTargets(call.service).filter(({record}) => !excluded.has(record.id));
+		const serving = targets.servingTargets(call).filter(({record}) => !excluded.has(record.id));
 		const untried = serving.filter(({record}) => !tried.has(record.id));
 		const candidates = untried.length > 0 ? untried : serving;
 		const placementRequest = createPlacementRequest(request, identity);
 		if (candidates.length === 0) {
-			return {kind: 'refused', reason: targets.absenceReason(call.service), retryAfterMs: drawRetryAfterMs(placementRequest)};
+			return {kind: 'refused', reason: targets.absenceReason(call), retryAfterMs: drawRetryAfterMs(placementRequest)};
 		}
 
 		const coordinator = chooseCoordinator(candidates);
@@ -265,7 +267,7 @@
 			return placeWithoutCoordinator(call, candidates, placementRequest);
 		}
 
-		return {kind: 'placed', place: reservePlace(target, placementRequest)};
+		return {kind: 'placed', place: reservePlace(target, call, placementRequest)};
 	};
 
 	const handleReply = (_peer: Peer, frame: Extract<Frame, {kind: 'placed' | 'turnedAway'}>): void => {
--- a/packages/direct/src/limit-place.ts
+++ b/packages/direct/src/limit-place.ts
@@ -38,7 +38,7 @@
 		const denied = new Set<string>();
 		for (;;) {
 			const excluded = new Set([...request.excluded, ...permits.blocked(), ...pauses.blocked(), ...denied]);
-			const serving = excluded.size === 0 ? [] : targets.servingTargets(request.call.service).map(({record}) => record);
+			const serving = excluded.size === 0 ? [] : targets.servingTargets(request.call).map(({record}) => record);
 			if (serving.length > 0 && serving.every(({id}) => excluded.has(id))) {
 				return refuse(serving);
 			}
--- a/packages/direct/src/place.ts
+++ b/packages/direct/src/place.ts
@@ -1,6 +1,6 @@
 import {type RefusalReason} from '@papayaflow/outcome';
 import {withoutEjected, type EjectOptions} from '@papayaflow/policy';
-import {type Call} from './call.js';
+import {mayReach, type Call} from './call.js';
 import {type Target, type TargetOutcome, type Targets} from './targets.js';
 
 /** A target reserved for one attempt. `forward` reports the progress of the attempt through it. */
@@ -57,19 +57,19 @@
 	readonly zone: string;
 }): Placer {
 	return async ({call, tried, excluded}) => {
-		const serving = targets.servingTargets(call.service).filter(({record}) => !excluded.has(record.id));
+		const serving = targets.servingTargets(call).filter(({record}) => !excluded.has(record.id));
 		const untried = serving.filter(({record}) => !tried.has(record.id));
 		const candidates = (untried.length > 0 ? untried : serving).map(target => ({target, health: target.health, ownTokens: target.inFlight}));
 		const usable = withoutEjected(candidates, nowMs(), ejection).map(({target}) => target);
 		if (usable.length === 0) {
-			return {kind: 'refused', reason: targets.absenceReason(call.service), retryAfterMs: noTargetRetryAfterMs};
+			return {kind: 'refused', reason: targets.absenceReason(call), retryAfterMs: noTargetRetryAfterMs};
 		}
 
 		const lowestLatencyMs = Math.min(...usable.map(({latencyMs}) => latencyMs ?? Number.POSITIVE_INFINITY));
 		const assumedLatencyMs = Number.isFinite(lowestLatencyMs) ? lowestLatencyMs * assumedLatencyRatio : defaultLatencyMs;
 		const cost = (target: Target): number => (target.inFlight + 1) * (target.latencyMs ?? assumedLatencyMs) * (target.record.zone === zone ? 1 : zoneCostFactor) * (1 + (random() * jitterRatio));
 		const [best] = usable.map(target => ({target, cost: cost(target)})).toSorted((a, b) => a.cost - b.cost);
-		return {kind: 'placed', place: reservePlace(best.target)};
+		return {kind: 'placed', place: reservePlace(best.target, call)};
 	};
 }
 
@@ -83,9 +83,9 @@
 const jitterRatio = 0.2;
 
 /** Reserves a target for one attempt, without a coordinator to notify: `began` has no effect. */
-export function reservePlace(target: Target): Place {
+export function reservePlace(target: Target, call: Pick<Call, 'allowedZones'>): Place {
 	const endRequest = target.startRequest();
 	return {
-		target, began: () => undefined, ended: endRequest, mayStart: () => target.isServing,
+		target, began: () => undefined, ended: endRequest, mayStart: () => target.isServing && mayReach(call, target.record.zone),
 	};
 }
--- a/packages/direct/src/targets.ts
+++ b/packages/direct/src/targets.ts
@@ -6,6 +6,7 @@
 import {
 	addressOf, isSameTarget, latestByAddress, type TargetRecord,
 } from '@papayaflow/routing';
+import {mayReach, type Call} from './call.js';
 import {tryConnect} from './connection-trial.js';
 import {createPool, type Pool} from './pool.js';
 import {createReachability} from './reachability.js';
@@ -46,15 +47,20 @@
 /** The outcome of a request as it affects the health of its target; `neutral` and `rejected` leave it unchanged. */
 export type TargetOutcome = 'served' | 'failed' | 'rejected' | 'neutral';
 
+/** The parts of a call that decide which targets it may reach. */
+export type ZonedCall = Pick<Call, 'service' | 'allowedZones'>;
+
 export type Targets = {
 	/** Replaces the list of targets. Measurements of targets that are removed or have restarted are discarded. */
 	update(records: readonly TargetRecord[]): void;
-	/** Returns the addresses at which a service has targets that are leaving, by an answer or by their registration, that are in an evacuated zone or that accept no connection, but none that takes requests. */
+	/** Returns the addresses at which a service has targets that are leaving, by an answer or by their registration, or that accept no connection, but none that takes requests. Those in evacuated zones are left out. */
 	departingAddresses(service: string): readonly string[];
-	/** Returns why no target of a service takes requests: `zoneEvacuated` if the service has targets and all are in evacuated zones. */
-	absenceReason(service: string): Extract<RefusalReason, 'zoneEvacuated' | 'noTarget'>;
-	/** Returns the targets of a service that take new requests. Among several targets registered at one address, only the latest that is not gone and has a known service counts. */
-	servingTargets(service: string): readonly Target[];
+	/** Returns the availability zones in which the service of a call has targets that must not get it, because the zone is evacuated or the call may not reach it. */
+	closedZones(call: ZonedCall): readonly string[];
+	/** Returns why no target takes a call: `noTargetInRegion` if all targets of its service are where it may not reach them, `zoneEvacuated` if the others are in evacuated zones. */
+	absenceReason(call: ZonedCall): Extract<RefusalReason, 'noTargetInRegion' | 'zoneEvacuated' | 'noTarget'>;
+	/** Returns the targets that may get a new call of a service. Among several targets registered at one address, only the latest that is not gone and has a known service counts. */
+	servingTargets(call: ZonedCall): readonly Target[];
 	byId(id: string): Target | undefined;
 	all(): readonly Target[];
 };
@@ -90,7 +96,7 @@
 
 @example
 targets.update(records);
-const [first] = targets.servingTargets('ledger');
+const [first] = targets.servingTargets({service: 'ledger'});
 */
 export function createTargets(options: TargetsOptions): Targets {
 	/** The lifetimes that have said that they leave. They are remembered when their registrations lapse, as these may come back. */
@@ -98,10 +104,13 @@
 	let targets = new Map<string, ListedTarget>();
 	/** The targets that count at their addresses, of the present list; `undefined` after a change. */
 	let latest: readonly Target[] | undefined;
+	const {isEvacuated = () => false} = options;
 	const onGone = (): void => {
 		latest = undefined;
 	};
 
+	const zonesOf = (service: string): readonly string[] => [...new Set([...targets.values()].filter(({record}) => record.service === service).map(({record}) => record.zone))];
+
 	const latestTargets = (): readonly Target[] => {
 		const present = [...targets.values()].filter(({record, isGone}) => !isGone && options.isKnownService(record.service));
 		return [...latestByAddress(present.map(({record}) => record)).values()].map(({id}) => targets.get(id)!);
@@ -141,18 +150,25 @@
 			targets = next;
 			latest = undefined;
 		},
-		servingTargets(service) {
+		servingTargets(call) {
 			latest ??= latestTargets();
-			return latest.filter(({record, isServing, isReachable}) => record.service === service && isServing && isReachable);
+			return latest.filter(({record, isServing, isReachable}) => record.service === call.service && isServing && isReachable && mayReach(call, record.zone));
 		},
 		departingAddresses(service) {
-			const departing = [...targets.values()].filter(({record, isServing, isReachable, isGone}) => record.service === service && !(isServing && isReachable) && !isGone);
-			const serving = new Set(departing.length === 0 ? [] : this.servingTargets(service).map(({address}) => address));
+			const present = [...targets.values()].filter(({record, isGone}) => record.service === service && !isGone && !isEvacuated(record.zone));
+			const departing = present.filter(({isServing, isReachable}) => !(isServing && isReachable));
+			const serving = new Set(departing.length === 0 ? [] : this.servingTargets({service}).map(({address}) => address));
 			return departing.map(({address}) => address).filter(address => !serving.has(address));
 		},
-		absenceReason(service) {
-			const zones = [...targets.values()].filter(({record}) => record.service === service).map(({record}) => record.zone);
-			return zones.length > 0 && zones.every(zone => options.isEvacuated?.(zone)) ? 'zoneEvacuated' : 'noTarget';
+		closedZones: call => zonesOf(call.service).filter(zone => isEvacuated(zone) || !mayReach(call, zone)),
+		absenceReason(call) {
+			const zones = zonesOf(call.service);
+			const allowed = zones.filter(zone => mayReach(call, zone));
+			if (zones.length === 0 || allowed.some(zone => !isEvacuated(zone))) {
+				return 'noTarget';
+			}
+
+			return allowed.length === 0 ? 'noTargetInRegion' : 'zoneEvacuated';
 		},
 		byId: id => targets.get(id),
 		all: () => [...targets.values()],
--- a/packages/direct/test/group-place.test.ts
+++ b/packages/direct/test/group-place.test.ts
@@ -261,3 +261,76 @@
 		expect(await placing).to.equal('refused');
 	});
 });
+
+describe('a group placer for calls that may reach only some zones', () => {
+	const zones = ['a', 'b', 'b'];
+	let asks: Array<Extract<Frame, {kind: 'place'}>['ask']>;
+	let placer: GroupPlacer;
+	let evacuated: Set<string>;
+
+	beforeEach(() => {
+		asks = [];
+		evacuated = new Set();
+		const targets = createTargets({
+			connectMs: 100, ejection: {ejectAfterFailures: 3, ejectMs: 1000, maxEjectedRatio: 0.5}, nowMs: () => performance.now(), isKnownService: () => true, onChange: () => undefined,
+			isEvacuated: zone => evacuated.has(zone),
+		});
+		targets.update(ranks.map(rank => ({
+			id: `i-${rank}`, incarnation: 0, registeredAt: 1, service: 's', host: `10.0.0.${rank}`, port: 80, zone: zones[rank], slots: 8, state: 'serving', warmingMs: 0,
+		})));
+		placer = createGroupPlacer({
+			targets, model: () => undefined, monotonicMs: () => performance.now(), random: () => 0.5, metrics: createMetrics(), log: createLog({}, 'error'),
+		});
+	});
+
+	/** Connects the sidecars; their coordinator places every request on rank 0. */
+	const connectCoordinator = (): void => {
+		const coordinator: Peer = {
+			...peerOf(0),
+			send(frame) {
+				if (frame.kind === 'place') {
+					asks.push(frame.ask);
+					queueMicrotask(() => placer.onFrame(coordinator, {kind: 'placed', id: frame.ask.id, target: addressOf(0)}));
+				}
+			},
+		};
+		for (const rank of ranks) {
+			placer.onFrame(rank === 0 ? coordinator : peerOf(rank), {
+				kind: 'rank', notice: {
+					group: 'g', formation: 1, rank, size: ranks.length, isOpen: true, target: addressOf(rank), isCoordinator: rank === 0, term: 1,
+				},
+			});
+		}
+	};
+
+	const place = async (id: string, allowedZones?: ReadonlySet<string>): Promise<string> => {
+		const result = await placer.place({
+			call: {...callOf(id), allowedZones}, hasBegun: false, tried: new Set(), excluded: new Set(), signal: new AbortController().signal,
+		});
+		if (result.kind === 'refused') {
+			return result.reason;
+		}
+
+		result.place.ended('neutral');
+		return result.place.target.record.id;
+	};
+
+	// Guards against a call that leaves its region because the coordinator, or the entry without one, knows nothing of regions.
+	it('places a call in no other zone, with and without a coordinator, even one that chooses such a rank', async () => {
+		const allowed = new Set(['b']);
+		expect(await place('alone', allowed)).to.be.oneOf(['i-1', 'i-2']);
+		connectCoordinator();
+		expect(await place('asked', allowed)).to.be.oneOf(['i-1', 'i-2']);
+		expect(await place('nowhere', new Set(['c']))).to.equal('noTargetInRegion');
+		expect(await place('anywhere')).to.equal('i-0');
+		expect(asks.map(({id, excludedZones}) => [id, excludedZones])).to.deep.equal([['asked', ['a']], ['anywhere', undefined]]);
+	});
+
+	it('uses no rank that an uninformed coordinator chooses in an evacuated zone', async () => {
+		connectCoordinator();
+		evacuated.add('a');
+		expect(await place('r')).to.be.oneOf(['i-1', 'i-2']);
+		evacuated.add('b');
+		expect(await place('s')).to.equal('zoneEvacuated');
+	});
+});
--- a/packages/direct/test/limit-place.test.ts
+++ b/packages/direct/test/limit-place.test.ts
@@ -52,8 +52,8 @@
 			}),
 		});
 		const first: Placer = async ({excluded}) => {
-			const target = targets.servingTargets('s').find(({record}) => !excluded.has(record.id));
-			return target ? {kind: 'placed', place: reservePlace(target)} : {kind: 'refused', reason: 'noTarget', retryAfterMs: 1};
+			const target = targets.servingTargets({service: 's'}).find(({record}) => !excluded.has(record.id));
+			return target ? {kind: 'placed', place: reservePlace(target, call)} : {kind: 'refused', reason: 'noTarget', retryAfterMs: 1};
 		};
 
 		const limited = createLimitedPlacer({
--- a/packages/direct/test/targets.test.ts
+++ b/packages/direct/test/targets.test.ts
@@ -22,7 +22,7 @@
 	return targets;
 };
 
-const servingIds = (targets: Targets): readonly string[] => targets.servingTargets('s').map(({record: {id}}) => id);
+const servingIds = (targets: Targets): readonly string[] => targets.servingTargets({service: 's'}).map(({record: {id}}) => id);
 
 describe('servingTargets() with several targets at one address', () => {
 	it('returns the target that registered last, in any order of the records', () => {
@@ -114,20 +114,20 @@
 		targets.update([record('a', 1, {zone: 'a'}), record('b', 1, {zone: 'b', port: 81})]);
 	});
 
-	const place = async (): Promise<PlaceResult> => {
+	const place = async (allowedZones?: ReadonlySet<string>): Promise<PlaceResult> => {
 		const placer = createPlainPlacer({
 			targets, ejection, nowMs: () => 0, random: () => 0.5, zone: 'a',
 		});
-		const call: Partial<Call> = {service: 's'};
+		const call: Partial<Call> = {service: 's', allowedZones};
 		return placer({
 			call: call as Call, hasBegun: false, tried: new Set(), excluded: new Set(), signal: new AbortController().signal,
 		});
 	};
 
-	it('takes no requests until the zone is taken back, and coordinators are told its address', () => {
+	it('takes no requests until the zone is taken back, and coordinators are told the zone', () => {
 		evacuated.add('a');
 		expect(servingIds(targets)).to.deep.equal(['b']);
-		expect(targets.departingAddresses('s')).to.deep.equal(['10.0.0.1:80']);
+		expect([targets.closedZones({service: 's'}), targets.departingAddresses('s')]).to.deep.equal([['a'], []]);
 		evacuated.clear();
 		expect(servingIds(targets)).to.deep.equal(['a', 'b']);
 	});
@@ -143,8 +143,15 @@
 	it('is named as the cause of a refusal only if all targets of the service are in such zones', async () => {
 		evacuated.add('a').add('b');
 		expect(await place()).to.include({kind: 'refused', reason: 'zoneEvacuated'});
-		expect(targets.absenceReason('unknown service')).to.equal('noTarget');
+		expect(targets.absenceReason({service: 'unknown'})).to.equal('noTarget');
 		targets.update([record('a', 1, {zone: 'a'}), record('c', 1, {zone: 'c', port: 82, state: 'leaving'})]);
 		expect(await place()).to.include({kind: 'refused', reason: 'noTarget'});
 	});
+
+	it('is named as the cause of a refusal if all targets that the call may reach are in such zones', async () => {
+		evacuated.add('a');
+		expect(await place(new Set(['a']))).to.include({kind: 'refused', reason: 'zoneEvacuated'});
+		expect(await place(new Set(['c']))).to.include({kind: 'refused', reason: 'noTargetInRegion'});
+		expect(targets.closedZones({service: 's', allowedZones: new Set(['a', 'c'])})).to.deep.equal(['a', 'b']);
+	});
 });
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -206,9 +206,9 @@
 	};
 
 	const placementRequestOf = (peer: Peer, frame: Extract<Frame, {kind: 'place'}>): PlacementRequest => {
-		const {excluded, identity: _, ...request} = frame.ask;
+		const {excluded, excludedZones = [], identity: _, ...request} = frame.ask;
 		const ranks = Array.from({length: notice?.size ?? 0}, (_, rank) => rank);
-		return {...request, zone: peer.hello.zone, excluded: new Set(ranks.filter(rank => excluded.includes(targetOf(rank) ?? '')))};
+		return {...request, zone: peer.hello.zone, excluded: new Set(ranks.filter(rank => excluded.includes(targetOf(rank) ?? '') || excludedZones.includes(zones[rank] ?? '')))};
 	};
 
 	const onPlace = (peer: Peer, frame: Extract<Frame, {kind: 'place'}>): void => {
--- a/packages/group/test/sidecar.test.ts
+++ b/packages/group/test/sidecar.test.ts
@@ -170,6 +170,25 @@
 		await sidecar.leave();
 	});
 
+	it('places a request on no rank of a zone that its entry excludes', async () => {
+		const {sidecar, stop} = startSidecar(0, {nowMs: 0});
+		const sent: Frame[] = [];
+		const entry = peerOf('entry', sent);
+		sidecar.onUp(entry);
+		const member = peerOf('sidecar', []);
+		sidecar.onUp(member);
+		sidecar.onFrame(member, {kind: 'rank', notice: noticeOf(1, false)});
+		await sleep(20);
+		for (const id of ['r-1', 'r-2', 'r-3']) {
+			const frame = placeFrame(id, []) as Extract<Frame, {kind: 'place'}>;
+			sidecar.onFrame(entry, {...frame, ask: {...frame.ask, excludedZones: ['z-0']}});
+		}
+
+		expect(sent.flatMap(frame => frame.kind === 'placed' ? [frame.target] : [])).to.deep.equal([targetOf(1), targetOf(1), targetOf(1)]);
+		stop();
+		await sidecar.leave();
+	});
+
 	it('tells all entries which requests it has refused, so that they recognise the retries', async () => {
 		const {sidecar, stop} = startSidecar(0, {nowMs: 0});
 		const [sent, sentToOther]: [Frame[], Frame[]] = [[], []];
--- a/packages/outcome/src/outcome.ts
+++ b/packages/outcome/src/outcome.ts
@@ -9,6 +9,7 @@
 	'noRoute',
 	'noTarget',
 	'zoneEvacuated',
+	'noTargetInRegion',
 	'quotaExceeded',
 	'queueFull',
 	'deadlineTooShort',
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -81,6 +81,8 @@
 	readonly identity?: string;
 	/** The addresses of engines that failed the request before, as `IP:PORT`. */
 	readonly excluded: readonly string[];
+	/** The availability zones whose engines must not get the request: evacuated zones, and those that it may not reach. A list of their addresses would be many times as long. Absent if there are none. */
+	readonly excludedZones?: readonly string[];
 };
 
 /** A request that runs in a group, as its entry reports it. */
--- a/packages/routing/src/configuration.ts
+++ b/packages/routing/src/configuration.ts
@@ -30,6 +30,8 @@
 	readonly isPublic: boolean;
 	/** Whether a broken stream may be resumed at another target. */
 	readonly isResumable: boolean;
+	/** The regions whose targets the requests may reach; absent if they may reach all. */
+	readonly allowedRegions?: readonly string[];
 };
 
 /** The capacity and timing figures that are published for the engines of a model. */
@@ -93,7 +95,12 @@
 	readonly idleTimeoutMs: number;
 };
 
-export type Organisation = {readonly name: string; readonly priority: number | undefined};
+export type Organisation = {
+	readonly name: string;
+	readonly priority: number | undefined;
+	/** The regions whose targets the requests may reach; absent if they may reach all. */
+	readonly allowedRegions?: readonly string[];
+};
 
 /**
 One version of the operators' configuration. The route, the key and the organisation
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -4,6 +4,7 @@
 export {
 	createRouteTable, drawService, identifyCaller, type CallerIdentity, type RouteTable,
 } from './match.js';
+export {allowedZonesOf} from './region.js';
 export {
 	addressOf, isSameTarget, latestByAddress, type TargetRecord,
 } from './target.js';
--- a/packages/settings/src/common.ts
+++ b/packages/settings/src/common.ts
@@ -86,6 +86,24 @@
 	};
 }
 
+/** The schema of a table of names, as `NAME=VALUE,NAME=VALUE`. */
+export const tableSchema = z.string().transform((text, context): ReadonlyMap<string, string> => {
+	const rows = text.split(',').map(row => row.trim()).filter(row => row !== '').map(row => /^([\w.\-]{1,64})=([\w.\-]{1,64})$/v.exec(row));
+	if (rows.includes(null)) {
+		context.issues.push({code: 'custom', message: 'not NAME=VALUE,NAME=VALUE', input: text});
+		return z.NEVER;
+	}
+
+	return new Map(rows.map(row => [row![1], row![2]]));
+});
+
+/** Creates the setting of a table of names, empty by default. */
+export function tableSetting(description: string): SettingDef & {schema: typeof tableSchema} {
+	return {
+		schema: tableSchema, description, allowed: 'NAME=VALUE,NAME=VALUE with letters, digits, ".", "_" or "-"', default: '',
+	};
+}
+
 /** Creates the setting of the URL of an HTTP service. */
 export function urlSetting(description: string, fallback?: string): SettingDef & {schema: typeof urlSchema} {
 	return {
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -2,5 +2,5 @@
 	formatBadSetting, readSettings, type BadSetting, type SettingDef, type SettingDefs, type SettingsOf, type SettingsResult,
 } from './settings.js';
 export {
-	addressSetting, ipSetting, nameSetting, numberSetting, parseAddress, portSetting, urlSetting, type Address,
+	addressSetting, ipSetting, nameSetting, numberSetting, parseAddress, portSetting, tableSetting, urlSetting, type Address,
 } from './common.js';
--- a/packages/settings/test/settings.test.ts
+++ b/packages/settings/test/settings.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {describe, it} from 'mocha';
 import {
-	formatBadSetting, ipSetting, nameSetting, portSetting, readSettings, urlSetting,
+	formatBadSetting, ipSetting, nameSetting, portSetting, readSettings, tableSetting, urlSetting,
 } from '@papayaflow/settings';
 
 const defs = {
@@ -38,6 +38,18 @@
 		]);
 	});
 
+	it('reads a table, empty if the variable is, and reports one that has another form', () => {
+		const readTable = (text: string) => readSettings('program', {regions: tableSetting('regions')}, [], {PAPAYAFLOW_REGIONS: text});
+		const rowsOf = (text: string): unknown => {
+			const result = readTable(text);
+			return result.kind === 'run' ? [...result.settings.regions] : result.kind;
+		};
+
+		expect(rowsOf('')).to.deep.equal([]);
+		expect(rowsOf('north-1=west, north-2=west,south=east')).to.deep.equal([['north-1', 'west'], ['north-2', 'west'], ['south', 'east']]);
+		expect(['north', 'a=b=c', '=west', 'a:b'].map(text => rowsOf(text))).to.deep.equal(['bad', 'bad', 'bad', 'bad']);
+	});
+
 	it('reports unknown flags and missing required settings', () => {
 		const result = read(['--prot', '1']);
 		expect(result.kind === 'bad' && result.problems.map(({flag}) => flag)).to.deep.equal(['--prot', '--instance']);
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -625,4 +625,14 @@
 		find: ' && !deps.isEvacuated?.(record.zone)', replace: '',
 		spec: 'group/test/sidecar.test.ts', test: 'places no request on the ranks of an evacuated zone',
 	},
+	{
+		name: 'a call reaches no target in a region that is not allowed', file: 'direct/src/targets.ts',
+		find: ' && isReachable && mayReach(call, record.zone)', replace: ' && isReachable',
+		spec: 'direct/test/group-place.test.ts', test: 'places a call in no other zone',
+	},
+	{
+		name: 'a coordinator excludes the zones that an entry names', file: 'group/src/sidecar.ts',
+		find: ' || excludedZones.includes(zones[rank] ?? \'\')', replace: '',
+		spec: 'group/test/sidecar.test.ts', test: 'places a request on no rank of a zone that its entry excludes',
+	},
 ];
