--- a/packages/outcome/src/outcome.ts
+++ b/packages/outcome/src/outcome.ts
@@ -8,6 +8,8 @@
 	'badRequest',
 	'noRoute',
 	'noTarget',
+	'zoneEvacuated',
+	'noTargetInRegion',
 	'quotaExceeded',
 	'queueFull',
 	'deadlineTooShort',
