Send no requests to groups that are closed; hold those that can be served soon

Change: entries take from the notices of sidecars which groups are closed. A request is held until one opens, at most 1.3 s, and for 350 ms until the coordinator of a group that has just formed is known; otherwise it is refused with a delay from the return schedule. Without a coordinator an entry's share is that of a group whose map fits badly.

--- a/packages/direct/src/answer-receiver.ts
+++ b/packages/direct/src/answer-receiver.ts
@@ -23,7 +23,7 @@
 		/** The target ran the request and failed; its response can still be passed on. */
 		| {readonly kind: 'failed'; readonly bufferedAnswer: BufferedAnswer}
 		| {readonly kind: 'lost'; readonly reason: LossReason; readonly detail: string}
-		| {readonly kind: 'notRun'; readonly detail: string; readonly isMisdirected: boolean; readonly isUnreachable: boolean};
+		| {readonly kind: 'notRun'; readonly detail: string; readonly isMisdirected: boolean; readonly isUnreachable: boolean; readonly isRefused: boolean};
 
 /** How far a caller has received its stream, across the attempts of the call. */
 export type StreamProgress = {
@@ -105,13 +105,13 @@
 				case 'notSent':
 				case 'unreachable': {
 					return {
-						kind: 'notRun', detail: exchangeResult.detail, isMisdirected: false, isUnreachable: exchangeResult.kind === 'unreachable',
+						kind: 'notRun', detail: exchangeResult.detail, isMisdirected: false, isUnreachable: exchangeResult.kind === 'unreachable', isRefused: false,
 					};
 				}
 
 				case 'notRun': {
 					return {
-						kind: 'notRun', detail: `status ${exchangeResult.status}`, isMisdirected: exchangeResult.isMisdirected, isUnreachable: false,
+						kind: 'notRun', detail: `status ${exchangeResult.status}`, isMisdirected: exchangeResult.isMisdirected, isUnreachable: false, isRefused: !exchangeResult.isMisdirected,
 					};
 				}
 
--- a/packages/direct/src/forward.ts
+++ b/packages/direct/src/forward.ts
@@ -172,6 +172,8 @@
 		} else if (result.kind === 'notRun' && result.isUnreachable) {
 			place.target.markUnreachable();
 			deps.metrics.count('unreachable_targets');
+		} else if (result.kind === 'notRun' && result.isRefused) {
+			place.refused?.();
 		}
 
 		const leftMs = call.deadlineMs - (deps.monotonicMs() - call.arrivedMs);
--- /dev/null
+++ b/packages/direct/src/group-availability.ts
@@ -0,0 +1,160 @@
+import {type RankNotices} from '@papayaflow/peer';
+import {type Log, type Metrics} from '@papayaflow/telemetry';
+
+/** The shortest time for which a closed group is expected to stay closed, in milliseconds. */
+const minRemainingMs = 200;
+
+/** How much longer a group is expected to stay closed once it has been closed for longer than it takes to form, as a ratio of that time. */
+const overdueRatio = 0.5;
+
+/** The weight of a new sample in the moving average of the time for which groups are closed. */
+const outageWeight = 0.3;
+
+/** How long no request is sent to a service without a coordinator after one of its ranks has refused a request, in milliseconds. All ranks of a group refuse while it forms. */
+const refusalHoldMs = 250;
+
+/** How long after it has formed a group counts as having just formed, in milliseconds. */
+const justFormedMs = 1500;
+
+/** A group that takes no requests, as this entry knows it. */
+type ClosedGroup = {readonly formation: number; readonly sinceMs: number};
+
+export type GroupAvailabilityOptions = {
+	readonly notices: Pick<RankNotices, 'ofGroup'>;
+	readonly monotonicMs: () => number;
+	readonly metrics: Metrics;
+	readonly log: Log;
+};
+
+/** What an entry knows of which groups take requests. */
+export type GroupAvailability = {
+	/** To be called when a notice of a group has arrived, or a sidecar of it was lost. */
+	update(group: string): void;
+	isClosed(group: string): boolean;
+	/** How much longer the first of some closed groups is expected to be closed, in milliseconds. `formationMs` is the time that a group takes to form after its ranks are back. */
+	remainingMs(groups: readonly string[], formationMs: number): number;
+	/** Whether a group was found to have formed anew a moment ago, so that its coordinator may still be starting. */
+	hasJustFormed(group: string): boolean;
+	/** Whether no group is closed or has just formed. */
+	isSettled(): boolean;
+	/** Resolves when a notice has made a condition true, at the latest after `maxMs` milliseconds or when the signal is aborted. */
+	until(isMet: () => boolean, maxMs: number, signal: AbortSignal): Promise<void>;
+	/** Records that a rank of a service has refused a request without running it, while no coordinator of the service is known. */
+	onRefusal(service: string): void;
+	/** How long no request should be sent to a service without a coordinator, in milliseconds; 0 if one may be sent now. */
+	holdMs(service: string): number;
+	status(): unknown;
+};
+
+/**
+Creates the record of the groups that take no requests. All ranks of a group refuse
+requests from the loss of a rank until the group has formed anew, and a formation that
+is closed does not open again. So the connected sidecars' notices with the highest
+formation decide, and one that says closed outweighs others that may be older.
+
+Load pattern: all machines lose power; callers and the requests that were cut off arrive
+at entries that have just started, while every rank refuses requests for a second or more.
+
+@example
+const availability = createGroupAvailability({notices, monotonicMs, metrics, log});
+availability.update('g0');
+availability.isClosed('g0');
+*/
+export function createGroupAvailability({notices, monotonicMs, metrics, log}: GroupAvailabilityOptions): GroupAvailability {
+	const closed = new Map<string, ClosedGroup>();
+	const holdUntilMs = new Map<string, number>();
+	const openedAtMs = new Map<string, number>();
+	/** Checks the condition of each caller of `until`. */
+	const waiting = new Set<() => void>();
+	/** The moving average of the time for which groups were closed, in milliseconds; `undefined` before the first one has opened. */
+	let meanOutageMs: number | undefined;
+
+	const hasJustFormed = (group: string): boolean => monotonicMs() - (openedAtMs.get(group) ?? Number.NEGATIVE_INFINITY) < justFormedMs;
+
+	const setClosed = (group: string, formation: number): void => {
+		closed.set(group, {formation, sinceMs: monotonicMs()});
+		metrics.gauge('closed_groups', closed.size);
+		log.info({group, formation, meanOutageMs: meanOutageMs === undefined ? null : Math.round(meanOutageMs)}, 'group closed');
+	};
+
+	const setOpen = (group: string, formation: number | undefined): void => {
+		const {sinceMs} = closed.get(group)!;
+		const outageMs = monotonicMs() - sinceMs;
+		closed.delete(group);
+		metrics.gauge('closed_groups', closed.size);
+		if (formation !== undefined) {
+			meanOutageMs = meanOutageMs === undefined ? outageMs : meanOutageMs + ((outageMs - meanOutageMs) * outageWeight);
+			openedAtMs.set(group, monotonicMs());
+		}
+
+		log.info({group, formation: formation ?? null, closedMs: Math.round(outageMs)}, formation === undefined ? 'state of a closed group unknown' : 'group open');
+	};
+
+	const refresh = (group: string): void => {
+		const latest = notices.ofGroup(group).map(([, notice]) => notice);
+		const before = closed.get(group);
+		if (latest.length === 0) {
+			if (before) {
+				setOpen(group, undefined);
+			}
+
+			return;
+		}
+
+		const formation = Math.max(...latest.map(notice => notice.formation));
+		const isClosed = latest.some(notice => notice.formation === formation && !notice.isOpen);
+		if (isClosed && !before) {
+			setClosed(group, formation);
+		} else if (!isClosed && before) {
+			setOpen(group, formation);
+		}
+	};
+
+	const remainingOf = ({sinceMs}: ClosedGroup, formationMs: number): number => {
+		const elapsedMs = monotonicMs() - sinceMs;
+		const expectedMs = meanOutageMs ?? formationMs;
+		return Math.max(minRemainingMs, elapsedMs < expectedMs ? expectedMs - elapsedMs : elapsedMs * overdueRatio);
+	};
+
+	return {
+		update(group) {
+			refresh(group);
+			for (const check of waiting) {
+				check();
+			}
+		},
+		isClosed: group => closed.has(group),
+		remainingMs: (groups, formationMs) => Math.min(...groups.map(group => {
+			const state = closed.get(group);
+			return state ? remainingOf(state, formationMs) : 0;
+		})),
+		hasJustFormed,
+		isSettled: () => closed.size === 0 && [...openedAtMs.keys()].every(group => !hasJustFormed(group)),
+		async until(isMet, maxMs, signal) {
+			return new Promise(resolve => {
+				const settle = (): void => {
+					clearTimeout(timer);
+					signal.removeEventListener('abort', settle);
+					waiting.delete(check);
+					resolve();
+				};
+
+				const check = (): void => {
+					if (isMet()) {
+						settle();
+					}
+				};
+
+				const timer = setTimeout(settle, maxMs);
+				signal.addEventListener('abort', settle, {once: true});
+				waiting.add(check);
+				check();
+			});
+		},
+		onRefusal(service) {
+			holdUntilMs.set(service, monotonicMs() + refusalHoldMs);
+		},
+		holdMs: service => Math.max(0, (holdUntilMs.get(service) ?? 0) - monotonicMs()),
+		status: () => ({closed: [...closed.keys()], meanOutageMs: meanOutageMs === undefined ? null : Math.round(meanOutageMs)}),
+	};
+}
--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -1,25 +1,43 @@
 import {
 	createRankNotices, handleFrame, type DownCause, type Frame, type FrameHandlers, type GroupLoad, type Peer, type PeerPlacementRequest, type StreamNotice,
 } from '@papayaflow/peer';
-import {maxPlacementWaitMs, refusalRetryDelayMs} from '@papayaflow/policy';
+import {
+	createReturnSchedule, groupCapacity, maxPlacementWaitMs, refusalRetryDelayMs,
+} from '@papayaflow/policy';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
 import {type EngineModel} from '@papayaflow/routing';
 import {mayReach, type Call} from './call.js';
 import {
 	type Place, type PlaceResult, type PlaceRequest, type Placer,
 } from './place.js';
+import {createGroupAvailability} from './group-availability.js';
 import {createRefusedRequests, generationIdentity} from './refused-requests.js';
 import {type Target, type Targets} from './targets.js';
 
 /** The time added to the longest wait for a coordinator's decision, in milliseconds. It covers a round trip between zones and a delayed event loop. */
 const replyMarginMs = 80;
 
-/** The assumed capacity of the groups without a recent load report, as a ratio of their slots. */
+/** The assumed capacity of the groups without a recent load report or engine figures, as a ratio of their slots. */
 const defaultCapacityRatio = 0.4;
 
+/** The assumed skew of a group without a recent load report. A group that has just formed has its experts assigned in turn, which seldom fits the demand. */
+const assumedSkew = 3;
+
 /** The assumed number of entries that share a group without a recent load report. */
 const assumedEntryCount = 4;
 
+/** How long after its arrival a request may be held until a group has formed, in milliseconds. Callers abandon a stream that has no event after two seconds. */
+const maxHoldMs = 1300;
+
+/** How long requests are held until the coordinator of a group that has just formed is known, in milliseconds. */
+const coordinatorWaitMs = 350;
+
+/** The longest `Retry-After` that callers honour, as a ratio of the time that they have left. */
+const maxRetryAfterRatio = 0.32;
+
+/** The time of a pass as a ratio of the longest pause that streams allow, under usual load. */
+const usualPassRatio = 0.6;
+
 /** The shortest time after which a coordinator that does not answer counts as silent, as a multiple of the latency objective. Its decision on a first attempt may be due much sooner, but its machine may be busy. */
 const minReplyTimeoutRatio = 1;
 
@@ -68,6 +86,10 @@
 	const pendingReplies = new Map<string, (frame: Extract<Frame, {kind: 'placed' | 'turnedAway'}>) => void>();
 	const streams = new Map<string, Stream>();
 	const refusedRequests = createRefusedRequests(monotonicMs);
+	const returns = createReturnSchedule({nowMs: monotonicMs, random});
+	const availability = createGroupAvailability({
+		notices, monotonicMs, metrics, log,
+	});
 
 	const groupOf = ({address}: Target): string | undefined => {
 		const peer = notices.peerBeside(address);
@@ -137,6 +159,11 @@
 				streams.delete(placementRequest.id);
 				notifyCoordinator({kind: 'ended', id: placementRequest.id});
 			},
+			refused() {
+				if (stream.group === undefined || notices.coordinatorOf(stream.group) === undefined) {
+					availability.onRefusal(target.record.service);
+				}
+			},
 		};
 	};
 
@@ -155,13 +182,16 @@
 		const isSilent = (address: string): boolean => notices.isSilent(address) || (silentCoordinator !== undefined && notices.of(silentCoordinator)?.target === address);
 		const responsive = remaining.filter(({address}) => !isSilent(address));
 		const candidates = responsive.length > 0 ? responsive : remaining;
-		const model = options.model(call.service);
 		const group = candidates.flatMap(target => groupOf(target) ?? []).at(0);
 		const lastLoad = group === undefined ? undefined : loads.get(group);
 		const freshLoad = lastLoad && monotonicMs() - lastLoad.atMs < loadMaxAgeMs ? lastLoad.load : undefined;
 		const all = targets.all().filter(({record}) => record.service === call.service);
-		const capacity = freshLoad?.room ?? all.length * (model?.slots ?? 1) * defaultCapacityRatio;
+		const capacity = freshLoad?.room ?? assumedCapacity(all.length, call);
 		const share = Math.max(1, Math.floor(capacity / Math.max(1, freshLoad?.entries ?? assumedEntryCount)));
+		if (availability.holdMs(call.service) > 0 && !placementRequest.isResumed) {
+			return refuseForming(call, placementRequest, []);
+		}
+
 		const [{target: leastLoaded}] = candidates.map(target => ({target, load: target.inFlight + (random() / 2)})).toSorted((a, b) => a.load - b.load);
 		const ownInFlight = all.reduce((sum, {inFlight}) => sum + inFlight, 0);
 		if (ownInFlight >= share && !placementRequest.isResumed) {
@@ -178,6 +208,78 @@
 		return {kind: 'placed', place};
 	};
 
+	/** Returns how many requests of the call's service its ranks are assumed to serve at once, while no coordinator has told. */
+	const assumedCapacity = (ranks: number, {service, route}: Call): number => {
+		const model = options.model(service);
+		if (!model?.experts) {
+			return ranks * (model?.slots ?? 1) * defaultCapacityRatio;
+		}
+
+		return groupCapacity({...model, expertShare: model.experts.workShare}, {
+			ranks, slots: model.slots, usualAnswerTokens: model.usualAnswerTokens, skew: assumedSkew, gapMs: route.gapObjectiveMs ?? route.objectiveMs,
+		});
+	};
+
+	/** Refuses a request since all groups that could serve it are closed. The callers are spread over the time that they accept, at this entry's share of what the groups then serve. */
+	const refuseForming = (call: Call, {deadlineMs}: PeerPlacementRequest, groups: readonly string[]): PlaceResult => {
+		const model = options.model(call.service);
+		const ranks = targets.all().filter(({record}) => record.service === call.service).length;
+		const streamMs = (model?.usualAnswerTokens ?? 1) / (model?.stepsPerPass ?? 1) * (call.route.gapObjectiveMs ?? call.route.objectiveMs) * usualPassRatio;
+		const earliestMs = groups.length === 0 ? availability.holdMs(call.service) : availability.remainingMs(groups, model?.experts?.formationMs ?? 0);
+		const retryAfterMs = returns.next({
+			earliestMs, latestMs: deadlineMs * maxRetryAfterRatio, perSecond: assumedCapacity(ranks, call) / streamMs * msPerSecond / (entryCount() ?? assumedEntryCount),
+		});
+		return {
+			kind: 'refused', reason: 'groupForming', retryAfterMs, detail: groups.length === 0 ? 'a rank has refused a request lately' : `${groups.join(', ')} closed, expected to open in ${Math.round(earliestMs)} ms`,
+		};
+	};
+
+	const entryCount = (): number | undefined => loads.size === 0 ? undefined : Math.max(...[...loads.values()].map(({load}) => load.entries));
+
+	/** Returns the candidates whose groups are not known to be closed, and the closed groups of the others. */
+	const withoutClosed = (candidates: readonly Target[]): {readonly open: readonly Target[]; readonly closedGroups: readonly string[]} => {
+		if (availability.isSettled()) {
+			return {open: candidates, closedGroups: []};
+		}
+
+		const closedGroups = new Set<string>();
+		const open = candidates.filter(target => {
+			const group = groupOf(target);
+			if (group !== undefined && availability.isClosed(group)) {
+				closedGroups.add(group);
+				return false;
+			}
+
+			return true;
+		});
+		return {open, closedGroups: [...closedGroups]};
+	};
+
+	/**
+	Holds a request while all groups that could serve it are closed and one is expected to
+	open soon, and for a moment until the coordinator of a group that has just formed is
+	known. A refusal would cost the caller its retry.
+	*/
+	const awaitGroup = async (call: Call, candidates: readonly Target[], signal: AbortSignal): Promise<void> => {
+		if (availability.isSettled()) {
+			return;
+		}
+
+		const leftMs = maxHoldMs - (monotonicMs() - call.arrivedMs);
+		const {open, closedGroups} = withoutClosed(candidates);
+		if (open.length === 0 && availability.remainingMs(closedGroups, options.model(call.service)?.experts?.formationMs ?? 0) <= leftMs) {
+			metrics.count('held_for_group');
+			await availability.until(() => closedGroups.some(group => !availability.isClosed(group)), leftMs, signal);
+		}
+
+		const formed = [...new Set(withoutClosed(candidates).open.flatMap(target => groupOf(target) ?? []))];
+		const hasJustFormed = formed.some(group => availability.hasJustFormed(group));
+		const hasCoordinator = (): boolean => formed.some(group => notices.coordinatorOf(group) !== undefined);
+		if (hasJustFormed && !hasCoordinator()) {
+			await availability.until(hasCoordinator, coordinatorWaitMs, signal);
+		}
+	};
+
 	const drawRetryAfterMs = ({objectiveMs}: PeerPlacementRequest): number => refusalRetryDelayMs(objectiveMs, random);
 
 	const askCoordinator = async (coordinator: Peer, placementRequest: PeerPlacementRequest, signal: AbortSignal):
@@ -232,8 +334,18 @@
 		const {call, tried, excluded, signal} = request;
 		const serving = targets.servingTargets(call).filter(({record}) => !excluded.has(record.id));
 		const untried = serving.filter(({record}) => !tried.has(record.id));
-		const candidates = untried.length > 0 ? untried : serving;
+		const usable = untried.length > 0 ? untried : serving;
+		await awaitGroup(call, usable, signal);
 		const placementRequest = createPlacementRequest(request, identity);
+		const {open: candidates, closedGroups} = withoutClosed(usable.filter(({isServing}) => isServing));
+		if (signal.aborted) {
+			return {kind: 'refused', reason: 'withdrawn', retryAfterMs: drawRetryAfterMs(placementRequest)};
+		}
+
+		if (candidates.length === 0 && closedGroups.length > 0) {
+			return refuseForming(call, placementRequest, closedGroups);
+		}
+
 		if (candidates.length === 0) {
 			return {kind: 'refused', reason: targets.absenceReason(call), retryAfterMs: drawRetryAfterMs(placementRequest)};
 		}
@@ -278,6 +390,7 @@
 		rank(peer, {notice}) {
 			const previous = notices.of(peer);
 			notices.set(peer, notice);
+			availability.update(notice.group);
 			if (notice.isCoordinator && (!previous?.isCoordinator || previous.term !== notice.term)) {
 				const ownStreams = [...streams].filter(([, {group}]) => group === notice.group);
 				peer.send({kind: 'streams', streams: ownStreams.map(([id, stream]) => createStreamNotice(id, stream))});
@@ -295,12 +408,20 @@
 
 	return {
 		place,
-		onDown: notices.remove,
+		onDown(peer, cause) {
+			const notice = notices.of(peer);
+			notices.remove(peer, cause);
+			if (notice) {
+				availability.update(notice.group);
+			}
+		},
 		onFrame: (peer, frame) => handleFrame(handlers, peer, frame),
-		entries: () => loads.size === 0 ? undefined : Math.max(...[...loads.values()].map(({load}) => load.entries)),
-		status: () => ({streams: streams.size, loads: Object.fromEntries([...loads].map(([group, {load}]) => [group, load]))}),
+		entries: entryCount,
+		status: () => ({availability: availability.status(), streams: streams.size, loads: Object.fromEntries([...loads].map(([group, {load}]) => [group, load]))}),
 	};
 }
 
 /** Divides the random part of a group's utilization, which spreads the calls over groups of about equal utilization. A larger divisor spreads them less. */
 const utilizationJitterDivisor = 20;
+
+const msPerSecond = 1000;
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -23,5 +23,6 @@
 } from './targets.js';
 export {createPool, type Pool} from './pool.js';
 export {createLimitedPlacer, type LimitedPlacerOptions} from './limit-place.js';
+export {createGroupAvailability, type GroupAvailability, type GroupAvailabilityOptions} from './group-availability.js';
 export {createGroupPlacer, type GroupPlacer, type GroupPlacerOptions} from './group-place.js';
 export {createQuarantinedPlacer, subjectsOf, type QuarantinedPlacerOptions} from './quarantine-place.js';
--- a/packages/direct/src/place.ts
+++ b/packages/direct/src/place.ts
@@ -9,6 +9,8 @@
 	/** Reports that the first event of a stream has arrived. */
 	began(): void;
 	ended(outcome: TargetOutcome): void;
+	/** Reports that the target has refused the request without running it, although it is the one that was meant. */
+	refused?(): void;
 	/** Whether the request may still be sent. To be checked at the moment of sending. */
 	mayStart(): boolean;
 };
--- a/packages/direct/test/group-place.test.ts
+++ b/packages/direct/test/group-place.test.ts
@@ -105,6 +105,80 @@
 	});
 });
 
+// Load pattern: all ranks of all groups refuse requests for a second or more, while they form anew after a loss of power.
+describe('a group placer whose groups are closed', () => {
+	const peers = ranks.map(rank => peerOf(rank));
+	const formingCall = (requestId: string, deadlineMs: number): Call => ({...callOf(requestId), deadlineMs});
+	const noticeOf = (rank: number, formation: number, isOpen: boolean, isCoordinator = false): RankNotice => ({
+		group: 'g', formation, rank, size: ranks.length, isOpen, target: addressOf(rank), isCoordinator, term: 1,
+	});
+
+	const createPlacer = (): GroupPlacer => {
+		const targets = createTargets({
+			connectMs: 100, ejection: {ejectAfterFailures: 3, ejectMs: 1000, maxEjectedRatio: 0.5}, nowMs: () => performance.now(), isKnownService: () => true, onChange: () => undefined,
+		});
+		targets.update(ranks.map(rank => ({
+			id: `i-${rank}`, incarnation: 0, registeredAt: 1, service: 's', host: `10.0.0.${rank}`, port: 80, zone: 'z', slots: 8, state: 'serving', warmingMs: 0,
+		})));
+		return createGroupPlacer({
+			targets, model: () => undefined, monotonicMs: () => performance.now(), random: () => 0.5, metrics: createMetrics(), log: createLog({}, 'error'),
+		});
+	};
+
+	const close = (placer: GroupPlacer): void => {
+		for (const rank of ranks) {
+			placer.onFrame(peers[rank], {kind: 'rank', notice: noticeOf(rank, 1, false)});
+		}
+	};
+
+	const place = async (placer: GroupPlacer, call: Call): ReturnType<GroupPlacer['place']> => placer.place({
+		call, hasBegun: false, tried: new Set(), excluded: new Set(), signal: new AbortController().signal,
+	});
+
+	// Guards against attempts at rank after rank, which all refuse, until the resend budget is spent and callers are refused a second time.
+	it('places a held request when the group has formed and its coordinator is known', async () => {
+		const placer = createPlacer();
+		close(placer);
+		const placed = place(placer, formingCall('r-1', 8000));
+		await sleep(50);
+		placer.onFrame(peers[1], {kind: 'rank', notice: noticeOf(1, 2, true)});
+		await sleep(20);
+		expect(await Promise.race([placed, sleep(1, 'held')])).to.equal('held');
+		const sent: Frame[] = [];
+		const coordinator: Peer = {
+			...peers[0], send(frame) {
+				sent.push(frame);
+				if (frame.kind === 'place') {
+					placer.onFrame(coordinator, {kind: 'placed', id: frame.ask.id, target: addressOf(2)});
+				}
+			},
+		};
+		placer.onFrame(coordinator, {kind: 'rank', notice: noticeOf(0, 2, true, true)});
+		const result = await placed;
+		expect(result.kind === 'placed' && result.place.target.record.id).to.equal('i-2');
+	});
+
+	it('refuses a request once it has been held for so long that its caller would leave, with a delay that its caller accepts', async () => {
+		const placer = createPlacer();
+		close(placer);
+		const result = await place(placer, {...formingCall('r-1', 8000), arrivedMs: performance.now() - 1250});
+		expect(result).to.include({kind: 'refused', reason: 'groupForming'});
+		expect(result.kind === 'refused' && result.retryAfterMs).to.be.within(1, 2560);
+	}).timeout(4000);
+
+	it('sends no further request for a moment after a rank of an unknown group has refused one', async () => {
+		const placer = createPlacer();
+		const first = await place(placer, callOf('r-1'));
+		if (first.kind !== 'placed') {
+			throw new Error('the first call was refused');
+		}
+
+		first.place.refused?.();
+		first.place.ended('rejected');
+		expect(await place(placer, callOf('r-2'))).to.include({kind: 'refused', reason: 'groupForming'});
+	});
+});
+
 describe('a group placer with many sidecars', () => {
 	const sidecarCount = 240;
 	const ranksPerGroup = 24;
--- a/packages/outcome/src/outcome.ts
+++ b/packages/outcome/src/outcome.ts
@@ -8,6 +8,7 @@
 	'badRequest',
 	'noRoute',
 	'noTarget',
+	'groupForming',
 	'zoneEvacuated',
 	'noTargetInRegion',
 	'quotaExceeded',
