Keep the estimated demand when a group forms anew

Cause: a coordinator whose group forms anew started with even demand. It predicted passes as if the map fitted, and had its first fitting map only after the counts had arrived, more than a second later.

Change: the tracker of the last term is used again by the same process for a group of the same sizes, up to 60 s after the last counts. While the ranks report map version 0, the skew is that of the map in turn, before the map has been read. The estimator can also start with given shares, which weigh as much as eight reports.

--- a/packages/group/src/coordination.ts
+++ b/packages/group/src/coordination.ts
@@ -1,11 +1,12 @@
-import {type LayeredMap, type RankView} from '@papayaflow/experts';
+import {mapInTurn, type LayeredMap, type RankView} from '@papayaflow/experts';
 import {type GroupLoad, type RefusedRequest} from '@papayaflow/peer';
 import {
 	balancingNeed, createGroupAdmission, type GroupAdmission, type GroupState,
 } from '@papayaflow/policy';
 import {type EngineModel} from '@papayaflow/routing';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
-import {createDemandTracker, type DemandTracker} from './demand-tracker.js';
+import {type DemandMemory} from './demand-memory.js';
+import {type DemandTracker} from './demand-tracker.js';
 import {balanceExperts} from './expert-balancer.js';
 import {type BalancingWeights} from './map-choice.js';
 import {type OwnRank, type RankEngine} from './own-rank.js';
@@ -39,6 +40,8 @@
 	/** The member of the group that has a rank; `undefined` if none was ever known. */
 	readonly member: (rank: number) => Member | undefined;
 	readonly model: () => EngineModel | undefined;
+	/** The demand that earlier terms of this process have estimated. */
+	readonly demandMemory: DemandMemory;
 	/** Whether each rank accepts new requests, indexed by rank. */
 	readonly openByRank: () => readonly boolean[];
 	/** The availability zone of each rank, indexed by rank. */
@@ -100,10 +103,11 @@
 	}
 
 	log.info({group: view.group, formation: view.formation, rank: view.rank}, 'started coordinating the group');
-	let currentMap: LayeredMap | undefined;
+	// Map version 0 is the one that ranks start with. Without it, the skew under a known demand would count as 1 until the map is read, and too many requests would be placed.
+	let currentMap = view.mapVersion === 0 ? mapInTurn({layers: experts.layers, ranks: view.size, expertsPerLayer: experts.expertsPerLayer}) : undefined;
 	const stopController = new AbortController();
 	const meter = createPassMeter();
-	const tracker = createDemandTracker({layers: experts.layers, experts: experts.expertsPerLayer});
+	const tracker = deps.demandMemory.trackerOf(view.group, {layers: experts.layers, experts: experts.expertsPerLayer});
 	const skewMonitor = createSkewMonitor(tracker, () => currentMap);
 	const admission = createGroupAdmission({
 		model() {
--- a/packages/group/src/demand-tracker.ts
+++ b/packages/group/src/demand-tracker.ts
@@ -6,6 +6,10 @@
 	addCounts(counts: readonly number[]): void;
 	/** Updates the estimate of each layer from the counts added since the last update. Does nothing until the counts cover enough time for one report, or while they are all 0. */
 	settle(nowMs: number): void;
+	/** Starts with a demand that was known earlier, unless counts have been reported already. Counts soon replace it if the demand has changed meanwhile. */
+	restore(known: KnownDemand): void;
+	/** When the estimate was last updated from counts, in milliseconds; minus infinity before that. */
+	updatedMs(): number;
 	/** The estimated demand of each layer. */
 	demands(): readonly Demand[];
 	/** When the demand of any layer last shifted, in milliseconds; `undefined` before the first report. */
@@ -16,6 +20,14 @@
 	meanLayerShiftIntervalMs(): number | undefined;
 };
 
+/** A demand that an earlier coordinator of the group has estimated. */
+export type KnownDemand = {
+	/** The share of each expert, by layer. */
+	readonly shares: ReadonlyArray<readonly number[]>;
+	readonly meanShiftIntervalMs: number | undefined;
+	readonly meanLayerShiftIntervalMs: number | undefined;
+};
+
 /** The weight of a new interval in the moving average of the time between shifts. */
 const intervalWeight = 0.3;
 
@@ -39,6 +51,7 @@
 	let meanIntervalMs: number | undefined;
 	let meanLayerIntervalMs: number | undefined;
 	let settledAtMs = Number.NEGATIVE_INFINITY;
+	let hasReports = false;
 	let lastShiftMs: number | undefined;
 
 	return {
@@ -49,6 +62,7 @@
 			}
 
 			settledAtMs = nowMs;
+			hasReports = true;
 			const previous = demands;
 			demands = estimator.endWindow(nowMs);
 			const layerIntervals = demands.map(({shiftedAtMs = 0}, layer) => shiftedAtMs - (previous[layer].shiftedAtMs ?? shiftedAtMs));
@@ -69,6 +83,17 @@
 				}
 			}
 		},
+		restore({shares, meanShiftIntervalMs, meanLayerShiftIntervalMs}) {
+			if (hasReports) {
+				return;
+			}
+
+			estimator.restore(shares);
+			demands = estimator.demands();
+			meanIntervalMs = meanShiftIntervalMs;
+			meanLayerIntervalMs = meanLayerShiftIntervalMs;
+		},
+		updatedMs: () => settledAtMs,
 		lastShiftMs: () => lastShiftMs,
 		demands: () => demands,
 		meanShiftIntervalMs: () => meanIntervalMs,
--- a/packages/group/src/index.ts
+++ b/packages/group/src/index.ts
@@ -2,7 +2,8 @@
 export {
 	countsBetween, packCounts, unpackCounts, type CumulativeCounts, type PackedCounts,
 } from './counts.js';
-export {createDemandTracker, type DemandTracker} from './demand-tracker.js';
+export {createDemandMemory, type DemandMemory, type DemandSizes} from './demand-memory.js';
+export {createDemandTracker, type DemandTracker, type KnownDemand} from './demand-tracker.js';
 export {createPassMeter, type PassMeter} from './pass-meter.js';
 export {balanceExperts, type ExpertBalancerDeps} from './expert-balancer.js';
 export {type BalancingWeights} from './map-choice.js';
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -6,6 +6,7 @@
 import {latestByAddress, type TargetRecord} from '@papayaflow/routing';
 import {startCoordination, type Coordination, type CoordinationDeps} from './coordination.js';
 import {packCounts, unpackCounts} from './counts.js';
+import {createDemandMemory} from './demand-memory.js';
 import {createMapReceiver} from './map-transfer.js';
 import {candidateCount, createMembership} from './membership.js';
 import {
@@ -72,6 +73,7 @@
 	const entries = new Set<Peer>();
 	const sidecars = new Set<Peer>();
 	const membership = createMembership();
+	const demandMemory = createDemandMemory(monotonicMs);
 	/** The instance of the entry that each placed request came from, by request id. */
 	const entryByRequest = new Map<string, string>();
 	let coordination: Coordination | undefined;
@@ -163,7 +165,7 @@
 		const shouldCoordinate = view.rank === 0 || (view.rank < candidateCount && !hasLowerCandidate && now - lowerCandidateSeenMs >= takeoverDelayMs * view.rank);
 		if (!coordination && shouldCoordinate && !isLeaving && view.isOpen) {
 			coordination = startCoordination({
-				...deps, view, own, member, openByRank: () => openByRank, zones: () => zones, entries: () => entries.size,
+				...deps, view, own, member, demandMemory, openByRank: () => openByRank, zones: () => zones, entries: () => entries.size,
 				acquireToken: async () => deps.acquireToken(view.group),
 				sendLoad(load) {
 					for (const peer of entries) {
--- a/packages/group/src/skew-monitor.ts
+++ b/packages/group/src/skew-monitor.ts
@@ -23,7 +23,8 @@
 export function createSkewMonitor(tracker: DemandTracker, map: () => LayeredMap | undefined): SkewMonitor {
 	let cached: {readonly map: LayeredMap; readonly demands: readonly Demand[]; readonly skew: number} | undefined;
 	let meanShiftSkew: number | undefined;
-	let lastSampledShiftMs = Number.NEGATIVE_INFINITY;
+	// A shift from before the monitor was created says nothing about the skew of the present map.
+	let lastSampledShiftMs = tracker.lastShiftMs() ?? Number.NEGATIVE_INFINITY;
 	return {
 		skew() {
 			const currentMap = map();
--- a/packages/group/test/sidecar.test.ts
+++ b/packages/group/test/sidecar.test.ts
@@ -216,4 +216,46 @@
 		stop();
 		await sidecar.leave();
 	});
+
+	// Guards against requests that are refused for a second after a group forms anew, until counts have arrived and the first map is planned.
+	it('knows the demand of the last formation when the group forms anew', async () => {
+		const clock = {nowMs: 0};
+		let formation = 1;
+		let chosen = 0;
+		const {sidecar, stop} = startSidecar(0, clock, {
+			...engineOf(0),
+			view: async () => ({...viewOf(0), formation}),
+			async counts() {
+				chosen += 90;
+				return {formation: 1, pass: 5, counts: [chosen, chosen / 90, chosen / 90]};
+			},
+			experts: async () => ({formation, version: 0, experts: [[0]]}),
+		});
+		// The other sidecars are gone, so that their engines are read directly.
+		for (const rank of [1, 2]) {
+			const peer = peerOf('sidecar', []);
+			sidecar.onUp(peer);
+			sidecar.onFrame(peer, {kind: 'rank', notice: noticeOf(rank, false)});
+			sidecar.onDown(peer, 'closed');
+		}
+
+		const skew = (): number | undefined => (sidecar.status() as {load?: {skew: number}}).load?.skew;
+		const waitForSkew = async (): Promise<void> => {
+			while ((skew() ?? 1) < 2) {
+				await sleep(5);
+				clock.nowMs += 200;
+			}
+		};
+
+		await waitForSkew();
+		formation = 2;
+		await sleep(50);
+		expect(skew()).to.be.above(2);
+		clock.nowMs += 70_000;
+		formation = 3;
+		await sleep(50);
+		expect(skew(), 'after a minute without counts').to.equal(1);
+		stop();
+		await sidecar.leave();
+	});
 });
--- a/packages/policy/src/demand.ts
+++ b/packages/policy/src/demand.ts
@@ -4,7 +4,7 @@
 	readonly shares: readonly number[];
 	/** The number of windows since the last shift, including the one that showed it. */
 	readonly reports: number;
-	/** The time of the last shift, in milliseconds; `undefined` before the first report. */
+	/** The time of the last shift, in milliseconds; `undefined` before the first report, and for restored shares. */
 	readonly shiftedAtMs: number | undefined;
 };
 
@@ -14,6 +14,10 @@
 	add(counts: readonly number[]): void;
 	/** Whether counts have been added since the last window ended. */
 	hasCounts(): boolean;
+	/** Starts with shares that were estimated earlier, by layer, unless a window has ended already. They count like few reports, so that counts soon replace them. */
+	restore(shares: ReadonlyArray<readonly number[]>): void;
+	/** The estimated demand of each layer. */
+	demands(): readonly Demand[];
 	/** Ends a window: finds out whether the demand of a layer has shifted, and updates the estimates. Returns the estimated demand of each layer. */
 	endWindow(nowMs: number): readonly Demand[];
 };
@@ -41,6 +45,9 @@
 	squaredWeight: number;
 };
 
+/** The number of reports that restored shares count as: enough that a first window of few requests does not replace them, few enough that later windows do. */
+const restoredReports = 8;
+
 type LayerEstimate = {
 	readonly window: Sample & {
 		/** The weighted sum of the squared shares. */
@@ -102,6 +109,14 @@
 			}
 		},
 		hasCounts: () => hasCounts,
+		restore(shares) {
+			if (shares.length === layers && shares.every(({length}) => length === experts) && estimates.every(({demand}) => demand.reports === 0)) {
+				for (const [layer, estimate] of estimates.entries()) {
+					restoreShares(estimate, shares[layer]);
+				}
+			}
+		},
+		demands: () => estimates.map(({demand}) => demand),
 		endWindow(nowMs) {
 			hasCounts = false;
 			const comparisons = estimates.map(estimate => compareWindow(estimate));
@@ -119,7 +134,7 @@
 				closeWindow(estimate, comparison, hasShifted, nowMs);
 			}
 
-			return estimates.map(({demand}) => demand);
+			return this.demands();
 		},
 	};
 }
@@ -134,6 +149,15 @@
 	};
 }
 
+function restoreShares(estimate: LayerEstimate, shares: readonly number[]): void {
+	const {reference} = estimate;
+	// Reports of the usual size have the weight of one half.
+	reference.weight = restoredReports / 2;
+	reference.squaredWeight = restoredReports / 4;
+	reference.sums.set(shares.map(share => share * reference.weight));
+	estimate.demand = {shares: [...shares], reports: 1, shiftedAtMs: undefined};
+}
+
 /** Adds the counts from `offset` on to the window of a layer; returns `false` if all are 0. */
 function addReport(estimate: LayerEstimate, counts: readonly number[], offset: number): boolean {
 	const {window} = estimate;
--- a/packages/policy/test/demand.test.ts
+++ b/packages/policy/test/demand.test.ts
@@ -147,4 +147,48 @@
 			expect(found.flat().length / (minutes * seeds.length), JSON.stringify(found)).to.be.below(1);
 		}).timeout(120_000);
 	}
+
+	// Guards against a first map that follows the mix of a few requests, and against one that stays with a demand that has passed.
+	it('keeps restored shares while reports agree with them, and replaces them within two windows otherwise', () => {
+		const [layers, experts] = [4, 96];
+		const random = seededRandom(5);
+		const demand = createSubjectDemand({layers, experts}, random);
+		const evenMix = Array.from({length: demand.subjects}, () => 1);
+		const distance = (estimator: DemandEstimator): number => {
+			const estimated = estimator.demands().flatMap(({shares}) => shares);
+			return demand.shares(evenMix).flat().reduce((sum, share, index) => sum + Math.abs(share - estimated[index]), 0);
+		};
+
+		const addWindow = (estimator: DemandEstimator, nowMs: number): void => {
+			for (let report = 0; report < 6; report++) {
+				const picks = Array.from({length: demand.subjects}, () => 0);
+				for (let stream = 0; stream < 7; stream++) {
+					picks[demand.drawSubject()] += 700;
+				}
+
+				estimator.add(demand.sampleCounts(picks));
+			}
+
+			estimator.endWindow(nowMs);
+		};
+
+		const [restored, fresh] = [createDemandEstimator({layers, experts}), createDemandEstimator({layers, experts})];
+		restored.restore(demand.shares(evenMix));
+		for (const [index, estimator] of [restored, fresh].entries()) {
+			addWindow(estimator, 1000 + index);
+		}
+
+		expect(distance(restored)).to.be.below(distance(fresh));
+		expect(restored.demands().every(({shiftedAtMs}) => shiftedAtMs === undefined), 'no shift without one').to.equal(true);
+
+		const outdated = createDemandEstimator({layers, experts});
+		outdated.restore(demand.shares(evenMix));
+		demand.shift();
+		demand.shift();
+		const before = distance(outdated);
+		addWindow(outdated, 1000);
+		addWindow(outdated, 1190);
+		expect(outdated.demands().every(({shiftedAtMs}) => shiftedAtMs !== undefined), 'all layers shifted').to.equal(true);
+		expect(distance(outdated)).to.be.below(before / 2);
+	});
 });
