Count and bound what a process holds for slow peers

Five kinds of memory were held without a count or a bound in time: bodies of callers that stopped sending (until they disconnected), whole answers that callers did not read (until they disconnected), answers of failed targets while another target was tried, the rest of a request to a target that answered before it had read it, and frames for several peers that do not read (32 MB for each).

A body that has not arrived at its deadline is refused with 504 and its connection closed. A caller that takes no byte for 5 s is disconnected; the timer of the socket also sees partial writes, so that a slow reader is not. The other three count against the bounds for answers, with the idle connection closed, and against a bound of 64 MB for all peers. The gauges held_bytes{what} show each.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -7,7 +7,7 @@
 } from '@papayaflow/limit';
 import {lossReasons, refusalReasons} from '@papayaflow/outcome';
 import {
-	handleFrame, maintainHostLinks, type FrameHandlers, type Peer, type PeerEvents,
+	handleFrame, maintainHostLinks, processBacklogs, type FrameHandlers, type Peer, type PeerEvents,
 } from '@papayaflow/peer';
 import {connectPlatformStore, platformDialect} from '@papayaflow/platform';
 import {createResendBudget, rendezvousOrder} from '@papayaflow/policy';
@@ -20,6 +20,7 @@
 	directSettings, logFlushMs, msPerSecond, storePauseOf,
 } from './direct-settings.js';
 import {openDirectory} from './directory.js';
+import {reportHeldBytes} from './held-bytes.js';
 import {abortFlushMs, listen, type RunningProgram} from './program.js';
 
 /** The connect timeout of a target, in milliseconds: long enough for several round trips between zones. */
@@ -223,6 +224,12 @@
 		setLinkedHosts(records.filter(({service}) => model(service) !== undefined).map(({host}) => host));
 	};
 
+	const answerBuffers = createAnswerBuffers(maxBufferedAnswerBytes);
+	const bodyBuffers = createBodyBuffers(maxBodyBufferBytes);
+	ticker.add(reportHeldBytes(metrics, {
+		bodies: bodyBuffers.bytes, answers: () => answerBuffers.bytes('answers'), unread: () => answerBuffers.bytes('unread'), frames: processBacklogs.bytes,
+		unsent: () => targets.all().reduce((sum, {pool}) => sum + pool.unsentBytes(), 0),
+	}));
 	const front = createFront({
 		dialect: platformDialect, metrics, log, containment, monotonicMs, random, table: () => directory.table(), stopPlan: () => stopPlan,
 		place: createQuarantinedPlacer({
@@ -234,8 +241,7 @@
 		resendBudget: createResendBudget({
 			ratio: settings.resendRatio, slack: settings.resendSlack, entries: assumedEntries, windowMs: settings.resendWindowS * msPerSecond, nowMs: monotonicMs,
 		}),
-		answerBuffers: createAnswerBuffers(maxBufferedAnswerBytes),
-		bodyBuffers: createBodyBuffers(maxBodyBufferBytes),
+		answerBuffers, bodyBuffers,
 		crashes: createCrashDetector({
 			connectMs: connectTimeoutMs, log, metrics,
 			onCrash({record}, requests) {
--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -4,7 +4,7 @@
 import {createGroupSidecar, type RankEngine} from '@papayaflow/group';
 import {createDispenser, ownedTargets} from '@papayaflow/limit';
 import {
-	handleFrame, maintainHostLinks, servePeer, type FrameHandlers, type Peer, type PeerEvents,
+	handleFrame, maintainHostLinks, processBacklogs, servePeer, type FrameHandlers, type Peer, type PeerEvents,
 } from '@papayaflow/peer';
 import {connectPlatformStore, connectRank} from '@papayaflow/platform';
 import {createSuspicionRelay} from '@papayaflow/quarantine';
@@ -16,6 +16,7 @@
 	directSettings, logFlushMs, msPerSecond, storePauseOf,
 } from './direct-settings.js';
 import {openDirectory} from './directory.js';
+import {reportHeldBytes} from './held-bytes.js';
 import {listen, type RunningProgram} from './program.js';
 
 /** The timeout of a query to an engine, in milliseconds: long enough for several round trips between zones. */
@@ -88,6 +89,7 @@
 		},
 	});
 
+	ticker.add(reportHeldBytes(metrics, {frames: processBacklogs.bytes}));
 	const entries = new Set<Peer>();
 	const dispenser = createDispenser({
 		monotonicMs, random, metrics, log,
--- a/packages/direct/src/buffers.ts
+++ b/packages/direct/src/buffers.ts
@@ -6,10 +6,15 @@
 	release(): void;
 };
 
+/** What the bytes of an answer are held for: `answers` until the answer or its event is whole, `unread` until the caller reads them. */
+export type AnswerUse = 'answers' | 'unread';
+
 /** Counts the bytes of answers that an entry holds: those that are not whole yet, and those that callers have not read. */
 export type AnswerBuffers = {
 	/** Adds an answer that holds nothing yet. `onEvict` is called when it must give up its bytes to others. */
-	open(onEvict: () => void): HeldBytes;
+	open(onEvict: () => void, use?: AnswerUse): HeldBytes;
+	/** Returns the bytes held now for one use. */
+	bytes(use: AnswerUse): number;
 };
 
 /**
@@ -22,13 +27,13 @@
 if (!held.set(bufferedBytes)) cutOff();
 */
 export function createAnswerBuffers(maxTotalBytes: number): AnswerBuffers {
-	type Answer = {bytes: number; readonly evict: () => void};
+	type Answer = {bytes: number; readonly use: AnswerUse; readonly evict: () => void};
 	const answers = new Set<Answer>();
-	let total = 0;
+	const held = {answers: 0, unread: 0};
 
 	const remove = (answer: Answer): void => {
 		if (answers.delete(answer)) {
-			total -= answer.bytes;
+			held[answer.use] -= answer.bytes;
 		}
 	};
 
@@ -44,8 +49,8 @@
 	};
 
 	return {
-		open(onEvict) {
-			const answer: Answer = {bytes: 0, evict: onEvict};
+		open(onEvict, use = 'answers') {
+			const answer: Answer = {bytes: 0, use, evict: onEvict};
 			return {
 				set(bytes) {
 					remove(answer);
@@ -56,8 +61,8 @@
 
 					answer.bytes = bytes;
 					answers.add(answer);
-					total += bytes;
-					while (total > maxTotalBytes) {
+					held[use] += bytes;
+					while (held.answers + held.unread > maxTotalBytes) {
 						const evicted = largest()!;
 						remove(evicted);
 						if (evicted === answer) {
@@ -74,6 +79,7 @@
 				},
 			};
 		},
+		bytes: use => held[use],
 	};
 }
 
@@ -88,6 +94,8 @@
 /** Counts the bytes of bodies that an entry holds, from their arrival until their calls have ended. */
 export type BodyBuffers = {
 	open(): BodyBytes;
+	/** Returns the bytes of all bodies that are held now. */
+	bytes(): number;
 };
 
 /**
@@ -122,5 +130,6 @@
 				},
 			};
 		},
+		bytes: () => total,
 	};
 }
--- a/packages/direct/src/forward.ts
+++ b/packages/direct/src/forward.ts
@@ -81,6 +81,8 @@
 	hasLostAttempt: boolean;
 	lastLossReason: LossReason;
 	failedAnswer: BufferedAnswer | undefined;
+	/** Ends the accounting of `failedAnswer`. */
+	releaseFailedAnswer: () => void;
 	refusals: number;
 	/** The attempts that no target accepted a connection for. */
 	unreachable: number;
@@ -98,11 +100,20 @@
 const {outcome} = await forward({call, answer, signal}, deps);
 */
 export async function forward(admitted: AdmittedCall, deps: ForwardDeps): Promise<ForwardResult> {
-	const {call, answer, signal} = admitted;
-	const tried = new Set<string>();
 	const progress: Progress = {
-		lastEventId: 0, hasSentEvents: false, hasLostAttempt: false, lastLossReason: 'targetLost', failedAnswer: undefined, refusals: 0, unreachable: 0, attempts: [],
+		lastEventId: 0, hasSentEvents: false, hasLostAttempt: false, lastLossReason: 'targetLost', failedAnswer: undefined, releaseFailedAnswer: () => undefined, refusals: 0, unreachable: 0,
+		attempts: [],
 	};
+	try {
+		return await forwardUntilEnded(admitted, progress, deps);
+	} finally {
+		progress.releaseFailedAnswer();
+	}
+}
+
+async function forwardUntilEnded(admitted: AdmittedCall, progress: Progress, deps: ForwardDeps): Promise<ForwardResult> {
+	const {call, answer, signal} = admitted;
+	const tried = new Set<string>();
 	deps.resendBudget.onRequest(call.service);
 
 	const toForwardResult = (outcome: Outcome, status?: number): ForwardResult => ({outcome, status, attempts: progress.attempts});
@@ -164,7 +175,7 @@
 			return toForwardResult({kind: 'answered'}, result.status);
 		}
 
-		recordFailure(result, progress, signal);
+		recordFailure(result, progress, signal, deps);
 		await checkForCrash(admitted, place.target, {result, events}, deps);
 		possibleRuns += result.kind === 'notRun' ? 0 : 1;
 		if (result.kind === 'notRun' && result.isMisdirected) {
@@ -186,10 +197,10 @@
 	}
 }
 
-function recordFailure(result: Exclude<AttemptResult, {kind: 'done'}>, progress: Progress, signal: AbortSignal): void {
+function recordFailure(result: Exclude<AttemptResult, {kind: 'done'}>, progress: Progress, signal: AbortSignal, {answerBuffers}: ForwardDeps): void {
 	switch (result.kind) {
 		case 'failed': {
-			progress.failedAnswer = result.bufferedAnswer;
+			holdFailedAnswer(result.bufferedAnswer, progress, answerBuffers);
 			break;
 		}
 
@@ -206,6 +217,23 @@
 	}
 }
 
+/** Keeps the answer of a target that failed, for the case that no other target answers. It counts as held, and is given up as a lost answer if the memory is needed. */
+function holdFailedAnswer(bufferedAnswer: BufferedAnswer, progress: Progress, answerBuffers: AnswerBuffers): void {
+	const giveUp = (): void => {
+		progress.failedAnswer = undefined;
+		progress.hasLostAttempt = true;
+		progress.lastLossReason = 'answerTooLong';
+	};
+
+	progress.releaseFailedAnswer();
+	const held = answerBuffers.open(giveUp);
+	progress.releaseFailedAnswer = held.release;
+	progress.failedAnswer = bufferedAnswer;
+	if (!held.set(bufferedAnswer.body.length)) {
+		giveUp();
+	}
+}
+
 /** Waits until it is known whether a target that closed the connection before its answer had begun has crashed. */
 async function checkForCrash({call, signal}: AdmittedCall, target: Target, {result, events}: {readonly result: AttemptResult; readonly events: number}, {crashes}: ForwardDeps): Promise<void> {
 	const isClosed = result.kind === 'lost' && (result.reason === 'targetLost' || result.reason === 'truncated');
--- a/packages/direct/src/front.ts
+++ b/packages/direct/src/front.ts
@@ -30,6 +30,9 @@
 /** The unread bytes of a response beyond which the call of a slow caller is cancelled. */
 const maxUnreadBytes = 4_194_304;
 
+/** How long a caller may take none of the bytes that wait for it, in milliseconds. Callers abandon a stream after two seconds without an event. */
+const defaultUnreadTimeoutMs = 5000;
+
 /** How many turns of the event loop it takes to read the end of a connection that arrived together with a request, and to act on it. */
 const closeTurns = 3;
 
@@ -54,6 +57,8 @@
 	readonly table: () => RouteTable | undefined;
 	readonly random: () => number;
 	readonly bodyBuffers: BodyBuffers;
+	/** How long a caller may take none of the bytes that wait for it before it is disconnected, in milliseconds; five seconds by default. */
+	readonly unreadTimeoutMs?: number;
 	/** The plan of a stop; `undefined` while the entry is not stopping. A stopping entry closes callers' connections after their responses. */
 	readonly stopPlan: () => StopPlan | undefined;
 };
@@ -71,13 +76,17 @@
 };
 
 /** Why a request is refused whose body was not read to its end. */
-const bodyRefusals: Readonly<Record<'abandoned' | 'tooLarge' | 'noRoom', Refusal>> = {
+const bodyRefusals: Readonly<Record<'abandoned' | 'late' | 'tooLarge' | 'noRoom', Refusal>> = {
+	// The parts of the body that have arrived are free only when the connection is closed.
+	late: {reason: 'deadlinePassed', detail: 'the body had not arrived at the deadline', closes: true},
 	abandoned: {reason: 'shuttingDown', retryAfterMs: shutdownRetryAfterMs, detail: 'the entry stopped before the body had arrived'},
 	noRoom: {reason: 'overloaded', retryAfterMs: noRoomRetryAfterMs, detail: 'the entry holds as many bytes of bodies as it may'},
 	tooLarge: {reason: 'badRequest', status: 413, detail: 'the body is too long'},
 };
 
-type Refusal = {readonly reason: RefusalReason; readonly status?: number; readonly retryAfterMs?: number; readonly detail: string};
+type Refusal = {readonly reason: RefusalReason; readonly status?: number; readonly retryAfterMs?: number; readonly detail: string; readonly closes?: boolean};
+
+type BodyLimits = {readonly maxBytes: number; readonly timeoutMs: number};
 
 /**
 Creates the HTTP server that callers connect to. It looks up the route and the
@@ -94,13 +103,16 @@
 	/** Ends the reading of each request whose body is still arriving. */
 	const unreadRequests = new Set<() => void>();
 
-	const readWholeBody = async (req: IncomingMessage, maxBytes: number, held: BodyBytes): Promise<Body | {readonly kind: 'abandoned'}> => new Promise((resolve, reject) => {
+	const readWholeBody = async (req: IncomingMessage, held: BodyBytes, {maxBytes, timeoutMs}: BodyLimits): Promise<Body | {readonly kind: 'abandoned' | 'late'}> => new Promise((resolve, reject) => {
 		const abandon = (): void => {
 			resolve({kind: 'abandoned'});
 		};
 
+		// A caller that sends its body slowly, or stops, would hold its bytes for as long as it stays connected.
+		const timer = setTimeout(resolve, timeoutMs, {kind: 'late'});
 		unreadRequests.add(abandon);
 		void readBody(req, maxBytes, held.add).then(resolve, reject).finally(() => {
+			clearTimeout(timer);
 			unreadRequests.delete(abandon);
 		});
 	});
@@ -121,7 +133,8 @@
 		const caller = dialect.readCaller(req.headers);
 		const requestId = caller.requestId ?? randomUUID();
 		const answer = createCallerAnswer(res, {requestId, shouldClose: () => deps.stopPlan() !== undefined});
-		const refuse = ({reason, status, retryAfterMs = noConfigurationRetryAfterMs, detail}: Refusal): void => {
+		const refuse = ({reason, status, retryAfterMs = noConfigurationRetryAfterMs, detail, closes}: Refusal): void => {
+			res.shouldKeepAlive &&= !closes;
 			metrics.count('refusals', {reason});
 			log.info({
 				requestId, outcome: 'notRun', reason, detail, host: req.headers.host ?? null, path: truncatedPath(req), version: deps.table()?.configuration.version ?? null,
@@ -162,7 +175,7 @@
 		}
 
 		const deadlineMs = Math.min(caller.deadlineMs ?? route.timeoutMs, route.timeoutMs);
-		const body = await readWholeBody(req, configuration.limits.maxBodyBytes, held);
+		const body = await readWholeBody(req, held, {maxBytes: configuration.limits.maxBodyBytes, timeoutMs: deadlineMs});
 		if (body.kind === 'broken') {
 			// The caller has disconnected, so no response can be sent.
 			metrics.count('refusals', {reason: 'badRequest'});
@@ -215,7 +228,16 @@
 			res.destroy();
 		};
 
-		const unread = deps.answerBuffers.open(dropSlowCaller);
+		const unread = deps.answerBuffers.open(dropSlowCaller, 'unread');
+		// The timer of the socket starts anew with each byte that the caller takes, also after the call has ended.
+		res.setTimeout(deps.unreadTimeoutMs ?? defaultUnreadTimeoutMs, () => {
+			if (answer.unreadBytes > 0) {
+				dropSlowCaller();
+			}
+		});
+		res.on('drain', () => {
+			unread.set(answer.unreadBytes);
+		});
 		const limitUnread = (): void => {
 			if (!unread.set(answer.unreadBytes) || answer.unreadBytes > maxUnreadBytes) {
 				dropSlowCaller();
@@ -281,6 +303,8 @@
 
 	const server = createServer({maxHeaderSize: maxHeadBytes, connectionsCheckingInterval: headTimeoutCheckMs, requestTimeout: 0}, async (req, res) => {
 		res.on('error', () => undefined);
+		// Without a listener, a time-out of the socket that an earlier response has set would close the connection.
+		res.on('timeout', () => undefined);
 		const held = deps.bodyBuffers.open();
 		try {
 			await handleRequest(req, res, held);
--- a/packages/direct/src/pool.ts
+++ b/packages/direct/src/pool.ts
@@ -38,6 +38,8 @@
 	reset(connection: TargetConnection): void;
 	/** Closes the idle connections, for use after a connection to the same target has proved dead. */
 	dropIdle(): void;
+	/** The bytes of requests that the target has not taken from this process yet. */
+	unsentBytes(): number;
 	/** Closes the idle connections now, and each connection in use when it is returned. */
 	close(): void;
 };
@@ -63,6 +65,7 @@
 	const destroyed = new WeakSet<TargetConnection>();
 	const connect = buildConnector({timeout: connectMs, keepAlive: true});
 	const sockets = new WeakMap<TargetConnection, Socket>();
+	const openSockets = new Set<Socket>();
 	let isClosed = false;
 
 	const drop = (connection: TargetConnection): void => {
@@ -97,6 +100,10 @@
 							callback(error, null);
 						} else {
 							sockets.set(connection, socket);
+							openSockets.add(socket);
+							socket.once('close', () => {
+								openSockets.delete(socket);
+							});
 							socket.on('readable', () => {
 								notify();
 							});
@@ -135,7 +142,9 @@
 			return openConnection();
 		},
 		release(connection) {
-			if (isClosed || connection.remoteState !== 'open' || destroyed.has(connection)) {
+			// A target may answer before it has read the request. The rest of it would stay in memory with the idle connection, and ahead of the next request.
+			const isUnsent = (sockets.get(connection)?.writableLength ?? 0) > 0;
+			if (isClosed || isUnsent || connection.remoteState !== 'open' || destroyed.has(connection)) {
 				drop(connection);
 				return;
 			}
@@ -151,6 +160,7 @@
 			drop(connection);
 		},
 		dropIdle,
+		unsentBytes: () => [...openSockets].reduce((sum, {writableLength}) => sum + writableLength, 0),
 		close() {
 			isClosed = true;
 			dropIdle();
--- a/packages/direct/test/exchange.test.ts
+++ b/packages/direct/test/exchange.test.ts
@@ -96,6 +96,24 @@
 		await sleep(20);
 	});
 
+	// Guards against the rest of a request that stays in memory uncounted, with the idle connection to a target that answered before it had read the request.
+	it('drops the connection of a target that answered without reading the request', async () => {
+		const exchanged = exchange(pool, {
+			requestId: 'r-1', method: 'POST', path: '/', headers: [], body: Buffer.alloc(8_000_000),
+		}, {head: () => undefined, data: () => true}, {
+			dialect, maxIdleMs: 0, signal: new AbortController().signal, mayStart: () => true, onSent: () => undefined, onAnswer: () => undefined,
+		});
+		const socket = await accepted;
+		socket.on('error', () => undefined);
+		await sleep(50);
+		expect(pool.unsentBytes()).to.be.above(0);
+		socket.write('HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n');
+		expect((await exchanged).kind).to.equal('complete');
+		await sleep(50);
+		expect(pool.unsentBytes()).to.equal(0);
+		socket.destroy();
+	});
+
 	// Guards against a request that is sent with a permission that ended while its connection was being opened or its process was paused.
 	it('sends nothing if the permission has ended when the connection is open', async () => {
 		let receivedBytes = 0;
--- a/packages/peer/src/connection.ts
+++ b/packages/peer/src/connection.ts
@@ -6,6 +6,70 @@
 /** The most bytes that may be buffered for sending to one peer. */
 export const maxBacklogBytes = 33_554_432;
 
+/** The most bytes that may be buffered for sending to all peers of one process. */
+const maxTotalBacklogBytes = 67_108_864;
+
+/** By how many bytes the backlog of a connection grows before those of all connections are added up again. */
+const backlogStepBytes = 65_536;
+
+/** Counts the bytes that the connections of a process buffer for peers that do not read. */
+export type Backlogs = {
+	/** Adds a connection until it is closed. The returned function is called before each frame. */
+	open(socket: Socket): () => void;
+	/** Returns the bytes buffered now for all peers. */
+	bytes(): number;
+};
+
+/**
+Creates the count of one process. Over the limit, the connections with the longest
+backlogs are closed, so that many peers that do not read leave memory to the others.
+
+@example
+const backlogs = createBacklogs(67_108_864);
+const checkBacklog = backlogs.open(socket);
+*/
+export function createBacklogs(maxTotalBytes: number): Backlogs {
+	const sockets = new Set<Socket>();
+	const bytes = (): number => [...sockets].reduce((sum, {writableLength}) => sum + writableLength, 0);
+	const closeLongest = (): void => {
+		let total = bytes();
+		for (const socket of [...sockets].toSorted((a, b) => b.writableLength - a.writableLength)) {
+			if (total <= maxTotalBytes) {
+				return;
+			}
+
+			total -= socket.writableLength;
+			sockets.delete(socket);
+			socket.destroy();
+		}
+	};
+
+	return {
+		open(socket) {
+			let checkedBytes = 0;
+			sockets.add(socket);
+			socket.once('close', () => {
+				sockets.delete(socket);
+			});
+			return () => {
+				checkedBytes = Math.min(checkedBytes, socket.writableLength);
+				if (socket.writableLength - checkedBytes < backlogStepBytes) {
+					return;
+				}
+
+				checkedBytes = socket.writableLength;
+				if (bytes() > maxTotalBytes) {
+					closeLongest();
+				}
+			};
+		},
+		bytes,
+	};
+}
+
+/** The count of this process. */
+export const processBacklogs = createBacklogs(maxTotalBacklogBytes);
+
 /** One end of a connection between two processes. */
 export type Connection = {
 	/**
@@ -26,8 +90,9 @@
 const connection = openConnection(socket);
 connection.send({kind: 'leaving'});
 */
-export function openConnection(socket: Socket): Connection {
+export function openConnection(socket: Socket, backlogs: Backlogs = processBacklogs): Connection {
 	socket.setNoDelay(true);
+	const checkBacklog = backlogs.open(socket);
 	socket.on('error', () => {
 		socket.destroy();
 	});
@@ -44,6 +109,11 @@
 				return;
 			}
 
+			checkBacklog();
+			if (socket.destroyed) {
+				return;
+			}
+
 			if (!isCorked) {
 				isCorked = true;
 				socket.cork();
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -1,6 +1,6 @@
 export {createFrameDelayEstimator} from './age.js';
 export {
-	maxBacklogBytes, openConnection, openSocket, serveFrames, type Connection,
+	createBacklogs, maxBacklogBytes, openConnection, openSocket, processBacklogs, serveFrames, type Backlogs, type Connection,
 } from './connection.js';
 export {
 	encodeFrame, frameKinds, isGroupFrame, maxFrameBytes, protocolVersion, readFrames,
--- a/packages/peer/test/frame.test.ts
+++ b/packages/peer/test/frame.test.ts
@@ -1,10 +1,12 @@
 import {once} from 'node:events';
-import {connect, createServer, type AddressInfo} from 'node:net';
+import {
+	connect, createServer, type AddressInfo, type Socket,
+} from 'node:net';
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {describe, it} from 'mocha';
 import {
-	createFrameDelayEstimator, encodeFrame, maxBacklogBytes, maxFrameBytes, openConnection, readFrames, type Frame,
+	createBacklogs, createFrameDelayEstimator, encodeFrame, maxBacklogBytes, maxFrameBytes, openConnection, readFrames, type Frame,
 } from '@papayaflow/peer';
 
 async function readAll(...chunks: readonly Uint8Array[]): Promise<readonly unknown[]> {
@@ -71,6 +73,47 @@
 		expect(connection.closed).to.equal(true);
 		server.close();
 	});
+
+	// Guards against peers that each buffer less than their own limit and fill the memory together, and against closing the connection of a peer that reads.
+	it('with the longest backlog is closed when peers that read nothing exceed the limit of all', async () => {
+		const accepted: Socket[] = [];
+		const server = createServer({pauseOnConnect: true}, socket => {
+			accepted.push(socket);
+			socket.on('error', () => undefined);
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const maxTotalBytes = 16_777_216;
+		const backlogs = createBacklogs(maxTotalBytes);
+		const connections = await Promise.all(Array.from({length: 3}, async () => {
+			const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+			await once(socket, 'connect');
+			return openConnection(socket, backlogs);
+		}));
+		const bytes = new Uint8Array(1_048_576);
+		for (let sent = 0; sent < 12; sent++) {
+			for (const [index, connection] of connections.entries()) {
+				// The last connection gets the least.
+				if (index < 2 || sent === 0) {
+					connection.send({kind: 'data', attempt: 1, bytes});
+				}
+			}
+
+			expect(backlogs.bytes()).to.be.at.most(maxTotalBytes + (3 * bytes.length));
+		}
+
+		expect(connections.filter(({closed}) => closed)).to.have.length(1);
+		expect(connections[2].closed).to.equal(false);
+		for (const connection of connections) {
+			connection.close();
+		}
+
+		for (const socket of accepted) {
+			socket.destroy();
+		}
+
+		server.close();
+	});
 });
 
 describe('createFrameDelayEstimator', () => {
