Take a status over 599 for a lost attempt

A target's answer with a status of 600 to 999 was passed on to the caller of a call that is not repeatable, and X-Not-Executed with such a status let it be sent to a second target. A status outside 100 to 599 now ends the attempt as wrongAnswer and closes the connection.

--- a/packages/direct/src/exchange.ts
+++ b/packages/direct/src/exchange.ts
@@ -49,6 +49,10 @@
 /** How many bytes of framing may come with each byte of a body. A body in chunks of one byte has five. */
 const maxFramingRatio = 8;
 
+/** The lowest and the highest status that HTTP allows. */
+const minStatus = 100;
+const maxStatus = 599;
+
 export type ExchangeOptions = {
 	readonly dialect: Dialect;
 	/** The longest idle time of a connection that may be reused, in milliseconds; 0 opens a new connection. */
@@ -151,6 +155,12 @@
 				onSent();
 			},
 			onResponseStart(currentController, status, headers) {
+				if (status < minStatus || status > maxStatus) {
+					settle({kind: 'broken', reason: 'wrongAnswer', detail: `status ${status}`}, false);
+					currentController.abort(new Error('status that HTTP does not allow'));
+					return;
+				}
+
 				// Skips informational (1xx) responses.
 				if (status < 200) {
 					return;
