--- a/packages/target/src/target.ts
+++ b/packages/target/src/target.ts
@@ -42,6 +42,9 @@
 	close(): Promise<void>;
 };
 
+/** The highest status that HTTP allows. The HTTP client rejects those below 100 itself. */
+const maxStatus = 599;
+
 /** Headers that are valid for one connection only and must not be forwarded. */
 const hopByHopHeaders: ReadonlySet<string> = new Set([
 	'connection', 'keep-alive', 'transfer-encoding', 'content-length', 'upgrade', 'te', 'trailer', 'proxy-authorization', 'proxy-authenticate', 'host', 'expect',
@@ -80,6 +83,13 @@
 					body: req.body.length > 0 ? req.body : undefined,
 					headersTimeout: idleMs(), bodyTimeout: idleMs(),
 				});
+				if (res.statusCode > maxStatus) {
+					res.body.on('error', () => undefined).destroy();
+					return {
+						kind: 'unknown', reason: 'targetLost', bytes, detail: `status ${res.statusCode}`,
+					};
+				}
+
 				isStream = String(res.headers['content-type'] ?? '').startsWith('text/event-stream');
 				sink.head(res.statusCode, endToEndHeaders(res.headers));
 				for await (const chunk of res.body as AsyncIterable<Uint8Array>) {
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -615,4 +615,14 @@
 		find: 'if (trialPart !== undefined && isRivalOf(trialPart, parts)) {', replace: 'if (trialPart === \'\') {',
 		spec: 'quarantine/test/quarantine.test.ts', test: 'clears the parts of such a request',
 	},
+	{
+		name: 'a status that HTTP does not allow is no answer', file: 'direct/src/exchange.ts',
+		find: 'if (status < minStatus || status > maxStatus) {', replace: 'if (status < 0) {',
+		spec: '../platform/test/direct/invalid-status.test.ts', test: 'a non-idempotent call gets 502',
+	},
+	{
+		name: 'a body that has not arrived at its deadline is not waited for', file: 'direct/src/front.ts',
+		find: 'const timer = setTimeout(resolve, timeoutMs,', replace: 'const timer = setTimeout(resolve, 1_000_000,',
+		spec: '../platform/test/direct/slow-peers.test.ts', test: 'whose body has not arrived',
+	},
 ];
