Let late returned requests wait up to 1.5 s and spread the return of refused callers

A returned request waited for twice its objective and was then refused for good, and all callers refused in an outage returned after 0.11 to 0.19 s, mostly into the same outage. A returned request now waits up to 1.5 s behind those that can be in time; when more late ones wait than the spare rate places in that time, it is refused at once. One that fits on no rank no longer holds up the others. Retry-After comes from the return schedule: at the rate at which streams end in an overload, over a third of the remaining time while no rank is open or the group is stalled. A refused decision names its rule.

--- a/packages/policy/src/group-admission.ts
+++ b/packages/policy/src/group-admission.ts
@@ -1,5 +1,7 @@
+import {createArrivalForecast} from './arrivals.js';
 import {predictPassMs, type PassModel, type RankWork} from './pass-time.js';
 import {refusalRetryDelayMs} from './retry.js';
+import {createReturnSchedule, type ReturnSchedule} from './returns.js';
 
 /** A request to be placed on a rank of a group. */
 export type PlacementRequest = {
@@ -29,7 +31,10 @@
 
 export type GroupDecision
 	= | {readonly kind: 'placed'; readonly rank: number}
-		| {readonly kind: 'refused'; readonly reason: 'overloaded' | 'noTarget'; readonly retryAfterMs: number};
+		| {readonly kind: 'refused'; readonly reason: 'overloaded' | 'noTarget'; readonly rule: RefusalRule; readonly retryAfterMs: number};
+
+/** The rule that refused a request: no rank accepts requests, the group makes no pass, its wait has ended, or too many late requests wait already. */
+export type RefusalRule = 'noOpenRank' | 'stalled' | 'waitEnded' | 'lateQueueFull';
 
 /** A request that has been placed on a rank and has not ended. */
 type RunningRequest = {
@@ -107,8 +112,14 @@
 /** The part of the objective reserved for the first token of a placed request, as a ratio: the rest of the current pass and the prefill pass. */
 const firstTokenReserveRatio = 0.3;
 
-/** The longest wait for capacity of a retried request, as a ratio of the objective. It exceeds 1 because a second refusal is final. Unless it resumes a stream, a retried request that can no longer meet its objective is placed only after those that can. */
-const retryWaitRatio = 2;
+/** The longest wait for capacity of a retried request, in milliseconds, unless it can meet its objective after a longer one. A second refusal is final and a late answer has some value, but callers abandon a request after 2 s without an event; the rest covers the current pass and the prefill pass. */
+const retryWaitMs = 1500;
+
+/** The longest delay before a refused request returns, as a ratio of its remaining time; callers do not accept a longer one. */
+const maxReturnRatio = 1 / 3;
+
+/** The least rate at which late requests are expected to be placed, as a ratio of the rate that the group serves. It covers the error of the rates. */
+const minSpareRatio = 0.1;
 
 /** The approximate part of a stream's value that is lost when a pause makes it late, as a ratio. */
 const lateStreamLossRatio = 0.5;
@@ -145,8 +156,11 @@
 	const waiting = new Map<string, WaitingRequest>();
 	// The allowed pause of the latest request; unlimited before the first.
 	let lastGapMs = Number.POSITIVE_INFINITY;
-	// The planning skew and the time at which it was computed.
-	let cachedSkew = {skew: 1, atMs: Number.NEGATIVE_INFINITY};
+	// The planning skew, the rate at which the group can serve requests, and the time at which they were computed.
+	let cachedPlan = {skew: 1, perSecond: 0, atMs: Number.NEGATIVE_INFINITY};
+	const forecast = createArrivalForecast(nowMs);
+	/** The return times by priority: an urgent request that returns is placed before the others, so its time does not depend on theirs. */
+	const returnsByPriority = new Map<number, ReturnSchedule>();
 
 	/** Returns how many requests, spread evenly over the ranks, can decode at once with passes short enough for the allowed pause. */
 	const capacityAt = (model: GroupModel, skew: number): number => {
@@ -175,15 +189,33 @@
 	the current skew, or the skew after a shift of demand if shifts are so frequent that
 	the streams they make late cost more than admitting fewer requests.
 	*/
-	const planningSkew = (): number => {
+	const planningSkew = (): number => plan().skew;
+
+	const plan = (): typeof cachedPlan => {
 		const now = nowMs();
-		if (now - cachedSkew.atMs >= skewRefreshIntervalMs) {
-			cachedSkew = {skew: computePlanningSkew(), atMs: now};
+		if (now - cachedPlan.atMs >= skewRefreshIntervalMs) {
+			const skew = computePlanningSkew();
+			cachedPlan = {skew, perSecond: computeServiceRate(skew), atMs: now};
+		}
+
+		return cachedPlan;
+	};
+
+	const computeServiceRate = (skew: number): number => {
+		const model = options.model();
+		if (!model || !Number.isFinite(lastGapMs)) {
+			return 0;
 		}
 
-		return cachedSkew.skew;
+		const streams = capacityAt(model, skew);
+		const prefillPasses = 1;
+		const streamMs = balancedPassMs(model, streams, options.skew()) * ((model.usualAnswerTokens / model.stepsPerPass) + prefillPasses);
+		return streams * 1000 / streamMs;
 	};
 
+	/** The rate at which late requests are expected to be placed beside the first attempts, per second. */
+	const sparePerSecond = (): number => Math.max(minSpareRatio * plan().perSecond, plan().perSecond - forecast.perSecond(() => true));
+
 	const computePlanningSkew = (): number => {
 		const model = options.model();
 		const shifts = options.demandShifts();
@@ -279,13 +311,14 @@
 	};
 
 	/** Places a request, refuses it if no rank accepts requests, or returns `undefined` if there is no capacity for it now. */
-	const tryPlace = (request: PlacementRequest): GroupDecision | undefined => {
+	const tryPlace = (waitingRequest: WaitingRequest): GroupDecision | undefined => {
+		const {request} = waitingRequest;
 		if (!options.openRanks().some(Boolean)) {
-			return {kind: 'refused', reason: 'noTarget', retryAfterMs: drawRetryAfterMs(request)};
+			return refuse(waitingRequest, 'noOpenRank');
 		}
 
 		if (options.isStalled() && !request.isResumed) {
-			return {kind: 'refused', reason: 'overloaded', retryAfterMs: drawRetryAfterMs(request)};
+			return refuse(waitingRequest, 'stalled');
 		}
 
 		const rank = bestRank(request);
@@ -300,7 +333,38 @@
 		return {kind: 'placed', rank};
 	};
 
-	const drawRetryAfterMs = ({objectiveMs}: PlacementRequest): number => refusalRetryDelayMs(objectiveMs, options.random);
+	/** Whether a late request fits on no rank although slots are free, because of its size or the ranks on which it failed. It waits for longer than others and must not hold them up. */
+	const isUnplaceable = (waitingRequest: WaitingRequest): boolean => {
+		const freeSlots = (options.openRanks().filter(Boolean).length * (options.model()?.slots ?? 0)) - running.size;
+		return isLate(waitingRequest) && freeSlots > 0 && bestRank(waitingRequest.request) === undefined;
+	};
+
+	const refuse = ({request, enqueuedAtMs}: WaitingRequest, rule: RefusalRule): GroupDecision => ({
+		kind: 'refused', reason: rule === 'noOpenRank' ? 'noTarget' : 'overloaded', rule, retryAfterMs: returnDelayMs(request, nowMs() - enqueuedAtMs, rule),
+	});
+
+	const returnDelayMs = ({objectiveMs, deadlineMs, priority, hasReturned}: PlacementRequest, queuedMs: number, rule: RefusalRule): number => {
+		const earliestMs = refusalRetryDelayMs(objectiveMs, options.random);
+		// Callers retry once, so one that has returned needs no time in the schedule.
+		if (hasReturned) {
+			return earliestMs;
+		}
+
+		const returns = returnsByPriority.get(priority) ?? createReturnSchedule({nowMs, random: options.random});
+		returnsByPriority.set(priority, returns);
+		// The end of an interruption is not known, so the returns are spread over the whole time that callers accept. In an overload they return at the rate at which streams
+		// end: returned requests wait in the queue for longer than first attempts and use the slots that become free together at the end of a pass.
+		const perSecond = rule === 'waitEnded' ? plan().perSecond : 0;
+		return returns.next({earliestMs, latestMs: (deadlineMs - queuedMs) * maxReturnRatio, perSecond});
+	};
+
+	const isLate = ({request, enqueuedAtMs}: WaitingRequest): boolean => !request.isResumed && slackMs(request, enqueuedAtMs, nowMs()) < 0;
+
+	/** Whether so many late requests are waiting that another one could not be placed during its wait. */
+	const isLateQueueFull = (): boolean => {
+		const lateCount = [...waiting.values()].filter(each => isLate(each)).length;
+		return lateCount > Math.ceil(sparePerSecond() * retryWaitMs / 1000);
+	};
 
 	/** Returns how long a request can still wait and meet its objective, in milliseconds; negative if it can't meet it. */
 	const slackMs = ({objectiveMs, waitedMs}: PlacementRequest, enqueuedAtMs: number, now: number): number => (objectiveMs * (1 - firstTokenReserveRatio)) - waitedMs - (now - enqueuedAtMs);
@@ -316,15 +380,16 @@
 		const ordered = [...waiting.values()].toSorted((a, b) => compareWaiting(a, b, now));
 		// Once a request does not fit, no later one is tried in this round, so that requests are placed in order.
 		let isFull = false;
-		for (const {request, expiresAtMs, answer} of ordered) {
-			const decision: GroupDecision | undefined = isFull ? undefined : tryPlace(request);
-			isFull ||= decision === undefined;
+		for (const waitingRequest of ordered) {
+			const {request, expiresAtMs, answer} = waitingRequest;
+			const decision: GroupDecision | undefined = isFull ? undefined : tryPlace(waitingRequest);
+			isFull ||= decision === undefined && !isUnplaceable(waitingRequest);
 			if (decision) {
 				waiting.delete(request.id);
 				answer(decision);
 			} else if (now >= expiresAtMs) {
 				waiting.delete(request.id);
-				answer({kind: 'refused', reason: 'overloaded', retryAfterMs: drawRetryAfterMs(request)});
+				answer(refuse(waitingRequest, 'waitEnded'));
 			}
 		}
 
@@ -339,10 +404,19 @@
 		ask(request, answer) {
 			const now = nowMs();
 			lastGapMs = request.gapMs;
-			waiting.set(request.id, {
+			if (!request.hasReturned && !request.isResumed) {
+				forecast.received(request.priority);
+			}
+
+			const waitingRequest = {
 				request, enqueuedAtMs: now, expiresAtMs: now + maxPlacementWaitMs(request), answer,
-			});
+			};
+			waiting.set(request.id, waitingRequest);
 			tick();
+			if (request.hasReturned && waiting.has(request.id) && isLate(waitingRequest) && isLateQueueFull()) {
+				waiting.delete(request.id);
+				answer(refuse(waitingRequest, 'lateQueueFull'));
+			}
 		},
 		withdraw(id) {
 			waiting.delete(id);
@@ -377,7 +451,7 @@
 maxPlacementWaitMs({objectiveMs: 500, hasReturned: false, deadlineMs: 8000}); // 60
 */
 export function maxPlacementWaitMs({objectiveMs, hasReturned, deadlineMs}: Pick<PlacementRequest, 'objectiveMs' | 'hasReturned' | 'deadlineMs'>): number {
-	return Math.min(deadlineMs, objectiveMs * (hasReturned ? retryWaitRatio : firstWaitRatio));
+	return Math.min(deadlineMs, hasReturned ? Math.max(retryWaitMs, objectiveMs * (1 - firstTokenReserveRatio)) : objectiveMs * firstWaitRatio);
 }
 
 /** The cost of a rank in another availability zone than the entry, in milliseconds. Traffic between zones is charged, but not worth a longer pass. */
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -33,7 +33,8 @@
 	createDemandEstimator, uniformDemand, type Demand, type DemandEstimator,
 } from './demand.js';
 export {
-	createGroupAdmission, maxPlacementWaitMs, type GroupAdmission, type GroupAdmissionOptions, type GroupDecision, type GroupModel, type PlacementRequest, type GroupState, type DemandShifts,
+	createGroupAdmission, maxPlacementWaitMs, type GroupAdmission, type GroupAdmissionOptions, type GroupDecision, type GroupModel, type PlacementRequest, type RefusalRule,
+	type GroupState, type DemandShifts,
 } from './group-admission.js';
 export {
 	predictPassMs, tokenWorkMs, type PassModel, type RankWork,
--- a/packages/policy/test/group.test.ts
+++ b/packages/policy/test/group.test.ts
@@ -1,7 +1,8 @@
 import {expect} from 'chai';
 import {describe, it} from 'mocha';
+import {seededRandom} from '@papayaflow/standins';
 import {
-	balancingNeed, createGroupAdmission, createResendBudget, skewOfLayers, predictPassMs, spreadExperts,
+	balancingNeed, createGroupAdmission, createResendBudget, maxPlacementWaitMs, skewOfLayers, predictPassMs, spreadExperts,
 	type GroupAdmission, type GroupDecision, type GroupModel, type PlacementRequest, type DemandShifts,
 } from '@papayaflow/policy';
 
@@ -170,6 +171,61 @@
 		expect(late[0]?.kind).to.equal('placed');
 	});
 
+	// Guards against refusing a returned caller for good although capacity becomes free before it abandons the request.
+	it('places a late returned request with leftover capacity within 1.5 s, and refuses it after that', () => {
+		const clock = {nowMs: 0};
+		const admission = admissionOf(clock);
+		fill(admission);
+		const [first, second] = ['a', 'b'].map(id => ask(admission, makeRequest(id, {hasReturned: true, waitedMs: 700})));
+		clock.nowMs = 1400;
+		admission.ended('fill-0');
+		admission.tick();
+		expect([first.map(({kind}) => kind), second]).to.deep.equal([['placed'], []]);
+		clock.nowMs = 1500;
+		admission.tick();
+		expect(second[0]).to.include({kind: 'refused', rule: 'waitEnded'});
+	});
+
+	it('lets a returned request wait for less than callers wait for an event, but as long as it can be in time', () => {
+		const wait = (objectiveMs: number, deadlineMs = 8000): number => maxPlacementWaitMs({objectiveMs, hasReturned: true, deadlineMs});
+		expect([wait(500), wait(1003), wait(500, 900)]).to.deep.equal([1500, 1500, 900]);
+		expect(wait(5000)).to.be.closeTo(3500, 1e-9);
+	});
+
+	// Load pattern: the callers of all streams of a group return at once and are late, while first attempts need all capacity.
+	it('refuses late returned requests at once when more are waiting than can be placed during their wait', () => {
+		const clock = {nowMs: 0};
+		const admission = admissionOf(clock);
+		fill(admission);
+		const returned = Array.from({length: 100}, (_, i) => ask(admission, makeRequest(`returned-${i}`, {hasReturned: true, waitedMs: 3000})));
+		const waitingCount = returned.filter(decisions => decisions.length === 0).length;
+		expect(waitingCount).to.be.within(1, 40);
+		expect(returned.at(-1)?.[0]).to.include({kind: 'refused', rule: 'lateQueueFull'});
+		expect(ask(admission, makeRequest('in-time', {hasReturned: true, waitedMs: 100})), 'in time').to.deep.equal([]);
+	});
+
+	it('places a late returned request although an older one does not fit on any rank', () => {
+		const admission = admissionOf({nowMs: 0});
+		const large = ask(admission, makeRequest('large', {hasReturned: true, waitedMs: 900, promptTokens: 30_000}));
+		const small = ask(admission, makeRequest('small', {hasReturned: true, waitedMs: 700}));
+		expect([large, small.map(({kind}) => kind)]).to.deep.equal([[], ['placed']]);
+	});
+
+	// Guards against a second overload after an outage: all refused callers returned within 200 ms, and most second refusals are final.
+	it('spreads the return of callers refused during an outage over a third of their remaining time', () => {
+		const random = seededRandom(3);
+		const admission = createGroupAdmission({
+			model: () => model, openRanks: () => [false, false], zones: () => [],
+			skew: () => 1, demandShifts: () => undefined, slowdown: () => 1, isStalled: () => false, nowMs: () => 0, random,
+		});
+		const delays = Array.from({length: 300}, (_, i) => ask(admission, makeRequest(`r-${i}`, {deadlineMs: 7500}))[0])
+			.map(decision => decision.kind === 'refused' ? decision.retryAfterMs : Number.NaN);
+		expect(Math.max(...delays)).to.be.within(2000, 2500);
+		for (let fromMs = 0; fromMs < 2500; fromMs += 200) {
+			expect(delays.filter(ms => ms >= fromMs && ms < fromMs + 200).length, `returns from ${fromMs} ms on`).to.be.at.most(45);
+		}
+	});
+
 	it('places most requests in time when they arrive at 1.5 times the rate that the group can serve', () => {
 		const clock = {nowMs: 0};
 		const admission = admissionOf(clock, 4);
