Keep room for more urgent requests by a forecast of their arrivals

A burst of a less urgent kind fills all slots, streams end together at the end of a pass of up to 164 ms, and a first attempt waits for 60 to 72 ms only, so urgent requests were refused although they come first in the queue. The bound on the pass and the free slots now leave room for the more urgent requests expected in the part of a pass that exceeds this wait, by the arrivals of the last half second; with one priority the reserve is 0. A priority of which less than 0.4 of the mean ratio has been placed recently comes first until that has changed.

--- a/packages/policy/src/group-admission.ts
+++ b/packages/policy/src/group-admission.ts
@@ -121,6 +121,15 @@
 /** The least rate at which late requests are expected to be placed, as a ratio of the rate that the group serves. It covers the error of the rates. */
 const minSpareRatio = 0.1;
 
+/** The forecast rate below which no room is kept, per second. */
+const minForecastPerSecond = 0.5;
+
+/** How many standard deviations of the arrivals the reserve covers beyond their mean. */
+const reserveDeviations = 1;
+
+/** The largest part of the slots of a group that is reserved. */
+const maxReserveRatio = 0.25;
+
 /** The approximate part of a stream's value that is lost when a pause makes it late, as a ratio. */
 const lateStreamLossRatio = 0.5;
 
@@ -140,11 +149,15 @@
 this one, stays within the allowed pause. A request for which there is no capacity
 waits for a short time and is then refused with a retry delay. Resumed streams are
 placed first, then requests that can still meet their objective, then late ones, so
-that a queue does not make every request late. While the group is stalled, new
-requests are refused at once.
+that a queue does not make every request late; within these, more urgent ones are placed
+first. While more urgent requests arrive, room is kept for those expected until the next
+streams end. A priority of which far fewer requests than the mean have been placed comes
+first until the difference is smaller. While the group is stalled, new requests are
+refused at once.
 
 Load patterns: for many seconds, several entries send more requests than the group
-can decode at once; a group makes no pass for seconds, because a map switch holds it
+can decode at once; one priority exceeds the capacity alone; hundreds of callers return
+after an outage, too late for their objective; a group makes no pass for seconds, because a map switch holds it
 and a rank does not answer, while requests keep arriving.
 
 @example
@@ -323,16 +336,23 @@
 
 		const rank = bestRank(request);
 		// A resumed stream needs no more capacity than it had before the interruption, so its pass time is not checked.
-		if (rank === undefined || (!request.isResumed && passMsWith(request, rank) > maxPassToGapRatio * request.gapMs)) {
+		if (rank === undefined || (!request.isResumed && !fits(request, rank))) {
 			return undefined;
 		}
 
 		running.set(request.id, {
 			rank, promptTokens: request.promptTokens, answerTokens: request.answerTokens, recordedAtMs: nowMs(), hasBegun: false,
 		});
+		forecast.placed(request.priority);
 		return {kind: 'placed', rank};
 	};
 
+	const fits = (request: PlacementRequest, rank: number): boolean => {
+		const reserved = reservedStreams(request);
+		const reservedMs = reserved > 0 ? reservedPassMs(options.model()!, reserved) : 0;
+		return reservedMs !== undefined && passMsWith(request, rank) + reservedMs <= maxPassToGapRatio * request.gapMs;
+	};
+
 	/** Whether a late request fits on no rank although slots are free, because of its size or the ranks on which it failed. It waits for longer than others and must not hold them up. */
 	const isUnplaceable = (waitingRequest: WaitingRequest): boolean => {
 		const freeSlots = (options.openRanks().filter(Boolean).length * (options.model()?.slots ?? 0)) - running.size;
@@ -366,21 +386,55 @@
 		return lateCount > Math.ceil(sparePerSecond() * retryWaitMs / 1000);
 	};
 
+	/**
+	The number of streams for which room is kept when this request is placed: the forecast
+	arrivals of more urgent requests until the next streams end. Streams end at the end of
+	a pass, and a first attempt waits for less than a pass.
+	*/
+	const reservedStreams = (request: PlacementRequest): number => {
+		const perSecond = forecast.perSecond(other => other < request.priority);
+		if (perSecond < minForecastPerSecond || forecast.isStarved(request.priority)) {
+			return 0;
+		}
+
+		// A first attempt that arrives within its wait before the end of the pass takes a slot that becomes free then.
+		const horizonMs = Math.max(0, (maxPassToGapRatio * request.gapMs) - (firstWaitRatio * request.objectiveMs));
+		const expected = perSecond * horizonMs / 1000;
+		return expected + (reserveDeviations * Math.sqrt(expected));
+	};
+
+	/** Returns by how much the bound on the pass decreases for a reserve, in milliseconds; `undefined` if the free slots do not cover the reserve. */
+	const reservedPassMs = (model: GroupModel, reserved: number): number | undefined => {
+		const ranks = options.openRanks().length;
+		const openSlots = options.openRanks().filter(Boolean).length * model.slots;
+		// A small group keeps most of its slots in use.
+		const streams = Math.min(reserved, openSlots * maxReserveRatio);
+		if (running.size + 1 + streams > openSlots) {
+			return undefined;
+		}
+
+		return balancedPassMs(model, ranks + streams, planningSkew()) - balancedPassMs(model, ranks, planningSkew());
+	};
+
 	/** Returns how long a request can still wait and meet its objective, in milliseconds; negative if it can't meet it. */
 	const slackMs = ({objectiveMs, waitedMs}: PlacementRequest, enqueuedAtMs: number, now: number): number => (objectiveMs * (1 - firstTokenReserveRatio)) - waitedMs - (now - enqueuedAtMs);
 
-	// Orders resumed streams first, then requests that can meet their objective, then late ones; within these by priority and then by least slack.
-	const compareWaiting = (a: WaitingRequest, b: WaitingRequest, now: number): number => {
-		const [slackA, slackB] = [slackMs(a.request, a.enqueuedAtMs, now), slackMs(b.request, b.enqueuedAtMs, now)];
-		return Number(b.request.isResumed) - Number(a.request.isResumed) || Number(slackB >= 0) - Number(slackA >= 0) || a.request.priority - b.request.priority || slackA - slackB;
+	/** Orders resumed streams first, then requests that can meet their objective, then late ones; within these by priority, starved ones first, and then by least slack. */
+	const inOrder = (): readonly WaitingRequest[] => {
+		const now = nowMs();
+		const starved = new Set([...new Set([...waiting.values()].map(({request}) => request.priority))].filter(priority => forecast.isStarved(priority)));
+		const keyed = [...waiting.values()].map(each => ({
+			each, slack: slackMs(each.request, each.enqueuedAtMs, now), isStarved: starved.has(each.request.priority),
+		}));
+		return keyed.toSorted((a, b) => Number(b.each.request.isResumed) - Number(a.each.request.isResumed) || Number(b.slack >= 0) - Number(a.slack >= 0)
+			|| Number(b.isStarved) - Number(a.isStarved) || a.each.request.priority - b.each.request.priority || a.slack - b.slack).map(({each}) => each);
 	};
 
 	const tick = (): void => {
 		const now = nowMs();
-		const ordered = [...waiting.values()].toSorted((a, b) => compareWaiting(a, b, now));
 		// Once a request does not fit, no later one is tried in this round, so that requests are placed in order.
 		let isFull = false;
-		for (const waitingRequest of ordered) {
+		for (const waitingRequest of inOrder()) {
 			const {request, expiresAtMs, answer} = waitingRequest;
 			const decision: GroupDecision | undefined = isFull ? undefined : tryPlace(waitingRequest);
 			isFull ||= decision === undefined && !isUnplaceable(waitingRequest);
--- a/packages/policy/test/group.test.ts
+++ b/packages/policy/test/group.test.ts
@@ -211,6 +211,86 @@
 		expect([large, small.map(({kind}) => kind)]).to.deep.equal([[], ['placed']]);
 	});
 
+	describe('with several priorities', () => {
+		const placedOf = (admission: GroupAdmission, name: string, priority: number, most = 100): number => {
+			for (let count = 0; count < most; count++) {
+				const id = `${name}-${count}`;
+				if (ask(admission, makeRequest(id, {priority, gapMs: 200}))[0]?.kind !== 'placed') {
+					admission.withdraw(id);
+					return count;
+				}
+
+				admission.began(id);
+			}
+
+			return most;
+		};
+
+		/** Lets 20 urgent requests a second arrive for a second, and end at once. */
+		const letUrgentArrive = (admission: GroupAdmission, clock: Clock, priority: number): void => {
+			for (let i = 0; i < 20; i++) {
+				clock.nowMs += 50;
+				ask(admission, makeRequest(`earlier-${i}`, {priority, gapMs: 200}));
+				admission.ended(`earlier-${i}`);
+			}
+		};
+
+		// Load pattern: less urgent requests fill a group whose passes last longer than an urgent request waits, while urgent ones arrive regularly.
+		it('keeps room for urgent requests that are expected until streams end', () => {
+			const clock = {nowMs: 0};
+			const admission = admissionOf(clock);
+			letUrgentArrive(admission, clock, 0);
+			expect(placedOf(admission, 'patient', 2)).to.be.within(12, 14);
+			expect(placedOf(admission, 'urgent', 0)).to.be.within(2, 4);
+		});
+
+		it('keeps no room without arrivals of a more urgent priority', () => {
+			const clock = {nowMs: 0};
+			const admission = admissionOf(clock);
+			letUrgentArrive(admission, clock, 2);
+			expect(placedOf(admission, 'patient', 2)).to.equal(16);
+			expect(placedOf(admissionOf(clock), 'patient', 2), 'new coordinator').to.equal(16);
+		});
+
+		it('keeps no room any more some seconds after the last urgent request', () => {
+			const clock = {nowMs: 0};
+			const admission = admissionOf(clock);
+			letUrgentArrive(admission, clock, 0);
+			clock.nowMs += 3000;
+			expect(placedOf(admission, 'patient', 2)).to.equal(16);
+		});
+
+		// Load pattern: urgent requests alone exceed the capacity for seconds.
+		it('places some requests of each priority while the most urgent one takes all capacity', () => {
+			const clock = {nowMs: 0};
+			const admission = admissionOf(clock);
+			const placed = [0, 0];
+			const running: Array<{readonly id: string; readonly untilMs: number}> = [];
+			for (; clock.nowMs < 10_000; clock.nowMs += 10) {
+				// All streams last equally long, so they end in the order in which they were placed.
+				while (running.length > 0 && running[0].untilMs <= clock.nowMs) {
+					admission.ended(running.shift()!.id);
+				}
+
+				admission.tick();
+				for (const priority of clock.nowMs % 20 === 0 ? [0, 1] : [0]) {
+					const id = `${priority}-${clock.nowMs}`;
+					admission.ask(makeRequest(id, {priority, gapMs: 200}), ({kind}) => {
+						if (kind === 'placed') {
+							placed[priority]++;
+							admission.began(id);
+							running.push({id, untilMs: clock.nowMs + 400});
+						}
+					});
+				}
+			}
+
+			const [urgentRatio, otherRatio] = [placed[0] / 1000, placed[1] / 500];
+			expect(otherRatio).to.be.above((urgentRatio + otherRatio) / 2 / 4);
+			expect(urgentRatio).to.be.above(otherRatio);
+		});
+	});
+
 	// Guards against a second overload after an outage: all refused callers returned within 200 ms, and most second refusals are final.
 	it('spreads the return of callers refused during an outage over a third of their remaining time', () => {
 		const random = seededRandom(3);
