--- a/packages/policy/src/group-admission.ts
+++ b/packages/policy/src/group-admission.ts
@@ -1,5 +1,7 @@
+import {createArrivalForecast} from './arrivals.js';
 import {predictPassMs, type PassModel, type RankWork} from './pass-time.js';
 import {refusalRetryDelayMs} from './retry.js';
+import {createReturnSchedule, type ReturnSchedule} from './returns.js';
 
 /** A request to be placed on a rank of a group. */
 export type PlacementRequest = {
@@ -29,7 +31,10 @@
 
 export type GroupDecision
 	= | {readonly kind: 'placed'; readonly rank: number}
-		| {readonly kind: 'refused'; readonly reason: 'overloaded' | 'noTarget'; readonly retryAfterMs: number};
+		| {readonly kind: 'refused'; readonly reason: 'overloaded' | 'noTarget'; readonly rule: RefusalRule; readonly retryAfterMs: number};
+
+/** The rule that refused a request: no rank accepts requests, the group makes no pass, its wait has ended, or too many late requests wait already. */
+export type RefusalRule = 'noOpenRank' | 'stalled' | 'waitEnded' | 'lateQueueFull';
 
 /** A request that has been placed on a rank and has not ended. */
 type RunningRequest = {
@@ -107,8 +112,23 @@
 /** The part of the objective reserved for the first token of a placed request, as a ratio: the rest of the current pass and the prefill pass. */
 const firstTokenReserveRatio = 0.3;
 
-/** The longest wait for capacity of a retried request, as a ratio of the objective. It exceeds 1 because a second refusal is final. Unless it resumes a stream, a retried request that can no longer meet its objective is placed only after those that can. */
-const retryWaitRatio = 2;
+/** The longest wait for capacity of a retried request, in milliseconds, unless it can meet its objective after a longer one. A second refusal is final and a late answer has some value, but callers abandon a request after 2 s without an event; the rest covers the current pass and the prefill pass. */
+const retryWaitMs = 1500;
+
+/** The longest delay before a refused request returns, as a ratio of its remaining time; callers do not accept a longer one. */
+const maxReturnRatio = 1 / 3;
+
+/** The least rate at which late requests are expected to be placed, as a ratio of the rate that the group serves. It covers the error of the rates. */
+const minSpareRatio = 0.1;
+
+/** The forecast rate below which no room is kept, per second. */
+const minForecastPerSecond = 0.5;
+
+/** How many standard deviations of the arrivals the reserve covers beyond their mean. */
+const reserveDeviations = 1;
+
+/** The largest part of the slots of a group that is reserved. */
+const maxReserveRatio = 0.25;
 
 /** The approximate part of a stream's value that is lost when a pause makes it late, as a ratio. */
 const lateStreamLossRatio = 0.5;
@@ -129,11 +149,15 @@
 this one, stays within the allowed pause. A request for which there is no capacity
 waits for a short time and is then refused with a retry delay. Resumed streams are
 placed first, then requests that can still meet their objective, then late ones, so
-that a queue does not make every request late. While the group is stalled, new
-requests are refused at once.
+that a queue does not make every request late; within these, more urgent ones are placed
+first. While more urgent requests arrive, room is kept for those expected until the next
+streams end. A priority of which far fewer requests than the mean have been placed comes
+first until the difference is smaller. While the group is stalled, new requests are
+refused at once.
 
 Load patterns: for many seconds, several entries send more requests than the group
-can decode at once; a group makes no pass for seconds, because a map switch holds it
+can decode at once; one priority exceeds the capacity alone; hundreds of callers return
+after an outage, too late for their objective; a group makes no pass for seconds, because a map switch holds it
 and a rank does not answer, while requests keep arriving.
 
 @example
@@ -145,8 +169,11 @@
 	const waiting = new Map<string, WaitingRequest>();
 	// The allowed pause of the latest request; unlimited before the first.
 	let lastGapMs = Number.POSITIVE_INFINITY;
-	// The planning skew and the time at which it was computed.
-	let cachedSkew = {skew: 1, atMs: Number.NEGATIVE_INFINITY};
+	// The planning skew, the rate at which the group can serve requests, and the time at which they were computed.
+	let cachedPlan = {skew: 1, perSecond: 0, atMs: Number.NEGATIVE_INFINITY};
+	const forecast = createArrivalForecast(nowMs);
+	/** The return times by priority: an urgent request that returns is placed before the others, so its time does not depend on theirs. */
+	const returnsByPriority = new Map<number, ReturnSchedule>();
 
 	/** Returns for each rank whether it counts for the capacity: those that accept requests, or all while none does, since a group that forms anew will accept them again. */
 	const acceptingRanks = (): readonly boolean[] => {
@@ -182,15 +209,33 @@
 	the current skew, or the skew after a shift of demand if shifts are so frequent that
 	the streams they make late cost more than admitting fewer requests.
 	*/
-	const planningSkew = (): number => {
+	const planningSkew = (): number => plan().skew;
+
+	const plan = (): typeof cachedPlan => {
 		const now = nowMs();
-		if (now - cachedSkew.atMs >= skewRefreshIntervalMs) {
-			cachedSkew = {skew: computePlanningSkew(), atMs: now};
+		if (now - cachedPlan.atMs >= skewRefreshIntervalMs) {
+			const skew = computePlanningSkew();
+			cachedPlan = {skew, perSecond: computeServiceRate(skew), atMs: now};
 		}
 
-		return cachedSkew.skew;
+		return cachedPlan;
 	};
 
+	const computeServiceRate = (skew: number): number => {
+		const model = options.model();
+		if (!model || !Number.isFinite(lastGapMs)) {
+			return 0;
+		}
+
+		const streams = capacityAt(model, skew);
+		const prefillPasses = 1;
+		const streamMs = balancedPassMs(model, streams, options.skew()) * ((model.usualAnswerTokens / model.stepsPerPass) + prefillPasses);
+		return streams * 1000 / streamMs;
+	};
+
+	/** The rate at which late requests are expected to be placed beside the first attempts, per second. */
+	const sparePerSecond = (): number => Math.max(minSpareRatio * plan().perSecond, plan().perSecond - forecast.perSecond(() => true));
+
 	const computePlanningSkew = (): number => {
 		const model = options.model();
 		const shifts = options.demandShifts();
@@ -286,52 +331,126 @@
 	};
 
 	/** Places a request, refuses it if no rank accepts requests, or returns `undefined` if there is no capacity for it now. */
-	const tryPlace = (request: PlacementRequest): GroupDecision | undefined => {
+	const tryPlace = (waitingRequest: WaitingRequest): GroupDecision | undefined => {
+		const {request} = waitingRequest;
 		if (!options.openRanks().some(Boolean)) {
-			return {kind: 'refused', reason: 'noTarget', retryAfterMs: drawRetryAfterMs(request)};
+			return refuse(waitingRequest, 'noOpenRank');
 		}
 
 		if (options.isStalled() && !request.isResumed) {
-			return {kind: 'refused', reason: 'overloaded', retryAfterMs: drawRetryAfterMs(request)};
+			return refuse(waitingRequest, 'stalled');
 		}
 
 		const rank = bestRank(request);
 		// A resumed stream needs no more capacity than it had before the interruption, so its pass time is not checked.
-		if (rank === undefined || (!request.isResumed && passMsWith(request, rank) > maxPassToGapRatio * request.gapMs)) {
+		if (rank === undefined || (!request.isResumed && !fits(request, rank))) {
 			return undefined;
 		}
 
 		running.set(request.id, {
 			rank, promptTokens: request.promptTokens, answerTokens: request.answerTokens, recordedAtMs: nowMs(), hasBegun: false,
 		});
+		forecast.placed(request.priority);
 		return {kind: 'placed', rank};
 	};
 
-	const drawRetryAfterMs = ({objectiveMs}: PlacementRequest): number => refusalRetryDelayMs(objectiveMs, options.random);
+	const fits = (request: PlacementRequest, rank: number): boolean => {
+		const reserved = reservedStreams(request);
+		const reservedMs = reserved > 0 ? reservedPassMs(options.model()!, reserved) : 0;
+		return reservedMs !== undefined && passMsWith(request, rank) + reservedMs <= maxPassToGapRatio * request.gapMs;
+	};
+
+	/** Whether a late request fits on no rank although slots are free, because of its size or the ranks on which it failed. It waits for longer than others and must not hold them up. */
+	const isUnplaceable = (waitingRequest: WaitingRequest): boolean => {
+		const freeSlots = (options.openRanks().filter(Boolean).length * (options.model()?.slots ?? 0)) - running.size;
+		return isLate(waitingRequest) && freeSlots > 0 && bestRank(waitingRequest.request) === undefined;
+	};
+
+	const refuse = ({request, enqueuedAtMs}: WaitingRequest, rule: RefusalRule): GroupDecision => ({
+		kind: 'refused', reason: rule === 'noOpenRank' ? 'noTarget' : 'overloaded', rule, retryAfterMs: returnDelayMs(request, nowMs() - enqueuedAtMs, rule),
+	});
+
+	const returnDelayMs = ({objectiveMs, deadlineMs, priority, hasReturned}: PlacementRequest, queuedMs: number, rule: RefusalRule): number => {
+		const earliestMs = refusalRetryDelayMs(objectiveMs, options.random);
+		// Callers retry once, so one that has returned needs no time in the schedule.
+		if (hasReturned) {
+			return earliestMs;
+		}
+
+		const returns = returnsByPriority.get(priority) ?? createReturnSchedule({nowMs, random: options.random});
+		returnsByPriority.set(priority, returns);
+		// The end of an interruption is not known, so the returns are spread over the whole time that callers accept. In an overload they return at the rate at which streams
+		// end: returned requests wait in the queue for longer than first attempts and use the slots that become free together at the end of a pass.
+		const perSecond = rule === 'waitEnded' ? plan().perSecond : 0;
+		return returns.next({earliestMs, latestMs: (deadlineMs - queuedMs) * maxReturnRatio, perSecond});
+	};
+
+	const isLate = ({request, enqueuedAtMs}: WaitingRequest): boolean => !request.isResumed && slackMs(request, enqueuedAtMs, nowMs()) < 0;
+
+	/** Whether so many late requests are waiting that another one could not be placed during its wait. */
+	const isLateQueueFull = (): boolean => {
+		const lateCount = [...waiting.values()].filter(each => isLate(each)).length;
+		return lateCount > Math.ceil(sparePerSecond() * retryWaitMs / 1000);
+	};
+
+	/**
+	The number of streams for which room is kept when this request is placed: the forecast
+	arrivals of more urgent requests until the next streams end. Streams end at the end of
+	a pass, and a first attempt waits for less than a pass.
+	*/
+	const reservedStreams = (request: PlacementRequest): number => {
+		const perSecond = forecast.perSecond(other => other < request.priority);
+		if (perSecond < minForecastPerSecond || forecast.isStarved(request.priority)) {
+			return 0;
+		}
+
+		// A first attempt that arrives within its wait before the end of the pass takes a slot that becomes free then.
+		const horizonMs = Math.max(0, (maxPassToGapRatio * request.gapMs) - (firstWaitRatio * request.objectiveMs));
+		const expected = perSecond * horizonMs / 1000;
+		return expected + (reserveDeviations * Math.sqrt(expected));
+	};
+
+	/** Returns by how much the bound on the pass decreases for a reserve, in milliseconds; `undefined` if the free slots do not cover the reserve. */
+	const reservedPassMs = (model: GroupModel, reserved: number): number | undefined => {
+		const ranks = options.openRanks().length;
+		const openSlots = options.openRanks().filter(Boolean).length * model.slots;
+		// A small group keeps most of its slots in use.
+		const streams = Math.min(reserved, openSlots * maxReserveRatio);
+		if (running.size + 1 + streams > openSlots) {
+			return undefined;
+		}
+
+		return balancedPassMs(model, ranks + streams, planningSkew()) - balancedPassMs(model, ranks, planningSkew());
+	};
 
 	/** Returns how long a request can still wait and meet its objective, in milliseconds; negative if it can't meet it. */
 	const slackMs = ({objectiveMs, waitedMs}: PlacementRequest, enqueuedAtMs: number, now: number): number => (objectiveMs * (1 - firstTokenReserveRatio)) - waitedMs - (now - enqueuedAtMs);
 
-	// Orders resumed streams first, then requests that can meet their objective, then late ones; within these by priority and then by least slack.
-	const compareWaiting = (a: WaitingRequest, b: WaitingRequest, now: number): number => {
-		const [slackA, slackB] = [slackMs(a.request, a.enqueuedAtMs, now), slackMs(b.request, b.enqueuedAtMs, now)];
-		return Number(b.request.isResumed) - Number(a.request.isResumed) || Number(slackB >= 0) - Number(slackA >= 0) || a.request.priority - b.request.priority || slackA - slackB;
+	/** Orders resumed streams first, then requests that can meet their objective, then late ones; within these by priority, starved ones first, and then by least slack. */
+	const inOrder = (): readonly WaitingRequest[] => {
+		const now = nowMs();
+		const starved = new Set([...new Set([...waiting.values()].map(({request}) => request.priority))].filter(priority => forecast.isStarved(priority)));
+		const keyed = [...waiting.values()].map(each => ({
+			each, slack: slackMs(each.request, each.enqueuedAtMs, now), isStarved: starved.has(each.request.priority),
+		}));
+		return keyed.toSorted((a, b) => Number(b.each.request.isResumed) - Number(a.each.request.isResumed) || Number(b.slack >= 0) - Number(a.slack >= 0)
+			|| Number(b.isStarved) - Number(a.isStarved) || a.each.request.priority - b.each.request.priority || a.slack - b.slack).map(({each}) => each);
 	};
 
 	const tick = (): void => {
 		const now = nowMs();
-		const ordered = [...waiting.values()].toSorted((a, b) => compareWaiting(a, b, now));
 		// Once a request does not fit, no later one is tried in this round, so that requests are placed in order.
 		let isFull = false;
-		for (const {request, expiresAtMs, answer} of ordered) {
-			const decision: GroupDecision | undefined = isFull ? undefined : tryPlace(request);
-			isFull ||= decision === undefined;
+		for (const waitingRequest of inOrder()) {
+			const {request, expiresAtMs, answer} = waitingRequest;
+			const decision: GroupDecision | undefined = isFull ? undefined : tryPlace(waitingRequest);
+			isFull ||= decision === undefined && !isUnplaceable(waitingRequest);
 			if (decision) {
 				waiting.delete(request.id);
 				answer(decision);
 			} else if (now >= expiresAtMs) {
 				waiting.delete(request.id);
-				answer({kind: 'refused', reason: 'overloaded', retryAfterMs: drawRetryAfterMs(request)});
+				answer(refuse(waitingRequest, 'waitEnded'));
 			}
 		}
 
@@ -346,10 +465,19 @@
 		ask(request, answer) {
 			const now = nowMs();
 			lastGapMs = request.gapMs;
-			waiting.set(request.id, {
+			if (!request.hasReturned && !request.isResumed) {
+				forecast.received(request.priority);
+			}
+
+			const waitingRequest = {
 				request, enqueuedAtMs: now, expiresAtMs: now + maxPlacementWaitMs(request), answer,
-			});
+			};
+			waiting.set(request.id, waitingRequest);
 			tick();
+			if (request.hasReturned && waiting.has(request.id) && isLate(waitingRequest) && isLateQueueFull()) {
+				waiting.delete(request.id);
+				answer(refuse(waitingRequest, 'lateQueueFull'));
+			}
 		},
 		withdraw(id) {
 			waiting.delete(id);
@@ -384,7 +512,7 @@
 maxPlacementWaitMs({objectiveMs: 500, hasReturned: false, deadlineMs: 8000}); // 60
 */
 export function maxPlacementWaitMs({objectiveMs, hasReturned, deadlineMs}: Pick<PlacementRequest, 'objectiveMs' | 'hasReturned' | 'deadlineMs'>): number {
-	return Math.min(deadlineMs, objectiveMs * (hasReturned ? retryWaitRatio : firstWaitRatio));
+	return Math.min(deadlineMs, hasReturned ? Math.max(retryWaitMs, objectiveMs * (1 - firstTokenReserveRatio)) : objectiveMs * firstWaitRatio);
 }
 
 /** The cost of a rank in another availability zone than the entry, in milliseconds. Traffic between zones is charged, but not worth a longer pass. */
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -34,7 +34,8 @@
 } from './demand.js';
 export {groupCapacity, type GroupCapacityOptions} from './group-capacity.js';
 export {
-	createGroupAdmission, maxPlacementWaitMs, type GroupAdmission, type GroupAdmissionOptions, type GroupDecision, type GroupModel, type PlacementRequest, type GroupState, type DemandShifts,
+	createGroupAdmission, maxPlacementWaitMs, type GroupAdmission, type GroupAdmissionOptions, type GroupDecision, type GroupModel, type PlacementRequest, type RefusalRule,
+	type GroupState, type DemandShifts,
 } from './group-admission.js';
 export {
 	predictPassMs, tokenWorkMs, type PassModel, type RankWork,
