Open few links in vain when candidates start

Cause: a candidate opened links to all sidecars of its service and dropped those of other groups: 640 connections opened and 394 dropped within half a second at three groups of 24 ranks, while the coordinators started.

The links are updated as soon as the own state or a notice arrives, not only every 250 ms.

The connections of real fleets were not counted.

--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -60,10 +60,13 @@
 	/** The engine beside this sidecar, and the targets of its service. They are looked up for each placement, so they are derived once for each change. */
 	let ownRecord: TargetRecord | undefined;
 	let serviceRecords: readonly TargetRecord[] = [];
+	/** The host of each target of the service, in the order in which those of unknown group are connected. */
+	let linkOrder: ReadonlyMap<string, string> = new Map();
 	const updateTargets = (): void => {
 		const records = directory.records();
 		ownRecord = latestByAddress(records.filter(record => isEngine(record))).get(target);
 		serviceRecords = records.filter(({service}) => service === ownRecord?.service);
+		linkOrder = ownRecord ? nearestFirst(serviceRecords, ownRecord) : new Map();
 		updateOwnedTargets();
 		updateLinks();
 	};
@@ -78,6 +81,9 @@
 	const group = createGroupSidecar({
 		target, engine: connectEngine(target), connect: connectEngine, records: () => serviceRecords, metrics, log, monotonicMs, random, sleep: pause, signal: shutdown.signal,
 		yieldTurn: async () => setImmediate(),
+		onStateChange() {
+			void updateLinksSoon();
+		},
 		weights: {goodSkew: settings.goodSkew, copyCost: settings.copyCost},
 		model() {
 			return ownRecord && directory.table()?.configuration.services.get(ownRecord.service)?.engine;
@@ -140,6 +146,10 @@
 		},
 		onFrame(peer, frame) {
 			metrics.count('frames_received', {kind: frame.kind});
+			if (frame.kind === 'rank') {
+				void updateLinksSoon();
+			}
+
 			if (!group.onFrame(peer, frame) && !directory.onFrame(peer, frame) && !handleFrame(frameHandlers, peer, frame)) {
 				metrics.count('frame_faults', {reason: 'unexpected'});
 			}
@@ -168,8 +178,18 @@
 	});
 	// Only the sidecars that may coordinate the group open links to the others; the rest accept them. The group of a sidecar is known once it has been connected.
 	const updateLinks = (): void => {
-		const members = group.isCandidate() ? serviceRecords.filter(record => group.mayBeMember(addressOf(record))) : [];
-		setLinkedHosts(members.map(({host}) => host).filter(host => host !== settings.address));
+		const hosts = group.linkedTargets([...linkOrder.keys()]).map(address => linkOrder.get(address)!);
+		setLinkedHosts(hosts.filter(host => host !== settings.address));
+	};
+
+	let isUpdateScheduled = false;
+	const updateLinksSoon = async (): Promise<void> => {
+		if (!isUpdateScheduled) {
+			isUpdateScheduled = true;
+			await setImmediate();
+			isUpdateScheduled = false;
+			containment.run('tick', updateLinks);
+		}
 	};
 
 	// The rank of an engine, and with it whether its sidecar may coordinate, can change with each formation.
@@ -207,3 +227,16 @@
 		},
 	};
 }
+
+const byIdWithNumbers = new Intl.Collator('en', {numeric: true});
+
+/**
+Returns the host of each target by its address, those with the ids nearest to the own
+one first: where the platform numbers the ranks of a group consecutively, these are its members.
+*/
+function nearestFirst(records: readonly TargetRecord[], own: TargetRecord): ReadonlyMap<string, string> {
+	const sorted = records.toSorted((a, b) => byIdWithNumbers.compare(a.id, b.id));
+	const ownIndex = sorted.findIndex(({id}) => id === own.id);
+	const distances = new Map(sorted.map((record, index) => [record, Math.abs(index - ownIndex)]));
+	return new Map(sorted.toSorted((a, b) => distances.get(a)! - distances.get(b)!).map(record => [addressOf(record), record.host]));
+}
--- a/packages/group/src/index.ts
+++ b/packages/group/src/index.ts
@@ -15,4 +15,5 @@
 } from './remote-ranks.js';
 export {createSkewMonitor, type SkewMonitor} from './skew-monitor.js';
 export {createGroupSidecar, type GroupSidecar, type GroupSidecarDeps} from './sidecar.js';
+export {createLinkChoice, type LinkChoice, type OwnGroup} from './link-choice.js';
 export {createMembership, type Membership} from './membership.js';
--- a/packages/group/src/membership.ts
+++ b/packages/group/src/membership.ts
@@ -22,12 +22,14 @@
 	isCandidate(peer: Peer, group: string | undefined): boolean;
 	/** The member that has a rank of a group; `undefined` if none was ever known. After its sidecar disconnects, it has its last known target and no peer. */
 	member(group: string, rank: number): Member | undefined;
-	/** The group of a target's rank according to the latest notice of its sidecar, connected or not; `undefined` if there was none. */
+	/** The group of a target's rank according to the latest notice of its sidecar, also for some minutes after it has disconnected; `undefined` if there was none. */
 	groupOf(target: string): string | undefined;
 	/** Whether the sidecar of a rank stopped responding (`silent`) and has not connected again. */
 	isSilent(group: string, rank: number): boolean;
 	/** Whether all connected candidates of a group report the same state of it as this notice. */
 	agrees(notice: RankNotice): boolean;
+	/** The number of ranks of a group, of the given size, whose sidecars are connected. */
+	connectedCount(group: string, size: number): number;
 	/** The peers whose notices say that they coordinate a group. */
 	coordinators(group: string): readonly Peer[];
 	/** Whether the sidecar of a lower rank coordinates the group, according to its notice. */
@@ -50,7 +52,10 @@
 			lastTargets.set(`${notice.group}/${notice.rank}`, notice.target);
 		},
 		remove: notices.remove,
-		groupOf: target => lastGroups.get(target),
+		groupOf(target) {
+			const peer = notices.peerBeside(target);
+			return (peer && notices.of(peer)?.group) ?? lastGroups.get(target);
+		},
 		isCandidate(peer, group) {
 			const notice = notices.of(peer);
 			return notice === undefined || (notice.group === group && notice.rank < candidateCount);
@@ -64,6 +69,7 @@
 			return target !== undefined && notices.isSilent(target);
 		},
 		agrees: ({group, formation, isOpen}) => notices.ofGroup(group).every(([, other]) => other.rank >= candidateCount || (other.formation === formation && other.isOpen === isOpen)),
+		connectedCount: (group, size) => new Set(notices.ofGroup(group).map(([, {rank}]) => rank).filter(rank => rank < size)).size,
 		coordinators: group => notices.ofGroup(group).filter(([, {isCoordinator}]) => isCoordinator).map(([peer]) => peer),
 		hasLowerCoordinator: (group, rank) => notices.ofGroup(group).some(([, notice]) => notice.rank < rank && notice.isCoordinator),
 		hasLowerCandidate: (group, rank) => notices.ofGroup(group).some(([, notice]) => notice.rank < rank && notice.rank < candidateCount),
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -7,6 +7,7 @@
 import {startCoordination, type Coordination, type CoordinationDeps} from './coordination.js';
 import {packCounts, unpackCounts} from './counts.js';
 import {createDemandMemory} from './demand-memory.js';
+import {createLinkChoice} from './link-choice.js';
 import {createMapReceiver} from './map-transfer.js';
 import {candidateCount, createMembership} from './membership.js';
 import {
@@ -39,6 +40,8 @@
 	readonly records: () => readonly TargetRecord[];
 	/** Acquires a new fencing token for a group; `undefined` if it could not be acquired. */
 	readonly acquireToken: (group: string) => Promise<number | undefined>;
+	/** Called when the state of the own rank has changed, and with it perhaps the links that are needed. */
+	readonly onStateChange: () => void;
 };
 
 /** The component of a sidecar that connects its rank with the rest of its group. */
@@ -49,10 +52,12 @@
 	onFrame(peer: Peer, frame: Frame): boolean;
 	/** Whether the loss of a peer must be detected quickly: true for the entries of a coordinator, and between the sidecars that may coordinate the group. */
 	isNear(peer: Peer): boolean;
-	/** Whether this sidecar may coordinate the group and therefore connects to all other sidecars of the group. */
-	isCandidate(): boolean;
-	/** Whether the engine at an address may belong to the own group: unless its sidecar has lately said that it belongs to another one. */
-	mayBeMember(target: string): boolean;
+	/**
+	Returns to the sidecars of which targets this one keeps links, out of all targets of the
+	service: none unless it may coordinate the group, and otherwise the members of the group.
+	Targets whose group is not known are tried in the given order, a few at a time.
+	*/
+	linkedTargets(targets: readonly string[]): readonly string[];
 	/** Stops coordinating, so that the next candidate takes over; resolves when this sidecar no longer holds the group. */
 	leave(): Promise<void>;
 	/** The group's part of the status page. */
@@ -73,6 +78,7 @@
 	const entries = new Set<Peer>();
 	const sidecars = new Set<Peer>();
 	const membership = createMembership();
+	const linkChoice = createLinkChoice({groupOf: membership.groupOf, nowMs: monotonicMs});
 	const demandMemory = createDemandMemory(monotonicMs);
 	/** The instance of the entry that each placed request came from, by request id. */
 	const entryByRequest = new Map<string, string>();
@@ -133,6 +139,8 @@
 		return rank === notice.rank ? {rank, target: deps.target, peer: undefined} : membership.member(notice.group, rank);
 	};
 
+	const areMembersConnected = ({group, size}: Pick<RankNotice, 'group' | 'size'>): boolean => membership.connectedCount(group, size) >= size - 1;
+
 	const targetOf = (rank: number): string | undefined => member(rank)?.target;
 
 	const onView = (view: RankView): void => {
@@ -199,6 +207,7 @@
 		}
 
 		notice = next;
+		deps.onStateChange();
 		for (const peer of [...entries, ...sidecars]) {
 			peer.send({kind: 'rank', notice: next});
 		}
@@ -384,11 +393,12 @@
 			const isCandidate = (notice?.rank ?? 0) < candidateCount;
 			return isCandidate && membership.isCandidate(peer, notice?.group);
 		},
-		mayBeMember(target) {
-			const group = membership.groupOf(target);
-			return notice === undefined || group === undefined || group === notice.group;
+		linkedTargets(targets) {
+			const rank = own.view()?.rank ?? candidateCount;
+			return notice && rank < candidateCount
+				? linkChoice.choose(targets.filter(target => target !== deps.target), {group: notice.group, isComplete: areMembersConnected(notice)})
+				: [];
 		},
-		isCandidate: () => (own.view()?.rank ?? candidateCount) < candidateCount,
 		async leave() {
 			isLeaving = true;
 			const stopping = coordination;
--- a/packages/group/test/sidecar.test.ts
+++ b/packages/group/test/sidecar.test.ts
@@ -42,7 +42,7 @@
 		async sleep() {
 			await sleep(2);
 		},
-		yieldTurn: async () => undefined,
+		yieldTurn: async () => undefined, onStateChange: () => undefined,
 	});
 	return {
 		sidecar,
