Link the sidecars of the own zone and of near addresses first

The ids of targets are new after each start, so an order by ids tells nothing about groups after a loss of power, when all members have to be found at once.

--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -1,7 +1,7 @@
 import {createServer} from 'node:net';
 import {setImmediate, setTimeout as sleep} from 'node:timers/promises';
 import {acquireEpoch} from '@papayaflow/experts';
-import {createGroupSidecar, type RankEngine} from '@papayaflow/group';
+import {createGroupSidecar, nearestFirst, type RankEngine} from '@papayaflow/group';
 import {createDispenser, ownedTargets} from '@papayaflow/limit';
 import {
 	handleFrame, maintainHostLinks, processBacklogs, servePeer, type FrameHandlers, type Peer, type PeerEvents,
@@ -67,7 +67,7 @@
 		const records = directory.records();
 		ownRecord = latestByAddress(records.filter(record => isEngine(record))).get(target);
 		serviceRecords = records.filter(({service}) => service === ownRecord?.service);
-		linkOrder = ownRecord ? nearestFirst(serviceRecords, ownRecord) : new Map();
+		linkOrder = new Map(ownRecord ? nearestFirst(serviceRecords, ownRecord).map(record => [addressOf(record), record.host]) : []);
 		updateOwnedTargets();
 		updateLinks();
 	};
@@ -231,16 +231,3 @@
 		},
 	};
 }
-
-const byIdWithNumbers = new Intl.Collator('en', {numeric: true});
-
-/**
-Returns the host of each target by its address, those with the ids nearest to the own
-one first: where the platform numbers the ranks of a group consecutively, these are its members.
-*/
-function nearestFirst(records: readonly TargetRecord[], own: TargetRecord): ReadonlyMap<string, string> {
-	const sorted = records.toSorted((a, b) => byIdWithNumbers.compare(a.id, b.id));
-	const ownIndex = sorted.findIndex(({id}) => id === own.id);
-	const distances = new Map(sorted.map((record, index) => [record, Math.abs(index - ownIndex)]));
-	return new Map(sorted.toSorted((a, b) => distances.get(a)! - distances.get(b)!).map(record => [addressOf(record), record.host]));
-}
--- a/packages/group/src/index.ts
+++ b/packages/group/src/index.ts
@@ -16,4 +16,5 @@
 export {createSkewMonitor, type SkewMonitor} from './skew-monitor.js';
 export {createGroupSidecar, type GroupSidecar, type GroupSidecarDeps} from './sidecar.js';
 export {createLinkChoice, type LinkChoice, type OwnGroup} from './link-choice.js';
+export {nearestFirst} from './link-order.js';
 export {createMembership, type Membership} from './membership.js';
--- a/packages/group/test/link-choice.test.ts
+++ b/packages/group/test/link-choice.test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import {describe, it} from 'mocha';
-import {createLinkChoice} from '@papayaflow/group';
+import {createLinkChoice, nearestFirst} from '@papayaflow/group';
+import {type TargetRecord} from '@papayaflow/routing';
 
 const [groups, ranks] = [3, 24];
 const targets = Array.from({length: groups * ranks}, (_, index) => `10.0.0.${index}:80`);
@@ -55,4 +56,13 @@
 		expect(choice.choose(targets, {group: 'g0', isComplete: false})).to.include(targets[3]).and.have.length(9);
 		expect(choice.choose(targets, {group: 'g0', isComplete: true})).to.deep.equal([targets[3]]);
 	});
+
+	// Guards against an order by ids, which are new after each start of a target.
+	it('go to the targets of the own availability zone first, and among these to those with the nearest addresses', () => {
+		const recordOf = (host: string, zone: string): TargetRecord => ({
+			id: `i-${host}`, incarnation: 0, registeredAt: 1, service: 's', host, port: 80, zone, slots: 8, state: 'serving', warmingMs: 0,
+		});
+		const records = [recordOf('10.1.0.9', 'b'), recordOf('10.2.1.1', 'a'), recordOf('10.2.0.250', 'a'), recordOf('10.2.0.8', 'a')];
+		expect(nearestFirst(records, recordOf('10.2.1.3', 'a')).map(({host}) => host)).to.deep.equal(['10.2.1.1', '10.2.0.250', '10.2.0.8', '10.1.0.9']);
+	});
 });
