--- a/packages/group/test/link-choice.test.ts
+++ b/packages/group/test/link-choice.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {describe, it} from 'mocha';
-import {createLinkChoice, nearestFirst} from '@papayaflow/group';
 import {type TargetRecord} from '@papayaflow/routing';
+import {createLinkChoice, nearestFirst} from '@papayaflow/group';
 
 const [groups, ranks] = [3, 24];
 const targets = Array.from({length: groups * ranks}, (_, index) => `10.0.0.${index}:80`);
