--- a/packages/bench/src/group-day.ts
+++ b/packages/bench/src/group-day.ts
@@ -5,7 +5,7 @@
 	balanceExperts, createDemandTracker, createPassMeter, createSkewMonitor,
 } from '@papayaflow/group';
 import {
-	balancingNeed, createGroupAdmission, predictPassMs, skewOfLayers, type GroupDecision, type GroupModel, type RankWork,
+	balancingNeed, createGroupAdmission, predictPassMs, skewOfLayers, type GroupAdmission, type GroupDecision, type GroupModel, type RankWork, type RefusalRule,
 } from '@papayaflow/policy';
 import {type ExpertModel} from '@papayaflow/routing';
 import {
@@ -31,6 +31,32 @@
 	/** The time between two shifts of the demand, in milliseconds. */
 	readonly shiftMs: number;
 	readonly lengthMs: number;
+	/** The kinds of requests; without them, all requests have the same priority and the day's objective. */
+	readonly kinds?: readonly RequestKind[];
+	/** A restart of the whole group; the time counts from the first request. */
+	readonly restart?: {readonly atMs: number; readonly outageMs: number};
+};
+
+/** A kind of requests in a day of a group. */
+export type RequestKind = {
+	readonly name: string;
+	readonly priority: number;
+	/** The part of the day's rate that this kind has outside its burst. */
+	readonly share: number;
+	readonly objectiveMs: number;
+	/** A period in which this kind arrives `factor` times as often; the times count from the first request. */
+	readonly burst?: {readonly factor: number; readonly fromMs: number; readonly untilMs: number};
+};
+
+/** What became of one request; the time counts from the first request of the day. */
+export type RequestOutcome = {
+	readonly kind: string;
+	readonly sentMs: number;
+	readonly promptTokens: number;
+	readonly subject: number;
+	readonly outcome: 'inTime' | 'late' | 'refused' | 'abandoned';
+	/** The rule of the last refusal of a refused request. */
+	readonly rule?: RefusalRule;
 };
 
 export type GroupDayResult = {
@@ -38,6 +64,8 @@
 	readonly inTime: number;
 	readonly late: number;
 	readonly refused: number;
+	/** The outcome of each request that ended before the end of the day. */
+	readonly outcomes: readonly RequestOutcome[];
 	readonly mapChanges: number;
 	/** The mean of the true skew over all passes, weighted by their time. */
 	readonly meanSkew: number;
@@ -47,10 +75,14 @@
 
 type Request = {
 	readonly id: string;
+	readonly kind: RequestKind;
 	readonly sentMs: number;
+	/** Whether its caller has used its only retry. */
+	readonly hasReturned: boolean;
 	readonly subject: number;
 	readonly promptTokens: number;
 	readonly hintedEvents: number;
+	readonly events: number;
 	eventsLeft: number;
 	rank: number;
 	lastEventMs: number | undefined;
@@ -71,6 +103,15 @@
 const idlePollMs = 2;
 const copySlowdown = 1.15;
 
+const maxPromptTokens = 2800;
+const meanExtraPromptTokens = 700;
+
+/** How long callers wait for an event before they abandon a request, in milliseconds. */
+const abandonMs = 2000;
+
+/** The time within which the callers of a restarted group return after the end of the outage, in milliseconds. */
+const returnAfterOutageMs = 200;
+
 /** A group without requests has no passes, and its coordinator starts before the requests do. */
 const leadMs = 1000;
 
@@ -78,10 +119,12 @@
 Plays a day of one group in virtual time with the parts of a real coordinator: admission,
 demand tracker, skew monitor, pass meter and expert balancer. Passes take what the
 published figures say under the true demand, ranks report counts from time to time, and
-a refused caller returns once.
+a refused caller returns once. Callers abandon a request after 2 s without an event.
 
 Load patterns: requests arrive at a rate that the group can serve only with a map that
-fits; the popular experts of all layers change every few seconds.
+fits; the popular experts of all layers change every few seconds; one of several kinds of
+requests exceeds the group's capacity for seconds; the group restarts, and the callers of
+all its requests return within 200 ms.
 
 @example
 const {inTime, asked} = await playGroupDay(groupDays[3], 1);
@@ -112,11 +155,16 @@
 	const meter = createPassMeter();
 	const tracker = createDemandTracker({layers: experts.layers, experts: experts.expertsPerLayer});
 	const monitor = createSkewMonitor(tracker, () => balancedMap);
-	const openRanks = Array.from({length: ranks}, () => true);
+	let openRanks: readonly boolean[] = Array.from({length: ranks}, () => true);
 	const zones = Array.from({length: ranks}, () => 'z');
-	const admission = createGroupAdmission({
+	const startAdmission = (): GroupAdmission => createGroupAdmission({
 		model: () => model, openRanks: () => openRanks, zones: () => zones, skew: monitor.skew, demandShifts: monitor.shifts, slowdown: meter.slowdown, isStalled: () => false, nowMs, random,
 	});
+	// A restart replaces the admission, as a new coordinator does.
+	let admission = startAdmission();
+	/** The requests without a decision. */
+	const undecided = new Set<Request>();
+	const outcomes: RequestOutcome[] = [];
 
 	const viewOf = (rank: number): RankView => {
 		const {map, prepared, armed} = group.ranks[rank];
@@ -167,10 +215,19 @@
 		}
 	};
 
-	const endStream = (request: Request): void => {
+	const noteOutcome = ({kind, sentMs, promptTokens, subject}: Request, outcome: RequestOutcome['outcome'], rule?: RefusalRule): void => {
+		outcomes.push({
+			kind: kind.name, sentMs: sentMs - leadMs, promptTokens, subject, outcome, rule,
+		});
+		if (outcome !== 'abandoned') {
+			totals[outcome]++;
+		}
+	};
+
+	const endStream = (request: Request, outcome: 'inTime' | 'late' | 'abandoned'): void => {
 		streams.delete(request);
 		admission.ended(request.id);
-		totals[request.isLate ? 'late' : 'inTime']++;
+		noteOutcome(request, outcome);
 	};
 
 	const runPass = async (): Promise<void> => {
@@ -189,16 +246,16 @@
 		const passMs = predictPassMs(model, work, skew) * (copiedAtMs.some(atMs => atMs > nowMs()) ? copySlowdown : 1);
 		await sleep(passMs);
 		noteSkew(skew, beganMs);
-		for (const request of inPass) {
+		for (const request of inPass.filter(each => streams.has(each))) {
 			const isFirst = request.lastEventMs === undefined;
-			request.isLate ||= isFirst ? nowMs() - request.sentMs > day.objectiveMs : nowMs() - request.lastEventMs! > day.gapMs;
+			request.isLate ||= isFirst ? nowMs() - request.sentMs > request.kind.objectiveMs : nowMs() - request.lastEventMs! > day.gapMs;
 			request.lastEventMs = nowMs();
 			if (isFirst) {
 				admission.began(request.id);
 			}
 
 			if (--request.eventsLeft <= 0) {
-				endStream(request);
+				endStream(request, request.isLate ? 'late' : 'inTime');
 			}
 		}
 	};
@@ -214,43 +271,91 @@
 		}
 	};
 
-	const ask = (request: Request, hasReturned: boolean): void => {
+	const ask = (request: Request): void => {
+		const {id, kind, hasReturned, promptTokens, hintedEvents} = request;
 		const waitedMs = nowMs() - request.sentMs;
-		const id = hasReturned ? `${request.id}-again` : request.id;
+		const askedAdmission = admission;
+		undecided.add(request);
 		admission.ask({
-			id, promptTokens: request.promptTokens, answerTokens: request.hintedEvents * model.stepsPerPass, waitedMs, objectiveMs: day.objectiveMs, gapMs: day.gapMs,
-			deadlineMs: 8000 - waitedMs, priority: 1, hasReturned, isResumed: false, zone: 'z', excluded: new Set(),
+			id, promptTokens, answerTokens: hintedEvents * model.stepsPerPass, waitedMs, objectiveMs: kind.objectiveMs, gapMs: day.gapMs,
+			deadlineMs: 8000 - waitedMs, priority: kind.priority, hasReturned, isResumed: false, zone: 'z', excluded: new Set(),
 		}, decision => {
-			void onDecision({...request, id}, hasReturned, decision);
+			undecided.delete(request);
+			void onDecision(request, decision, askedAdmission);
+		});
+		events.at(nowMs() + abandonMs, () => {
+			if (undecided.delete(request)) {
+				askedAdmission.withdraw(id);
+				noteOutcome(request, 'abandoned');
+			} else if (streams.has(request) && request.lastEventMs === undefined) {
+				endStream(request, 'abandoned');
+			}
 		});
 	};
 
-	const onDecision = async (request: Request, hasReturned: boolean, decision: GroupDecision): Promise<void> => {
-		if (decision.kind === 'placed') {
-			await sleep(commandMs);
-			streams.add({...request, rank: decision.rank});
+	const onDecision = async (request: Request, decision: GroupDecision, askedAdmission: GroupAdmission): Promise<void> => {
+		if (decision.kind === 'refused') {
+			await comeBack(request, decision.retryAfterMs, decision.rule);
 			return;
 		}
 
-		if (hasReturned) {
-			totals.refused++;
+		await sleep(commandMs);
+		if (askedAdmission !== admission) {
+			await comeBackAfterOutage(request);
 			return;
 		}
 
-		await sleep(decision.retryAfterMs);
-		ask(request, true);
+		request.rank = decision.rank;
+		streams.add(request);
+	};
+
+	const comeBack = async (request: Request, delayMs: number, rule?: RefusalRule): Promise<void> => {
+		if (request.hasReturned) {
+			noteOutcome(request, 'refused', rule);
+			return;
+		}
+
+		await sleep(delayMs);
+		ask({
+			...request, id: `${request.id}-again`, hasReturned: true, eventsLeft: request.events, lastEventMs: undefined, isLate: false,
+		});
 	};
 
-	const sendRequests = async (): Promise<void> => {
+	const outageEndMs = leadMs + (day.restart ? day.restart.atMs + day.restart.outageMs : 0);
+
+	const comeBackAfterOutage = async (request: Request): Promise<void> => comeBack(request, Math.max(0, outageEndMs - nowMs()) + (random() * returnAfterOutageMs));
+
+	const restart = (): void => {
+		const lost = [...streams, ...undecided];
+		streams.clear();
+		undecided.clear();
+		openRanks = openRanks.map(() => false);
+		admission = startAdmission();
+		for (const request of lost) {
+			void comeBackAfterOutage(request);
+		}
+
+		events.at(outageEndMs, () => {
+			openRanks = openRanks.map(() => true);
+		});
+	};
+
+	const ratePerS = ({share, burst}: RequestKind): number => {
+		const isBurst = burst && nowMs() - leadMs >= burst.fromMs && nowMs() - leadMs < burst.untilMs;
+		return day.requestsPerS * share * (isBurst ? burst.factor : 1);
+	};
+
+	const sendRequests = async (kind: RequestKind): Promise<void> => {
 		await sleep(leadMs);
 		for (let next = 0; nowMs() < endMs; next++) {
 			const answerEvents = Math.max(1, Math.round(exponential(random) * day.events));
 			totals.asked++;
 			ask({
-				id: `r-${next}`, sentMs: nowMs(), subject: demand.drawSubject(), promptTokens: Math.round(Math.min(2800, model.usualAnswerTokens + (exponential(random) * 700))),
-				hintedEvents: Math.max(1, Math.round(answerEvents * Math.exp(normal(random) / 2))), eventsLeft: answerEvents, rank: 0, lastEventMs: undefined, isLate: false,
-			}, false);
-			await sleep(exponential(random) * 1000 / day.requestsPerS);
+				id: `${kind.name}-${next}`, kind, sentMs: nowMs(), hasReturned: false, subject: demand.drawSubject(),
+				promptTokens: Math.round(Math.min(maxPromptTokens, model.usualAnswerTokens + (exponential(random) * meanExtraPromptTokens))),
+				hintedEvents: Math.max(1, Math.round(answerEvents * Math.exp(normal(random) / 2))), events: answerEvents, eventsLeft: answerEvents, rank: 0, lastEventMs: undefined, isLate: false,
+			});
+			await sleep(exponential(random) * 1000 / ratePerS(kind));
 		}
 	};
 
@@ -286,9 +391,20 @@
 	};
 
 	void runPasses();
-	void sendRequests();
+	for (const kind of day.kinds ?? [{
+		name: 'all', priority: 1, share: 1, objectiveMs: day.objectiveMs,
+	}]) {
+		void sendRequests(kind);
+	}
+
+	if (day.restart) {
+		events.at(leadMs + day.restart.atMs, restart);
+	}
+
 	void shiftDemand();
-	void pollRegularly(admissionTickMs, admission.tick);
+	void pollRegularly(admissionTickMs, () => {
+		admission.tick();
+	});
 	void pollRegularly(viewIntervalMs, () => {
 		meter.addSample(viewOf(0), admission.state().passMs / meter.slowdown(), nowMs());
 	});
@@ -319,10 +435,35 @@
 	await events.runUntilAsync(endMs);
 	const {asked, inTime, late, refused, mapChanges} = totals;
 	return {
-		asked, inTime, late, refused, mapChanges, meanSkew: totals.skewMs / totals.passMs, adaptedMs: quantile(adaptedMs, 0.5),
+		asked, inTime, late, refused, outcomes, mapChanges, meanSkew: totals.skewMs / totals.passMs, adaptedMs: quantile(adaptedMs, 0.5),
 	};
 }
 
+/**
+Returns the highest rate of requests at which the passes of a group stay within a ratio
+of the allowed gap, for a given skew and evenly spread streams.
+
+@example
+const {perSecond} = groupCapacity(groupDays[0], 1.15);
+*/
+export function groupCapacity({ranks, model, gapMs, events}: GroupDay, skew: number): {readonly perSecond: number; readonly streams: number} {
+	let best = {perSecond: 0, streams: 0};
+	for (let streams = 1; streams <= ranks * model.slots; streams++) {
+		const perRank = streams / ranks;
+		const contextTokens = perRank * (model.usualAnswerTokens + meanExtraPromptTokens);
+		const work = {decodingRequests: perRank, contextTokens, prefillTokens: contextTokens / (events + 1)};
+		const passMs = predictPassMs(model, Array.from({length: ranks}, () => work), skew);
+		if (passMs <= capacityPassRatio * gapMs) {
+			best = {perSecond: streams * 1000 / (passMs * (events + 1)), streams};
+		}
+	}
+
+	return best;
+}
+
+/** The ratio of the pass time to the allowed gap up to which a group's streams are on time. */
+const capacityPassRatio = 0.82;
+
 // Logging and counting are left out, so that the decisions alone are played.
 const noMetrics = {count: () => undefined, latency: () => undefined} as unknown as Metrics;
 const noLog = {info: () => undefined, warn: () => undefined} as unknown as Log;
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -251,12 +251,37 @@
 	},
 	{
 		name: 'a request is placed only if the next pass stays within the allowed pause', file: 'policy/src/group-admission.ts',
-		find: 'passMsWith(request, rank) > maxPassToGapRatio * request.gapMs', replace: 'request.gapMs < 0',
+		find: 'passMsWith(request, rank) + reservedMs <= maxPassToGapRatio * request.gapMs', replace: 'request.gapMs >= 0',
 		spec: 'policy/test/group.test.ts', test: 'places a request only if the next pass',
 	},
+	{
+		name: 'room is kept for more urgent requests that are expected', file: 'policy/src/group-admission.ts',
+		find: 'return expected + (reserveDeviations * Math.sqrt(expected));', replace: 'return 0;',
+		spec: 'policy/test/group.test.ts', test: 'keeps room for urgent requests',
+	},
+	{
+		name: 'a priority that gets far less than the others comes first', file: 'policy/src/group-admission.ts',
+		find: '|| Number(b.isStarved) - Number(a.isStarved)', replace: '',
+		spec: 'policy/test/group.test.ts', test: 'places some requests of each priority',
+	},
+	{
+		name: 'late returned requests are refused at once when too many are waiting', file: 'policy/src/group-admission.ts',
+		find: 'isLate(waitingRequest) && isLateQueueFull()', replace: 'isLateQueueFull() && request.objectiveMs < 0',
+		spec: 'policy/test/group.test.ts', test: 'refuses late returned requests at once',
+	},
+	{
+		name: 'a late request that fits on no rank does not hold up the others', file: 'policy/src/group-admission.ts',
+		find: '&& !isUnplaceable(waitingRequest);', replace: ';',
+		spec: 'policy/test/group.test.ts', test: 'although an older one does not fit',
+	},
+	{
+		name: 'callers refused during an outage return over the whole time that they accept', file: 'policy/src/group-admission.ts',
+		find: 'rule === \'waitEnded\' ? plan().perSecond : 0', replace: '1e9',
+		spec: 'policy/test/group.test.ts', test: 'spreads the return of callers',
+	},
 	{
 		name: 'requests that can meet their objective are placed before late ones', file: 'policy/src/group-admission.ts',
-		find: 'Number(slackB >= 0) - Number(slackA >= 0) ||', replace: '',
+		find: '|| Number(b.slack >= 0) - Number(a.slack >= 0)', replace: '',
 		spec: 'policy/test/group.test.ts', test: 'places a request that can meet its objective before a late one',
 	},
 	{
