Read the map of a group once its members are known

Cause: a coordinator read the map at once when it started, while its connections were still being established. The read failed, each retry took another token from the store, and the first map came more than a second late.

Change: the token is acquired while the coordinator waits, 1.5 s at most, until each rank's sidecar has been connected. The map is read up to five times under one token.

--- a/packages/bench/src/group-day.ts
+++ b/packages/bench/src/group-day.ts
@@ -309,7 +309,7 @@
 			},
 		},
 		ownRank: 0, tracker, model: experts, formation: 1, weights: {goodSkew: 1.08, copyCost: 0.065, workShare: experts.workShare * 0.6},
-		acquireToken: async () => 1, readMap: async () => ({version: 0, map: initialMap}), view: () => viewOf(0), log: noLog, metrics: noMetrics, nowMs, sleep,
+		acquireToken: async () => 1, waitForMembers: async () => undefined, readMap: async () => ({version: 0, map: initialMap}), view: () => viewOf(0), log: noLog, metrics: noMetrics, nowMs, sleep,
 		yieldTurn: async () => undefined, need: () => balancingNeed(admission.passRatio()), isStopped: () => nowMs() >= endMs,
 		onMap(map) {
 			balancedMap = map;
--- a/packages/group/src/coordination.ts
+++ b/packages/group/src/coordination.ts
@@ -32,6 +32,12 @@
 /** The share of the pass time that depends on the tokens under typical load; the rest is the fixed time of its steps. */
 const typicalTokenWorkShare = 0.6;
 
+/** How long a coordinator waits until the sidecar of each rank has been connected before it reads the map, in milliseconds. */
+const maxMembersWaitMs = 1500;
+
+/** How often it checks whether they are, in milliseconds. */
+const membersCheckMs = 20;
+
 export type CoordinationDeps = {
 	readonly view: RankView;
 	readonly own: OwnRank;
@@ -154,6 +160,18 @@
 		refused = [];
 	}, refusedIntervalMs).unref();
 
+	const isStopped = (): boolean => stopController.signal.aborted || deps.signal.aborted;
+
+	const startedMs = monotonicMs();
+	// A sidecar that has been connected and is gone isn't waited for, because the group may be held meanwhile; its rank is read directly.
+	const areMembersKnown = (): boolean => Array.from({length: view.size}, (_, rank) => deps.member(rank)).every(member => member !== undefined);
+
+	const waitForMembers = async (): Promise<void> => {
+		while (!areMembersKnown() && monotonicMs() - startedMs < maxMembersWaitMs && !isStopped()) {
+			await deps.sleep(membersCheckMs);
+		}
+	};
+
 	const readMap = async (): Promise<{readonly version: number; readonly map: LayeredMap} | undefined> => {
 		const parts = await Promise.all(Array.from({length: view.size}, async (_, rank) => ranks.readExperts(rank)));
 		if (!parts.every(part => part !== undefined) || parts.some(part => part.version !== parts[0].version || part.formation !== view.formation)) {
@@ -165,9 +183,9 @@
 
 	const balancing = balanceExperts({
 		ranks, ownRank: view.rank, tracker, model: experts, formation: view.formation, weights: {...deps.weights, workShare: experts.workShare * typicalTokenWorkShare},
-		acquireToken: deps.acquireToken, readMap, view: deps.own.view, log, metrics, nowMs: monotonicMs, sleep: deps.sleep, yieldTurn: deps.yieldTurn,
+		acquireToken: deps.acquireToken, waitForMembers, readMap, view: deps.own.view, log, metrics, nowMs: monotonicMs, sleep: deps.sleep, yieldTurn: deps.yieldTurn,
 		need: () => balancingNeed(admission.passRatio()),
-		isStopped: () => stopController.signal.aborted || deps.signal.aborted,
+		isStopped,
 		onMap(map) {
 			currentMap = map;
 		},
--- a/packages/group/src/expert-balancer.ts
+++ b/packages/group/src/expert-balancer.ts
@@ -23,6 +23,9 @@
 /** The delay before a retry when no token could be acquired or a rank could not be reached, in milliseconds. */
 const retryDelayMs = 300;
 
+/** How often the map is read under one token. Only then another one is acquired, since each takes two calls to the store. */
+const maxMapReads = 5;
+
 /** The time between demand shifts that is assumed until two shifts have been observed, in milliseconds. */
 const defaultShiftIntervalMs = 4000;
 
@@ -55,6 +58,8 @@
 	readonly weights: BalancingWeights;
 	/** Acquires a new fencing token; `undefined` if it could not be acquired. */
 	readonly acquireToken: () => Promise<number | undefined>;
+	/** Waits until it is known how each rank can be reached, for a bounded time. */
+	readonly waitForMembers: () => Promise<void>;
 	/** Reads the current map from the ranks; `undefined` unless every rank returns its part of the same version. */
 	readonly readMap: () => Promise<{readonly version: number; readonly map: LayeredMap} | undefined>;
 	readonly formation: number;
@@ -86,7 +91,8 @@
 */
 export async function balanceExperts(deps: ExpertBalancerDeps): Promise<void> {
 	while (!deps.isStopped()) {
-		const token = await waitForToken(deps);
+		// The store is asked while the members connect.
+		const [token] = await Promise.all([waitForToken(deps), deps.waitForMembers()]);
 		if (token === undefined) {
 			return;
 		}
@@ -211,10 +217,18 @@
 /** The state in which a coordinator takes the ranks over: the current map, the highest version that a rank knows and the last held pass. */
 type TakeoverState = {readonly map: LayeredMap; readonly newest: number; readonly held: number};
 
-async function takeOver(options: PassSwitchOptions, {readMap, log, formation}: ExpertBalancerDeps): Promise<TakeoverState | 'stuck' | 'superseded'> {
-	const mapBefore = await readMap();
+async function takeOver(options: PassSwitchOptions, {readMap, log, formation, isStopped, sleep}: ExpertBalancerDeps): Promise<TakeoverState | 'stuck' | 'superseded'> {
+	let mapBefore = await readMap();
+	for (let reads = 1; !mapBefore && reads < maxMapReads && !isStopped(); reads++) {
+		await sleep(retryDelayMs);
+		mapBefore = isStopped() ? undefined : await readMap();
+	}
+
 	if (!mapBefore) {
-		log.warn({formation, token: options.fencingToken}, 'could not read the current map from every rank; retrying with a new token');
+		if (!isStopped()) {
+			log.warn({formation, token: options.fencingToken, reads: maxMapReads}, 'could not read the current map from every rank; retrying with a new token');
+		}
+
 		return 'stuck';
 	}
 
--- a/packages/group/test/expert-balancer.test.ts
+++ b/packages/group/test/expert-balancer.test.ts
@@ -26,7 +26,7 @@
 /** Converts a command into an order of the stand-in group, in which a copy takes no time. */
 const orderOf = ({command}: GuardedCommand): PassOrder => command satisfies PassCommand;
 
-type BalancingResult = {readonly skewAt: (ms: number) => number; readonly changes: readonly number[]; readonly skewAfterSecondShift: number};
+type BalancingResult = {readonly skewAt: (ms: number) => number; readonly changes: readonly number[]; readonly skewAfterSecondShift: number; readonly tokens: number};
 
 type BalancingOptions = {
 	readonly expertGigabytes: number;
@@ -40,6 +40,8 @@
 	readonly slowUntilMs?: number;
 	readonly shiftIntervalMs?: number;
 	readonly lengthMs?: number;
+	/** Until when the map can't be read from every rank, in milliseconds. */
+	readonly unreadableUntilMs?: number;
 };
 
 /** How long a preparation takes in which some ranks leave orders unanswered, in milliseconds. */
@@ -47,7 +49,7 @@
 
 /** Runs the balancer for three virtual seconds, or `lengthMs`, in which a pass takes 100 ms. */
 async function runBalancer({
-	expertGigabytes, need = 1, secondShiftMs = Number.POSITIVE_INFINITY, clockMs = 0, otherWorkMs = 0, slowUntilMs = 0, shiftIntervalMs = 4000, lengthMs = 3000,
+	expertGigabytes, need = 1, secondShiftMs = Number.POSITIVE_INFINITY, clockMs = 0, otherWorkMs = 0, slowUntilMs = 0, shiftIntervalMs = 4000, lengthMs = 3000, unreadableUntilMs = 0,
 }: BalancingOptions): Promise<BalancingResult> {
 	const group = createPassGroup(ranks);
 	let nowMs = 10_000;
@@ -67,6 +69,7 @@
 	};
 
 	let nextPassMs = nowMs;
+	let tokens = 0;
 	await balanceExperts({
 		ranks: {
 			count: ranks, onFrame: () => false, readExperts: async () => undefined, readView: async rank => view(rank),
@@ -76,7 +79,8 @@
 				return {result: group.order(rank, orderOf(guarded), guarded), view: view(rank)};
 			},
 		},
-		ownRank: 0, formation: 1, acquireToken: async () => 1, readMap: async () => ({version: 0, map: roundRobinMap}), view: () => view(0),
+		ownRank: 0, formation: 1, acquireToken: async () => ++tokens, waitForMembers: async () => undefined, view: () => view(0),
+		readMap: async () => nowMs - 10_000 < unreadableUntilMs ? undefined : {version: 0, map: roundRobinMap},
 		tracker: {
 			...createDemandTracker({layers, experts}), demands: () => demands, meanLayerShiftIntervalMs: () => shiftIntervalMs,
 			settle() {
@@ -115,6 +119,7 @@
 		skewAt: ms => changes.findLast(change => change.ms <= ms)?.skew ?? skewOf(roundRobinMap),
 		changes: changes.slice(1).map(({ms}) => ms),
 		skewAfterSecondShift,
+		tokens,
 	};
 }
 
@@ -146,6 +151,13 @@
 		expect(skewAfterFirstChange(disturbed)).to.be.at.most(skewAfterFirstChange(calm) + 0.05);
 	});
 
+	// Guards against a first map that comes a second late: each attempt to read the map of a group that has just started took another token from the store.
+	it('reads the map again under the same token until every rank can be read', async () => {
+		const {tokens, changes} = await runBalancer({expertGigabytes: 0.4, unreadableUntilMs: 700});
+		expect(tokens).to.equal(1);
+		expect(changes.some(ms => ms < 1700), changes.join(', ')).to.equal(true);
+	});
+
 	it('copies small experts more freely than large ones', async () => {
 		const [small, large] = [await runBalancer({expertGigabytes: 0.4}), await runBalancer({expertGigabytes: 40})];
 		expect(small.skewAt(2500)).to.be.below(large.skewAt(2500) - 0.2);
--- a/packages/group/test/sidecar.test.ts
+++ b/packages/group/test/sidecar.test.ts
@@ -258,4 +258,26 @@
 		stop();
 		await sidecar.leave();
 	});
+
+	// Guards against a map that can't be read at a start because the sidecars are still connecting.
+	it('reads the map once the sidecars of all ranks have been connected', async () => {
+		const {sidecar, stop} = startSidecar(0, {nowMs: 0});
+		const connect = (rank: number): Frame[] => {
+			const sent: Frame[] = [];
+			const peer = peerOf('sidecar', sent);
+			sidecar.onUp(peer);
+			sidecar.onFrame(peer, {kind: 'rank', notice: noticeOf(rank, false)});
+			return sent;
+		};
+
+		const first = connect(1);
+		await sleep(50);
+		expect(isCoordinator(sidecar)).to.equal(true);
+		expect(first.some(({kind}) => kind === 'askExperts'), 'before the last rank is connected').to.equal(false);
+		const second = connect(2);
+		await sleep(50);
+		expect([first, second].map(sent => sent.some(({kind}) => kind === 'askExperts'))).to.deep.equal([true, true]);
+		stop();
+		await sidecar.leave();
+	});
 });
