Keep the demand of groups in the store

Cause: after a power loss, or when another sidecar takes over, a coordinator knew nothing of the demand until counts had arrived, and had its first fitting map seconds later.

Change: a coordinator writes the demand of its group to demand/SERVICE/GROUP and reads it when it starts, unless its own process still knows the demand. Directories neither hold these keys nor copy them; copies from peers of an earlier version still fit.

--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -15,6 +15,7 @@
 import {
 	directSettings, logFlushMs, msPerSecond, storePauseOf,
 } from './direct-settings.js';
+import {createDemandStore} from './demand-store.js';
 import {openDirectory} from './directory.js';
 import {listen, type RunningProgram} from './program.js';
 
@@ -81,6 +82,7 @@
 	const group = createGroupSidecar({
 		target, engine: connectEngine(target), connect: connectEngine, records: () => serviceRecords, metrics, log, monotonicMs, random, sleep: pause, signal: shutdown.signal,
 		yieldTurn: async () => setImmediate(),
+		wallMs: Date.now, demandStore: createDemandStore(store, () => ownRecord?.service),
 		onStateChange() {
 			void updateLinksSoon();
 		},
--- a/packages/cli/src/directory.ts
+++ b/packages/cli/src/directory.ts
@@ -5,7 +5,7 @@
 	handleFrame, type Frame, type FrameHandlers, type Peer, type Ticker,
 } from '@papayaflow/peer';
 import {
-	configurationKey, decodeConfiguration, decodeRegistration, isEarlierState, isRemovedState, maxWatchDelayMs, registrationPrefix, type RegistrationResult,
+	configurationKey, decodeConfiguration, decodeRegistration, demandPrefix, isEarlierState, isRemovedState, maxWatchDelayMs, registrationPrefix, type RegistrationResult,
 } from '@papayaflow/platform';
 import {
 	createRouteTable, isSameTarget, type RouteTable, type TargetRecord,
@@ -109,6 +109,8 @@
 	let isStoreAvailable = false;
 
 	const mirror = createMirror({
+		// Only coordinators need the demand of their groups, and read it themselves.
+		isMirrored: key => !key.startsWith(demandPrefix),
 		isEquivalent: isSameEntry, isEarlierState, isRemovedState,
 		onEarlierState(next, held) {
 			metrics.count('earlier_states');
--- a/packages/group/src/coordination.ts
+++ b/packages/group/src/coordination.ts
@@ -6,7 +6,9 @@
 import {type EngineModel} from '@papayaflow/routing';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
 import {type DemandMemory} from './demand-memory.js';
+import {decodeDemand} from './demand-record.js';
 import {type DemandTracker} from './demand-tracker.js';
+import {createDemandWriter} from './demand-writer.js';
 import {balanceExperts} from './expert-balancer.js';
 import {type BalancingWeights} from './map-choice.js';
 import {type OwnRank, type RankEngine} from './own-rank.js';
@@ -48,6 +50,16 @@
 	readonly model: () => EngineModel | undefined;
 	/** The demand that earlier terms of this process have estimated. */
 	readonly demandMemory: DemandMemory;
+	/** The record of the group's demand in the store. */
+	readonly demandStore: {
+		/** `undefined` if there is none or it can't be read. */
+		readonly read: () => Promise<Uint8Array | undefined>;
+		readonly write: (record: Uint8Array) => Promise<void>;
+	};
+	/** The number of groups of the service. */
+	readonly groups: () => number;
+	/** The wall time, in milliseconds. */
+	readonly wallMs: () => number;
 	/** Whether each rank accepts new requests, indexed by rank. */
 	readonly openByRank: () => readonly boolean[];
 	/** The availability zone of each rank, indexed by rank. */
@@ -113,7 +125,8 @@
 	let currentMap = view.mapVersion === 0 ? mapInTurn({layers: experts.layers, ranks: view.size, expertsPerLayer: experts.expertsPerLayer}) : undefined;
 	const stopController = new AbortController();
 	const meter = createPassMeter();
-	const tracker = deps.demandMemory.trackerOf(view.group, {layers: experts.layers, experts: experts.expertsPerLayer});
+	const sizes = {layers: experts.layers, experts: experts.expertsPerLayer};
+	const tracker = deps.demandMemory.trackerOf(view.group, sizes);
 	const skewMonitor = createSkewMonitor(tracker, () => currentMap);
 	const admission = createGroupAdmission({
 		model() {
@@ -144,6 +157,11 @@
 		const room = admission.room();
 		if (now - loggedMs >= loadLogIntervalMs) {
 			loggedMs = now;
+			// Before the map has been read, this process may not hold the highest token.
+			if (hasReadMap) {
+				void writeDemand();
+			}
+
 			const shifts = skewMonitor.shifts();
 			log.info({
 				group: view.group, running, waiting, room, passMs: Math.round(meter.passMs()), predictedMs: Math.round(passMs), slowdown: round(meter.slowdown()),
@@ -162,6 +180,23 @@
 
 	const isStopped = (): boolean => stopController.signal.aborted || deps.signal.aborted;
 
+	const restoreDemand = async (): Promise<void> => {
+		const record = await deps.demandStore.read();
+		const known = record && decodeDemand(record, sizes, deps.wallMs());
+		if (known && !isStopped()) {
+			tracker.restore(known);
+			log.info({group: view.group, ageMs: Math.round(known.ageMs), sinceStartMs: Math.round(monotonicMs())}, 'demand read from the store');
+		}
+	};
+
+	if (tracker.updatedMs() === Number.NEGATIVE_INFINITY) {
+		void restoreDemand();
+	}
+
+	const writeDemand = createDemandWriter({
+		tracker, groups: deps.groups, write: deps.demandStore.write, nowMs: monotonicMs, wallMs: deps.wallMs,
+	});
+	let hasReadMap = false;
 	const startedMs = monotonicMs();
 	// A sidecar that has been connected and is gone isn't waited for, because the group may be held meanwhile; its rank is read directly.
 	const areMembersKnown = (): boolean => Array.from({length: view.size}, (_, rank) => deps.member(rank)).every(member => member !== undefined);
@@ -188,6 +223,7 @@
 		isStopped,
 		onMap(map) {
 			currentMap = map;
+			hasReadMap = true;
 		},
 	});
 
--- a/packages/group/src/demand-tracker.ts
+++ b/packages/group/src/demand-tracker.ts
@@ -8,6 +8,8 @@
 	settle(nowMs: number): void;
 	/** Starts with a demand that was known earlier, unless counts have been reported already. Counts soon replace it if the demand has changed meanwhile. */
 	restore(known: KnownDemand): void;
+	/** The present estimate, for another coordinator. */
+	known(): KnownDemand;
 	/** When the estimate was last updated from counts, in milliseconds; minus infinity before that. */
 	updatedMs(): number;
 	/** The estimated demand of each layer. */
@@ -93,6 +95,7 @@
 			meanIntervalMs = meanShiftIntervalMs;
 			meanLayerIntervalMs = meanLayerShiftIntervalMs;
 		},
+		known: () => ({shares: demands.map(({shares}) => shares), meanShiftIntervalMs: meanIntervalMs, meanLayerShiftIntervalMs: meanLayerIntervalMs}),
 		updatedMs: () => settledAtMs,
 		lastShiftMs: () => lastShiftMs,
 		demands: () => demands,
--- a/packages/group/src/index.ts
+++ b/packages/group/src/index.ts
@@ -3,6 +3,10 @@
 	countsBetween, packCounts, unpackCounts, type CumulativeCounts, type PackedCounts,
 } from './counts.js';
 export {createDemandMemory, type DemandMemory, type DemandSizes} from './demand-memory.js';
+export {
+	decodeDemand, encodeDemand, maxDemandBytes, type DemandRecord,
+} from './demand-record.js';
+export {createDemandWriter, type DemandWriterOptions} from './demand-writer.js';
 export {createDemandTracker, type DemandTracker, type KnownDemand} from './demand-tracker.js';
 export {createPassMeter, type PassMeter} from './pass-meter.js';
 export {balanceExperts, type ExpertBalancerDeps} from './expert-balancer.js';
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -33,13 +33,18 @@
 /** How long a disconnected entry may take to reconnect before its streams count as ended, in milliseconds. */
 const entryReconnectTimeoutMs = 1200;
 
-export type GroupSidecarDeps = Pick<CoordinationDeps, 'engine' | 'connect' | 'model' | 'weights' | 'metrics' | 'log' | 'monotonicMs' | 'random' | 'sleep' | 'yieldTurn' | 'signal'> & {
+export type GroupSidecarDeps = Pick<CoordinationDeps, 'engine' | 'connect' | 'wallMs' | 'model' | 'weights' | 'metrics' | 'log' | 'monotonicMs' | 'random' | 'sleep' | 'yieldTurn' | 'signal'> & {
 	/** The engine beside this sidecar, as `IP:PORT`. */
 	readonly target: string;
 	/** The registered targets of this engine's service. */
 	readonly records: () => readonly TargetRecord[];
 	/** Acquires a new fencing token for a group; `undefined` if it could not be acquired. */
 	readonly acquireToken: (group: string) => Promise<number | undefined>;
+	/** The records of the groups' demand in the store. */
+	readonly demandStore: {
+		readonly read: (group: string) => Promise<Uint8Array | undefined>;
+		readonly write: (group: string, record: Uint8Array) => Promise<void>;
+	};
 	/** Called when the state of the own rank has changed, and with it perhaps the links that are needed. */
 	readonly onStateChange: () => void;
 };
@@ -174,7 +179,8 @@
 		if (!coordination && shouldCoordinate && !isLeaving && view.isOpen) {
 			coordination = startCoordination({
 				...deps, view, own, member, demandMemory, openByRank: () => openByRank, zones: () => zones, entries: () => entries.size,
-				acquireToken: async () => deps.acquireToken(view.group),
+				acquireToken: async () => deps.acquireToken(view.group), groups: () => Math.ceil(deps.records().length / view.size),
+				demandStore: {read: async () => deps.demandStore.read(view.group), write: async record => deps.demandStore.write(view.group, record)},
 				sendLoad(load) {
 					for (const peer of entries) {
 						peer.send({kind: 'groupLoad', group: view.group, load});
--- a/packages/group/test/sidecar.test.ts
+++ b/packages/group/test/sidecar.test.ts
@@ -4,7 +4,9 @@
 import {type RankView} from '@papayaflow/experts';
 import {type Frame, type Peer, type RankNotice} from '@papayaflow/peer';
 import {createLog, createMetrics} from '@papayaflow/telemetry';
-import {createGroupSidecar, type GroupSidecar, type RankEngine} from '@papayaflow/group';
+import {
+	createGroupSidecar, encodeDemand, type GroupSidecar, type RankEngine,
+} from '@papayaflow/group';
 
 const size = 3;
 
@@ -23,7 +25,7 @@
 const targetOf = (rank: number): string => `10.0.0.${rank}:80`;
 
 /** Starts a sidecar with a clock that the test sets. */
-function startSidecar(rank: number, clock: {nowMs: number}, engine = engineOf(rank)): {sidecar: GroupSidecar; stop: () => void} {
+function startSidecar(rank: number, clock: {nowMs: number}, engine = engineOf(rank), record?: Uint8Array): {sidecar: GroupSidecar; stop: () => void} {
 	const ending = new AbortController();
 	const sidecar = createGroupSidecar({
 		target: targetOf(rank), engine, connect: target => engineOf(Number(target.slice(7, 8))),
@@ -42,7 +44,7 @@
 		async sleep() {
 			await sleep(2);
 		},
-		yieldTurn: async () => undefined, onStateChange: () => undefined,
+		yieldTurn: async () => undefined, onStateChange: () => undefined, wallMs: () => 0, demandStore: {read: async () => record, write: async () => undefined},
 	});
 	return {
 		sidecar,
@@ -280,4 +282,13 @@
 		stop();
 		await sidecar.leave();
 	});
+
+	it('knows the demand that an earlier coordinator has written to the store', async () => {
+		const record = encodeDemand({shares: [[0.9, 0.05, 0.05]], meanShiftIntervalMs: undefined, meanLayerShiftIntervalMs: undefined}, 0);
+		const {sidecar, stop} = startSidecar(0, {nowMs: 0}, engineOf(0), record);
+		await sleep(20);
+		expect((sidecar.status() as {load: {skew: number}}).load.skew).to.be.above(2);
+		stop();
+		await sidecar.leave();
+	});
 });
--- a/packages/mirror/src/copy.ts
+++ b/packages/mirror/src/copy.ts
@@ -30,8 +30,10 @@
 		merged.set(entry.key, entry);
 	}
 
-	const complete = keys.flatMap(key => merged.get(key) ?? []);
-	if (complete.length < keys.length) {
+	// A peer of an earlier version also lists the keys that this mirror does not hold.
+	const mirroredKeys = keys.filter(key => mirror.isMirrored(key));
+	const complete = mirroredKeys.flatMap(key => merged.get(key) ?? []);
+	if (complete.length < mirroredKeys.length) {
 		return 'incomplete';
 	}
 
--- a/packages/mirror/src/mirror.ts
+++ b/packages/mirror/src/mirror.ts
@@ -18,6 +18,8 @@
 	changedAt(): number;
 	entries(): readonly Entry[];
 	has(key: string): boolean;
+	/** Whether the mirror holds entries of this key at all. */
+	isMirrored(key: string): boolean;
 	/** The entries that were added after a revision or changed after it to a value that is not equivalent. */
 	changedSince(afterRevision: number): readonly Entry[];
 	/** Applies changes in order, up to `revision`. Ignores changes that are older than the mirror's entry of the same key. */
@@ -34,6 +36,8 @@
 export type MirrorOptions = {
 	/** Whether two entries of a key are equivalent, so that listeners need not be notified of the newer one. */
 	readonly isEquivalent: (a: Entry, b: Entry) => boolean;
+	/** Whether to hold entries of a key; by default of all. Those of other keys are neither held nor copied to peers. */
+	readonly isMirrored?: (key: string) => boolean;
 	/**
 	Whether the content of an entry is an earlier state than the one that the mirror holds,
 	although its revision is higher. A store that has come back from an older copy has such
@@ -60,7 +64,7 @@
 mirror.replace({revision: 7, entries: []});
 */
 export function createMirror({
-	isEquivalent, isEarlierState = () => false, isRemovedState = () => false, onEarlierState = () => undefined,
+	isEquivalent, isMirrored = () => true, isEarlierState = () => false, isRemovedState = () => false, onEarlierState = () => undefined,
 }: MirrorOptions): Mirror {
 	const entries = new Map<string, Entry>();
 	/** The last entry of each key that was removed and has not been written again. */
@@ -75,6 +79,10 @@
 	const applyChange = (change: Change): boolean => {
 		const key = change.kind === 'written' ? change.entry.key : change.key;
 		const held = entries.get(key);
+		if (!isMirrored(key)) {
+			return false;
+		}
+
 		if (change.kind === 'removed') {
 			if (held === undefined || change.revision <= held.revision) {
 				return false;
@@ -130,6 +138,7 @@
 		changedAt: () => lastChangeRevision,
 		entries: () => [...entries.values()],
 		has: key => entries.has(key),
+		isMirrored,
 		changedSince: afterRevision => [...entries.values()].filter(({key}) => changeRevisions.get(key)! > afterRevision),
 		apply: applyAndNotify,
 		replace(snapshot, isRetained = () => false) {
--- a/packages/mirror/test/mirror.test.ts
+++ b/packages/mirror/test/mirror.test.ts
@@ -83,6 +83,25 @@
 		expect(keysOf(to)).to.deep.equal(['b', 'c']);
 		expect(applyCopy(createPlainMirror(), copy)).to.equal('incomplete');
 	});
+
+	// Guards against records that every process holds and copies although only coordinators read them, and against copies of an earlier version, which list them, that never fit.
+	it('holds and copies no entries of the keys that are not mirrored', () => {
+		const createPartialMirror = (): Mirror => createMirror({isEquivalent: () => false, isMirrored: key => !key.startsWith('demand/')});
+		const notified: string[] = [];
+		const mirror = createPartialMirror();
+		mirror.onChange(({changes}) => {
+			notified.push(...changes.map(change => change.kind === 'written' ? change.entry.key : change.key));
+		});
+		mirror.replace({revision: 5, entries: [entry('a', '1', 2), entry('demand/s/g', '1', 5)]});
+		mirror.apply([{kind: 'written', entry: entry('demand/s/g', '2', 6)}, {kind: 'removed', key: 'demand/s/g', revision: 7}], 7);
+		expect([keysOf(mirror), notified, mirror.revision(), mirror.changedAt()]).to.deep.equal([['a'], ['a'], 7, 2]);
+		const copy = copySince(mirror, 0);
+		expect([copy.keys, copy.entries.map(({key}) => key)]).to.deep.equal([['a'], ['a']]);
+
+		const peerMirror = createPartialMirror();
+		expect(applyCopy(peerMirror, {revision: 8, entries: [entry('a', '1', 2)], keys: ['a', 'demand/s/g']})).to.equal('taken');
+		expect([keysOf(peerMirror), peerMirror.revision()]).to.deep.equal([['a'], 8]);
+	});
 });
 
 describe('copySince', () => {
