Log each step of a coordinator's start with its time

Cause: where the time of a start went could only be found by comparing logs of several processes.

Change: sinceStartMs, the time since the process started, in the lines on the first answer of the store (new), the configuration, the state of the group, the term as coordinator, the demand from the store, the connected members (new), the token, the map (new), the first placement (new) and the ended switches.

Tested: a test of the sidecar; tests of the sidecar and the balancer, types and lint.

--- a/packages/cli/src/directory.ts
+++ b/packages/cli/src/directory.ts
@@ -145,7 +145,7 @@
 		table = createRouteTable(result.configuration);
 		metrics.gauge('config_version', result.configuration.version);
 		log.info({
-			version: result.configuration.version, revision: entry.revision, routes: result.configuration.routes.length, skippedRoutes: result.skippedRoutes,
+			version: result.configuration.version, revision: entry.revision, routes: result.configuration.routes.length, skippedRoutes: result.skippedRoutes, sinceStartMs: Math.round(monotonicMs()),
 		}, 'configuration applied');
 		deps.onTable(table);
 	};
@@ -199,6 +199,7 @@
 			containment.report('store', error);
 		},
 		onStoreConnected() {
+			log.info({dependency: 'store', revision: mirror.revision(), sinceStartMs: Math.round(monotonicMs())}, 'store answered for the first time');
 			isStoreAvailable = true;
 		},
 		onStoreSilent(detail) {
--- a/packages/group/src/coordination.ts
+++ b/packages/group/src/coordination.ts
@@ -98,6 +98,8 @@
 	readonly ranks: RemoteRanks;
 	/** Handles a new view of the own rank, from which the pass time is measured. */
 	onView(view: RankView): void;
+	/** Notes that a request has been placed. */
+	onPlaced(): void;
 	/** Records a refused request, so that the entries recognise its retry. */
 	onRefused(request: RefusedRequest): void;
 	/** Starts no further map switch; resolves when a switch in progress has ended and no longer holds the group. */
@@ -120,7 +122,14 @@
 		return undefined;
 	}
 
-	log.info({group: view.group, formation: view.formation, rank: view.rank}, 'started coordinating the group');
+	/** Logs a step of the start. The clock begins with the process. */
+	const logStep = (step: string, context: Readonly<Record<string, string | number>> = {}): void => {
+		log.info({
+			group: view.group, formation: view.formation, ...context, sinceStartMs: Math.round(monotonicMs()),
+		}, step);
+	};
+
+	logStep('started coordinating the group', {rank: view.rank});
 	// Map version 0 is the one that ranks start with. Without it, the skew under a known demand would count as 1 until the map is read, and too many requests would be placed.
 	let currentMap = view.mapVersion === 0 ? mapInTurn({layers: experts.layers, ranks: view.size, expertsPerLayer: experts.expertsPerLayer}) : undefined;
 	const stopController = new AbortController();
@@ -185,7 +194,7 @@
 		const known = record && decodeDemand(record, sizes, deps.wallMs());
 		if (known && !isStopped()) {
 			tracker.restore(known);
-			log.info({group: view.group, ageMs: Math.round(known.ageMs), sinceStartMs: Math.round(monotonicMs())}, 'demand read from the store');
+			logStep('demand read from the store', {ageMs: Math.round(known.ageMs)});
 		}
 	};
 
@@ -197,6 +206,7 @@
 		tracker, groups: deps.groups, write: deps.demandStore.write, nowMs: monotonicMs, wallMs: deps.wallMs,
 	});
 	let hasReadMap = false;
+	let hasPlaced = false;
 	const startedMs = monotonicMs();
 	// A sidecar that has been connected and is gone isn't waited for, because the group may be held meanwhile; its rank is read directly.
 	const areMembersKnown = (): boolean => Array.from({length: view.size}, (_, rank) => deps.member(rank)).every(member => member !== undefined);
@@ -205,6 +215,9 @@
 		while (!areMembersKnown() && monotonicMs() - startedMs < maxMembersWaitMs && !isStopped()) {
 			await deps.sleep(membersCheckMs);
 		}
+
+		const known = Array.from({length: view.size}, (_, rank) => deps.member(rank)).filter(member => member !== undefined).length;
+		logStep('members connected', {known, size: view.size, waitedMs: Math.round(monotonicMs() - startedMs)});
 	};
 
 	const readMap = async (): Promise<{readonly version: number; readonly map: LayeredMap} | undefined> => {
@@ -223,7 +236,10 @@
 		isStopped,
 		onMap(map) {
 			currentMap = map;
-			hasReadMap = true;
+			if (!hasReadMap) {
+				hasReadMap = true;
+				logStep('map read');
+			}
 		},
 	});
 
@@ -232,6 +248,12 @@
 		onView(ownView) {
 			meter.addSample(ownView, admission.state().passMs / meter.slowdown(), monotonicMs());
 		},
+		onPlaced() {
+			if (!hasPlaced) {
+				hasPlaced = true;
+				logStep('first request placed');
+			}
+		},
 		onRefused([identity, waitedMs]) {
 			refused.push({identity, firstSentMs: monotonicMs() - waitedMs});
 		},
--- a/packages/group/src/expert-balancer.ts
+++ b/packages/group/src/expert-balancer.ts
@@ -116,7 +116,7 @@
 			return lastHeldPass;
 		},
 	};
-	log.info({token, formation: deps.formation}, 'acquired a fencing token for balancing experts');
+	log.info({token, formation: deps.formation, sinceStartMs: Math.round(deps.nowMs())}, 'acquired a fencing token for balancing experts');
 	const takeover = await takeOver(options, deps);
 	if (typeof takeover === 'string') {
 		await deps.sleep(retryDelayMs);
@@ -167,7 +167,7 @@
 		metrics.count('map_switches', {result: result.kind});
 		log.info({
 			version, formation: deps.formation, token, result, copies: chosen.copies, mostPerRank: chosen.mostPerRank,
-			skewBefore: round(chosen.skewBefore), skewAfter: round(chosen.skewAfter), demandAgeMs: demandAgesMs(demands, deps.nowMs()),
+			skewBefore: round(chosen.skewBefore), skewAfter: round(chosen.skewAfter), demandAgeMs: demandAgesMs(demands, deps.nowMs()), sinceStartMs: Math.round(deps.nowMs()),
 		}, 'map switch ended');
 		switch (result.kind) {
 			case 'switched': {
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -208,7 +208,7 @@
 
 		if (notice?.formation !== next.formation || notice.isOpen !== next.isOpen) {
 			log.info({
-				group: next.group, formation: next.formation, rank: next.rank, isOpen: next.isOpen, pass: view.pass,
+				group: next.group, formation: next.formation, rank: next.rank, isOpen: next.isOpen, pass: view.pass, sinceStartMs: Math.round(monotonicMs()),
 			}, 'group state changed');
 		}
 
@@ -245,6 +245,7 @@
 			}, 'placement decided');
 			if (target !== undefined) {
 				entryByRequest.set(id, peer.hello.instance);
+				coordination?.onPlaced();
 				peer.send({kind: 'placed', id, target});
 				return;
 			}
--- a/packages/group/test/sidecar.test.ts
+++ b/packages/group/test/sidecar.test.ts
@@ -3,7 +3,7 @@
 import {describe, it} from 'mocha';
 import {type RankView} from '@papayaflow/experts';
 import {type Frame, type Peer, type RankNotice} from '@papayaflow/peer';
-import {createLog, createMetrics} from '@papayaflow/telemetry';
+import {createLog, createMetrics, type Log} from '@papayaflow/telemetry';
 import {
 	createGroupSidecar, encodeDemand, type GroupSidecar, type RankEngine,
 } from '@papayaflow/group';
@@ -25,7 +25,8 @@
 const targetOf = (rank: number): string => `10.0.0.${rank}:80`;
 
 /** Starts a sidecar with a clock that the test sets. */
-function startSidecar(rank: number, clock: {nowMs: number}, engine = engineOf(rank), record?: Uint8Array): {sidecar: GroupSidecar; stop: () => void} {
+function startSidecar(rank: number, clock: {nowMs: number}, engine = engineOf(rank), options: {record?: Uint8Array; log?: Log} = {}): {sidecar: GroupSidecar; stop: () => void} {
+	const {record, log = createLog({}, 'error')} = options;
 	const ending = new AbortController();
 	const sidecar = createGroupSidecar({
 		target: targetOf(rank), engine, connect: target => engineOf(Number(target.slice(7, 8))),
@@ -39,7 +40,7 @@
 		records: () => Array.from({length: size}, (_, index) => ({
 			id: `i-${index}`, incarnation: 1, registeredAt: 1, service: 's', host: `10.0.0.${index}`, port: 80, zone: 'z', slots: 8, state: 'serving' as const, warmingMs: 0,
 		})),
-		acquireToken: async () => 1, weights: {goodSkew: 1.1, copyCost: 0}, metrics: createMetrics(), log: createLog({}, 'error'),
+		acquireToken: async () => 1, weights: {goodSkew: 1.1, copyCost: 0}, metrics: createMetrics(), log,
 		monotonicMs: () => clock.nowMs, random: () => 0.5, signal: ending.signal,
 		async sleep() {
 			await sleep(2);
@@ -285,10 +286,47 @@
 
 	it('knows the demand that an earlier coordinator has written to the store', async () => {
 		const record = encodeDemand({shares: [[0.9, 0.05, 0.05]], meanShiftIntervalMs: undefined, meanLayerShiftIntervalMs: undefined}, 0);
-		const {sidecar, stop} = startSidecar(0, {nowMs: 0}, engineOf(0), record);
+		const {sidecar, stop} = startSidecar(0, {nowMs: 0}, engineOf(0), {record});
 		await sleep(20);
 		expect((sidecar.status() as {load: {skew: number}}).load.skew).to.be.above(2);
 		stop();
 		await sidecar.leave();
 	});
+
+	it('logs each step of its start with the time since the process started', async () => {
+		const expectedSteps = [
+			'started coordinating the group',
+			'group state changed',
+			'demand read from the store',
+			'members connected',
+			'acquired a fencing token for balancing experts',
+			'map read',
+			'first request placed',
+		];
+		const steps: string[] = [];
+		const log = {
+			...createLog({}, 'error'),
+			info(context: Readonly<Record<string, unknown>>, message: string) {
+				if (context.sinceStartMs === 700) {
+					steps.push(message);
+				}
+			},
+		} as unknown as Log;
+		const record = encodeDemand({shares: [[0.9, 0.05, 0.05]], meanShiftIntervalMs: undefined, meanLayerShiftIntervalMs: undefined}, 0);
+		const {sidecar, stop} = startSidecar(0, {nowMs: 700}, engineOf(0), {record, log});
+		const entry = peerOf('entry', []);
+		sidecar.onUp(entry);
+		for (const rank of [1, 2]) {
+			const peer = peerOf('sidecar', []);
+			sidecar.onUp(peer);
+			sidecar.onFrame(peer, {kind: 'rank', notice: noticeOf(rank, false)});
+			sidecar.onDown(peer, 'closed');
+		}
+
+		await sleep(100);
+		sidecar.onFrame(entry, placeFrame('r-1', []));
+		expect([...new Set(steps)].toSorted()).to.deep.equal(expectedSteps.toSorted());
+		stop();
+		await sidecar.leave();
+	});
 });
