--- a/packages/policy/test/demand.test.ts
+++ b/packages/policy/test/demand.test.ts
@@ -178,7 +178,7 @@
 			addWindow(estimator, 1000 + index);
 		}
 
-		expect(distance(restored)).to.be.below(distance(fresh));
+		expect(distance(restored)).to.be.below(distance(fresh) * 0.7);
 		expect(restored.demands().every(({shiftedAtMs}) => shiftedAtMs === undefined), 'no shift without one').to.equal(true);
 
 		const outdated = createDemandEstimator({layers, experts});
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -615,4 +615,49 @@
 		find: 'if (trialPart !== undefined && isRivalOf(trialPart, parts)) {', replace: 'if (trialPart === \'\') {',
 		spec: 'quarantine/test/quarantine.test.ts', test: 'clears the parts of such a request',
 	},
+	{
+		name: 'the demand of a group outlasts its formation', file: 'group/src/demand-memory.ts',
+		find: 'last = isUsable ? last :', replace: 'last = isUsable && nowMs() < 0 ? last :',
+		spec: 'group/test/sidecar.test.ts', test: 'knows the demand of the last formation',
+	},
+	{
+		name: 'restored shares count like some reports', file: 'policy/src/demand.ts',
+		find: 'const restoredReports = 8;', replace: 'const restoredReports = 0.01;',
+		spec: 'policy/test/demand.test.ts', test: 'keeps restored shares while reports agree',
+	},
+	{
+		name: 'links to sidecars of unknown group are opened a few at a time', file: 'group/src/link-choice.ts',
+		find: 'if (recent < maxProbes && !probes.has(target)) {', replace: 'if (!probes.has(target)) {',
+		spec: 'group/test/link-choice.test.ts', test: 'go to a few sidecars of unknown group',
+	},
+	{
+		name: 'sidecars that do not answer keep no other from being linked', file: 'group/src/link-choice.ts',
+		find: 'sinceMs => now - sinceMs < probeMs', replace: '() => true',
+		spec: 'group/test/link-choice.test.ts', test: 'reach every member within five seconds',
+	},
+	{
+		name: 'the map is read once the members are known', file: 'group/src/coordination.ts',
+		find: 'while (!areMembersKnown() &&', replace: 'while (monotonicMs() < 0 &&',
+		spec: 'group/test/sidecar.test.ts', test: 'reads the map once the sidecars of all ranks',
+	},
+	{
+		name: 'the map is read several times under one token', file: 'group/src/expert-balancer.ts',
+		find: 'const maxMapReads = 5;', replace: 'const maxMapReads = 1;',
+		spec: 'group/test/expert-balancer.test.ts', test: 'reads the map again under the same token',
+	},
+	{
+		name: 'an old demand record is ignored', file: 'group/src/demand-record.ts',
+		find: ' || !(Math.abs(ageMs) <= maxDemandAgeMs)', replace: '',
+		spec: 'group/test/demand-record.test.ts', test: 'is ignored if it is old',
+	},
+	{
+		name: 'demand records are not mirrored', file: 'mirror/src/mirror.ts',
+		find: 'if (!isMirrored(key)) {', replace: 'if (key === \'\') {',
+		spec: 'mirror/test/mirror.test.ts', test: 'holds and copies no entries of the keys',
+	},
+	{
+		name: 'a copy that lists keys that are not mirrored fits', file: 'mirror/src/copy.ts',
+		find: 'keys.filter(key => mirror.isMirrored(key))', replace: '[...keys]',
+		spec: 'mirror/test/mirror.test.ts', test: 'holds and copies no entries of the keys',
+	},
 ];
