--- a/packages/cli/src/directory.ts
+++ b/packages/cli/src/directory.ts
@@ -5,7 +5,7 @@
 	handleFrame, type Frame, type FrameHandlers, type Peer, type Ticker,
 } from '@papayaflow/peer';
 import {
-	configurationKey, decodeConfiguration, decodeRegistration, evacuatedZoneOf, isEarlierState, isRemovedState, maxWatchDelayMs, registrationPrefix, type RegistrationResult,
+	configurationKey, decodeConfiguration, decodeRegistration, demandPrefix, evacuatedZoneOf, isEarlierState, isRemovedState, maxWatchDelayMs, registrationPrefix, type RegistrationResult,
 } from '@papayaflow/platform';
 import {
 	createRouteTable, isSameTarget, type RouteTable, type TargetRecord,
@@ -112,6 +112,8 @@
 	let isStoreAvailable = false;
 
 	const mirror = createMirror({
+		// Only coordinators need the demand of their groups, and read it themselves.
+		isMirrored: key => !key.startsWith(demandPrefix),
 		isEquivalent: isSameEntry, isEarlierState, isRemovedState,
 		onEarlierState(next, held) {
 			metrics.count('earlier_states');
@@ -150,7 +152,7 @@
 		table = createRouteTable(result.configuration);
 		metrics.gauge('config_version', result.configuration.version);
 		log.info({
-			version: result.configuration.version, revision: entry.revision, routes: result.configuration.routes.length, skippedRoutes: result.skippedRoutes,
+			version: result.configuration.version, revision: entry.revision, routes: result.configuration.routes.length, skippedRoutes: result.skippedRoutes, sinceStartMs: Math.round(monotonicMs()),
 		}, 'configuration applied');
 		deps.onTable(table);
 	};
@@ -215,6 +217,7 @@
 			containment.report('store', error);
 		},
 		onStoreConnected() {
+			log.info({dependency: 'store', revision: mirror.revision(), sinceStartMs: Math.round(monotonicMs())}, 'store answered for the first time');
 			isStoreAvailable = true;
 		},
 		onStoreSilent(detail) {
--- a/packages/group/test/sidecar.test.ts
+++ b/packages/group/test/sidecar.test.ts
@@ -3,8 +3,10 @@
 import {describe, it} from 'mocha';
 import {type RankView} from '@papayaflow/experts';
 import {type Frame, type Peer, type RankNotice} from '@papayaflow/peer';
-import {createLog, createMetrics} from '@papayaflow/telemetry';
-import {createGroupSidecar, type GroupSidecar, type RankEngine} from '@papayaflow/group';
+import {createLog, createMetrics, type Log} from '@papayaflow/telemetry';
+import {
+	createGroupSidecar, encodeDemand, type GroupSidecar, type RankEngine,
+} from '@papayaflow/group';
 
 const size = 3;
 
@@ -23,7 +25,10 @@
 const targetOf = (rank: number): string => `10.0.0.${rank}:80`;
 
 /** Starts a sidecar with a clock that the test sets. */
-function startSidecar(rank: number, clock: {nowMs: number}, engine = engineOf(rank), isEvacuated: (zone: string) => boolean = () => false): {sidecar: GroupSidecar; stop: () => void} {
+function startSidecar(
+	rank: number, clock: {nowMs: number}, engine = engineOf(rank), options: {isEvacuated?: (zone: string) => boolean; record?: Uint8Array; log?: Log} = {},
+): {sidecar: GroupSidecar; stop: () => void} {
+	const {isEvacuated = () => false, record, log = createLog({}, 'error')} = options;
 	const ending = new AbortController();
 	const sidecar = createGroupSidecar({
 		target: targetOf(rank), engine, connect: target => engineOf(Number(target.slice(7, 8))),
@@ -37,12 +42,12 @@
 		records: () => Array.from({length: size}, (_, index) => ({
 			id: `i-${index}`, incarnation: 1, registeredAt: 1, service: 's', host: `10.0.0.${index}`, port: 80, zone: `z-${index}`, slots: 8, state: 'serving' as const, warmingMs: 0,
 		})),
-		isEvacuated, acquireToken: async () => 1, weights: {goodSkew: 1.1, copyCost: 0}, metrics: createMetrics(), log: createLog({}, 'error'),
+		isEvacuated, acquireToken: async () => 1, weights: {goodSkew: 1.1, copyCost: 0}, metrics: createMetrics(), log,
 		monotonicMs: () => clock.nowMs, random: () => 0.5, signal: ending.signal,
 		async sleep() {
 			await sleep(2);
 		},
-		yieldTurn: async () => undefined, onStateChange: () => undefined,
+		yieldTurn: async () => undefined, onStateChange: () => undefined, wallMs: () => 0, demandStore: {read: async () => record, write: async () => undefined},
 	});
 	return {
 		sidecar,
@@ -137,7 +142,7 @@
 	// Guards against a coordinator that places requests in an evacuated zone for entries that have not heard of it, and one that takes such ranks out of their group.
 	it('places no request on the ranks of an evacuated zone, its own among them, and continues to coordinate', async () => {
 		const evacuated = new Set<string>();
-		const {sidecar, stop} = startSidecar(0, {nowMs: 0}, engineOf(0), zone => evacuated.has(zone));
+		const {sidecar, stop} = startSidecar(0, {nowMs: 0}, engineOf(0), {isEvacuated: zone => evacuated.has(zone)});
 		const sent: Frame[] = [];
 		const entry = peerOf('entry', sent);
 		sidecar.onUp(entry);
@@ -335,4 +340,50 @@
 		stop();
 		await sidecar.leave();
 	});
+
+	it('knows the demand that an earlier coordinator has written to the store', async () => {
+		const record = encodeDemand({shares: [[0.9, 0.05, 0.05]], meanShiftIntervalMs: undefined, meanLayerShiftIntervalMs: undefined}, 0);
+		const {sidecar, stop} = startSidecar(0, {nowMs: 0}, engineOf(0), {record});
+		await sleep(20);
+		expect((sidecar.status() as {load: {skew: number}}).load.skew).to.be.above(2);
+		stop();
+		await sidecar.leave();
+	});
+
+	it('logs each step of its start with the time since the process started', async () => {
+		const expectedSteps = [
+			'started coordinating the group',
+			'group state changed',
+			'demand read from the store',
+			'members connected',
+			'acquired a fencing token for balancing experts',
+			'map read',
+			'first request placed',
+		];
+		const steps: string[] = [];
+		const log = {
+			...createLog({}, 'error'),
+			info(context: Readonly<Record<string, unknown>>, message: string) {
+				if (context.sinceStartMs === 700) {
+					steps.push(message);
+				}
+			},
+		} as unknown as Log;
+		const record = encodeDemand({shares: [[0.9, 0.05, 0.05]], meanShiftIntervalMs: undefined, meanLayerShiftIntervalMs: undefined}, 0);
+		const {sidecar, stop} = startSidecar(0, {nowMs: 700}, engineOf(0), {record, log});
+		const entry = peerOf('entry', []);
+		sidecar.onUp(entry);
+		for (const rank of [1, 2]) {
+			const peer = peerOf('sidecar', []);
+			sidecar.onUp(peer);
+			sidecar.onFrame(peer, {kind: 'rank', notice: noticeOf(rank, false)});
+			sidecar.onDown(peer, 'closed');
+		}
+
+		await sleep(100);
+		sidecar.onFrame(entry, placeFrame('r-1', []));
+		expect([...new Set(steps)].toSorted()).to.deep.equal(expectedSteps.toSorted());
+		stop();
+		await sidecar.leave();
+	});
 });
