Spread held requests over the coordinators that start, and bound the work of each request

Change: held requests go on as far as the entry's share of the groups whose coordinators are known; the coordinator tries waiting requests at most at its tick while more than 32 wait; the time for which an entry held a request shortens its wait at the coordinator.

--- a/packages/direct/src/group-availability.ts
+++ b/packages/direct/src/group-availability.ts
@@ -16,6 +16,9 @@
 /** How long after it has formed a group counts as having just formed, in milliseconds. */
 const justFormedMs = 1500;
 
+/** How often the conditions of held requests are checked between two notices, in milliseconds. */
+const pollMs = 25;
+
 /** A group that takes no requests, as this entry knows it. */
 type ClosedGroup = {readonly formation: number; readonly sinceMs: number};
 
@@ -37,7 +40,7 @@
 	hasJustFormed(group: string): boolean;
 	/** Whether no group is closed or has just formed. */
 	isSettled(): boolean;
-	/** Resolves when a notice has made a condition true, at the latest after `maxMs` milliseconds or when the signal is aborted. */
+	/** Resolves when a condition has become true, at the latest after `maxMs` milliseconds or when the signal is aborted. */
 	until(isMet: () => boolean, maxMs: number, signal: AbortSignal): Promise<void>;
 	/** Records that a rank of a service has refused a request without running it, while no coordinator of the service is known. */
 	onRefusal(service: string): void;
@@ -134,6 +137,7 @@
 			return new Promise(resolve => {
 				const settle = (): void => {
 					clearTimeout(timer);
+					clearInterval(poll);
 					signal.removeEventListener('abort', settle);
 					waiting.delete(check);
 					resolve();
@@ -146,6 +150,7 @@
 				};
 
 				const timer = setTimeout(settle, maxMs);
+				const poll = setInterval(check, pollMs);
 				signal.addEventListener('abort', settle, {once: true});
 				waiting.add(check);
 				check();
--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -27,9 +27,9 @@
 const assumedEntryCount = 4;
 
 /** How long after its arrival a request may be held until a group has formed, in milliseconds. Callers abandon a stream that has no event after two seconds. */
-const maxHoldMs = 1300;
+const maxHoldMs = 1200;
 
-/** How long requests are held until the coordinator of a group that has just formed is known, in milliseconds. */
+/** How long requests that arrive when a group has just formed are held until they fit into this entry's share of a group with a coordinator, in milliseconds. */
 const coordinatorWaitMs = 350;
 
 /** The longest `Retry-After` that callers honour, as a ratio of the time that they have left. */
@@ -83,8 +83,10 @@
 	const {targets, monotonicMs, random, metrics, log} = options;
 	const notices = createRankNotices();
 	const loads = new Map<string, {readonly load: GroupLoad; readonly atMs: number}>();
-	const pendingReplies = new Map<string, (frame: Extract<Frame, {kind: 'placed' | 'turnedAway'}>) => void>();
+	const pendingReplies = new Map<string, {readonly coordinator: Peer; readonly settle: (frame: Extract<Frame, {kind: 'placed' | 'turnedAway'}>) => void}>();
 	const streams = new Map<string, Stream>();
+	/** The held requests that may go on and are about to be asked for, by group. */
+	const claims = new Map<string, number>();
 	const refusedRequests = createRefusedRequests(monotonicMs);
 	const returns = createReturnSchedule({nowMs: monotonicMs, random});
 	const availability = createGroupAvailability({
@@ -96,7 +98,7 @@
 		return peer && notices.of(peer)?.group;
 	};
 
-	const createPlacementRequest = ({call, tried, excluded, hasBegun}: PlaceRequest, identity: string | undefined): PeerPlacementRequest => {
+	const createPlacementRequest = ({call, tried, excluded, hasBegun}: PlaceRequest, identity: string | undefined, heldMs: number): PeerPlacementRequest => {
 		const {route, generation} = call;
 		const elapsedMs = monotonicMs() - call.arrivedMs;
 		const closedZones = targets.closedZones(call);
@@ -107,6 +109,7 @@
 			promptTokens: generation?.promptTokens ?? options.model(call.service)?.usualPromptTokens ?? 0,
 			answerTokens: answerTokensOf(call),
 			waitedMs: sinceFirstSentMs ?? elapsedMs,
+			...(heldMs > 0 && {heldMs}),
 			objectiveMs: route.objectiveMs,
 			gapMs: route.gapObjectiveMs ?? route.objectiveMs,
 			deadlineMs: call.deadlineMs - elapsedMs,
@@ -257,27 +260,61 @@
 
 	/**
 	Holds a request while all groups that could serve it are closed and one is expected to
-	open soon, and for a moment until the coordinator of a group that has just formed is
-	known. A refusal would cost the caller its retry.
+	open soon. When groups have just formed, requests that were held go on as far as this
+	entry's share of the groups whose coordinators are known, so that the first coordinator
+	does not get all of them. A refusal would cost callers their retry. Returns how long the
+	request was held, in milliseconds.
 	*/
-	const awaitGroup = async (call: Call, candidates: readonly Target[], signal: AbortSignal): Promise<void> => {
+	const awaitGroup = async (call: Call, candidates: readonly Target[], signal: AbortSignal): Promise<number> => {
 		if (availability.isSettled()) {
-			return;
+			return 0;
 		}
 
-		const leftMs = maxHoldMs - (monotonicMs() - call.arrivedMs);
+		const startedMs = monotonicMs();
+		const leftMs = maxHoldMs - (startedMs - call.arrivedMs);
 		const {open, closedGroups} = withoutClosed(candidates);
-		if (open.length === 0 && availability.remainingMs(closedGroups, options.model(call.service)?.experts?.formationMs ?? 0) <= leftMs) {
+		if (open.length === 0 && availability.remainingMs(closedGroups, options.model(call.service)?.experts?.formationMs ?? 0) > leftMs) {
+			return 0;
+		}
+
+		const groups = [...new Set(candidates.flatMap(target => groupOf(target) ?? []))];
+		const coordinated = (): readonly string[] => groups.filter(group => !availability.isClosed(group) && notices.coordinatorOf(group) !== undefined);
+		let claimed: string | undefined;
+		const claimShare = (): boolean => {
+			claimed = coordinated().find(group => outstandingIn(group) + (claims.get(group) ?? 0) < shareOf(group, call));
+			if (claimed !== undefined) {
+				claims.set(claimed, (claims.get(claimed) ?? 0) + 1);
+			}
+
+			return claimed !== undefined;
+		};
+
+		const mayGoOn = (): boolean => claimShare() || groups.every(group => !availability.isClosed(group) && !availability.hasJustFormed(group));
+		if (!mayGoOn()) {
 			metrics.count('held_for_group');
-			await availability.until(() => closedGroups.some(group => !availability.isClosed(group)), leftMs, signal);
+			await availability.until(mayGoOn, open.length === 0 ? leftMs : Math.min(leftMs, coordinatorWaitMs), signal);
 		}
 
-		const formed = [...new Set(withoutClosed(candidates).open.flatMap(target => groupOf(target) ?? []))];
-		const hasJustFormed = formed.some(group => availability.hasJustFormed(group));
-		const hasCoordinator = (): boolean => formed.some(group => notices.coordinatorOf(group) !== undefined);
-		if (hasJustFormed && !hasCoordinator()) {
-			await availability.until(hasCoordinator, coordinatorWaitMs, signal);
+		// The request is asked for now, so it counts as outstanding.
+		if (claimed !== undefined) {
+			claims.set(claimed, claims.get(claimed)! - 1);
 		}
+
+		return monotonicMs() - startedMs;
+	};
+
+	/** Returns how many requests this entry has running in a group or has asked its coordinator to place. */
+	const outstandingIn = (group: string): number => {
+		const coordinator = notices.coordinatorOf(group);
+		const asked = [...pendingReplies.values()].filter(pending => pending.coordinator === coordinator).length;
+		return asked + [...streams.values()].filter(stream => stream.group === group).length;
+	};
+
+	/** Returns this entry's share of what a group serves: of its reported room, or of what it serves with a badly fitting map. */
+	const shareOf = (group: string, call: Call): number => {
+		const load = loads.get(group)?.load;
+		const ranks = notices.ofGroup(group).length;
+		return Math.max(1, (load?.room ?? assumedCapacity(ranks, call)) / (load?.entries ?? entryCount() ?? assumedEntryCount));
 	};
 
 	const drawRetryAfterMs = ({objectiveMs}: PeerPlacementRequest): number => refusalRetryDelayMs(objectiveMs, random);
@@ -300,18 +337,19 @@
 
 		const timer = setTimeout(settle, Math.max(placementRequest.objectiveMs * minReplyTimeoutRatio, maxPlacementWaitMs(placementRequest)) + replyMarginMs, 'silent');
 		signal.addEventListener('abort', withdraw, {once: true});
-		pendingReplies.set(placementRequest.id, settle);
+		pendingReplies.set(placementRequest.id, {coordinator, settle});
 		coordinator.send({kind: 'place', ask: placementRequest});
 	});
 
 	/** Returns the coordinator of the least utilized group among the candidates' groups. */
-	const chooseCoordinator = (candidates: readonly Target[]): Peer | undefined => {
+	const chooseCoordinator = (call: Call, candidates: readonly Target[]): Peer | undefined => {
 		const groups = [...new Set(candidates.flatMap(target => groupOf(target) ?? []))];
 		let best: {peer: Peer; utilization: number} | undefined;
 		for (const group of groups) {
 			const peer = notices.coordinatorOf(group);
 			const load = loads.get(group)?.load;
-			const utilization = (load ? load.running / Math.max(1, load.room) : 0) + (random() / utilizationJitterDivisor);
+			const reported = load ? load.running / Math.max(1, load.room) : 0;
+			const utilization = (availability.isSettled() ? reported : Math.max(reported, outstandingIn(group) / shareOf(group, call))) + (random() / utilizationJitterDivisor);
 			if (peer && (!best || utilization < best.utilization)) {
 				best = {peer, utilization};
 			}
@@ -335,8 +373,8 @@
 		const serving = targets.servingTargets(call).filter(({record}) => !excluded.has(record.id));
 		const untried = serving.filter(({record}) => !tried.has(record.id));
 		const usable = untried.length > 0 ? untried : serving;
-		await awaitGroup(call, usable, signal);
-		const placementRequest = createPlacementRequest(request, identity);
+		const heldMs = await awaitGroup(call, usable, signal);
+		const placementRequest = createPlacementRequest(request, identity, heldMs);
 		const {open: candidates, closedGroups} = withoutClosed(usable.filter(({isServing}) => isServing));
 		if (signal.aborted) {
 			return {kind: 'refused', reason: 'withdrawn', retryAfterMs: drawRetryAfterMs(placementRequest)};
@@ -350,7 +388,7 @@
 			return {kind: 'refused', reason: targets.absenceReason(call), retryAfterMs: drawRetryAfterMs(placementRequest)};
 		}
 
-		const coordinator = chooseCoordinator(candidates);
+		const coordinator = chooseCoordinator(call, candidates);
 		if (!coordinator) {
 			return placeWithoutCoordinator(call, candidates, placementRequest);
 		}
@@ -383,7 +421,7 @@
 	};
 
 	const handleReply = (_peer: Peer, frame: Extract<Frame, {kind: 'placed' | 'turnedAway'}>): void => {
-		pendingReplies.get(frame.id)?.(frame);
+		pendingReplies.get(frame.id)?.settle(frame);
 	};
 
 	const handlers: FrameHandlers = {
--- a/packages/direct/test/group-place.test.ts
+++ b/packages/direct/test/group-place.test.ts
@@ -158,6 +158,28 @@
 		expect(result.kind === 'placed' && result.place.target.record.id).to.equal('i-2');
 	});
 
+	// Load pattern: hundreds of requests that were held go on in the moment in which the first of several groups has a coordinator again.
+	it('sends no more than its share of held requests to the first coordinator', async () => {
+		const placer = createPlacer();
+		close(placer);
+		const controller = new AbortController();
+		const held = Array.from({length: 40}, async (_, index) => placer.place({
+			call: formingCall(`r-${index}`, 8000), hasBegun: false, tried: new Set(), excluded: new Set(), signal: controller.signal,
+		}));
+		await sleep(20);
+		let asked = 0;
+		const coordinator: Peer = {
+			...peers[0], send(frame) {
+				asked += frame.kind === 'place' ? 1 : 0;
+			},
+		};
+		placer.onFrame(coordinator, {kind: 'rank', notice: noticeOf(0, 2, true, true)});
+		await sleep(100);
+		expect(asked).to.be.within(1, 4);
+		controller.abort();
+		await Promise.all(held);
+	});
+
 	it('refuses a request once it has been held for so long that its caller would leave, with a delay that its caller accepts', async () => {
 		const placer = createPlacer();
 		close(placer);
--- a/packages/policy/src/group-admission.ts
+++ b/packages/policy/src/group-admission.ts
@@ -11,6 +11,8 @@
 	readonly answerTokens: number;
 	/** The time since the caller first sent the request, in milliseconds. */
 	readonly waitedMs: number;
+	/** The part of that time for which the entry has held the request since it arrived there, in milliseconds; absent if it was not held. */
+	readonly heldMs?: number;
 	/** The time allowed for the first token, counted from when the caller first sent the request, in milliseconds. */
 	readonly objectiveMs: number;
 	/** The longest pause between two events of the stream that still counts as on time, in milliseconds. */
@@ -115,6 +117,9 @@
 /** The longest wait for capacity of a retried request, in milliseconds, unless it can meet its objective after a longer one. A second refusal is final and a late answer has some value, but callers abandon a request after 2 s without an event; the rest covers the current pass and the prefill pass. */
 const retryWaitMs = 1500;
 
+/** The number of waiting requests up to which all are tried when another one arrives; beyond it, they are tried at the next tick. After an outage hundreds arrive within milliseconds, and trying all of them for each one kept a coordinator busy for a second, so that entries no longer waited for its replies. */
+const maxTriedAtOnce = 32;
+
 /** The longest delay before a refused request returns, as a ratio of its remaining time; callers do not accept a longer one. */
 const maxReturnRatio = 1 / 3;
 
@@ -473,7 +478,10 @@
 				request, enqueuedAtMs: now, expiresAtMs: now + maxPlacementWaitMs(request), answer,
 			};
 			waiting.set(request.id, waitingRequest);
-			tick();
+			if (waiting.size <= maxTriedAtOnce) {
+				tick();
+			}
+
 			if (request.hasReturned && waiting.has(request.id) && isLate(waitingRequest) && isLateQueueFull()) {
 				waiting.delete(request.id);
 				answer(refuse(waitingRequest, 'lateQueueFull'));
@@ -511,8 +519,9 @@
 @example
 maxPlacementWaitMs({objectiveMs: 500, hasReturned: false, deadlineMs: 8000}); // 60
 */
-export function maxPlacementWaitMs({objectiveMs, hasReturned, deadlineMs}: Pick<PlacementRequest, 'objectiveMs' | 'hasReturned' | 'deadlineMs'>): number {
-	return Math.min(deadlineMs, hasReturned ? Math.max(retryWaitMs, objectiveMs * (1 - firstTokenReserveRatio)) : objectiveMs * firstWaitRatio);
+export function maxPlacementWaitMs({objectiveMs, hasReturned, deadlineMs, heldMs = 0}: Pick<PlacementRequest, 'objectiveMs' | 'hasReturned' | 'deadlineMs' | 'heldMs'>): number {
+	const retryMs = Math.max(0, Math.max(retryWaitMs, objectiveMs * (1 - firstTokenReserveRatio)) - heldMs);
+	return Math.min(deadlineMs, hasReturned ? Math.max(retryMs, objectiveMs * firstWaitRatio) : objectiveMs * firstWaitRatio);
 }
 
 /** The cost of a rank in another availability zone than the entry, in milliseconds. Traffic between zones is charged, but not worth a longer pass. */
