Log the rule and the priority of placement decisions and count them by priority

A refusal did not tell whether room was kept for others, the wait had ended or too many late requests were waiting. The log line 'placement decided' has rule, priority and queuedMs; group_decisions_total has the label priority and group_wait_ms the time until the decision.

--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -219,11 +219,15 @@
 		}
 
 		coordination.admission.ask(placementRequestOf(peer, frame), decision => {
-			metrics.count('group_decisions', {kind: decision.kind});
+			const queuedMs = monotonicMs() - askedMs;
+			metrics.count('group_decisions', {kind: decision.kind, priority: String(frame.ask.priority)});
+			metrics.latency('group_wait', queuedMs);
 			const target = decision.kind === 'placed' ? targetOf(decision.rank) : undefined;
 			log.info({
-				requestId: id, entry: peer.hello.instance, outcome: decision.kind, reason: decision.kind === 'refused' ? decision.reason : undefined, target,
-				waitedMs: Math.round(frame.ask.waitedMs), hasReturned: frame.ask.hasReturned, isResumed: frame.ask.isResumed, viewAgeMs: Math.round(monotonicMs() - lastViewMs),
+				requestId: id, entry: peer.hello.instance, outcome: decision.kind, target,
+				...(decision.kind === 'refused' && {reason: decision.reason, rule: decision.rule, retryAfterMs: Math.round(decision.retryAfterMs)}),
+				priority: frame.ask.priority, queuedMs: Math.round(queuedMs), waitedMs: Math.round(frame.ask.waitedMs),
+				hasReturned: frame.ask.hasReturned, isResumed: frame.ask.isResumed, viewAgeMs: Math.round(monotonicMs() - lastViewMs),
 				...coordination?.status(),
 			}, 'placement decided');
 			if (target !== undefined) {
@@ -234,7 +238,7 @@
 
 			coordination?.admission.ended(id);
 			if (identity !== undefined) {
-				coordination?.onRefused([identity, frame.ask.waitedMs + monotonicMs() - askedMs]);
+				coordination?.onRefused([identity, frame.ask.waitedMs + queuedMs]);
 			}
 
 			peer.send({
--- a/packages/policy/src/arrivals.ts
+++ b/packages/policy/src/arrivals.ts
@@ -8,7 +8,7 @@
 const minReceived = 3;
 
 /** A priority is starved if its ratio of placed requests is below this part of the mean. Callers require a quarter of the mean; the rest covers the delay until the ratio has risen again. */
-const starvedRatio = 0.4;
+const starvedRatio = 0.45;
 
 /** The recent arrivals and placements by priority. */
 export type ArrivalForecast = {
