--- a/packages/group/test/sidecar.test.ts
+++ b/packages/group/test/sidecar.test.ts
@@ -3,7 +3,9 @@
 import {describe, it} from 'mocha';
 import {type RankView} from '@papayaflow/experts';
 import {type Frame, type Peer, type RankNotice} from '@papayaflow/peer';
-import {createLog, createMetrics, type Log} from '@papayaflow/telemetry';
+import {
+	createLog, createMetrics, type Log, type Metrics,
+} from '@papayaflow/telemetry';
 import {
 	createGroupSidecar, encodeDemand, type GroupSidecar, type RankEngine,
 } from '@papayaflow/group';
@@ -26,9 +28,9 @@
 
 /** Starts a sidecar with a clock that the test sets. */
 function startSidecar(
-	rank: number, clock: {nowMs: number}, engine = engineOf(rank), options: {isEvacuated?: (zone: string) => boolean; record?: Uint8Array; log?: Log} = {},
+	rank: number, clock: {nowMs: number}, engine = engineOf(rank), options: {isEvacuated?: (zone: string) => boolean; record?: Uint8Array; log?: Log; metrics?: Metrics} = {},
 ): {sidecar: GroupSidecar; stop: () => void} {
-	const {isEvacuated = () => false, record, log = createLog({}, 'error')} = options;
+	const {isEvacuated = () => false, record, log = createLog({}, 'error'), metrics = createMetrics()} = options;
 	const ending = new AbortController();
 	const sidecar = createGroupSidecar({
 		target: targetOf(rank), engine, connect: target => engineOf(Number(target.slice(7, 8))),
@@ -42,7 +44,7 @@
 		records: () => Array.from({length: size}, (_, index) => ({
 			id: `i-${index}`, incarnation: 1, registeredAt: 1, service: 's', host: `10.0.0.${index}`, port: 80, zone: `z-${index}`, slots: 8, state: 'serving' as const, warmingMs: 0,
 		})),
-		isEvacuated, acquireToken: async () => 1, weights: {goodSkew: 1.1, copyCost: 0}, metrics: createMetrics(), log,
+		isEvacuated, acquireToken: async () => 1, weights: {goodSkew: 1.1, copyCost: 0}, metrics, log,
 		monotonicMs: () => clock.nowMs, random: () => 0.5, signal: ending.signal,
 		async sleep() {
 			await sleep(2);
@@ -194,6 +196,20 @@
 		await sidecar.leave();
 	});
 
+	// Guards against decisions that can't be told apart by priority: a burst of one kind then looks like a shortage for all.
+	it('counts its decisions by priority', async () => {
+		const metrics = createMetrics();
+		const {sidecar, stop} = startSidecar(0, {nowMs: 0}, engineOf(0), {metrics});
+		await sleep(20);
+		const entry = peerOf('entry', []);
+		sidecar.onUp(entry);
+		sidecar.onFrame(entry, placeFrame('a', []));
+		expect(metrics.read('group_decisions', {kind: 'placed', priority: '1'})).to.equal(1);
+		expect(await metrics.text()).to.include('papayaflow_group_wait_ms_count 1');
+		stop();
+		await sidecar.leave();
+	});
+
 	it('tells all entries which requests it has refused, so that they recognise the retries', async () => {
 		const {sidecar, stop} = startSidecar(0, {nowMs: 0});
 		const [sent, sentToOther]: [Frame[], Frame[]] = [[], []];
