Cold targets: a bounded rate after a start, without messages

Cause: a target that starts during traffic is idle and gets most calls of its service at once. The configuration bounds its rate while it is cold (cold_start_s, cold_per_s), over all entries together, also while these reach neither the store nor each other.

Change: a target is cold by its registration, its answers (X-Cold-Ms), a new start during traffic, or a connection that it accepts after it has refused others. Each entry keeps to its share, by a spacing that ensures the bound even if all entries send at once; where there are more entries than requests in a second, by short slots at random moments. Before coordinators have reported the number of entries for 5 s, one entry for two targets is assumed. Plain calls go to other targets while there are any; coordinators prefer other ranks and place at most cold_per_s. If no target may get a request, callers are told when (503, targetsCold). isSameTarget notices a target that becomes cold, but no countdown.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -1,16 +1,16 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	createAnswerBuffers, createBodyBuffers, createCrashDetector, createFront, createGroupPlacer, createLimitedPlacer, createPlainPlacer, createQuarantinedPlacer, createTargets, subjectsOf, type StopPlan,
+	createAnswerBuffers, createBodyBuffers, createColdPlacer, createCrashDetector, createFront, createGroupPlacer, createLimitedPlacer, createPlainPlacer, createQuarantinedPlacer, createTargets, subjectsOf, type StopPlan,
 } from '@papayaflow/direct';
 import {
-	createBeliefs, createEngineChoice, createPauses, createPermits, limitChanges, permitResults, type DispenserLink, type TargetLifetime,
+	createBeliefs, createColdTargets, createEngineChoice, createEntryEstimate, createPauses, createPermits, limitChanges, permitResults, type DispenserLink, type TargetLifetime,
 } from '@papayaflow/limit';
 import {lossReasons, refusalReasons} from '@papayaflow/outcome';
 import {
 	handleFrame, maintainHostLinks, type FrameHandlers, type Peer, type PeerEvents,
 } from '@papayaflow/peer';
 import {connectPlatformStore, platformDialect} from '@papayaflow/platform';
-import {createResendBudget, rendezvousOrder} from '@papayaflow/policy';
+import {coldShare, createResendBudget, rendezvousOrder} from '@papayaflow/policy';
 import {createQuarantine, suspicionChanges} from '@papayaflow/quarantine';
 import {addressOf, type EngineModel, type TargetRecord} from '@papayaflow/routing';
 import {
@@ -67,6 +67,8 @@
 		minimum: 0.1, maximum: 3600, unit: 'seconds', fallback: '10',
 	}),
 	regions: tableSetting('the region of each availability zone, as ZONE=REGION,ZONE=REGION; needed for routes and organisations whose regions are restricted'),
+	coldOverrun: numberSetting('how many times its rate a cold target may get in a second, over all entries', {minimum: 1, maximum: 1000, fallback: '1'}),
+	coldSlack: numberSetting('how many requests more than that a cold target may get in a second, over all entries', {minimum: 0, maximum: 1_000_000, fallback: '0'}),
 	stallMs: numberSetting('how long a group waits for a lost rank before it abandons its work', {
 		minimum: 0, maximum: 3_600_000, unit: 'milliseconds', fallback: '1500',
 	}),
@@ -96,6 +98,9 @@
 
 	const targets = createTargets({
 		connectMs: connectTimeoutMs, ejection, nowMs: monotonicMs, isKnownService: service => directory.table()?.configuration.services.has(service) ?? true,
+		onRestarted(record) {
+			cold.onStarted(record);
+		},
 		isEvacuated: targetZone => directory.evacuatedZones().has(targetZone),
 		onChange(change, {id, service, zone: targetZone, incarnation: targetIncarnation}) {
 			log.info({
@@ -111,11 +116,13 @@
 		onTable({configuration}) {
 			front.applyTimeouts(configuration.limits);
 			targets.update(directory.records());
+			cold.update(directory.records());
 			updateEngineChoice();
 			updateLinks(directory.records());
 		},
 		onRecords(records) {
 			targets.update(records);
+			cold.update(records);
 			permits.retain(records);
 			updateEngineChoice();
 			updateLinks(records);
@@ -128,6 +135,17 @@
 	const groupPlacer = createGroupPlacer({
 		targets, model, monotonicMs, random, metrics, log,
 	});
+	const coldEntries = createEntryEstimate({reported: () => groupPlacer.entries(), targets: () => directory.records().length, monotonicMs});
+	const cold = createColdTargets({
+		service: name => directory.table()?.configuration.services.get(name)?.cold, monotonicMs, random, metrics, log,
+		share: perSecond => coldShare({
+			perSecond, overrun: settings.coldOverrun, slack: settings.coldSlack, entries: coldEntries(),
+		}),
+	});
+	const stopColdTicks = ticker.add(() => {
+		coldEntries();
+		cold.tick();
+	});
 	/** The connected sidecars by the address of their machine. */
 	const sidecars = new Map<string, Peer>();
 	let engineOf = createEngineChoice({targets: [], isEngine: () => false});
@@ -233,7 +251,10 @@
 		place: createQuarantinedPlacer({
 			quarantine,
 			place: createLimitedPlacer({
-				place: async need => model(need.call.service) ? groupPlacer.place(need) : placePlain(need), targets, permits, pauses, random,
+				place: createColdPlacer({
+					place: async need => model(need.call.service) ? groupPlacer.place(need) : placePlain(need), targets, cold, avoidsCold: ({service}) => model(service) === undefined, random,
+				}),
+				targets, permits, pauses, random,
 			}),
 		}),
 		resendBudget: createResendBudget({
@@ -251,9 +272,10 @@
 			quarantine.onBegun(subjectsOf(call, quarantine));
 		},
 		silenceTimeoutMs: ({route}) => route.kind === 'stream' ? settings.stallMs + stallMarginMs : Math.max(route.objectiveMs, minSilenceMs),
-		onAnswer(target, {limit, pause: namedPause, leaving}, sentMs) {
+		onAnswer(target, {limit, pause: namedPause, leaving, coldMs = 0}, sentMs) {
 			permits.onAnswer(target.record, limit, sentMs);
 			pauses.observe(target.record, namedPause);
+			cold.onStated(target.record, coldMs);
 			if (leaving.kind === 'yes') {
 				target.markLeaving();
 			} else if (leaving.kind === 'malformed') {
@@ -271,7 +293,7 @@
 		ready: () => stopPlan ? {ready: false, reason: 'stopping'} : (directory.table() ? {ready: true} : {ready: false, reason: 'no configuration yet'}),
 		status: () => ({
 			instance, role: 'entry', zone, incarnation, leaving: stopPlan !== undefined, inFlight: front.inFlight(), connections: front.connections.open(),
-			version: directory.table()?.configuration.version, revision: directory.revision(), evacuatedZones: [...directory.evacuatedZones()], groups: groupPlacer.status(),
+			version: directory.table()?.configuration.version, revision: directory.revision(), evacuatedZones: [...directory.evacuatedZones()], groups: groupPlacer.status(), cold: cold.status(),
 			targets: targets.all().map(({record, inFlight, latencyMs, health, isServing}) => ({
 				id: record.id, service: record.service, state: record.state, isServing, inFlight, latencyMs: latencyMs === undefined ? null : Math.round(latencyMs), failures: health.failures,
 			})),
@@ -300,6 +322,7 @@
 			const aborted = front.abortAll();
 			const connections = await front.connections.drain(monotonicMs() + abortFlushMs);
 			directory.stop();
+			stopColdTicks();
 			shutdown.abort();
 			log.info({aborted, connections}, 'entry stopped');
 			await sleep(logFlushMs);
--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -2,7 +2,7 @@
 import {setImmediate, setTimeout as sleep} from 'node:timers/promises';
 import {acquireEpoch} from '@papayaflow/experts';
 import {createGroupSidecar, type RankEngine} from '@papayaflow/group';
-import {createDispenser, ownedTargets} from '@papayaflow/limit';
+import {createColdTargets, createDispenser, ownedTargets} from '@papayaflow/limit';
 import {
 	handleFrame, maintainHostLinks, servePeer, type FrameHandlers, type Peer, type PeerEvents,
 } from '@papayaflow/peer';
@@ -64,10 +64,17 @@
 		const records = directory.records();
 		ownRecord = latestByAddress(records.filter(record => isEngine(record))).get(target);
 		serviceRecords = records.filter(({service}) => service === ownRecord?.service);
+		cold.update(serviceRecords);
 		updateOwnedTargets();
 		updateLinks();
 	};
 
+	// The entries keep to the bound together; the coordinator spreads the requests so that few of them meet it.
+	const cold = createColdTargets({
+		service: name => directory.table()?.configuration.services.get(name)?.cold, monotonicMs, random, metrics, log,
+		share: perSecond => ({spacingMs: msPerSecond / perSecond, lapseMs: Number.POSITIVE_INFINITY}),
+	});
+	const stopColdTicks = ticker.add(cold.tick);
 	const engines = new Map<string, RankEngine>();
 	const connectEngine = (address: string): RankEngine => {
 		const engine = engines.get(address) ?? connectRank(address, {timeoutMs: engineTimeoutMs, orderTimeoutMs: engineOrderTimeoutMs});
@@ -77,6 +84,12 @@
 
 	const group = createGroupSidecar({
 		target, engine: connectEngine(target), connect: connectEngine, records: () => serviceRecords, metrics, log, monotonicMs, random, sleep: pause, signal: shutdown.signal,
+		cold: {
+			...cold,
+			onPlaced(record) {
+				cold.reserve(record)?.use();
+			},
+		},
 		isEvacuated: targetZone => directory.evacuatedZones().has(targetZone),
 		yieldTurn: async () => setImmediate(),
 		weights: {goodSkew: settings.goodSkew, copyCost: settings.copyCost},
@@ -201,6 +214,7 @@
 			log.info({graceMs}, 'sidecar is stopping');
 			await Promise.race([group.leave(), sleep(graceMs / 2)]);
 			stopLinkUpdates();
+			stopColdTicks();
 			directory.stop();
 			shutdown.abort();
 			server.close();
--- a/packages/direct/src/dialect.ts
+++ b/packages/direct/src/dialect.ts
@@ -58,6 +58,8 @@
 	readonly pause: NamedPause;
 	/** Whether the target says that it leaves. */
 	readonly leaving: NamedLeaving;
+	/** How much longer the target says that it is cold, in milliseconds; absent if it says nothing. */
+	readonly coldMs?: number;
 };
 
 /**
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -22,6 +22,7 @@
 	createTargets, type Target, type TargetOutcome, type Targets,
 } from './targets.js';
 export {createPool, type Pool} from './pool.js';
+export {createColdPlacer, type ColdPlacerOptions} from './cold-place.js';
 export {createLimitedPlacer, type LimitedPlacerOptions} from './limit-place.js';
 export {createGroupPlacer, type GroupPlacer, type GroupPlacerOptions} from './group-place.js';
 export {createQuarantinedPlacer, subjectsOf, type QuarantinedPlacerOptions} from './quarantine-place.js';
--- a/packages/direct/src/targets.ts
+++ b/packages/direct/src/targets.ts
@@ -73,6 +73,8 @@
 	readonly isKnownService: (service: string) => boolean;
 	/** Whether the targets of an availability zone get no new requests, by order of the operator; asked at each use of a target. */
 	readonly isEvacuated?: (zone: string) => boolean;
+	/** Called when a target that has refused connections accepts one: it has started again, since a target that is only cut off refuses none. */
+	readonly onRestarted?: (record: TargetRecord) => void;
 	/** Called when a target is added, removed, leaving, found to be gone, accepts no connection or accepts one again. */
 	readonly onChange: (change: 'added' | 'removed' | 'leaving' | 'gone' | 'unreachable' | 'reachable', record: TargetRecord) => void;
 };
@@ -175,21 +177,30 @@
 	};
 }
 
-function createTarget(initialRecord: TargetRecord, {connectMs, ejection, nowMs, isEvacuated = () => false, onChange, onGone, leaving}: CreateTargetOptions): ListedTarget {
+function createTarget(initialRecord: TargetRecord, {connectMs, ejection, nowMs, isEvacuated = () => false, onChange, onRestarted = () => undefined, onGone, leaving}: CreateTargetOptions): ListedTarget {
 	let record = initialRecord;
 	let inFlight = 0;
 	let latencyMs: number | undefined;
 	let health = healthy;
 	let isGone = false;
+	let hasRefused = false;
 	const lifetime = `${initialRecord.id}/${initialRecord.incarnation}`;
 	let isLeaving = leaving.has(lifetime);
 	const pool = createPool({
 		host: initialRecord.host, port: initialRecord.port, connectMs, nowMs,
 	});
 	const reachability = createReachability({
-		tryConnect: async () => await tryConnect(initialRecord.host, initialRecord.port, connectMs) === 'accepted',
+		async tryConnect() {
+			const trial = await tryConnect(initialRecord.host, initialRecord.port, connectMs);
+			hasRefused ||= trial === 'refused';
+			return trial === 'accepted';
+		},
 		onChange(isReachable) {
 			onChange(isReachable ? 'reachable' : 'unreachable', record);
+			if (isReachable && hasRefused) {
+				hasRefused = false;
+				onRestarted(record);
+			}
 		},
 	});
 	return {
--- a/packages/direct/test/targets.test.ts
+++ b/packages/direct/test/targets.test.ts
@@ -3,7 +3,7 @@
 import {listenOn} from '@papayaflow/standins';
 import {expect} from 'chai';
 import {beforeEach, describe, it} from 'mocha';
-import {type TargetRecord} from '@papayaflow/routing';
+import {isSameTarget, type TargetRecord} from '@papayaflow/routing';
 import {
 	createPlainPlacer, createTargets, type Call, type PlaceResult, type Targets,
 } from '@papayaflow/direct';
@@ -101,6 +101,45 @@
 	});
 });
 
+describe('isSameTarget()', () => {
+	// Guards against a target that becomes cold unnoticed, and against news of every heartbeat while it warms up.
+	it('tells a target that becomes cold from one whose stated time runs down', () => {
+		expect(isSameTarget(record('a', 1, {warmingMs: 3000}), record('a', 2, {warmingMs: 1800}))).to.equal(true);
+		expect(isSameTarget(record('a', 2, {warmingMs: 1800}), record('a', 3))).to.equal(true);
+		expect(isSameTarget(record('a', 3), record('a', 4, {warmingMs: 3000}))).to.equal(false);
+	});
+});
+
+describe('a target that refused connections', () => {
+	it('counts as started again when it accepts one, but not if it was only cut off', async () => {
+		const server = createServer();
+		const port = await listenOn(server);
+		const restarted: string[] = [];
+		const targets = createTargets({
+			connectMs: 100, ejection: {ejectAfterFailures: 3, ejectMs: 1000, maxEjectedRatio: 0.5}, nowMs: () => 0, isKnownService: () => true, onChange: () => undefined,
+			onRestarted: ({id}) => restarted.push(id),
+		});
+		targets.update([record('a', 1, {host: '127.0.0.1', port})]);
+		targets.byId('a')?.markUnreachable();
+		await waitUntilServing(targets);
+		expect(restarted, 'after a connection that was not refused').to.deep.equal([]);
+		server.close();
+		targets.byId('a')?.markUnreachable();
+		await sleep(100);
+		server.listen(port, '127.0.0.1');
+		await waitUntilServing(targets);
+		expect(restarted).to.deep.equal(['a']);
+		targets.update([]);
+		server.close();
+	});
+
+	const waitUntilServing = async (targets: Targets): Promise<void> => {
+		while (servingIds(targets).length === 0) {
+			await sleep(10);
+		}
+	};
+});
+
 describe('a target in an evacuated zone', () => {
 	const ejection = {ejectAfterFailures: 3, ejectMs: 1000, maxEjectedRatio: 0.5};
 	const evacuated = new Set<string>();
--- a/packages/group/src/coordination.ts
+++ b/packages/group/src/coordination.ts
@@ -43,6 +43,9 @@
 	readonly openByRank: () => readonly boolean[];
 	/** The availability zone of each rank, indexed by rank. */
 	readonly zones: () => ReadonlyArray<string | undefined>;
+	/** Whether each rank is cold, and whether it may get another request now. */
+	readonly isCold?: (rank: number) => boolean;
+	readonly mayPlace?: (rank: number) => boolean;
 	/** Acquires a new fencing token for this group; `undefined` if it could not be acquired. */
 	readonly acquireToken: () => Promise<number | undefined>;
 	readonly weights: Pick<BalancingWeights, 'goodSkew' | 'copyCost'>;
@@ -110,7 +113,7 @@
 			const model = deps.model();
 			return model && {...model, expertShare: model.experts?.workShare ?? 0};
 		},
-		openRanks: deps.openByRank, zones: deps.zones,
+		openRanks: deps.openByRank, zones: deps.zones, isCold: deps.isCold, mayPlace: deps.mayPlace,
 		skew: () => skewMonitor.skew(), demandShifts: () => skewMonitor.shifts(), slowdown: () => meter.slowdown(), isStalled: () => meter.stalledMs() > stallTimeoutMs,
 		nowMs: monotonicMs, random: deps.random,
 	});
--- a/packages/group/src/index.ts
+++ b/packages/group/src/index.ts
@@ -13,5 +13,7 @@
 	createRemoteRanks, type Member, type RemoteRanks, type RemoteRanksOptions,
 } from './remote-ranks.js';
 export {createSkewMonitor, type SkewMonitor} from './skew-monitor.js';
-export {createGroupSidecar, type GroupSidecar, type GroupSidecarDeps} from './sidecar.js';
+export {
+	createGroupSidecar, type GroupSidecar, type ColdRanks, type GroupSidecarDeps,
+} from './sidecar.js';
 export {createMembership, type Membership} from './membership.js';
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -31,6 +31,15 @@
 /** How long a disconnected entry may take to reconnect before its streams count as ended, in milliseconds. */
 const entryReconnectTimeoutMs = 1200;
 
+/** Which ranks are cold, and how often they get requests, by their registrations. */
+export type ColdRanks = {
+	isCold(record: TargetRecord): boolean;
+	/** How long a rank may get no request, in milliseconds; 0 if it may get one now. */
+	waitMs(record: TargetRecord): number;
+	/** Records that a request is placed on a rank. */
+	onPlaced(record: TargetRecord): void;
+};
+
 export type GroupSidecarDeps = Pick<CoordinationDeps, 'engine' | 'connect' | 'model' | 'weights' | 'metrics' | 'log' | 'monotonicMs' | 'random' | 'sleep' | 'yieldTurn' | 'signal'> & {
 	/** The engine beside this sidecar, as `IP:PORT`. */
 	readonly target: string;
@@ -38,6 +47,8 @@
 	readonly records: () => readonly TargetRecord[];
 	/** Whether the ranks of an availability zone accept no new requests, by order of the operator; they still take part in passes, commands and maps. */
 	readonly isEvacuated?: (zone: string) => boolean;
+	/** The limits of cold ranks; none by default. */
+	readonly cold?: ColdRanks;
 	/** Acquires a new fencing token for a group; `undefined` if it could not be acquired. */
 	readonly acquireToken: (group: string) => Promise<number | undefined>;
 };
@@ -81,6 +92,7 @@
 	let notice: RankNotice | undefined;
 	let openByRank: readonly boolean[] = [];
 	let zones: ReadonlyArray<string | undefined> = [];
+	let recordByRank: ReadonlyArray<TargetRecord | undefined> = [];
 	let lowerCandidateSeenMs = monotonicMs() + startupDelayMs;
 	let lastViewMs = monotonicMs();
 	let isLeaving = false;
@@ -143,12 +155,23 @@
 			// A sidecar that stopped responding may be on a frozen machine. A request sent there can't be cancelled: the engine would still run it after the caller has disconnected.
 			return view.isOpen && record?.state === 'serving' && !deps.isEvacuated?.(record.zone) && !membership.isSilent(view.group, rank);
 		});
-		zones = openByRank.map((_, rank) => records.get(targetOf(rank) ?? '')?.zone);
+		recordByRank = openByRank.map((_, rank) => records.get(targetOf(rank) ?? ''));
+		zones = recordByRank.map(record => record?.zone);
 		updateRole(view);
 		updateNotice(view);
 		coordination?.onView(view);
 	};
 
+	const isCold = (rank: number): boolean => {
+		const record = recordByRank[rank];
+		return record !== undefined && (deps.cold?.isCold(record) ?? false);
+	};
+
+	const mayPlace = (rank: number): boolean => {
+		const record = recordByRank[rank];
+		return record === undefined || (deps.cold?.waitMs(record) ?? 0) === 0;
+	};
+
 	const updateRole = (view: RankView): void => {
 		const now = monotonicMs();
 		const hasLowerCandidate = membership.hasLowerCandidate(view.group, view.rank);
@@ -166,7 +189,7 @@
 		const shouldCoordinate = view.rank === 0 || (view.rank < candidateCount && !hasLowerCandidate && now - lowerCandidateSeenMs >= takeoverDelayMs * view.rank);
 		if (!coordination && shouldCoordinate && !isLeaving && view.isOpen) {
 			coordination = startCoordination({
-				...deps, view, own, member, openByRank: () => openByRank, zones: () => zones, entries: () => entries.size,
+				...deps, view, own, member, openByRank: () => openByRank, zones: () => zones, isCold, mayPlace, entries: () => entries.size,
 				acquireToken: async () => deps.acquireToken(view.group),
 				sendLoad(load) {
 					for (const peer of entries) {
@@ -224,6 +247,11 @@
 		coordination.admission.ask(placementRequestOf(peer, frame), decision => {
 			metrics.count('group_decisions', {kind: decision.kind});
 			const target = decision.kind === 'placed' ? targetOf(decision.rank) : undefined;
+			const record = decision.kind === 'placed' ? recordByRank[decision.rank] : undefined;
+			if (record) {
+				deps.cold?.onPlaced(record);
+			}
+
 			log.info({
 				requestId: id, entry: peer.hello.instance, outcome: decision.kind, reason: decision.kind === 'refused' ? decision.reason : undefined, target,
 				waitedMs: Math.round(frame.ask.waitedMs), hasReturned: frame.ask.hasReturned, isResumed: frame.ask.isResumed, viewAgeMs: Math.round(monotonicMs() - lastViewMs),
--- a/packages/limit/src/index.ts
+++ b/packages/limit/src/index.ts
@@ -2,6 +2,9 @@
 	afterAnswer, unlimited, type Belief, type NamedLimit,
 } from './belief.js';
 export {createBeliefs, limitChanges, type Beliefs} from './beliefs.js';
+export {
+	createColdTargets, createEntryEstimate, type ColdReservation, type ColdTargets, type ColdTargetsOptions,
+} from './cold.js';
 export {
 	createDispenser, type AnnouncedLimit, type Dispenser, type DispenserOptions, type PermitDecision, type SeenLimit,
 } from './dispenser.js';
--- a/packages/outcome/src/outcome.ts
+++ b/packages/outcome/src/outcome.ts
@@ -29,6 +29,7 @@
 	'resendBudgetSpent',
 	'rateLimited',
 	'targetsPaused',
+	'targetsCold',
 	'quarantined',
 	'shuttingDown',
 ] as const;
--- a/packages/policy/src/group-admission.ts
+++ b/packages/policy/src/group-admission.ts
@@ -58,6 +58,10 @@
 	readonly openRanks: () => readonly boolean[];
 	/** For each rank, its availability zone; `undefined` if it is not known. */
 	readonly zones: () => ReadonlyArray<string | undefined>;
+	/** Whether a rank is cold: others are preferred unless they have much more work; none is by default. */
+	readonly isCold?: (rank: number) => boolean;
+	/** Whether a rank that accepts requests may get another one now; all may by default. */
+	readonly mayPlace?: (rank: number) => boolean;
 	/** The current skew of the load, as defined for `predictPassMs`. */
 	readonly skew: () => number;
 	/** The observed shifts of demand; `undefined` before enough of them have been observed. */
@@ -113,6 +117,9 @@
 /** The approximate part of a stream's value that is lost when a pause makes it late, as a ratio. */
 const lateStreamLossRatio = 0.5;
 
+/** The number of further requests that a cold rank counts as having when a rank is chosen: more than the usual difference between two ranks, but not so many that the others get slow. */
+const coldRankRequests = 2;
+
 /** The interval at which the planning skew is recomputed, in milliseconds. */
 const skewRefreshIntervalMs = 150;
 
@@ -256,11 +263,11 @@
 		let bestCost = Number.POSITIVE_INFINITY;
 		for (const [rank, isOpen] of options.openRanks().entries()) {
 			const {requests, tokens, prefillTokens} = counts[rank];
-			if (!isOpen || excluded.has(rank) || requests >= model.slots || tokens + promptTokens + answerTokens > maxMemoryRatio * model.memoryTokens) {
+			if (!isOpen || excluded.has(rank) || !(options.mayPlace?.(rank) ?? true) || requests >= model.slots || tokens + promptTokens + answerTokens > maxMemoryRatio * model.memoryTokens) {
 				continue;
 			}
 
-			const decodeMs = model.stepsPerPass * model.sequenceMs * requests;
+			const decodeMs = model.stepsPerPass * model.sequenceMs * (requests + (options.isCold?.(rank) ? coldRankRequests : 0));
 			const zoneMs = zones[rank] === zone ? 0 : otherZoneMs;
 			const cost = decodeMs + ((prefillTokens + promptTokens) / model.prefillTokensPerMs) + zoneMs + (options.random() / tieBreakDivisor);
 			if (cost < bestCost) {
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -13,6 +13,7 @@
 export {
 	hashText, isReader, rendezvousFirst, rendezvousOrder, pickSubset, type ZonedNode,
 } from './rendezvous.js';
+export {coldShare, type ColdShare} from './cold-share.js';
 export {claimShards, shardOfKey} from './shard.js';
 export {createResendBudget, type ResendBudget, type ResendOptions} from './resend.js';
 export {
--- a/packages/policy/test/group.test.ts
+++ b/packages/policy/test/group.test.ts
@@ -97,6 +97,24 @@
 		expect(admission.state().passMs).to.be.at.most(0.82 * 40);
 	});
 
+	// Load pattern: some ranks of a group that is not full have just started.
+	it('prefers ranks that are not cold, and places nothing on one that may get no request now', () => {
+		let mayPlace = true;
+		const admission = createGroupAdmission({
+			model: () => model, openRanks: () => [true, true], zones: () => [], skew: () => 1, demandShifts: () => undefined, slowdown: () => 1, isStalled: () => false,
+			isCold: rank => rank === 0, mayPlace: rank => rank !== 0 || mayPlace, nowMs: () => 0, random: () => 0.5,
+		});
+		const placeOn = (id: string): number | undefined => {
+			const [decision] = ask(admission, makeRequest(id, {gapMs: 1000, promptTokens: 1, zone: 'none'}));
+			admission.began(id);
+			return decision?.kind === 'placed' ? decision.rank : undefined;
+		};
+
+		expect(['a', 'b', 'c', 'd', 'e'].map(id => placeOn(id)).filter(rank => rank === 1).length, 'of five requests').to.be.within(3, 4);
+		mayPlace = false;
+		expect(['f', 'g', 'h'].map(id => placeOn(id))).to.deep.equal([1, 1, 1]);
+	});
+
 	// Load pattern: a zone of a group that lies in several is evacuated, and its ranks only take part in the passes.
 	it('counts only the ranks that accept requests as capacity, and all of them while none does', () => {
 		let open = [true, true, true];
--- a/packages/routing/src/configuration.ts
+++ b/packages/routing/src/configuration.ts
@@ -80,11 +80,16 @@
 	readonly formationMs: number;
 };
 
+/** How long the targets of a service are cold after a start during traffic, in milliseconds, and how many requests one of them may get in a second meanwhile. */
+export type ColdService = {readonly startMs: number; readonly perSecond: number};
+
 export type Service = {
 	readonly name: string;
 	/** The maximum number of connections that one target accepts from all clients together. */
 	readonly maxConnections: number;
 	readonly engine: EngineModel | undefined;
+	/** The limits of cold targets; absent if the targets of the service are never cold. */
+	readonly cold?: ColdService;
 };
 
 /** Limits on the size of requests and on the timing of callers' connections. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,5 +1,5 @@
 export type {
-	CallerLimits, CallKind, Configuration, EngineModel, ExpertModel, Organisation, Route, Service, WeightedService,
+	CallerLimits, CallKind, ColdService, Configuration, EngineModel, ExpertModel, Organisation, Route, Service, WeightedService,
 } from './configuration.js';
 export {
 	createRouteTable, drawService, identifyCaller, type CallerIdentity, type RouteTable,
--- a/packages/routing/src/target.ts
+++ b/packages/routing/src/target.ts
@@ -21,12 +21,13 @@
 };
 
 /**
-Whether two records are equal in everything that affects routing, so that listeners
-need not be notified of the newer one.
+Whether two records, the older one first, are equal in everything that affects routing, so
+that listeners need not be notified of the newer one. A target that becomes cold is a change,
+but the steps in which the stated time runs down are none.
 */
 export function isSameTarget(a: TargetRecord, b: TargetRecord): boolean {
 	return a.id === b.id && a.incarnation === b.incarnation && a.service === b.service && a.host === b.host && a.port === b.port
-		&& a.zone === b.zone && a.slots === b.slots && a.state === b.state;
+		&& a.zone === b.zone && a.slots === b.slots && a.state === b.state && b.warmingMs <= a.warmingMs;
 }
 
 /**
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -635,4 +635,14 @@
 		find: ' || excludedZones.includes(zones[rank] ?? \'\')', replace: '',
 		spec: 'group/test/sidecar.test.ts', test: 'places a request on no rank of a zone that its entry excludes',
 	},
+	{
+		name: 'the share of a cold target also counts when a request is sent', file: 'direct/src/cold-place.ts',
+		find: 'chosen.mayStart() && reservation.use()', replace: 'chosen.mayStart()',
+		spec: 'direct/test/cold-place.test.ts', test: 'to a target that became cold after it was chosen',
+	},
+	{
+		name: 'entries beyond the bound of a cold target send in slots', file: 'policy/src/cold-share.ts',
+		find: 'Math.min(perSecond, mean), lapseMs: slotMs', replace: 'perSecond, lapseMs: Number.POSITIVE_INFINITY',
+		spec: 'limit/test/cold.test.ts', test: 'less than one request for each entry',
+	},
 ];
