--- a/packages/outcome/src/outcome.ts
+++ b/packages/outcome/src/outcome.ts
@@ -30,6 +30,7 @@
 	'resendBudgetSpent',
 	'rateLimited',
 	'targetsPaused',
+	'targetsCold',
 	'quarantined',
 	'shuttingDown',
 ] as const;
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -715,4 +715,14 @@
 		find: 'keys.filter(key => mirror.isMirrored(key))', replace: '[...keys]',
 		spec: 'mirror/test/mirror.test.ts', test: 'holds and copies no entries of the keys',
 	},
+	{
+		name: 'the share of a cold target also counts when a request is sent', file: 'direct/src/cold-place.ts',
+		find: 'chosen.mayStart() && reservation.use()', replace: 'chosen.mayStart()',
+		spec: 'direct/test/cold-place.test.ts', test: 'to a target that became cold after it was chosen',
+	},
+	{
+		name: 'entries beyond the bound of a cold target send in slots', file: 'policy/src/cold-share.ts',
+		find: 'Math.min(perSecond, mean), lapseMs: slotMs', replace: 'perSecond, lapseMs: Number.POSITIVE_INFINITY',
+		spec: 'limit/test/cold.test.ts', test: 'less than one request for each entry',
+	},
 ];
