--- a/packages/group/test/sidecar.test.ts
+++ b/packages/group/test/sidecar.test.ts
@@ -26,10 +26,10 @@
 
 const targetOf = (rank: number): string => `10.0.0.${rank}:80`;
 
+type StartOptions = {readonly isEvacuated?: (zone: string) => boolean; readonly record?: Uint8Array; readonly log?: Log; readonly metrics?: Metrics};
+
 /** Starts a sidecar with a clock that the test sets. */
-function startSidecar(
-	rank: number, clock: {nowMs: number}, engine = engineOf(rank), options: {isEvacuated?: (zone: string) => boolean; record?: Uint8Array; log?: Log; metrics?: Metrics} = {},
-): {sidecar: GroupSidecar; stop: () => void} {
+function startSidecar(rank: number, clock: {nowMs: number}, engine = engineOf(rank), options: StartOptions = {}): {sidecar: GroupSidecar; stop: () => void} {
 	const {isEvacuated = () => false, record, log = createLog({}, 'error'), metrics = createMetrics()} = options;
 	const ending = new AbortController();
 	const sidecar = createGroupSidecar({
