Targets of a zone that is taken back count as cold

Cause: when an evacuation ends, the targets of the zone are cold, but their registrations say so only with their next report. If they are the first of their service, they got all calls meanwhile.

Change: the directory tells which targets are in zones that are no longer evacuated, and entries and sidecars count them as started.

Tested: three entries as processes, one plain target in a zone that is evacuated and taken back under 60 calls a second: at most the bound of 6 in any second.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -99,7 +99,7 @@
 	const targets = createTargets({
 		connectMs: connectTimeoutMs, ejection, nowMs: monotonicMs, isKnownService: service => directory.table()?.configuration.services.has(service) ?? true,
 		onRestarted(record) {
-			cold.onStarted(record);
+			cold.onStarted([record]);
 		},
 		isEvacuated: targetZone => directory.evacuatedZones().has(targetZone),
 		onChange(change, {id, service, zone: targetZone, incarnation: targetIncarnation}) {
@@ -120,6 +120,9 @@
 			updateEngineChoice();
 			updateLinks(directory.records());
 		},
+		onTakenBack(records) {
+			cold.onStarted(records);
+		},
 		onRecords(records) {
 			targets.update(records);
 			cold.update(records);
--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -55,6 +55,9 @@
 		onRecords() {
 			updateTargets();
 		},
+		onTakenBack(records) {
+			cold.onStarted(records);
+		},
 	});
 	const isEngine = ({service}: TargetRecord): boolean => directory.table()?.configuration.services.get(service)?.engine !== undefined;
 	/** The engine beside this sidecar, and the targets of its service. They are looked up for each placement, so they are derived once for each change. */
--- a/packages/cli/src/directory.ts
+++ b/packages/cli/src/directory.ts
@@ -74,6 +74,8 @@
 	readonly signal: AbortSignal;
 	readonly onTable: (table: RouteTable) => void;
 	readonly onRecords: (records: readonly TargetRecord[]) => void;
+	/** Called with the targets of zones that are no longer evacuated. */
+	readonly onTakenBack?: (records: readonly TargetRecord[]) => void;
 };
 
 /** The configuration and the targets as this process knows them from the store and from its peers. */
@@ -192,6 +194,8 @@
 				log.warn({zone, revision: mirror.revision(), targets: records.filter(record => record.zone === zone).length}, evacuatedZones.has(zone) ? 'zone evacuated' : 'zone taken back');
 			}
 		}
+
+		deps.onTakenBack?.(records.filter(({zone}) => before.has(zone) && !evacuatedZones.has(zone)));
 	};
 
 	const announceRevision = (): void => {
--- a/packages/cli/test/cold-target.test.ts
+++ b/packages/cli/test/cold-target.test.ts
@@ -46,6 +46,20 @@
 		expect((await loadSite(site, 'plain', {perSecond: 30, ms: 1000})).filter(({status}) => status !== 200), 'when it is warm').to.deep.equal([]);
 	});
 
+	// Guards against a zone whose few targets get all calls at once when it is taken back, before their registrations say that they are cold.
+	it('is also each one of a zone that is taken back', async () => {
+		const [target] = site.plains;
+		site.store.remove('servers/p-1');
+		site.store.put('op/evacuate/z', '{}');
+		await sleep(settleMs);
+		target.arrivalsMs.length = 0;
+		site.store.remove('op/evacuate/z');
+		await loadSite(site, 'plain', {perSecond: 60, ms: 1500});
+		expect(target.arrivalsMs.length).to.be.above(0);
+		const isWithinBound = target.arrivalsMs.every(atMs => target.arrivalsMs.filter(other => other >= atMs && other < atMs + 1000).length <= perSecond);
+		expect(isWithinBound, `arrivals ${target.arrivalsMs.map(ms => Math.round(ms)).join(' ')}`).to.equal(true);
+	});
+
 	it('gets few requests while others take them, and no caller is refused', async () => {
 		for (const id of ['p-0', 'e-0']) {
 			restart(id);
--- a/packages/direct/test/cold-place.test.ts
+++ b/packages/direct/test/cold-place.test.ts
@@ -50,7 +50,7 @@
 	};
 
 	it('uses other targets while they take requests', async () => {
-		cold.onStarted(records[0]);
+		cold.onStarted([records[0]]);
 		expect(idOf(await place())).to.equal('i-1');
 		nowMs = 3000;
 		expect(idOf(await place())).to.equal('i-0');
@@ -58,7 +58,7 @@
 
 	// Guards against requests that wait for a cold rank whose share is used although other ranks are free.
 	it('uses another target once the share of the cold one is used, if cold ones are not avoided', async () => {
-		cold.onStarted(records[0]);
+		cold.onStarted([records[0]]);
 		const first = await placed(new Set(), false);
 		expect([first.target.record.id, first.mayStart()]).to.deep.equal(['i-0', true]);
 		expect(idOf(await place(new Set(), false))).to.equal('i-1');
@@ -67,10 +67,7 @@
 	});
 
 	it('refuses a call for which only cold targets are left that may get none, with the time at which one may', async () => {
-		for (const record of records) {
-			cold.onStarted(record);
-		}
-
+		cold.onStarted(records);
 		expect((await placed()).mayStart()).to.equal(true);
 		nowMs = 100;
 		expect((await placed()).mayStart()).to.equal(true);
@@ -81,7 +78,7 @@
 	});
 
 	it('gives a cold target to the next call if the request was not sent', async () => {
-		cold.onStarted(records[0]);
+		cold.onStarted([records[0]]);
 		const others = new Set(['i-1']);
 		const unsent = await placed(others);
 		expect(idOf(await place(others))).to.equal('targetsCold');
@@ -92,7 +89,7 @@
 	// Guards against requests that were placed on a warm target and reach it together after it has started again.
 	it('sends no request beyond the share to a target that became cold after it was chosen', async () => {
 		const places = [await placed(), await placed()];
-		cold.onStarted(records[0]);
+		cold.onStarted([records[0]]);
 		expect(places.map(({mayStart}) => mayStart())).to.deep.equal([true, false]);
 	});
 });
--- a/packages/limit/src/cold.ts
+++ b/packages/limit/src/cold.ts
@@ -29,8 +29,8 @@
 	update(records: readonly TargetRecord[]): void;
 	/** Records that a target said that it is cold for this long, in milliseconds. */
 	onStated(record: TargetRecord, ms: number): void;
-	/** Records that a target has started again, although no registration says so yet. */
-	onStarted(record: TargetRecord): void;
+	/** Records that targets have started again, or got no requests for long, although no registration says yet that they are cold. */
+	onStarted(records: readonly TargetRecord[]): void;
 	/** Whether any target is cold. */
 	isActive(): boolean;
 	isCold(record: TargetRecord): boolean;
@@ -155,8 +155,10 @@
 		onStated(record, ms) {
 			extend(record, ms, 'answer');
 		},
-		onStarted(record) {
-			extend(record, service(record.service)?.startMs ?? 0, 'start');
+		onStarted(records) {
+			for (const record of records) {
+				extend(record, service(record.service)?.startMs ?? 0, 'start');
+			}
 		},
 		isActive: () => states.size > 0,
 		isCold: record => stateOf(record) !== undefined,
--- a/packages/limit/test/cold.test.ts
+++ b/packages/limit/test/cold.test.ts
@@ -75,14 +75,14 @@
 		cold.update([record()]);
 		cold.onStated(record(), 400);
 		expect(coldUntil()).to.equal(400);
-		cold.onStarted(record());
+		cold.onStarted([record()]);
 		expect(coldUntil()).to.equal(3400);
 		cold.onStated(record({service: 'never cold'}), 400);
 		expect(cold.isCold(record())).to.equal(false);
 	});
 
 	it('gets one request in the time of the share, also if the connection takes long or a request is not sent', () => {
-		cold.onStarted(record());
+		cold.onStarted([record()]);
 		const first = cold.reserve(record())!;
 		expect(cold.reserve(record()), 'while one is reserved').to.equal(undefined);
 		first.release();
@@ -98,7 +98,7 @@
 	// Guards against requests placed on a warm target that reach it after it has become cold.
 	it('gets no more than its share of the requests that were placed before it became cold', () => {
 		const reservations = [1, 2, 3].map(() => cold.reserve(record())!);
-		cold.onStarted(record());
+		cold.onStarted([record()]);
 		expect(reservations.map(({use}) => use())).to.deep.equal([true, false, false]);
 		nowMs = 3000;
 		expect([cold.waitMs(record()), cold.reserve(record())?.use()]).to.deep.equal([0, true]);
@@ -113,7 +113,7 @@
 				service: () => ({startMs: 10_000, perSecond: limits.perSecond}), share: () => coldShare({...limits, entries}), monotonicMs: () => nowMs, random,
 				metrics: createMetrics(), log: createLog({}, 'error'),
 			});
-			table.onStarted(record());
+			table.onStarted([record()]);
 			return table;
 		});
 		const arrivals: number[] = [];
