Leave the skew of a new formation's first map out of the planning for shifts

With the map switched and a skew of 1.3, the groups still planned for 3.5 (room 72 in place of 120 or more) and refused 250 requests in a second. Before the demand was known the skew counted as 1, and 120 to 144 streams were placed where 96 fit.

Change: the skew after a shift is sampled only under maps that were planned; an unknown demand under the first map counts as a skew of 2.

--- a/packages/group/src/coordination.ts
+++ b/packages/group/src/coordination.ts
@@ -40,6 +40,9 @@
 /** How often it checks whether they are, in milliseconds. */
 const membersCheckMs = 20;
 
+/** The assumed skew of the round-robin map of a new formation while the demand is not known yet. It keeps a group that is asked for hundreds of placements at once from running more than it can. */
+const unknownDemandSkew = 2;
+
 export type CoordinationDeps = {
 	readonly view: RankView;
 	readonly own: OwnRank;
@@ -139,14 +142,16 @@
 	const meter = createPassMeter();
 	const sizes = {layers: experts.layers, experts: experts.expertsPerLayer};
 	const tracker = deps.demandMemory.trackerOf(view.group, sizes);
-	const skewMonitor = createSkewMonitor(tracker, () => currentMap);
+	let isMapPlanned = currentMap === undefined;
+	const skewMonitor = createSkewMonitor(tracker, () => currentMap, () => isMapPlanned);
+	const hasDemand = (): boolean => tracker.demands().some(({reports}) => reports > 0);
 	const admission = createGroupAdmission({
 		model() {
 			const model = deps.model();
 			return model && {...model, expertShare: model.experts?.workShare ?? 0};
 		},
 		openRanks: deps.openByRank, zones: deps.zones, isCold: deps.isCold, mayPlace: deps.mayPlace,
-		skew: () => skewMonitor.skew(), demandShifts: () => skewMonitor.shifts(), slowdown: () => meter.slowdown(), isStalled: () => meter.stalledMs() > stallTimeoutMs,
+		skew: () => isMapPlanned || hasDemand() ? skewMonitor.skew() : unknownDemandSkew, demandShifts: () => skewMonitor.shifts(), slowdown: () => meter.slowdown(), isStalled: () => meter.stalledMs() > stallTimeoutMs,
 		nowMs: monotonicMs, random: deps.random,
 	});
 	const ranks = createRemoteRanks({
@@ -238,6 +243,8 @@
 		need: () => balancingNeed(admission.passRatio()),
 		isStopped,
 		onMap(map) {
+			// The first map is the one that the ranks had when this coordinator took them over.
+			isMapPlanned ||= hasReadMap;
 			currentMap = map;
 			if (!hasReadMap) {
 				hasReadMap = true;
--- a/packages/group/src/skew-monitor.ts
+++ b/packages/group/src/skew-monitor.ts
@@ -17,10 +17,14 @@
 Creates a monitor for the map that `map` returns. The skew is computed again only
 when the map or the demand estimate has changed.
 
+`isPlanned` tells whether the map was planned for a demand. The round-robin map of a new
+formation fits no demand, so its skew is not one that a shift has caused; counted as such,
+it halved the requests that a group admitted for seconds after each formation.
+
 @example
 const monitor = createSkewMonitor(tracker, () => map);
 */
-export function createSkewMonitor(tracker: DemandTracker, map: () => LayeredMap | undefined): SkewMonitor {
+export function createSkewMonitor(tracker: DemandTracker, map: () => LayeredMap | undefined, isPlanned: () => boolean = () => true): SkewMonitor {
 	let cached: {readonly map: LayeredMap; readonly demands: readonly Demand[]; readonly skew: number} | undefined;
 	let meanShiftSkew: number | undefined;
 	// A shift from before the monitor was created says nothing about the skew of the present map.
@@ -42,6 +46,10 @@
 			const shiftedMs = tracker.lastShiftMs();
 			if (shiftedMs !== undefined && shiftedMs > lastSampledShiftMs) {
 				lastSampledShiftMs = shiftedMs;
+				if (!isPlanned()) {
+					return skew;
+				}
+
 				meanShiftSkew = meanShiftSkew === undefined ? skew : meanShiftSkew + ((skew - meanShiftSkew) * skewSampleWeight);
 			}
 
