Hold requests while the state of the groups is not known, and probe refusing services

Cause: in the half second after the start of an entry no sidecar has told the state of its group.

Change: an entry holds requests in its first three seconds until a sidecar has told the state of a group, and while a rank has refused a request and no coordinator is known, of which one goes on each 250 ms. A request that was held waits at the coordinator like a returned one. Requests are held for at most 1.5 s.

--- a/packages/direct/src/group-availability.ts
+++ b/packages/direct/src/group-availability.ts
@@ -10,8 +10,11 @@
 /** The weight of a new sample in the moving average of the time for which groups are closed. */
 const outageWeight = 0.3;
 
-/** How long no request is sent to a service without a coordinator after one of its ranks has refused a request, in milliseconds. All ranks of a group refuse while it forms. */
-const refusalHoldMs = 250;
+/** The time between two requests that are sent to a service without a coordinator after one of its ranks has refused a request, in milliseconds. All ranks of a group refuse while it forms. */
+const probeIntervalMs = 250;
+
+/** How long a refusal by a rank counts, in milliseconds. */
+const refusalValidMs = 2000;
 
 /** How long after it has formed a group counts as having just formed, in milliseconds. */
 const justFormedMs = 1500;
@@ -44,8 +47,10 @@
 	until(isMet: () => boolean, maxMs: number, signal: AbortSignal): Promise<void>;
 	/** Records that a rank of a service has refused a request without running it, while no coordinator of the service is known. */
 	onRefusal(service: string): void;
-	/** How long no request should be sent to a service without a coordinator, in milliseconds; 0 if one may be sent now. */
-	holdMs(service: string): number;
+	/** Whether a rank of a service has refused a request lately. */
+	hasRefused(service: string): boolean;
+	/** Takes the permission to send one request to such a service; the next one can be taken a quarter of a second later. */
+	tryProbe(service: string): boolean;
 	status(): unknown;
 };
 
@@ -65,7 +70,8 @@
 */
 export function createGroupAvailability({notices, monotonicMs, metrics, log}: GroupAvailabilityOptions): GroupAvailability {
 	const closed = new Map<string, ClosedGroup>();
-	const holdUntilMs = new Map<string, number>();
+	/** For each service of which a rank has refused a request, until when that counts, and when the next request may be sent. */
+	const refusals = new Map<string, {readonly untilMs: number; nextProbeMs: number}>();
 	const openedAtMs = new Map<string, number>();
 	/** Checks the condition of each caller of `until`. */
 	const waiting = new Set<() => void>();
@@ -157,9 +163,21 @@
 			});
 		},
 		onRefusal(service) {
-			holdUntilMs.set(service, monotonicMs() + refusalHoldMs);
+			refusals.set(service, {untilMs: monotonicMs() + refusalValidMs, nextProbeMs: monotonicMs() + probeIntervalMs});
+		},
+		hasRefused: service => monotonicMs() < (refusals.get(service)?.untilMs ?? 0),
+		tryProbe(service) {
+			const refusal = refusals.get(service);
+			if (refusal && monotonicMs() < refusal.nextProbeMs) {
+				return false;
+			}
+
+			if (refusal) {
+				refusal.nextProbeMs = monotonicMs() + probeIntervalMs;
+			}
+
+			return true;
 		},
-		holdMs: service => Math.max(0, (holdUntilMs.get(service) ?? 0) - monotonicMs()),
 		status: () => ({closed: [...closed.keys()], meanOutageMs: meanOutageMs === undefined ? null : Math.round(meanOutageMs)}),
 	};
 }
--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -27,7 +27,10 @@
 const assumedEntryCount = 4;
 
 /** How long after its arrival a request may be held until a group has formed, in milliseconds. Callers abandon a stream that has no event after two seconds. */
-const maxHoldMs = 1200;
+const maxHoldMs = 1500;
+
+/** How long after its start an entry waits for the sidecars to tell the state of their groups, in milliseconds. */
+const startMs = 3000;
 
 /** How long requests that arrive when a group has just formed are held until they fit into this entry's share of a group with a coordinator, in milliseconds. */
 const coordinatorWaitMs = 350;
@@ -87,6 +90,7 @@
 	const streams = new Map<string, Stream>();
 	/** The held requests that may go on and are about to be asked for, by group. */
 	const claims = new Map<string, number>();
+	const createdMs = monotonicMs();
 	const refusedRequests = createRefusedRequests(monotonicMs);
 	const returns = createReturnSchedule({nowMs: monotonicMs, random});
 	const availability = createGroupAvailability({
@@ -191,10 +195,6 @@
 		const all = targets.all().filter(({record}) => record.service === call.service);
 		const capacity = freshLoad?.room ?? assumedCapacity(all.length, call);
 		const share = Math.max(1, Math.floor(capacity / Math.max(1, freshLoad?.entries ?? assumedEntryCount)));
-		if (availability.holdMs(call.service) > 0 && !placementRequest.isResumed) {
-			return refuseForming(call, placementRequest, []);
-		}
-
 		const [{target: leastLoaded}] = candidates.map(target => ({target, load: target.inFlight + (random() / 2)})).toSorted((a, b) => a.load - b.load);
 		const ownInFlight = all.reduce((sum, {inFlight}) => sum + inFlight, 0);
 		if (ownInFlight >= share && !placementRequest.isResumed) {
@@ -228,12 +228,12 @@
 		const model = options.model(call.service);
 		const ranks = targets.all().filter(({record}) => record.service === call.service).length;
 		const streamMs = (model?.usualAnswerTokens ?? 1) / (model?.stepsPerPass ?? 1) * (call.route.gapObjectiveMs ?? call.route.objectiveMs) * usualPassRatio;
-		const earliestMs = groups.length === 0 ? availability.holdMs(call.service) : availability.remainingMs(groups, model?.experts?.formationMs ?? 0);
+		const earliestMs = availability.remainingMs(groups, model?.experts?.formationMs ?? 0);
 		const retryAfterMs = returns.next({
 			earliestMs, latestMs: deadlineMs * maxRetryAfterRatio, perSecond: assumedCapacity(ranks, call) / streamMs * msPerSecond / (entryCount() ?? assumedEntryCount),
 		});
 		return {
-			kind: 'refused', reason: 'groupForming', retryAfterMs, detail: groups.length === 0 ? 'a rank has refused a request lately' : `${groups.join(', ')} closed, expected to open in ${Math.round(earliestMs)} ms`,
+			kind: 'refused', reason: 'groupForming', retryAfterMs, detail: groups.length === 0 ? 'the state of the groups is not known' : `${groups.join(', ')} closed, expected to open in ${Math.round(earliestMs)} ms`,
 		};
 	};
 
@@ -263,22 +263,23 @@
 	open soon. When groups have just formed, requests that were held go on as far as this
 	entry's share of the groups whose coordinators are known, so that the first coordinator
 	does not get all of them. A refusal would cost callers their retry. Returns how long the
-	request was held, in milliseconds.
+	request was held, in milliseconds, and whether it may go on.
 	*/
-	const awaitGroup = async (call: Call, candidates: readonly Target[], signal: AbortSignal): Promise<number> => {
-		if (availability.isSettled()) {
-			return 0;
+	const awaitGroup = async (call: Call, candidates: readonly Target[], signal: AbortSignal): Promise<{readonly heldMs: number; readonly mayGoOn: boolean}> => {
+		const isUnknown = isStateUnknown(call.service, candidates);
+		if (availability.isSettled() && !isUnknown) {
+			return {heldMs: 0, mayGoOn: true};
 		}
 
 		const startedMs = monotonicMs();
 		const leftMs = maxHoldMs - (startedMs - call.arrivedMs);
 		const {open, closedGroups} = withoutClosed(candidates);
 		if (open.length === 0 && availability.remainingMs(closedGroups, options.model(call.service)?.experts?.formationMs ?? 0) > leftMs) {
-			return 0;
+			return {heldMs: 0, mayGoOn: false};
 		}
 
-		const groups = [...new Set(candidates.flatMap(target => groupOf(target) ?? []))];
-		const coordinated = (): readonly string[] => groups.filter(group => !availability.isClosed(group) && notices.coordinatorOf(group) !== undefined);
+		const groupsNow = (): readonly string[] => [...new Set(candidates.flatMap(target => groupOf(target) ?? []))];
+		const coordinated = (): readonly string[] => groupsNow().filter(group => !availability.isClosed(group) && notices.coordinatorOf(group) !== undefined);
 		let claimed: string | undefined;
 		const claimShare = (): boolean => {
 			claimed = coordinated().find(group => outstandingIn(group) + (claims.get(group) ?? 0) < shareOf(group, call));
@@ -289,10 +290,17 @@
 			return claimed !== undefined;
 		};
 
-		const mayGoOn = (): boolean => claimShare() || groups.every(group => !availability.isClosed(group) && !availability.hasJustFormed(group));
+		let isReleased = false;
+		const mayGoOn = (): boolean => {
+			isReleased ||= claimShare()
+				|| (availability.hasRefused(call.service) && withoutClosed(candidates).open.length > 0 && availability.tryProbe(call.service))
+				|| (!isStateUnknown(call.service, candidates) && groupsNow().every(group => !availability.isClosed(group) && !availability.hasJustFormed(group)));
+			return isReleased;
+		};
+
 		if (!mayGoOn()) {
 			metrics.count('held_for_group');
-			await availability.until(mayGoOn, open.length === 0 ? leftMs : Math.min(leftMs, coordinatorWaitMs), signal);
+			await availability.until(mayGoOn, open.length === 0 || isUnknown ? leftMs : Math.min(leftMs, coordinatorWaitMs), signal);
 		}
 
 		// The request is asked for now, so it counts as outstanding.
@@ -300,7 +308,22 @@
 			claims.set(claimed, claims.get(claimed)! - 1);
 		}
 
-		return monotonicMs() - startedMs;
+		return {heldMs: monotonicMs() - startedMs, mayGoOn: isReleased};
+	};
+
+	/**
+	Whether nothing tells if the groups of a service take requests: this entry has just
+	started and no sidecar has told the state of a group, or a rank has refused a request
+	lately and no coordinator is known.
+	*/
+	const isStateUnknown = (service: string, candidates: readonly Target[]): boolean => {
+		const isStarting = monotonicMs() - createdMs < startMs && options.model(service)?.experts !== undefined;
+		if (!isStarting && !availability.hasRefused(service)) {
+			return false;
+		}
+
+		const groups = candidates.flatMap(target => groupOf(target) ?? []);
+		return (isStarting && groups.length === 0) || (availability.hasRefused(service) && groups.every(group => notices.coordinatorOf(group) === undefined));
 	};
 
 	/** Returns how many requests this entry has running in a group or has asked its coordinator to place. */
@@ -373,7 +396,7 @@
 		const serving = targets.servingTargets(call).filter(({record}) => !excluded.has(record.id));
 		const untried = serving.filter(({record}) => !tried.has(record.id));
 		const usable = untried.length > 0 ? untried : serving;
-		const heldMs = await awaitGroup(call, usable, signal);
+		const {heldMs, mayGoOn} = await awaitGroup(call, usable, signal);
 		const placementRequest = createPlacementRequest(request, identity, heldMs);
 		const {open: candidates, closedGroups} = withoutClosed(usable.filter(({isServing}) => isServing));
 		if (signal.aborted) {
@@ -389,6 +412,10 @@
 		}
 
 		const coordinator = chooseCoordinator(call, candidates);
+		if (!coordinator && !mayGoOn && isStateUnknown(call.service, candidates)) {
+			return refuseForming(call, placementRequest, []);
+		}
+
 		if (!coordinator) {
 			return placeWithoutCoordinator(call, candidates, placementRequest);
 		}
--- a/packages/policy/src/group-admission.ts
+++ b/packages/policy/src/group-admission.ts
@@ -537,7 +537,8 @@
 */
 export function maxPlacementWaitMs({objectiveMs, hasReturned, deadlineMs, heldMs = 0}: Pick<PlacementRequest, 'objectiveMs' | 'hasReturned' | 'deadlineMs' | 'heldMs'>): number {
 	const retryMs = Math.max(0, Math.max(retryWaitMs, objectiveMs * (1 - firstTokenReserveRatio)) - heldMs);
-	return Math.min(deadlineMs, hasReturned ? Math.max(retryMs, objectiveMs * firstWaitRatio) : objectiveMs * firstWaitRatio);
+	// A request that was held by its entry can hardly be in time any more, and may itself be the last attempt of its caller.
+	return Math.min(deadlineMs, hasReturned || heldMs > objectiveMs ? Math.max(retryMs, objectiveMs * firstWaitRatio) : objectiveMs * firstWaitRatio);
 }
 
 /** The cost of a rank in another availability zone than the entry, in milliseconds. Traffic between zones is charged, but not worth a longer pass. */
