Add papayaflow explain: where an entry would send a request now, and why

Operators could see from logs only where a request had gone, not what keeps a target from requests at the moment. GET /explain at the admin server of an entry returns the route, the service, the organisation, the version, each target with what excludes it, the groups with coordinator and load, and the choice; the command prints it as text or JSON with documented exit codes.

The decisions are split from the reservations: choosePlainTarget, candidatesOf, the refusal of restricted targets and the choice without a coordinator are the functions that place requests. A reason for exclusion is one line in explain.ts; a target that placement leaves out although no rule applies shows as ejected.

Tested: each reason, refusals, unknown route and key (unit); text, JSON, exit codes, nothing sent and no load added, against a running site. The tests of placers, limits, notices and unreachable targets pass.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -1,6 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	createAnswerBuffers, createBodyBuffers, createCrashDetector, createFront, createGroupPlacer, createLimitedPlacer, createPlainPlacer, createQuarantinedPlacer, createTargets, subjectsOf, type StopPlan,
+	createAnswerBuffers, createBodyBuffers, createCrashDetector, createExplainer, createFront, createGroupPlacer, createLimitedPlacer, createPlainPlacer, createQuarantinedPlacer, createTargets,
+	subjectsOf, type PlainChoiceOptions, type StopPlan,
 } from '@papayaflow/direct';
 import {
 	createBeliefs, createEngineChoice, createPauses, createPermits, limitChanges, permitResults, type DispenserLink, type TargetLifetime,
@@ -119,9 +120,10 @@
 		},
 	});
 	const model = (service: string): EngineModel | undefined => directory.table()?.configuration.services.get(service)?.engine;
-	const placePlain = createPlainPlacer({
+	const plainOptions: PlainChoiceOptions = {
 		targets, ejection, nowMs: monotonicMs, random, zone,
-	});
+	};
+	const placePlain = createPlainPlacer(plainOptions);
 	const groupPlacer = createGroupPlacer({
 		targets, model, monotonicMs, random, metrics, log,
 	});
@@ -263,9 +265,13 @@
 			}
 		},
 	});
+	const explain = createExplainer({
+		...plainOptions, permits, pauses, groupPlacer, table: directory.table, isEngine: service => model(service) !== undefined,
+	});
 	const createAdminServer = (): ReturnType<typeof serveAdmin> => serveAdmin({
 		metrics, containment,
 		actions: {
+			'GET /explain': explain,
 			'GET /quarantine': () => ({status: 200, body: quarantine.status()}),
 			'POST /quarantine/clear': query => ({status: 200, body: {cleared: quarantine.clear(query.get('part') ?? undefined)}}),
 		},
--- a/packages/cli/src/output.ts
+++ b/packages/cli/src/output.ts
@@ -3,11 +3,11 @@
 /** The exit codes of `papayaflow`. */
 export const exitCodes = {
 	ok: 0,
-	/** The platform can't be reached. */
+	/** The platform can't be reached. For `explain`: the entry can't be reached, can't explain or has no configuration yet. */
 	unavailable: 1,
 	/** The command line or a file is invalid. */
 	usage: 2,
-	/** The change was refused because another operator's change came first, or because the preset or instance doesn't exist. For `settle`: the change was not accepted. */
+	/** The change was refused because another operator's change came first, or because the preset or instance doesn't exist. For `settle`: the change was not accepted. For `explain`: the request would be refused now. */
 	refused: 3,
 	/** Whether the change was accepted is unknown. */
 	unknown: 4,
--- a/packages/cli/src/platform.ts
+++ b/packages/cli/src/platform.ts
@@ -74,7 +74,7 @@
 		: fail(exitCodes.usage, checked.problems.map(({path, message}) => `${path || 'preset'}: ${message}`).join('\n'));
 }
 
-function urlOrFail(args: Arguments, name: 'store' | 'instances'): string {
+export function urlOrFail(args: Arguments, name: 'store' | 'instances' | 'entry'): string {
 	const given = args[name] ?? process.env[`PAPAYAFLOW_${name.toUpperCase()}`];
 	if (typeof given !== 'string') {
 		return fail(exitCodes.usage, `--${name} is missing; allowed: http://IP:PORT`);
--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -6,7 +6,7 @@
 import {type EngineModel} from '@papayaflow/routing';
 import {type Call} from './call.js';
 import {
-	type Place, type PlaceResult, type PlaceRequest, type Placer,
+	candidatesOf, type ChoiceRequest, type Place, type PlaceResult, type PlaceRequest, type Placer,
 } from './place.js';
 import {createRefusedRequests, generationIdentity} from './refused-requests.js';
 import {type Target, type Targets} from './targets.js';
@@ -41,6 +41,17 @@
 	readonly log: Log;
 };
 
+/** A decision without a coordinator: the target, or why there is none. */
+type OwnChoice
+	= | {readonly kind: 'target'; readonly target: Target; readonly group: string | undefined}
+		| {readonly kind: 'refused'; readonly reason: 'noTarget' | 'overloaded'; readonly detail?: string};
+
+/** Where a call would be placed: by a coordinator among the ranks of its group, or by this entry itself. */
+export type GroupChoice = {readonly kind: 'coordinator'; readonly group: string | undefined; readonly coordinator: string} | OwnChoice;
+
+/** What an entry knows of a group: its coordinator, and the load that this has reported last. */
+export type KnownGroup = {readonly group: string; readonly coordinator: string | undefined; readonly load: Omit<GroupLoad, 'refused'> | undefined; readonly loadAgeMs: number | undefined};
+
 /** Places generations through the coordinators of the groups. */
 export type GroupPlacer = {
 	readonly place: Placer;
@@ -49,6 +60,12 @@
 	onFrame(peer: Peer, frame: Frame): boolean;
 	/** The largest number of entries that a coordinator has reported; `undefined` before the first report. */
 	entries(): number | undefined;
+	/** Returns the name of the group of a target as far as its sidecar has said. */
+	groupOf(target: Target): string | undefined;
+	/** Returns where a new call would be placed, without asking a coordinator or reserving anything. */
+	preview(request: ChoiceRequest): GroupChoice;
+	/** Returns what is known of the groups of a service. */
+	groups(service: string): readonly KnownGroup[];
 	status(): unknown;
 };
 
@@ -139,36 +156,42 @@
 	};
 
 	/**
-	Places a call without a coordinator, up to this entry's share of the group's capacity.
+	Chooses the target of a call without a coordinator, up to this entry's share of the group's capacity.
 	Uses a target whose sidecar does not respond only if there is no other target: its
 	machine may be frozen, and a request sent to a frozen machine can't be cancelled.
 	*/
-	const placeWithoutCoordinator = (call: Call, servingTargets: readonly Target[], placementRequest: PeerPlacementRequest, silentCoordinator?: Peer): PlaceResult => {
-		metrics.count('placed_alone');
+	const chooseWithoutCoordinator = (service: string, servingTargets: readonly Target[], isResumed: boolean, silentCoordinator?: Peer): OwnChoice => {
 		const remaining = servingTargets.filter(({isServing}) => isServing);
 		if (remaining.length === 0) {
-			return {kind: 'refused', reason: 'noTarget', retryAfterMs: drawRetryAfterMs(placementRequest)};
+			return {kind: 'refused', reason: 'noTarget'};
 		}
 
 		const isSilent = (address: string): boolean => notices.isSilent(address) || (silentCoordinator !== undefined && notices.of(silentCoordinator)?.target === address);
 		const responsive = remaining.filter(({address}) => !isSilent(address));
 		const candidates = responsive.length > 0 ? responsive : remaining;
-		const model = options.model(call.service);
+		const model = options.model(service);
 		const group = candidates.flatMap(target => groupOf(target) ?? []).at(0);
 		const lastLoad = group === undefined ? undefined : loads.get(group);
 		const freshLoad = lastLoad && monotonicMs() - lastLoad.atMs < loadMaxAgeMs ? lastLoad.load : undefined;
-		const all = targets.all().filter(({record}) => record.service === call.service);
+		const all = targets.all().filter(({record}) => record.service === service);
 		const capacity = freshLoad?.room ?? all.length * (model?.slots ?? 1) * defaultCapacityRatio;
 		const share = Math.max(1, Math.floor(capacity / Math.max(1, freshLoad?.entries ?? assumedEntryCount)));
 		const [{target: leastLoaded}] = candidates.map(target => ({target, load: target.inFlight + (random() / 2)})).toSorted((a, b) => a.load - b.load);
 		const ownInFlight = all.reduce((sum, {inFlight}) => sum + inFlight, 0);
-		if (ownInFlight >= share && !placementRequest.isResumed) {
-			return {
-				kind: 'refused', reason: 'overloaded', retryAfterMs: drawRetryAfterMs(placementRequest), detail: `own share ${share}`,
-			};
+		return ownInFlight >= share && !isResumed
+			? {kind: 'refused', reason: 'overloaded', detail: `own share ${share}`}
+			: {kind: 'target', target: leastLoaded, group};
+	};
+
+	const placeWithoutCoordinator = ({service}: Call, servingTargets: readonly Target[], placementRequest: PeerPlacementRequest, silentCoordinator?: Peer): PlaceResult => {
+		metrics.count('placed_alone');
+		const choice = chooseWithoutCoordinator(service, servingTargets, placementRequest.isResumed, silentCoordinator);
+		if (choice.kind === 'refused') {
+			return {...choice, retryAfterMs: drawRetryAfterMs(placementRequest)};
 		}
 
-		const place = reservePlace(leastLoaded, placementRequest);
+		const {target, group} = choice;
+		const place = reservePlace(target, placementRequest);
 		if (group !== undefined) {
 			notices.coordinatorOf(group)?.send({kind: 'running', stream: createStreamNotice(placementRequest.id, streams.get(placementRequest.id)!)});
 		}
@@ -228,9 +251,7 @@
 
 	const placeOnce = async (request: PlaceRequest, identity: string | undefined): Promise<PlaceResult> => {
 		const {call, tried, excluded, signal} = request;
-		const serving = targets.servingTargets(call.service).filter(({record}) => !excluded.has(record.id));
-		const untried = serving.filter(({record}) => !tried.has(record.id));
-		const candidates = untried.length > 0 ? untried : serving;
+		const candidates = candidatesOf(targets, {service: call.service, tried, excluded});
 		const placementRequest = createPlacementRequest(request, identity);
 		if (candidates.length === 0) {
 			return {kind: 'refused', reason: 'noTarget', retryAfterMs: drawRetryAfterMs(placementRequest)};
@@ -296,6 +317,24 @@
 		onDown: notices.remove,
 		onFrame: (peer, frame) => handleFrame(handlers, peer, frame),
 		entries: () => loads.size === 0 ? undefined : Math.max(...[...loads.values()].map(({load}) => load.entries)),
+		groupOf,
+		preview(request) {
+			const candidates = candidatesOf(targets, request);
+			const coordinator = chooseCoordinator(candidates);
+			return coordinator
+				? {kind: 'coordinator', group: notices.of(coordinator)?.group, coordinator: coordinator.hello.instance}
+				: chooseWithoutCoordinator(request.service, candidates, false);
+		},
+		groups(service) {
+			const names = new Set(targets.all().filter(({record}) => record.service === service).flatMap(target => groupOf(target) ?? []));
+			return [...names].map(group => {
+				const known = loads.get(group);
+				const {refused: _, ...load} = known?.load ?? {refused: undefined};
+				return {
+					group, coordinator: notices.coordinatorOf(group)?.hello.instance, load: known && load as Omit<GroupLoad, 'refused'>, loadAgeMs: known && Math.round(monotonicMs() - known.atMs),
+				};
+			});
+		},
 		status: () => ({streams: streams.size, loads: Object.fromEntries([...loads].map(([group, {load}]) => [group, load]))}),
 	};
 }
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -16,12 +16,17 @@
 	createFront, type Front, type FrontDeps, type StopPlan,
 } from './front.js';
 export {
-	createPlainPlacer, reservePlace, type Place, type PlaceResult, type PlaceRequest, type Placer,
+	candidatesOf, choosePlainTarget, createPlainPlacer, reservePlace, type ChoiceRequest, type PlainChoice, type PlainChoiceOptions, type Place, type PlaceResult, type PlaceRequest, type Placer,
 } from './place.js';
 export {
 	createTargets, type Target, type TargetOutcome, type Targets,
 } from './targets.js';
+export {
+	createExplainer, type Candidate, type Exclusion, type Explanation, type ExplainOptions, type ExplainReply,
+} from './explain.js';
 export {createPool, type Pool} from './pool.js';
 export {createLimitedPlacer, type LimitedPlacerOptions} from './limit-place.js';
-export {createGroupPlacer, type GroupPlacer, type GroupPlacerOptions} from './group-place.js';
+export {
+	createGroupPlacer, type GroupChoice, type KnownGroup, type GroupPlacer, type GroupPlacerOptions,
+} from './group-place.js';
 export {createQuarantinedPlacer, subjectsOf, type QuarantinedPlacerOptions} from './quarantine-place.js';
--- a/packages/direct/src/limit-place.ts
+++ b/packages/direct/src/limit-place.ts
@@ -28,19 +28,15 @@
 const place = createLimitedPlacer({place: createPlainPlacer(options), targets, permits, pauses, random});
 */
 export function createLimitedPlacer({place, targets, permits, pauses, random}: LimitedPlacerOptions): Placer {
-	const refuse = (records: readonly TargetRecord[]): PlaceResult => {
-		const earliestMs = Math.min(...records.map(record => Math.max(permits.waitMs(record), pauses.waitMs(record))));
-		const reason = records.every(record => pauses.waitMs(record) > 0) ? 'targetsPaused' : 'rateLimited';
-		return {kind: 'refused', reason, retryAfterMs: earliestMs + (random() * Math.max(earliestMs, minRetrySpreadMs))};
-	};
-
+	const restrictions = {permits, pauses, random};
 	return async request => {
 		const denied = new Set<string>();
 		for (;;) {
-			const excluded = new Set([...request.excluded, ...permits.blocked(), ...pauses.blocked(), ...denied]);
+			const excluded = new Set([...request.excluded, ...restrictedTargets(restrictions), ...denied]);
 			const serving = excluded.size === 0 ? [] : targets.servingTargets(request.call.service).map(({record}) => record);
-			if (serving.length > 0 && serving.every(({id}) => excluded.has(id))) {
-				return refuse(serving);
+			const refusal = refusalIfAllRestricted(serving, excluded, restrictions);
+			if (refusal) {
+				return refusal;
 			}
 
 			const placed = await place({...request, excluded});
@@ -63,10 +59,36 @@
 			}
 
 			if (isDenied) {
-				return refuse([record]);
+				return refuse([record], restrictions);
 			}
 
 			denied.add(record.id);
 		}
 	};
 }
+
+/** What the targets say of the rate and the time at which they take requests. */
+export type Restrictions = Pick<LimitedPlacerOptions, 'permits' | 'pauses' | 'random'>;
+
+/** Returns the ids of the targets that take no request now, by their limits or by the times that they have named. */
+export function restrictedTargets({permits, pauses}: Restrictions): readonly string[] {
+	return [...permits.blocked(), ...pauses.blocked()];
+}
+
+/**
+Returns the refusal of a call if each target that serves is excluded; `undefined` if one may be used or none serves.
+
+@example
+refusalIfAllRestricted(serving, new Set(restrictedTargets(restrictions)), restrictions)?.retryAfterMs;
+*/
+export function refusalIfAllRestricted(serving: readonly TargetRecord[], excluded: ReadonlySet<string>, restrictions: Restrictions): Refusal | undefined {
+	return serving.length > 0 && serving.every(({id}) => excluded.has(id)) ? refuse(serving, restrictions) : undefined;
+}
+
+type Refusal = Extract<PlaceResult, {kind: 'refused'}>;
+
+function refuse(records: readonly TargetRecord[], {permits, pauses, random}: Restrictions): Refusal {
+	const earliestMs = Math.min(...records.map(record => Math.max(permits.waitMs(record), pauses.waitMs(record))));
+	const reason = records.every(record => pauses.waitMs(record) > 0) ? 'targetsPaused' : 'rateLimited';
+	return {kind: 'refused', reason, retryAfterMs: earliestMs + (random() * Math.max(earliestMs, minRetrySpreadMs))};
+}
--- a/packages/direct/src/place.ts
+++ b/packages/direct/src/place.ts
@@ -37,6 +37,48 @@
 /** The assumed latency of a target while no target of its service has a measured latency, in milliseconds. */
 const defaultLatencyMs = 20;
 
+export type PlainChoiceOptions = {
+	readonly targets: Targets;
+	readonly ejection: EjectOptions;
+	readonly nowMs: () => number;
+	readonly random: () => number;
+	readonly zone: string;
+};
+
+/** What a choice among the targets of a service depends on. */
+export type ChoiceRequest = {readonly service: string; readonly tried: ReadonlySet<string>; readonly excluded: ReadonlySet<string>};
+
+/** The targets from which a plain call may choose, and the one that it gets now; `undefined` if there is none. */
+export type PlainChoice = {readonly usable: readonly Target[]; readonly best: Target | undefined};
+
+/**
+Returns the targets that a call may be sent to: those that have not been tried for it, or all if every one has been.
+
+@example
+candidatesOf(targets, {service: 'ledger', tried: new Set(['i-1']), excluded: new Set()});
+*/
+export function candidatesOf(targets: Targets, {service, tried, excluded}: ChoiceRequest): readonly Target[] {
+	const serving = targets.servingTargets(service).filter(({record}) => !excluded.has(record.id));
+	const untried = serving.filter(({record}) => !tried.has(record.id));
+	return untried.length > 0 ? untried : serving;
+}
+
+/**
+Chooses the target of a plain call without reserving it.
+
+@example
+const {best} = choosePlainTarget({service: 'ledger', tried: new Set(), excluded: new Set()}, options);
+*/
+export function choosePlainTarget(request: ChoiceRequest, {targets, ejection, nowMs, random, zone}: PlainChoiceOptions): PlainChoice {
+	const candidates = candidatesOf(targets, request).map(target => ({target, health: target.health, ownTokens: target.inFlight}));
+	const usable = withoutEjected(candidates, nowMs(), ejection).map(({target}) => target);
+	const lowestLatencyMs = Math.min(...usable.map(({latencyMs}) => latencyMs ?? Number.POSITIVE_INFINITY));
+	const assumedLatencyMs = Number.isFinite(lowestLatencyMs) ? lowestLatencyMs * assumedLatencyRatio : defaultLatencyMs;
+	const cost = (target: Target): number => (target.inFlight + 1) * (target.latencyMs ?? assumedLatencyMs) * (target.record.zone === zone ? 1 : zoneCostFactor) * (1 + (random() * jitterRatio));
+	const best = usable.map(target => ({target, cost: cost(target)})).toSorted((a, b) => a.cost - b.cost).at(0)?.target;
+	return {usable, best};
+}
+
 /**
 Creates the placer for plain services. It chooses the target with the lowest cost: the
 number of requests in flight there, including this one, times the recent latency. A
@@ -49,27 +91,10 @@
 @example
 const placer = createPlainPlacer({targets, ejection, nowMs, random, zone: 'a'});
 */
-export function createPlainPlacer({targets, ejection, nowMs, random, zone}: {
-	readonly targets: Targets;
-	readonly ejection: EjectOptions;
-	readonly nowMs: () => number;
-	readonly random: () => number;
-	readonly zone: string;
-}): Placer {
+export function createPlainPlacer(options: PlainChoiceOptions): Placer {
 	return async ({call, tried, excluded}) => {
-		const serving = targets.servingTargets(call.service).filter(({record}) => !excluded.has(record.id));
-		const untried = serving.filter(({record}) => !tried.has(record.id));
-		const candidates = (untried.length > 0 ? untried : serving).map(target => ({target, health: target.health, ownTokens: target.inFlight}));
-		const usable = withoutEjected(candidates, nowMs(), ejection).map(({target}) => target);
-		if (usable.length === 0) {
-			return {kind: 'refused', reason: 'noTarget', retryAfterMs: noTargetRetryAfterMs};
-		}
-
-		const lowestLatencyMs = Math.min(...usable.map(({latencyMs}) => latencyMs ?? Number.POSITIVE_INFINITY));
-		const assumedLatencyMs = Number.isFinite(lowestLatencyMs) ? lowestLatencyMs * assumedLatencyRatio : defaultLatencyMs;
-		const cost = (target: Target): number => (target.inFlight + 1) * (target.latencyMs ?? assumedLatencyMs) * (target.record.zone === zone ? 1 : zoneCostFactor) * (1 + (random() * jitterRatio));
-		const [best] = usable.map(target => ({target, cost: cost(target)})).toSorted((a, b) => a.cost - b.cost);
-		return {kind: 'placed', place: reservePlace(best.target)};
+		const {best} = choosePlainTarget({service: call.service, tried, excluded}, options);
+		return best ? {kind: 'placed', place: reservePlace(best)} : {kind: 'refused', reason: 'noTarget', retryAfterMs: noTargetRetryAfterMs};
 	};
 }
 
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -1,3 +1,4 @@
+export {fetchExplanation, type ExplanationResult} from './explain.js';
 export {
 	diffPresets, fetchBody, fetchPreset, type Difference, type FetchResult,
 } from './presets.js';
