Tell leaving targets from others that do not serve in papayaflow explain

A target that does not serve for any new cause, such as one added to isServing later, would have been shown as leaving. Target has isLeaving for the rule, and a target that placement leaves out without a rule is shown as notServing.

--- a/packages/direct/src/explain.ts
+++ b/packages/direct/src/explain.ts
@@ -63,7 +63,7 @@
 /** The reasons that may exclude a target, in the order in which they are listed. A new reason is one line. */
 const rules: Readonly<Record<string, Rule>> = {
 	gone: ({isGone}) => isGone,
-	leaving: ({record, isServing, isGone}) => record.state === 'leaving' || (!isServing && !isGone),
+	leaving: ({isLeaving}) => isLeaving,
 	unreachable: ({isReachable}) => !isReachable,
 	paused: ({record}, {options}) => options.pauses.waitMs(record),
 	limited: ({record}, {options}) => options.permits.waitMs(record),
@@ -71,8 +71,14 @@
 	superseded: (target, {serving}) => target.isServing && target.isReachable && !serving.has(target),
 };
 
-/** A target that the placement leaves out although no rule applies, such as one of the plain service that has failed lately. */
-const ejected = 'ejected';
+/** Returns the reason for a target that placement leaves out although no rule applies: a plain one has failed lately, and any other does not serve. */
+function reasonsWithoutRule(target: Target, {serving, usable}: RuleContext): readonly Exclusion[] {
+	if (!serving.has(target)) {
+		return [{reason: 'notServing'}];
+	}
+
+	return usable && !usable.has(target) ? [{reason: 'ejected'}] : [];
+}
 
 /**
 Creates the function that explains where an entry would send a request now, and why. It
@@ -117,10 +123,9 @@
 
 			return result === false || result === 0 ? [] : [{reason, forMs: Math.ceil(result)}];
 		});
-		const isLeftOut = context.usable !== undefined && !context.usable.has(target) && excludedBy.length === 0;
 		return {
 			target: target.record.id, zone: target.record.zone, group: groupPlacer.groupOf(target), inFlight: target.inFlight,
-			latencyMs: target.latencyMs === undefined ? undefined : Math.round(target.latencyMs), excludedBy: isLeftOut ? [{reason: ejected}] : excludedBy,
+			latencyMs: target.latencyMs === undefined ? undefined : Math.round(target.latencyMs), excludedBy: excludedBy.length > 0 ? excludedBy : reasonsWithoutRule(target, context),
 		};
 	};
 
--- a/packages/direct/src/targets.ts
+++ b/packages/direct/src/targets.ts
@@ -28,6 +28,8 @@
 	readonly health: Health;
 	/** Whether the target is no longer at its address although it is still registered there. */
 	readonly isGone: boolean;
+	/** Whether the target has said that it leaves, in its registration or in an answer. */
+	readonly isLeaving: boolean;
 	/** Whether the target takes new requests. */
 	readonly isServing: boolean;
 	/** Whether the target has accepted the last connection of this entry. */
@@ -185,6 +187,9 @@
 		get isGone() {
 			return isGone;
 		},
+		get isLeaving() {
+			return isLeaving || record.state === 'leaving';
+		},
 		get isServing() {
 			return record.state === 'serving' && !isGone && !isLeaving;
 		},
