--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -1,8 +1,8 @@
 import {createServer} from 'node:net';
 import {setImmediate, setTimeout as sleep} from 'node:timers/promises';
 import {acquireEpoch} from '@papayaflow/experts';
-import {createGroupSidecar, type RankEngine} from '@papayaflow/group';
-import {createDispenser, ownedTargets} from '@papayaflow/limit';
+import {createGroupSidecar, nearestFirst, type RankEngine} from '@papayaflow/group';
+import {createColdTargets, createDispenser, ownedTargets} from '@papayaflow/limit';
 import {
 	handleFrame, maintainHostLinks, processBacklogs, servePeer, type FrameHandlers, type Peer, type PeerEvents,
 } from '@papayaflow/peer';
@@ -15,6 +15,7 @@
 import {
 	directSettings, logFlushMs, msPerSecond, storePauseOf,
 } from './direct-settings.js';
+import {createDemandStore} from './demand-store.js';
 import {openDirectory} from './directory.js';
 import {reportHeldBytes} from './held-bytes.js';
 import {listen, type RunningProgram} from './program.js';
@@ -56,19 +57,32 @@
 		onRecords() {
 			updateTargets();
 		},
+		onTakenBack(records) {
+			cold.onStarted(records);
+		},
 	});
 	const isEngine = ({service}: TargetRecord): boolean => directory.table()?.configuration.services.get(service)?.engine !== undefined;
 	/** The engine beside this sidecar, and the targets of its service. They are looked up for each placement, so they are derived once for each change. */
 	let ownRecord: TargetRecord | undefined;
 	let serviceRecords: readonly TargetRecord[] = [];
+	/** The host of each target of the service, in the order in which those of unknown group are connected. */
+	let linkOrder: ReadonlyMap<string, string> = new Map();
 	const updateTargets = (): void => {
 		const records = directory.records();
 		ownRecord = latestByAddress(records.filter(record => isEngine(record))).get(target);
 		serviceRecords = records.filter(({service}) => service === ownRecord?.service);
+		linkOrder = new Map(ownRecord ? nearestFirst(serviceRecords, ownRecord).map(record => [addressOf(record), record.host]) : []);
+		cold.update(serviceRecords);
 		updateOwnedTargets();
 		updateLinks();
 	};
 
+	// The entries keep to the bound together; the coordinator spreads the requests so that few of them meet it.
+	const cold = createColdTargets({
+		service: name => directory.table()?.configuration.services.get(name)?.cold, monotonicMs, random, metrics, log,
+		share: perSecond => ({spacingMs: msPerSecond / perSecond, lapseMs: Number.POSITIVE_INFINITY}),
+	});
+	const stopColdTicks = ticker.add(cold.tick);
 	const engines = new Map<string, RankEngine>();
 	const connectEngine = (address: string): RankEngine => {
 		const engine = engines.get(address) ?? connectRank(address, {timeoutMs: engineTimeoutMs, orderTimeoutMs: engineOrderTimeoutMs});
@@ -78,7 +92,18 @@
 
 	const group = createGroupSidecar({
 		target, engine: connectEngine(target), connect: connectEngine, records: () => serviceRecords, metrics, log, monotonicMs, random, sleep: pause, signal: shutdown.signal,
+		cold: {
+			...cold,
+			onPlaced(record) {
+				cold.reserve(record)?.use();
+			},
+		},
+		isEvacuated: targetZone => directory.evacuatedZones().has(targetZone),
 		yieldTurn: async () => setImmediate(),
+		wallMs: Date.now, demandStore: createDemandStore(store, () => ownRecord?.service),
+		onStateChange() {
+			void updateLinksSoon();
+		},
 		weights: {goodSkew: settings.goodSkew, copyCost: settings.copyCost},
 		model() {
 			return ownRecord && directory.table()?.configuration.services.get(ownRecord.service)?.engine;
@@ -142,6 +167,10 @@
 		},
 		onFrame(peer, frame) {
 			metrics.count('frames_received', {kind: frame.kind});
+			if (frame.kind === 'rank') {
+				void updateLinksSoon();
+			}
+
 			if (!group.onFrame(peer, frame) && !directory.onFrame(peer, frame) && !handleFrame(frameHandlers, peer, frame)) {
 				metrics.count('frame_faults', {reason: 'unexpected'});
 			}
@@ -170,8 +199,18 @@
 	});
 	// Only the sidecars that may coordinate the group open links to the others; the rest accept them. The group of a sidecar is known once it has been connected.
 	const updateLinks = (): void => {
-		const members = group.isCandidate() ? serviceRecords.filter(record => group.mayBeMember(addressOf(record))) : [];
-		setLinkedHosts(members.map(({host}) => host).filter(host => host !== settings.address));
+		const hosts = group.linkedTargets([...linkOrder.keys()]).map(address => linkOrder.get(address)!);
+		setLinkedHosts(hosts.filter(host => host !== settings.address));
+	};
+
+	let isUpdateScheduled = false;
+	const updateLinksSoon = async (): Promise<void> => {
+		if (!isUpdateScheduled) {
+			isUpdateScheduled = true;
+			await setImmediate();
+			isUpdateScheduled = false;
+			containment.run('tick', updateLinks);
+		}
 	};
 
 	// The rank of an engine, and with it whether its sidecar may coordinate, can change with each formation.
@@ -181,6 +220,7 @@
 		ready: () => isLeaving ? {ready: false, reason: 'stopping'} : {ready: true},
 		status: () => ({
 			instance, role: 'sidecar', zone, incarnation, leaving: isLeaving, revision: directory.revision(), group: group.status(), limits: dispenser.status(),
+			evacuatedZones: [...directory.evacuatedZones()],
 		}),
 	});
 	const server = createServer(socket => {
@@ -201,6 +241,7 @@
 			log.info({graceMs}, 'sidecar is stopping');
 			await Promise.race([group.leave(), sleep(graceMs / 2)]);
 			stopLinkUpdates();
+			stopColdTicks();
 			directory.stop();
 			shutdown.abort();
 			server.close();
--- a/packages/cli/src/directory.ts
+++ b/packages/cli/src/directory.ts
@@ -1,11 +1,11 @@
 import {
-	copySince, createMirror, followStore, applyCopy,
+	applyCopy, compressEntry, copySince, createMirror, expandEntry, followStore,
 } from '@papayaflow/mirror';
 import {
 	handleFrame, type Frame, type FrameHandlers, type Peer, type Ticker,
 } from '@papayaflow/peer';
 import {
-	configurationKey, decodeConfiguration, decodeRegistration, isEarlierState, isRemovedState, maxWatchDelayMs, registrationPrefix, type RegistrationResult,
+	configurationKey, decodeConfiguration, decodeRegistration, demandPrefix, evacuatedZoneOf, isEarlierState, isRemovedState, maxWatchDelayMs, registrationPrefix, type RegistrationResult,
 } from '@papayaflow/platform';
 import {
 	createRouteTable, isSameTarget, type RouteTable, type TargetRecord,
@@ -74,12 +74,16 @@
 	readonly signal: AbortSignal;
 	readonly onTable: (table: RouteTable) => void;
 	readonly onRecords: (records: readonly TargetRecord[]) => void;
+	/** Called with the targets of zones that are no longer evacuated. */
+	readonly onTakenBack?: (records: readonly TargetRecord[]) => void;
 };
 
 /** The configuration and the targets as this process knows them from the store and from its peers. */
 export type Directory = {
 	table(): RouteTable | undefined;
 	records(): readonly TargetRecord[];
+	/** The availability zones whose targets get no new requests, by order of the operator. */
+	evacuatedZones(): ReadonlySet<string>;
 	revision(): number;
 	onUp(peer: Peer): void;
 	onDown(peer: Peer): void;
@@ -105,10 +109,13 @@
 	const malformedRevisions = new Map<string, number>();
 	let table: RouteTable | undefined;
 	let records: readonly TargetRecord[] = [];
+	let evacuatedZones: ReadonlySet<string> = new Set();
 	let lastPeerUpdateMs = monotonicMs() + firstReadDelayMs - peerUpdateTimeoutMs;
 	let isStoreAvailable = false;
 
 	const mirror = createMirror({
+		// Only coordinators need the demand of their groups, and read it themselves.
+		isMirrored: key => !key.startsWith(demandPrefix),
 		isEquivalent: isSameEntry, isEarlierState, isRemovedState,
 		onEarlierState(next, held) {
 			metrics.count('earlier_states');
@@ -129,6 +136,10 @@
 			containment.run('directory', applyRegistrations);
 		}
 
+		if (changes.some(change => evacuatedZoneOf(change.kind === 'written' ? change.entry.key : change.key) !== undefined)) {
+			containment.run('directory', applyEvacuations);
+		}
+
 		announceRevision();
 	});
 
@@ -143,7 +154,7 @@
 		table = createRouteTable(result.configuration);
 		metrics.gauge('config_version', result.configuration.version);
 		log.info({
-			version: result.configuration.version, revision: entry.revision, routes: result.configuration.routes.length, skippedRoutes: result.skippedRoutes,
+			version: result.configuration.version, revision: entry.revision, routes: result.configuration.routes.length, skippedRoutes: result.skippedRoutes, sinceStartMs: Math.round(monotonicMs()),
 		}, 'configuration applied');
 		deps.onTable(table);
 	};
@@ -176,6 +187,19 @@
 		deps.onRecords(records);
 	};
 
+	const applyEvacuations = (): void => {
+		const before = evacuatedZones;
+		evacuatedZones = new Set(mirror.entries().flatMap(({key}) => evacuatedZoneOf(key) ?? []));
+		metrics.gauge('evacuated_zones', evacuatedZones.size);
+		for (const zone of new Set([...before, ...evacuatedZones])) {
+			if (before.has(zone) !== evacuatedZones.has(zone)) {
+				log.warn({zone, revision: mirror.revision(), targets: records.filter(record => record.zone === zone).length}, evacuatedZones.has(zone) ? 'zone evacuated' : 'zone taken back');
+			}
+		}
+
+		deps.onTakenBack?.(records.filter(({zone}) => before.has(zone) && !evacuatedZones.has(zone)));
+	};
+
 	const announceRevision = (): void => {
 		for (const [peer, isFollowing] of followers) {
 			if (isFollowing) {
@@ -197,6 +221,7 @@
 			containment.report('store', error);
 		},
 		onStoreConnected() {
+			log.info({dependency: 'store', revision: mirror.revision(), sinceStartMs: Math.round(monotonicMs())}, 'store answered for the first time');
 			isStoreAvailable = true;
 		},
 		onStoreSilent(detail) {
@@ -275,14 +300,15 @@
 				puller.onKnown(peer, changedAt);
 			}
 		},
-		pull(peer, {after}) {
-			const copy = copySince(mirror, after);
+		pull(peer, {after, accepts}) {
+			const whole = copySince(mirror, after);
+			const copy = accepts === 'deflate' ? {...whole, entries: whole.entries.map(entry => compressEntry(entry))} : whole;
 			metrics.count('copies_sent');
 			metrics.count('copy_bytes_sent', {}, copy.entries.reduce((sum, {value}) => sum + value.length, 0));
 			peer.send({kind: 'copy', copy});
 		},
 		copy(peer, {copy}) {
-			const copyResult = applyCopy(mirror, copy);
+			const copyResult = applyCopy(mirror, {...copy, entries: copy.entries.flatMap(entry => expandEntry(entry) ?? [])});
 			metrics.count('copies', {result: copyResult});
 			log.info({
 				peer: peer.hello.instance, revision: copy.revision, entries: copy.entries.length, result: copyResult,
@@ -294,6 +320,7 @@
 	return {
 		table: () => table,
 		records: () => records,
+		evacuatedZones: () => evacuatedZones,
 		revision: () => mirror.revision(),
 		onUp(peer) {
 			sources.onUp(peer);
--- a/packages/cli/src/explain-command.ts
+++ b/packages/cli/src/explain-command.ts
@@ -87,6 +87,10 @@
 			return `choice: coordinator ${choice.coordinator} chooses a rank of group ${choice.group ?? 'unknown'}`;
 		}
 
+		case 'held': {
+			return `choice: held for at most ${Math.round(choice.maxMs)} ms until one of the groups ${choice.groups.join(', ')} takes it`;
+		}
+
 		case 'refused': {
 			const retry = choice.retryAfterMs === undefined ? '' : `, retry after ${Math.round(choice.retryAfterMs)} ms`;
 			return `choice: refused, ${choice.reason}${retry}${choice.detail === undefined ? '' : ` (${choice.detail})`}`;
--- a/packages/direct/src/explain.ts
+++ b/packages/direct/src/explain.ts
@@ -1,9 +1,13 @@
 import {type RefusalReason} from '@papayaflow/outcome';
-import {drawService, identifyCaller, type RouteTable} from '@papayaflow/routing';
+import {
+	allowedZonesOf, drawService, identifyCaller, type Route, type RouteTable,
+} from '@papayaflow/routing';
+import {mayReach} from './call.js';
+import {chooseAvoided, type ColdLimits} from './cold-place.js';
 import {type GroupPlacer, type KnownGroup} from './group-place.js';
 import {refusalIfAllRestricted, restrictedTargets, type Restrictions} from './limit-place.js';
-import {choosePlainTarget, type ChoiceRequest, type PlainChoiceOptions} from './place.js';
-import {type Target} from './targets.js';
+import {choosePlainTarget, type PlainChoiceOptions} from './place.js';
+import {type Target, type ZonedCall} from './targets.js';
 
 /** Why a target is no candidate for a request now, and for how long if that is known. */
 export type Exclusion = {readonly reason: string; readonly forMs?: number};
@@ -23,6 +27,8 @@
 	= | {readonly kind: 'target'; readonly target: string; readonly group?: string | undefined; readonly by: 'lowest cost' | 'own share of the group'}
 		/** The coordinator would be asked, and would choose among the ranks of its group. */
 		| {readonly kind: 'coordinator'; readonly group: string | undefined; readonly coordinator: string}
+		/** The entry would hold the request for a group that is closed or has just formed, for at most this long. */
+		| {readonly kind: 'held'; readonly groups: readonly string[]; readonly maxMs: number}
 		| {readonly kind: 'refused'; readonly reason: RefusalReason; readonly retryAfterMs?: number; readonly detail?: string};
 
 export type Explanation = {
@@ -42,16 +48,22 @@
 /** The answer to `GET /explain`. */
 export type ExplainReply = {readonly status: number; readonly body: Explanation | {readonly reason: string; readonly detail: string}};
 
-export type ExplainOptions = PlainChoiceOptions & Restrictions & {
+export type ExplainOptions = PlainChoiceOptions & Restrictions & ColdLimits & {
+	/** Whether the targets of an availability zone get no new requests, by order of the operator. */
+	readonly isEvacuated: (zone: string) => boolean;
+	readonly regionByZone: ReadonlyMap<string, string>;
 	readonly table: () => RouteTable | undefined;
 	readonly isEngine: (service: string) => boolean;
-	readonly groupPlacer: Pick<GroupPlacer, 'groupOf' | 'groups' | 'preview'>;
+	readonly groupPlacer: Pick<GroupPlacer, 'groupOf' | 'groups' | 'isClosed' | 'preview'>;
 };
 
 /** What the rules know of a request beside the target. */
 type RuleContext = {
 	readonly options: ExplainOptions;
-	/** The targets that take requests, among several at one address the latest. */
+	readonly call: ZonedCall;
+	/** The ids of the targets that are left out because they are cold. */
+	readonly avoided: ReadonlySet<string>;
+	/** The targets that take requests of the service, in any region; among several at one address the latest. */
 	readonly serving: ReadonlySet<Target>;
 	/** The targets left to choose from after all exclusions; `undefined` for a service of engines. */
 	readonly usable: ReadonlySet<Target> | undefined;
@@ -65,8 +77,13 @@
 	gone: ({isGone}) => isGone,
 	leaving: ({isLeaving}) => isLeaving,
 	unreachable: ({isReachable}) => !isReachable,
+	evacuated: ({record}, {options}) => options.isEvacuated(record.zone),
+	regionNotAllowed: ({record}, {call}) => !mayReach(call, record.zone),
 	paused: ({record}, {options}) => options.pauses.waitMs(record),
 	limited: ({record}, {options}) => options.permits.waitMs(record),
+	/** It may get no request now, or others of the service are not cold. */
+	cold: ({record}, {options, avoided}) => options.cold.waitMs(record) || avoided.has(record.id),
+	groupClosed: (target, {options}) => options.groupPlacer.isClosed(target),
 	/** Another target is registered at its address. */
 	superseded: (target, {serving}) => target.isServing && target.isReachable && !serving.has(target),
 };
@@ -92,15 +109,25 @@
 export function createExplainer(options: ExplainOptions): (query: URLSearchParams) => ExplainReply {
 	const {targets, groupPlacer} = options;
 
-	const choose = (request: ChoiceRequest): {readonly choice: ExplainedChoice; readonly usable: readonly Target[] | undefined} => {
-		const {usable, best} = options.isEngine(request.service) ? {usable: undefined, best: undefined} : choosePlainTarget(request, options);
-		const refusal = request.excluded.size > 0 && refusalIfAllRestricted(targets.servingTargets(request.service).map(({record}) => record), request.excluded, options);
+	type Choice = {readonly choice: ExplainedChoice; readonly usable: readonly Target[] | undefined; readonly avoided: readonly string[]};
+
+	const choose = (call: ZonedCall & {readonly route: Route}): Choice => {
+		const restricted = new Set(restrictedTargets(options));
+		const cold = chooseAvoided(call, restricted, options);
+		const avoided = cold.kind === 'refused' ? [] : cold.ids;
+		const request = {...call, tried: new Set<string>(), excluded: new Set([...restricted, ...avoided])};
+		const {usable, best} = options.isEngine(call.service) ? {usable: undefined, best: undefined} : choosePlainTarget(request, options);
+		const refusal = restricted.size > 0 ? refusalIfAllRestricted(targets.servingTargets(call).map(({record}) => record), restricted, options) : undefined;
 		if (refusal) {
-			return {choice: refusal, usable};
+			return {choice: refusal, usable, avoided};
+		}
+
+		if (cold.kind === 'refused') {
+			return {choice: cold, usable, avoided};
 		}
 
 		if (usable) {
-			return {choice: best ? {kind: 'target', target: best.record.id, by: 'lowest cost'} : {kind: 'refused', reason: 'noTarget'}, usable};
+			return {choice: best ? {kind: 'target', target: best.record.id, by: 'lowest cost'} : {kind: 'refused', reason: targets.absenceReason(call)}, usable, avoided};
 		}
 
 		const choice = groupPlacer.preview(request);
@@ -110,7 +137,7 @@
 					kind: 'target', target: choice.target.record.id, group: choice.group, by: 'own share of the group',
 				}
 				: choice,
-			usable,
+			usable, avoided,
 		};
 	};
 
@@ -153,8 +180,11 @@
 		}
 
 		const organisation = identified.kind === 'organisation' ? identified.organisation : undefined;
-		const {choice, usable} = choose({service, tried: new Set(), excluded: new Set(restrictedTargets(options))});
-		const context: RuleContext = {options, serving: new Set(targets.servingTargets(service)), usable: usable && new Set(usable)};
+		const call = {service, route, allowedZones: allowedZonesOf(options.regionByZone, [route.allowedRegions, organisation?.allowedRegions])};
+		const {choice, usable, avoided} = choose(call);
+		const context: RuleContext = {
+			options, call, avoided: new Set(avoided), serving: new Set(targets.servingTargets({service})), usable: usable && new Set(usable),
+		};
 		return {
 			status: 200,
 			body: {
--- a/packages/direct/src/forward.ts
+++ b/packages/direct/src/forward.ts
@@ -183,6 +183,8 @@
 		} else if (result.kind === 'notRun' && result.isUnreachable) {
 			place.target.markUnreachable();
 			deps.metrics.count('unreachable_targets');
+		} else if (result.kind === 'notRun' && result.isRefused) {
+			place.refused?.();
 		}
 
 		const leftMs = call.deadlineMs - (deps.monotonicMs() - call.arrivedMs);
--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -1,25 +1,43 @@
 import {
 	createRankNotices, handleFrame, type DownCause, type Frame, type FrameHandlers, type GroupLoad, type Peer, type PeerPlacementRequest, type StreamNotice,
 } from '@papayaflow/peer';
-import {maxPlacementWaitMs, refusalRetryDelayMs} from '@papayaflow/policy';
+import {
+	createReturnSchedule, groupCapacity, maxPlacementWaitMs, refusalRetryDelayMs,
+} from '@papayaflow/policy';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
 import {type EngineModel} from '@papayaflow/routing';
-import {type Call} from './call.js';
+import {mayReach, type Call} from './call.js';
 import {
 	candidatesOf, type ChoiceRequest, type Place, type PlaceResult, type PlaceRequest, type Placer,
 } from './place.js';
+import {createGroupAvailability} from './group-availability.js';
 import {createRefusedRequests, generationIdentity} from './refused-requests.js';
 import {type Target, type Targets} from './targets.js';
 
 /** The time added to the longest wait for a coordinator's decision, in milliseconds. It covers a round trip between zones and a delayed event loop. */
 const replyMarginMs = 80;
 
-/** The assumed capacity of the groups without a recent load report, as a ratio of their slots. */
+/** The assumed capacity of the groups without a recent load report or engine figures, as a ratio of their slots. */
 const defaultCapacityRatio = 0.4;
 
+/** The assumed skew of a group without a recent load report. A group that has just formed has its experts assigned in turn, which seldom fits the demand. */
+const assumedSkew = 3;
+
 /** The assumed number of entries that share a group without a recent load report. */
 const assumedEntryCount = 4;
 
+/** How long after its arrival a request may be held until a group has formed, in milliseconds. Callers abandon a stream that has no event after two seconds. */
+const maxHoldMs = 1200;
+
+/** How long requests that arrive when a group has just formed are held until they fit into this entry's share of a group with a coordinator, in milliseconds. */
+const coordinatorWaitMs = 350;
+
+/** The longest `Retry-After` that callers honour, as a ratio of the time that they have left. */
+const maxRetryAfterRatio = 0.32;
+
+/** The time of a pass as a ratio of the longest pause that streams allow, under usual load. */
+const usualPassRatio = 0.6;
+
 /** The shortest time after which a coordinator that does not answer counts as silent, as a multiple of the latency objective. Its decision on a first attempt may be due much sooner, but its machine may be busy. */
 const minReplyTimeoutRatio = 1;
 
@@ -44,10 +62,17 @@
 /** A decision without a coordinator: the target, or why there is none. */
 type OwnChoice
 	= | {readonly kind: 'target'; readonly target: Target; readonly group: string | undefined}
-		| {readonly kind: 'refused'; readonly reason: 'noTarget' | 'overloaded'; readonly detail?: string};
+		| {readonly kind: 'refused'; readonly reason: ReturnType<Targets['absenceReason']> | 'overloaded' | 'groupForming'; readonly detail?: string};
+
+/** The parts of a call that decide to which group it goes. */
+type GroupCall = Pick<Call, 'service' | 'route' | 'allowedZones'>;
 
 /** Where a call would be placed: by a coordinator among the ranks of its group, or by this entry itself. */
-export type GroupChoice = {readonly kind: 'coordinator'; readonly group: string | undefined; readonly coordinator: string} | OwnChoice;
+export type GroupChoice
+	= | {readonly kind: 'coordinator'; readonly group: string | undefined; readonly coordinator: string}
+		/** The call would be held for a group that is closed or has just formed, for at most this long. */
+		| {readonly kind: 'held'; readonly groups: readonly string[]; readonly maxMs: number}
+		| OwnChoice;
 
 /** What an entry knows of a group: its coordinator, and the load that this has reported last. */
 export type KnownGroup = {readonly group: string; readonly coordinator: string | undefined; readonly load: Omit<GroupLoad, 'refused'> | undefined; readonly loadAgeMs: number | undefined};
@@ -63,7 +88,9 @@
 	/** Returns the name of the group of a target as far as its sidecar has said. */
 	groupOf(target: Target): string | undefined;
 	/** Returns where a new call would be placed, without asking a coordinator or reserving anything. */
-	preview(request: ChoiceRequest): GroupChoice;
+	preview(request: ChoiceRequest & GroupCall): GroupChoice;
+	/** Whether the group of a target is known to be closed. */
+	isClosed(target: Target): boolean;
 	/** Returns what is known of the groups of a service. */
 	groups(service: string): readonly KnownGroup[];
 	status(): unknown;
@@ -82,18 +109,25 @@
 	const {targets, monotonicMs, random, metrics, log} = options;
 	const notices = createRankNotices();
 	const loads = new Map<string, {readonly load: GroupLoad; readonly atMs: number}>();
-	const pendingReplies = new Map<string, (frame: Extract<Frame, {kind: 'placed' | 'turnedAway'}>) => void>();
+	const pendingReplies = new Map<string, {readonly coordinator: Peer; readonly settle: (frame: Extract<Frame, {kind: 'placed' | 'turnedAway'}>) => void}>();
 	const streams = new Map<string, Stream>();
+	/** The held requests that may go on and are about to be asked for, by group. */
+	const claims = new Map<string, number>();
 	const refusedRequests = createRefusedRequests(monotonicMs);
+	const returns = createReturnSchedule({nowMs: monotonicMs, random});
+	const availability = createGroupAvailability({
+		notices, monotonicMs, metrics, log,
+	});
 
 	const groupOf = ({address}: Target): string | undefined => {
 		const peer = notices.peerBeside(address);
 		return peer && notices.of(peer)?.group;
 	};
 
-	const createPlacementRequest = ({call, tried, excluded, hasBegun}: PlaceRequest, identity: string | undefined): PeerPlacementRequest => {
+	const createPlacementRequest = ({call, tried, excluded, hasBegun}: PlaceRequest, identity: string | undefined, heldMs: number): PeerPlacementRequest => {
 		const {route, generation} = call;
 		const elapsedMs = monotonicMs() - call.arrivedMs;
+		const closedZones = targets.closedZones(call);
 		const sinceFirstSentMs = identity === undefined ? undefined : refusedRequests.waitedMs(identity);
 		return {
 			id: call.requestId,
@@ -101,6 +135,7 @@
 			promptTokens: generation?.promptTokens ?? options.model(call.service)?.usualPromptTokens ?? 0,
 			answerTokens: answerTokensOf(call),
 			waitedMs: sinceFirstSentMs ?? elapsedMs,
+			...(heldMs > 0 && {heldMs}),
 			objectiveMs: route.objectiveMs,
 			gapMs: route.gapObjectiveMs ?? route.objectiveMs,
 			deadlineMs: call.deadlineMs - elapsedMs,
@@ -112,6 +147,7 @@
 				// The coordinator learns only from the store that a target leaves.
 				...targets.departingAddresses(call.service),
 			])],
+			...(closedZones.length > 0 && {excludedZones: closedZones}),
 		};
 	};
 
@@ -129,7 +165,7 @@
 	});
 
 	// Looks up the coordinator for each frame, since it may change during a stream. A new coordinator has already been sent the list of running streams.
-	const reservePlace = (target: Target, placementRequest: PeerPlacementRequest): Place => {
+	const reservePlace = (target: Target, call: Call, placementRequest: PeerPlacementRequest): Place => {
 		const endRequest = target.startRequest();
 		const stream: Stream = {
 			group: groupOf(target), target: target.address, ask: placementRequest, hasBegun: false,
@@ -142,7 +178,7 @@
 		streams.set(placementRequest.id, stream);
 		return {
 			target,
-			mayStart: () => target.isServing,
+			mayStart: () => target.isServing && mayReach(call, target.record.zone),
 			began() {
 				stream.hasBegun = true;
 				notifyCoordinator({kind: 'began', id: placementRequest.id});
@@ -152,6 +188,11 @@
 				streams.delete(placementRequest.id);
 				notifyCoordinator({kind: 'ended', id: placementRequest.id});
 			},
+			refused() {
+				if (stream.group === undefined || notices.coordinatorOf(stream.group) === undefined) {
+					availability.onRefusal(target.record.service);
+				}
+			},
 		};
 	};
 
@@ -160,22 +201,25 @@
 	Uses a target whose sidecar does not respond only if there is no other target: its
 	machine may be frozen, and a request sent to a frozen machine can't be cancelled.
 	*/
-	const chooseWithoutCoordinator = (service: string, servingTargets: readonly Target[], isResumed: boolean, silentCoordinator?: Peer): OwnChoice => {
+	const chooseWithoutCoordinator = (call: GroupCall, servingTargets: readonly Target[], isResumed: boolean, silentCoordinator?: Peer): OwnChoice => {
 		const remaining = servingTargets.filter(({isServing}) => isServing);
 		if (remaining.length === 0) {
-			return {kind: 'refused', reason: 'noTarget'};
+			return {kind: 'refused', reason: targets.absenceReason(call)};
 		}
 
 		const isSilent = (address: string): boolean => notices.isSilent(address) || (silentCoordinator !== undefined && notices.of(silentCoordinator)?.target === address);
 		const responsive = remaining.filter(({address}) => !isSilent(address));
 		const candidates = responsive.length > 0 ? responsive : remaining;
-		const model = options.model(service);
 		const group = candidates.flatMap(target => groupOf(target) ?? []).at(0);
 		const lastLoad = group === undefined ? undefined : loads.get(group);
 		const freshLoad = lastLoad && monotonicMs() - lastLoad.atMs < loadMaxAgeMs ? lastLoad.load : undefined;
-		const all = targets.all().filter(({record}) => record.service === service);
-		const capacity = freshLoad?.room ?? all.length * (model?.slots ?? 1) * defaultCapacityRatio;
+		const all = targets.all().filter(({record}) => record.service === call.service);
+		const capacity = freshLoad?.room ?? assumedCapacity(all.length, call);
 		const share = Math.max(1, Math.floor(capacity / Math.max(1, freshLoad?.entries ?? assumedEntryCount)));
+		if (availability.holdMs(call.service) > 0 && !isResumed) {
+			return refusalOfForming(call, []);
+		}
+
 		const [{target: leastLoaded}] = candidates.map(target => ({target, load: target.inFlight + (random() / 2)})).toSorted((a, b) => a.load - b.load);
 		const ownInFlight = all.reduce((sum, {inFlight}) => sum + inFlight, 0);
 		return ownInFlight >= share && !isResumed
@@ -183,15 +227,15 @@
 			: {kind: 'target', target: leastLoaded, group};
 	};
 
-	const placeWithoutCoordinator = ({service}: Call, servingTargets: readonly Target[], placementRequest: PeerPlacementRequest, silentCoordinator?: Peer): PlaceResult => {
+	const placeWithoutCoordinator = (call: Call, servingTargets: readonly Target[], placementRequest: PeerPlacementRequest, silentCoordinator?: Peer): PlaceResult => {
 		metrics.count('placed_alone');
-		const choice = chooseWithoutCoordinator(service, servingTargets, placementRequest.isResumed, silentCoordinator);
+		const choice = chooseWithoutCoordinator(call, servingTargets, placementRequest.isResumed, silentCoordinator);
 		if (choice.kind === 'refused') {
-			return {...choice, retryAfterMs: drawRetryAfterMs(placementRequest)};
+			return choice.reason === 'groupForming' ? refuseForming(call, placementRequest, []) : {...choice, retryAfterMs: drawRetryAfterMs(placementRequest)};
 		}
 
 		const {target, group} = choice;
-		const place = reservePlace(target, placementRequest);
+		const place = reservePlace(target, call, placementRequest);
 		if (group !== undefined) {
 			notices.coordinatorOf(group)?.send({kind: 'running', stream: createStreamNotice(placementRequest.id, streams.get(placementRequest.id)!)});
 		}
@@ -199,6 +243,136 @@
 		return {kind: 'placed', place};
 	};
 
+	/** Returns how many requests of the call's service its ranks are assumed to serve at once, while no coordinator has told. */
+	const assumedCapacity = (ranks: number, {service, route}: GroupCall): number => {
+		const model = options.model(service);
+		if (!model?.experts) {
+			return ranks * (model?.slots ?? 1) * defaultCapacityRatio;
+		}
+
+		return groupCapacity({...model, expertShare: model.experts.workShare}, {
+			ranks, slots: model.slots, usualAnswerTokens: model.usualAnswerTokens, skew: assumedSkew, gapMs: route.gapObjectiveMs ?? route.objectiveMs,
+		});
+	};
+
+	/** Returns when the first of some closed groups is expected to open or, without a group, when a request may be sent to the service again, in milliseconds from now. */
+	const formingMs = ({service}: GroupCall, groups: readonly string[]): number =>
+		groups.length === 0 ? availability.holdMs(service) : availability.remainingMs(groups, options.model(service)?.experts?.formationMs ?? 0);
+
+	const refusalOfForming = (call: GroupCall, groups: readonly string[]): Extract<OwnChoice, {kind: 'refused'}> => ({
+		kind: 'refused', reason: 'groupForming',
+		detail: groups.length === 0 ? 'a rank has refused a request lately' : `${groups.join(', ')} closed, expected to open in ${Math.round(formingMs(call, groups))} ms`,
+	});
+
+	/** Refuses a request since all groups that could serve it are closed. The callers are spread over the time that they accept, at this entry's share of what the groups then serve. */
+	const refuseForming = (call: Call, {deadlineMs}: PeerPlacementRequest, groups: readonly string[]): PlaceResult => {
+		const model = options.model(call.service);
+		const ranks = targets.all().filter(({record}) => record.service === call.service).length;
+		const streamMs = (model?.usualAnswerTokens ?? 1) / (model?.stepsPerPass ?? 1) * (call.route.gapObjectiveMs ?? call.route.objectiveMs) * usualPassRatio;
+		const retryAfterMs = returns.next({
+			earliestMs: formingMs(call, groups), latestMs: deadlineMs * maxRetryAfterRatio, perSecond: assumedCapacity(ranks, call) / streamMs * msPerSecond / (entryCount() ?? assumedEntryCount),
+		});
+		return {...refusalOfForming(call, groups), retryAfterMs};
+	};
+
+	const entryCount = (): number | undefined => loads.size === 0 ? undefined : Math.max(...[...loads.values()].map(({load}) => load.entries));
+
+	/** Returns the candidates whose groups are not known to be closed, and the closed groups of the others. */
+	const withoutClosed = (candidates: readonly Target[]): {readonly open: readonly Target[]; readonly closedGroups: readonly string[]} => {
+		if (availability.isSettled()) {
+			return {open: candidates, closedGroups: []};
+		}
+
+		const closedGroups = new Set<string>();
+		const open = candidates.filter(target => {
+			const group = groupOf(target);
+			if (group !== undefined && availability.isClosed(group)) {
+				closedGroups.add(group);
+				return false;
+			}
+
+			return true;
+		});
+		return {open, closedGroups: [...closedGroups]};
+	};
+
+	/** Returns the groups of some targets, each once. */
+	const groupsOf = (candidates: readonly Target[]): readonly string[] => [...new Set(candidates.flatMap(target => groupOf(target) ?? []))];
+
+	/** Returns the first open group with a known coordinator in which this entry's share is not used up. */
+	const groupWithShare = (groups: readonly string[], call: GroupCall): string | undefined => groups.find(group =>
+		!availability.isClosed(group) && notices.coordinatorOf(group) !== undefined && outstandingIn(group) + (claims.get(group) ?? 0) < shareOf(group, call));
+
+	const areSettled = (groups: readonly string[]): boolean => groups.every(group => !availability.isClosed(group) && !availability.hasJustFormed(group));
+
+	/** Returns the longest time for which a request may be held for a group, at most `leftMs`, in milliseconds; `undefined` if all groups are closed and none is expected to open by then. */
+	const maxHoldOf = (call: GroupCall, candidates: readonly Target[], leftMs: number): number | undefined => {
+		const {open, closedGroups} = withoutClosed(candidates);
+		if (open.length > 0) {
+			return Math.min(leftMs, coordinatorWaitMs);
+		}
+
+		return availability.remainingMs(closedGroups, options.model(call.service)?.experts?.formationMs ?? 0) > leftMs ? undefined : leftMs;
+	};
+
+	/**
+	Holds a request while all groups that could serve it are closed and one is expected to
+	open soon. When groups have just formed, requests that were held go on as far as this
+	entry's share of the groups whose coordinators are known, so that the first coordinator
+	does not get all of them. A refusal would cost callers their retry. Returns how long the
+	request was held, in milliseconds.
+	*/
+	const awaitGroup = async (call: Call, candidates: readonly Target[], signal: AbortSignal): Promise<number> => {
+		if (availability.isSettled()) {
+			return 0;
+		}
+
+		const startedMs = monotonicMs();
+		const leftMs = maxHoldMs - (startedMs - call.arrivedMs);
+		const maxMs = maxHoldOf(call, candidates, leftMs);
+		if (maxMs === undefined) {
+			return 0;
+		}
+
+		const groups = groupsOf(candidates);
+		let claimed: string | undefined;
+		const claimShare = (): boolean => {
+			claimed = groupWithShare(groups, call);
+			if (claimed !== undefined) {
+				claims.set(claimed, (claims.get(claimed) ?? 0) + 1);
+			}
+
+			return claimed !== undefined;
+		};
+
+		const mayGoOn = (): boolean => claimShare() || areSettled(groups);
+		if (!mayGoOn()) {
+			metrics.count('held_for_group');
+			await availability.until(mayGoOn, maxMs, signal);
+		}
+
+		// The request is asked for now, so it counts as outstanding.
+		if (claimed !== undefined) {
+			claims.set(claimed, claims.get(claimed)! - 1);
+		}
+
+		return monotonicMs() - startedMs;
+	};
+
+	/** Returns how many requests this entry has running in a group or has asked its coordinator to place. */
+	const outstandingIn = (group: string): number => {
+		const coordinator = notices.coordinatorOf(group);
+		const asked = [...pendingReplies.values()].filter(pending => pending.coordinator === coordinator).length;
+		return asked + [...streams.values()].filter(stream => stream.group === group).length;
+	};
+
+	/** Returns this entry's share of what a group serves: of its reported room, or of what it serves with a badly fitting map. */
+	const shareOf = (group: string, call: GroupCall): number => {
+		const load = loads.get(group)?.load;
+		const ranks = notices.ofGroup(group).length;
+		return Math.max(1, (load?.room ?? assumedCapacity(ranks, call)) / (load?.entries ?? entryCount() ?? assumedEntryCount));
+	};
+
 	const drawRetryAfterMs = ({objectiveMs}: PeerPlacementRequest): number => refusalRetryDelayMs(objectiveMs, random);
 
 	const askCoordinator = async (coordinator: Peer, placementRequest: PeerPlacementRequest, signal: AbortSignal):
@@ -219,18 +393,19 @@
 
 		const timer = setTimeout(settle, Math.max(placementRequest.objectiveMs * minReplyTimeoutRatio, maxPlacementWaitMs(placementRequest)) + replyMarginMs, 'silent');
 		signal.addEventListener('abort', withdraw, {once: true});
-		pendingReplies.set(placementRequest.id, settle);
+		pendingReplies.set(placementRequest.id, {coordinator, settle});
 		coordinator.send({kind: 'place', ask: placementRequest});
 	});
 
 	/** Returns the coordinator of the least utilized group among the candidates' groups. */
-	const chooseCoordinator = (candidates: readonly Target[]): Peer | undefined => {
-		const groups = [...new Set(candidates.flatMap(target => groupOf(target) ?? []))];
+	const chooseCoordinator = (call: GroupCall, candidates: readonly Target[]): Peer | undefined => {
+		const groups = groupsOf(candidates);
 		let best: {peer: Peer; utilization: number} | undefined;
 		for (const group of groups) {
 			const peer = notices.coordinatorOf(group);
 			const load = loads.get(group)?.load;
-			const utilization = (load ? load.running / Math.max(1, load.room) : 0) + (random() / utilizationJitterDivisor);
+			const reported = load ? load.running / Math.max(1, load.room) : 0;
+			const utilization = (availability.isSettled() ? reported : Math.max(reported, outstandingIn(group) / shareOf(group, call))) + (random() / utilizationJitterDivisor);
 			if (peer && (!best || utilization < best.utilization)) {
 				best = {peer, utilization};
 			}
@@ -251,13 +426,25 @@
 
 	const placeOnce = async (request: PlaceRequest, identity: string | undefined): Promise<PlaceResult> => {
 		const {call, tried, excluded, signal} = request;
-		const candidates = candidatesOf(targets, {service: call.service, tried, excluded});
-		const placementRequest = createPlacementRequest(request, identity);
+		const usable = candidatesOf(targets, {
+			service: call.service, allowedZones: call.allowedZones, tried, excluded,
+		});
+		const heldMs = await awaitGroup(call, usable, signal);
+		const placementRequest = createPlacementRequest(request, identity, heldMs);
+		const {open: candidates, closedGroups} = withoutClosed(usable.filter(({isServing}) => isServing));
+		if (signal.aborted) {
+			return {kind: 'refused', reason: 'withdrawn', retryAfterMs: drawRetryAfterMs(placementRequest)};
+		}
+
+		if (candidates.length === 0 && closedGroups.length > 0) {
+			return refuseForming(call, placementRequest, closedGroups);
+		}
+
 		if (candidates.length === 0) {
-			return {kind: 'refused', reason: 'noTarget', retryAfterMs: drawRetryAfterMs(placementRequest)};
+			return {kind: 'refused', reason: targets.absenceReason(call), retryAfterMs: drawRetryAfterMs(placementRequest)};
 		}
 
-		const coordinator = chooseCoordinator(candidates);
+		const coordinator = chooseCoordinator(call, candidates);
 		if (!coordinator) {
 			return placeWithoutCoordinator(call, candidates, placementRequest);
 		}
@@ -286,17 +473,18 @@
 			return placeWithoutCoordinator(call, candidates, placementRequest);
 		}
 
-		return {kind: 'placed', place: reservePlace(target, placementRequest)};
+		return {kind: 'placed', place: reservePlace(target, call, placementRequest)};
 	};
 
 	const handleReply = (_peer: Peer, frame: Extract<Frame, {kind: 'placed' | 'turnedAway'}>): void => {
-		pendingReplies.get(frame.id)?.(frame);
+		pendingReplies.get(frame.id)?.settle(frame);
 	};
 
 	const handlers: FrameHandlers = {
 		rank(peer, {notice}) {
 			const previous = notices.of(peer);
 			notices.set(peer, notice);
+			availability.update(notice.group);
 			if (notice.isCoordinator && (!previous?.isCoordinator || previous.term !== notice.term)) {
 				const ownStreams = [...streams].filter(([, {group}]) => group === notice.group);
 				peer.send({kind: 'streams', streams: ownStreams.map(([id, stream]) => createStreamNotice(id, stream))});
@@ -314,16 +502,37 @@
 
 	return {
 		place,
-		onDown: notices.remove,
+		onDown(peer, cause) {
+			const notice = notices.of(peer);
+			notices.remove(peer, cause);
+			if (notice) {
+				availability.update(notice.group);
+			}
+		},
 		onFrame: (peer, frame) => handleFrame(handlers, peer, frame),
-		entries: () => loads.size === 0 ? undefined : Math.max(...[...loads.values()].map(({load}) => load.entries)),
+		entries: entryCount,
 		groupOf,
 		preview(request) {
-			const candidates = candidatesOf(targets, request);
-			const coordinator = chooseCoordinator(candidates);
+			const usable = candidatesOf(targets, request);
+			const groups = groupsOf(usable);
+			const maxMs = availability.isSettled() || groupWithShare(groups, request) !== undefined || areSettled(groups) ? undefined : maxHoldOf(request, usable, maxHoldMs);
+			if (maxMs !== undefined) {
+				return {kind: 'held', groups, maxMs};
+			}
+
+			const {open, closedGroups} = withoutClosed(usable);
+			if (open.length === 0 && closedGroups.length > 0) {
+				return refusalOfForming(request, closedGroups);
+			}
+
+			const coordinator = chooseCoordinator(request, open);
 			return coordinator
 				? {kind: 'coordinator', group: notices.of(coordinator)?.group, coordinator: coordinator.hello.instance}
-				: chooseWithoutCoordinator(request.service, candidates, false);
+				: chooseWithoutCoordinator(request, open, false);
+		},
+		isClosed(target) {
+			const group = groupOf(target);
+			return group !== undefined && availability.isClosed(group);
 		},
 		groups(service) {
 			const names = new Set(targets.all().filter(({record}) => record.service === service).flatMap(target => groupOf(target) ?? []));
@@ -335,9 +544,11 @@
 				};
 			});
 		},
-		status: () => ({streams: streams.size, loads: Object.fromEntries([...loads].map(([group, {load}]) => [group, load]))}),
+		status: () => ({availability: availability.status(), streams: streams.size, loads: Object.fromEntries([...loads].map(([group, {load}]) => [group, load]))}),
 	};
 }
 
 /** Divides the random part of a group's utilization, which spreads the calls over groups of about equal utilization. A larger divisor spreads them less. */
 const utilizationJitterDivisor = 20;
+
+const msPerSecond = 1000;
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -25,7 +25,11 @@
 	createExplainer, type Candidate, type Exclusion, type Explanation, type ExplainOptions, type ExplainReply,
 } from './explain.js';
 export {createPool, type Pool} from './pool.js';
+export {
+	chooseAvoided, createColdPlacer, type ColdLimits, type ColdPlacerOptions,
+} from './cold-place.js';
 export {createLimitedPlacer, type LimitedPlacerOptions} from './limit-place.js';
+export {createGroupAvailability, type GroupAvailability, type GroupAvailabilityOptions} from './group-availability.js';
 export {
 	createGroupPlacer, type GroupChoice, type KnownGroup, type GroupPlacer, type GroupPlacerOptions,
 } from './group-place.js';
--- a/packages/direct/src/limit-place.ts
+++ b/packages/direct/src/limit-place.ts
@@ -33,7 +33,7 @@
 		const denied = new Set<string>();
 		for (;;) {
 			const excluded = new Set([...request.excluded, ...restrictedTargets(restrictions), ...denied]);
-			const serving = excluded.size === 0 ? [] : targets.servingTargets(request.call.service).map(({record}) => record);
+			const serving = excluded.size === 0 ? [] : targets.servingTargets(request.call).map(({record}) => record);
 			const refusal = refusalIfAllRestricted(serving, excluded, restrictions);
 			if (refusal) {
 				return refusal;
--- a/packages/direct/src/place.ts
+++ b/packages/direct/src/place.ts
@@ -1,7 +1,9 @@
 import {type RefusalReason} from '@papayaflow/outcome';
 import {withoutEjected, type EjectOptions} from '@papayaflow/policy';
-import {type Call} from './call.js';
-import {type Target, type TargetOutcome, type Targets} from './targets.js';
+import {mayReach, type Call} from './call.js';
+import {
+	type Target, type TargetOutcome, type Targets, type ZonedCall,
+} from './targets.js';
 
 /** A target reserved for one attempt. `forward` reports the progress of the attempt through it. */
 export type Place = {
@@ -9,6 +11,8 @@
 	/** Reports that the first event of a stream has arrived. */
 	began(): void;
 	ended(outcome: TargetOutcome): void;
+	/** Reports that the target has refused the request without running it, although it is the one that was meant. */
+	refused?(): void;
 	/** Whether the request may still be sent. To be checked at the moment of sending. */
 	mayStart(): boolean;
 };
@@ -46,7 +50,7 @@
 };
 
 /** What a choice among the targets of a service depends on. */
-export type ChoiceRequest = {readonly service: string; readonly tried: ReadonlySet<string>; readonly excluded: ReadonlySet<string>};
+export type ChoiceRequest = ZonedCall & {readonly tried: ReadonlySet<string>; readonly excluded: ReadonlySet<string>};
 
 /** The targets from which a plain call may choose, and the one that it gets now; `undefined` if there is none. */
 export type PlainChoice = {readonly usable: readonly Target[]; readonly best: Target | undefined};
@@ -57,8 +61,8 @@
 @example
 candidatesOf(targets, {service: 'ledger', tried: new Set(['i-1']), excluded: new Set()});
 */
-export function candidatesOf(targets: Targets, {service, tried, excluded}: ChoiceRequest): readonly Target[] {
-	const serving = targets.servingTargets(service).filter(({record}) => !excluded.has(record.id));
+export function candidatesOf(targets: Targets, {tried, excluded, ...call}: ChoiceRequest): readonly Target[] {
+	const serving = targets.servingTargets(call).filter(({record}) => !excluded.has(record.id));
 	const untried = serving.filter(({record}) => !tried.has(record.id));
 	return untried.length > 0 ? untried : serving;
 }
@@ -93,8 +97,10 @@
 */
 export function createPlainPlacer(options: PlainChoiceOptions): Placer {
 	return async ({call, tried, excluded}) => {
-		const {best} = choosePlainTarget({service: call.service, tried, excluded}, options);
-		return best ? {kind: 'placed', place: reservePlace(best)} : {kind: 'refused', reason: 'noTarget', retryAfterMs: noTargetRetryAfterMs};
+		const {best} = choosePlainTarget({
+			service: call.service, allowedZones: call.allowedZones, tried, excluded,
+		}, options);
+		return best ? {kind: 'placed', place: reservePlace(best, call)} : {kind: 'refused', reason: options.targets.absenceReason(call), retryAfterMs: noTargetRetryAfterMs};
 	};
 }
 
@@ -108,9 +114,9 @@
 const jitterRatio = 0.2;
 
 /** Reserves a target for one attempt, without a coordinator to notify: `began` has no effect. */
-export function reservePlace(target: Target): Place {
+export function reservePlace(target: Target, call: Pick<Call, 'allowedZones'>): Place {
 	const endRequest = target.startRequest();
 	return {
-		target, began: () => undefined, ended: endRequest, mayStart: () => target.isServing,
+		target, began: () => undefined, ended: endRequest, mayStart: () => target.isServing && mayReach(call, target.record.zone),
 	};
 }
--- a/packages/direct/test/explain.test.ts
+++ b/packages/direct/test/explain.test.ts
@@ -16,6 +16,8 @@
 	id, incarnation: 1, registeredAt: 1, service: 'plain', host: '127.0.0.1', port: Number(id.slice(1)) + 1, zone: 'z', slots: 4, state: 'serving', warmingMs: 0, ...fields,
 });
 
+const isEvacuated = (zone: string): boolean => zone === 'evacuated';
+
 const ejection = {ejectAfterFailures: 1, ejectMs: 1000, maxEjectedRatio: 0.5};
 
 // These guard against an explanation that differs from what the entry does with a request, or that changes it.
@@ -23,14 +25,16 @@
 	let targets: Targets;
 	let pausedMs: ReadonlyMap<string, number>;
 	let limitedMs: ReadonlyMap<string, number>;
+	let coldMs: ReadonlyMap<string, number>;
 	let groupChoice: GroupChoice;
 
 	beforeEach(() => {
 		pausedMs = new Map();
 		limitedMs = new Map();
+		coldMs = new Map();
 		groupChoice = {kind: 'coordinator', group: 'g', coordinator: 'side-1'};
 		targets = createTargets({
-			connectMs: 100, ejection, nowMs: () => 0, isKnownService: () => true, onChange: () => undefined,
+			connectMs: 100, ejection, nowMs: () => 0, isKnownService: () => true, isEvacuated, onChange: () => undefined,
 		});
 		targets.update([recordOf('t0'), recordOf('t1'), recordOf('t2'), recordOf('t3')]);
 	});
@@ -40,7 +44,8 @@
 	});
 
 	const table = createRouteTable({
-		version: 7, routes: [routeOf('plain', 'plain', true), routeOf('own', 'plain', false), routeOf('model', 'model', true)], services: new Map(),
+		version: 7, services: new Map(),
+		routes: [routeOf('plain', 'plain', true), routeOf('own', 'plain', false), routeOf('model', 'model', true), {...routeOf('west', 'plain', true), allowedRegions: ['west']}],
 		organisations: new Map([['k', {name: 'acme', priority: 0}]]),
 		limits: {
 			maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
@@ -58,7 +63,14 @@
 			onAnswer: unused, onAnnounced: unused, onDecision: unused, dispensers: unused, retain: unused,
 		},
 		pauses: {blocked: () => [...pausedMs.keys()], waitMs: ({id}) => pausedMs.get(id) ?? 0, observe: unused},
-		groupPlacer: {groupOf: () => 'g', groups: () => [], preview: () => groupChoice},
+		cold: {
+			isActive: () => coldMs.size > 0, isCold: ({id}) => coldMs.has(id), waitMs: ({id}) => coldMs.get(id) ?? 0,
+			update: unused, onStated: unused, onStarted: unused, reserve: unused, tick: unused, status: unused,
+		},
+		avoidsCold: ({service}) => service !== 'model', isEvacuated, regionByZone: new Map([['z', 'west'], ['evacuated', 'west'], ['y', 'east']]),
+		groupPlacer: {
+			groupOf: () => 'g', groups: () => [], preview: () => groupChoice, isClosed: ({record}) => record.id === 't9',
+		},
 		...options,
 	})(new URLSearchParams(query));
 
@@ -88,6 +100,28 @@
 		expect(targets.all().map(({inFlight}) => inFlight)).to.deep.equal([0, 0, 0, 0, 0, 0, 0, 0]);
 	});
 
+	it('names evacuated zones, regions that are not allowed, cold targets and closed groups', () => {
+		targets.update([recordOf('t0', {zone: 'evacuated'}), recordOf('t1', {zone: 'y'}), recordOf('t2'), recordOf('t3'), recordOf('t4')]);
+		coldMs = new Map([['t2', 20], ['t3', 0]]);
+		const west = explain({host: 'h.example', path: '/west/x'}).body as Explanation;
+		expect(reasons(west)).to.deep.equal({
+			t0: [{reason: 'evacuated'}], t1: [{reason: 'regionNotAllowed'}], t2: [{reason: 'cold', forMs: 20}], t3: [{reason: 'cold'}], t4: [],
+		});
+		expect(west.choice).to.include({kind: 'target', target: 't4'});
+		expect(reasons(explainPlain()).t1).to.deep.equal([]);
+		targets.update([recordOf('t8', {service: 'model'}), recordOf('t9', {service: 'model'})]);
+		expect(reasons(explain({host: 'h.example', path: '/model/x'}).body as Explanation)).to.deep.equal({t8: [], t9: [{reason: 'groupClosed'}]});
+	});
+
+	it('gives the reason of a refusal for which evacuated zones, regions or cold targets are the cause', () => {
+		targets.update([recordOf('t0', {zone: 'evacuated'})]);
+		expect(explainPlain().choice).to.deep.equal({kind: 'refused', reason: 'zoneEvacuated'});
+		targets.update([recordOf('t1', {zone: 'y'})]);
+		expect((explain({host: 'h.example', path: '/west/x'}).body as Explanation).choice).to.deep.equal({kind: 'refused', reason: 'noTargetInRegion'});
+		coldMs = new Map([['t1', 40]]);
+		expect(explainPlain().choice).to.include({kind: 'refused', reason: 'targetsCold', retryAfterMs: 40});
+	});
+
 	it('says that a request would be refused, with the earliest time, when all targets are restricted', () => {
 		pausedMs = new Map([['t0', 300], ['t1', 300], ['t2', 300]]);
 		limitedMs = new Map([['t3', 200]]);
--- a/packages/direct/test/group-place.test.ts
+++ b/packages/direct/test/group-place.test.ts
@@ -5,7 +5,7 @@
 import {maxPlacementWaitMs} from '@papayaflow/policy';
 import {createLog, createMetrics} from '@papayaflow/telemetry';
 import {
-	createGroupPlacer, createTargets, type Call, type GroupPlacer,
+	createGroupPlacer, createTargets, type Call, type GroupPlacer, type Target,
 } from '@papayaflow/direct';
 
 const ranks = [0, 1, 2];
@@ -105,6 +105,122 @@
 	});
 });
 
+// Load pattern: all ranks of all groups refuse requests for a second or more, while they form anew after a loss of power.
+describe('a group placer whose groups are closed', () => {
+	const peers = ranks.map(rank => peerOf(rank));
+	const formingCall = (requestId: string, deadlineMs: number): Call => ({...callOf(requestId), deadlineMs});
+	const noticeOf = (rank: number, formation: number, isOpen: boolean, isCoordinator = false): RankNotice => ({
+		group: 'g', formation, rank, size: ranks.length, isOpen, target: addressOf(rank), isCoordinator, term: 1,
+	});
+
+	const createPlacer = (): GroupPlacer => {
+		const targets = createTargets({
+			connectMs: 100, ejection: {ejectAfterFailures: 3, ejectMs: 1000, maxEjectedRatio: 0.5}, nowMs: () => performance.now(), isKnownService: () => true, onChange: () => undefined,
+		});
+		targets.update(ranks.map(rank => ({
+			id: `i-${rank}`, incarnation: 0, registeredAt: 1, service: 's', host: `10.0.0.${rank}`, port: 80, zone: 'z', slots: 8, state: 'serving', warmingMs: 0,
+		})));
+		return createGroupPlacer({
+			targets, model: () => undefined, monotonicMs: () => performance.now(), random: () => 0.5, metrics: createMetrics(), log: createLog({}, 'error'),
+		});
+	};
+
+	const close = (placer: GroupPlacer): void => {
+		for (const rank of ranks) {
+			placer.onFrame(peers[rank], {kind: 'rank', notice: noticeOf(rank, 1, false)});
+		}
+	};
+
+	const place = async (placer: GroupPlacer, call: Call): ReturnType<GroupPlacer['place']> => placer.place({
+		call, hasBegun: false, tried: new Set(), excluded: new Set(), signal: new AbortController().signal,
+	});
+
+	// Guards against attempts at rank after rank, which all refuse, until the resend budget is spent and callers are refused a second time.
+	it('places a held request when the group has formed and its coordinator is known', async () => {
+		const placer = createPlacer();
+		close(placer);
+		const placed = place(placer, formingCall('r-1', 8000));
+		await sleep(50);
+		placer.onFrame(peers[1], {kind: 'rank', notice: noticeOf(1, 2, true)});
+		await sleep(20);
+		expect(await Promise.race([placed, sleep(1, 'held')])).to.equal('held');
+		const sent: Frame[] = [];
+		const coordinator: Peer = {
+			...peers[0], send(frame) {
+				sent.push(frame);
+				if (frame.kind === 'place') {
+					placer.onFrame(coordinator, {kind: 'placed', id: frame.ask.id, target: addressOf(2)});
+				}
+			},
+		};
+		placer.onFrame(coordinator, {kind: 'rank', notice: noticeOf(0, 2, true, true)});
+		const result = await placed;
+		expect(result.kind === 'placed' && result.place.target.record.id).to.equal('i-2');
+	});
+
+	// Guards against a preview that differs from what a call gets, or that takes a share from held calls.
+	it('previews that a call would be held for a closed group, refused once that is expected to last too long, or placed', async () => {
+		const placer = createPlacer();
+		close(placer);
+		const preview = (): ReturnType<GroupPlacer['preview']> => placer.preview({...callOf('r'), tried: new Set(), excluded: new Set()});
+		expect(preview()).to.deep.equal({kind: 'held', groups: ['g'], maxMs: 1200});
+		expect(placer.isClosed({address: addressOf(0)} as Target)).to.equal(true);
+		placer.onFrame(peers[0], {kind: 'rank', notice: noticeOf(0, 2, true, true)});
+		const load = {
+			running: 0, room: 1, entries: 1, passMs: 10,
+		};
+		placer.onFrame(peers[0], {kind: 'groupLoad', group: 'g', load});
+		expect([preview(), preview()]).to.deep.equal(Array.from({length: 2}, () => ({kind: 'coordinator', group: 'g', coordinator: 'side-0'})));
+		expect(placer.isClosed({address: addressOf(0)} as Target)).to.equal(false);
+		placer.onFrame(peers[0], {kind: 'rank', notice: noticeOf(0, 2, false)});
+		await sleep(2500);
+		expect(preview()).to.include({kind: 'refused', reason: 'groupForming'});
+		expect(await place(placer, callOf('r'))).to.include({kind: 'refused', reason: 'groupForming'});
+	});
+
+	// Load pattern: hundreds of requests that were held go on in the moment in which the first of several groups has a coordinator again.
+	it('sends no more than its share of held requests to the first coordinator', async () => {
+		const placer = createPlacer();
+		close(placer);
+		const controller = new AbortController();
+		const held = Array.from({length: 40}, async (_, index) => placer.place({
+			call: formingCall(`r-${index}`, 8000), hasBegun: false, tried: new Set(), excluded: new Set(), signal: controller.signal,
+		}));
+		await sleep(20);
+		let asked = 0;
+		const coordinator: Peer = {
+			...peers[0], send(frame) {
+				asked += frame.kind === 'place' ? 1 : 0;
+			},
+		};
+		placer.onFrame(coordinator, {kind: 'rank', notice: noticeOf(0, 2, true, true)});
+		await sleep(100);
+		expect(asked).to.be.within(1, 4);
+		controller.abort();
+		await Promise.all(held);
+	});
+
+	it('refuses a request once it has been held for so long that its caller would leave, with a delay that its caller accepts', async () => {
+		const placer = createPlacer();
+		close(placer);
+		const result = await place(placer, {...formingCall('r-1', 8000), arrivedMs: performance.now() - 1250});
+		expect(result).to.include({kind: 'refused', reason: 'groupForming'});
+		expect(result.kind === 'refused' && result.retryAfterMs).to.be.within(1, 2560);
+	}).timeout(4000);
+
+	it('sends no further request for a moment after a rank of an unknown group has refused one', async () => {
+		const placer = createPlacer();
+		const first = await place(placer, callOf('r-1'));
+		if (first.kind !== 'placed') {
+			throw new Error('the first call was refused');
+		}
+
+		first.place.refused?.();
+		first.place.ended('rejected');
+		expect(await place(placer, callOf('r-2'))).to.include({kind: 'refused', reason: 'groupForming'});
+	});
+});
+
 describe('a group placer with many sidecars', () => {
 	const sidecarCount = 240;
 	const ranksPerGroup = 24;
@@ -261,3 +377,76 @@
 		expect(await placing).to.equal('refused');
 	});
 });
+
+describe('a group placer for calls that may reach only some zones', () => {
+	const zones = ['a', 'b', 'b'];
+	let asks: Array<Extract<Frame, {kind: 'place'}>['ask']>;
+	let placer: GroupPlacer;
+	let evacuated: Set<string>;
+
+	beforeEach(() => {
+		asks = [];
+		evacuated = new Set();
+		const targets = createTargets({
+			connectMs: 100, ejection: {ejectAfterFailures: 3, ejectMs: 1000, maxEjectedRatio: 0.5}, nowMs: () => performance.now(), isKnownService: () => true, onChange: () => undefined,
+			isEvacuated: zone => evacuated.has(zone),
+		});
+		targets.update(ranks.map(rank => ({
+			id: `i-${rank}`, incarnation: 0, registeredAt: 1, service: 's', host: `10.0.0.${rank}`, port: 80, zone: zones[rank], slots: 8, state: 'serving', warmingMs: 0,
+		})));
+		placer = createGroupPlacer({
+			targets, model: () => undefined, monotonicMs: () => performance.now(), random: () => 0.5, metrics: createMetrics(), log: createLog({}, 'error'),
+		});
+	});
+
+	/** Connects the sidecars; their coordinator places every request on rank 0. */
+	const connectCoordinator = (): void => {
+		const coordinator: Peer = {
+			...peerOf(0),
+			send(frame) {
+				if (frame.kind === 'place') {
+					asks.push(frame.ask);
+					queueMicrotask(() => placer.onFrame(coordinator, {kind: 'placed', id: frame.ask.id, target: addressOf(0)}));
+				}
+			},
+		};
+		for (const rank of ranks) {
+			placer.onFrame(rank === 0 ? coordinator : peerOf(rank), {
+				kind: 'rank', notice: {
+					group: 'g', formation: 1, rank, size: ranks.length, isOpen: true, target: addressOf(rank), isCoordinator: rank === 0, term: 1,
+				},
+			});
+		}
+	};
+
+	const place = async (id: string, allowedZones?: ReadonlySet<string>): Promise<string> => {
+		const result = await placer.place({
+			call: {...callOf(id), allowedZones}, hasBegun: false, tried: new Set(), excluded: new Set(), signal: new AbortController().signal,
+		});
+		if (result.kind === 'refused') {
+			return result.reason;
+		}
+
+		result.place.ended('neutral');
+		return result.place.target.record.id;
+	};
+
+	// Guards against a call that leaves its region because the coordinator, or the entry without one, knows nothing of regions.
+	it('places a call in no other zone, with and without a coordinator, even one that chooses such a rank', async () => {
+		const allowed = new Set(['b']);
+		expect(await place('alone', allowed)).to.be.oneOf(['i-1', 'i-2']);
+		connectCoordinator();
+		expect(await place('asked', allowed)).to.be.oneOf(['i-1', 'i-2']);
+		expect(await place('nowhere', new Set(['c']))).to.equal('noTargetInRegion');
+		expect(await place('anywhere')).to.equal('i-0');
+		expect(asks.map(({id, excludedZones}) => [id, excludedZones])).to.deep.equal([['asked', ['a']], ['anywhere', undefined]]);
+	});
+
+	it('uses no rank that an uninformed coordinator chooses in an evacuated zone', async () => {
+		connectCoordinator();
+		evacuated.add('a');
+		expect(await place('r')).to.be.oneOf(['i-1', 'i-2']);
+		evacuated.add('b');
+		expect(await place('s')).to.equal('zoneEvacuated');
+	});
+});
--- a/packages/direct/test/targets.test.ts
+++ b/packages/direct/test/targets.test.ts
@@ -2,9 +2,11 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {listenOn} from '@papayaflow/standins';
 import {expect} from 'chai';
-import {describe, it} from 'mocha';
-import {type TargetRecord} from '@papayaflow/routing';
-import {createTargets, type Targets} from '@papayaflow/direct';
+import {beforeEach, describe, it} from 'mocha';
+import {isSameTarget, type TargetRecord} from '@papayaflow/routing';
+import {
+	createPlainPlacer, createTargets, type Call, type PlaceResult, type Targets,
+} from '@papayaflow/direct';
 
 const record = (id: string, registeredAt: number, more: Partial<TargetRecord> = {}): TargetRecord => ({
 	id, incarnation: 0, registeredAt, service: 's', host: '10.0.0.1', port: 80, zone: 'z', slots: 4, state: 'serving', warmingMs: 0, ...more,
@@ -20,7 +22,7 @@
 	return targets;
 };
 
-const servingIds = (targets: Targets): readonly string[] => targets.servingTargets('s').map(({record: {id}}) => id);
+const servingIds = (targets: Targets): readonly string[] => targets.servingTargets({service: 's'}).map(({record: {id}}) => id);
 
 describe('servingTargets() with several targets at one address', () => {
 	it('returns the target that registered last, in any order of the records', () => {
@@ -98,3 +100,97 @@
 		targets.update([]);
 	});
 });
+
+describe('isSameTarget()', () => {
+	// Guards against a target that becomes cold unnoticed, and against news of every heartbeat while it warms up.
+	it('tells a target that becomes cold from one whose stated time runs down', () => {
+		expect(isSameTarget(record('a', 1, {warmingMs: 3000}), record('a', 2, {warmingMs: 1800}))).to.equal(true);
+		expect(isSameTarget(record('a', 2, {warmingMs: 1800}), record('a', 3))).to.equal(true);
+		expect(isSameTarget(record('a', 3), record('a', 4, {warmingMs: 3000}))).to.equal(false);
+	});
+});
+
+describe('a target that refused connections', () => {
+	it('counts as started again when it accepts one, but not if it was only cut off', async () => {
+		const server = createServer();
+		const port = await listenOn(server);
+		const restarted: string[] = [];
+		const targets = createTargets({
+			connectMs: 100, ejection: {ejectAfterFailures: 3, ejectMs: 1000, maxEjectedRatio: 0.5}, nowMs: () => 0, isKnownService: () => true, onChange: () => undefined,
+			onRestarted: ({id}) => restarted.push(id),
+		});
+		targets.update([record('a', 1, {host: '127.0.0.1', port})]);
+		targets.byId('a')?.markUnreachable();
+		await waitUntilServing(targets);
+		expect(restarted, 'after a connection that was not refused').to.deep.equal([]);
+		server.close();
+		targets.byId('a')?.markUnreachable();
+		await sleep(100);
+		server.listen(port, '127.0.0.1');
+		await waitUntilServing(targets);
+		expect(restarted).to.deep.equal(['a']);
+		targets.update([]);
+		server.close();
+	});
+
+	const waitUntilServing = async (targets: Targets): Promise<void> => {
+		while (servingIds(targets).length === 0) {
+			await sleep(10);
+		}
+	};
+});
+
+describe('a target in an evacuated zone', () => {
+	const ejection = {ejectAfterFailures: 3, ejectMs: 1000, maxEjectedRatio: 0.5};
+	const evacuated = new Set<string>();
+	let targets: Targets;
+
+	beforeEach(() => {
+		evacuated.clear();
+		targets = createTargets({
+			connectMs: 100, ejection, nowMs: () => 0, isKnownService: () => true, isEvacuated: zone => evacuated.has(zone), onChange: () => undefined,
+		});
+		targets.update([record('a', 1, {zone: 'a'}), record('b', 1, {zone: 'b', port: 81})]);
+	});
+
+	const place = async (allowedZones?: ReadonlySet<string>): Promise<PlaceResult> => {
+		const placer = createPlainPlacer({
+			targets, ejection, nowMs: () => 0, random: () => 0.5, zone: 'a',
+		});
+		const call: Partial<Call> = {service: 's', allowedZones};
+		return placer({
+			call: call as Call, hasBegun: false, tried: new Set(), excluded: new Set(), signal: new AbortController().signal,
+		});
+	};
+
+	it('takes no requests until the zone is taken back, and coordinators are told the zone', () => {
+		evacuated.add('a');
+		expect(servingIds(targets)).to.deep.equal(['b']);
+		expect([targets.closedZones({service: 's'}), targets.departingAddresses('s')]).to.deep.equal([['a'], []]);
+		evacuated.clear();
+		expect(servingIds(targets)).to.deep.equal(['a', 'b']);
+	});
+
+	// Guards against a request that was placed before the evacuation and reaches the target after its connection has opened.
+	it('gets no request that was placed before', async () => {
+		const placed = await place();
+		expect(placed.kind === 'placed' && [placed.place.target.record.id, placed.place.mayStart()]).to.deep.equal(['a', true]);
+		evacuated.add('a');
+		expect(placed.kind === 'placed' && placed.place.mayStart()).to.equal(false);
+	});
+
+	it('is named as the cause of a refusal only if all targets of the service are in such zones', async () => {
+		evacuated.add('a').add('b');
+		expect(await place()).to.include({kind: 'refused', reason: 'zoneEvacuated'});
+		expect(targets.absenceReason({service: 'unknown'})).to.equal('noTarget');
+		targets.update([record('a', 1, {zone: 'a'}), record('c', 1, {zone: 'c', port: 82, state: 'leaving'})]);
+		expect(await place()).to.include({kind: 'refused', reason: 'noTarget'});
+	});
+
+	it('is named as the cause of a refusal if all targets that the call may reach are in such zones', async () => {
+		evacuated.add('a');
+		expect(await place(new Set(['a']))).to.include({kind: 'refused', reason: 'zoneEvacuated'});
+		expect(await place(new Set(['c']))).to.include({kind: 'refused', reason: 'noTargetInRegion'});
+		expect(targets.closedZones({service: 's', allowedZones: new Set(['a', 'c'])})).to.deep.equal(['a', 'b']);
+	});
+});
--- a/packages/group/src/coordination.ts
+++ b/packages/group/src/coordination.ts
@@ -1,11 +1,14 @@
-import {type LayeredMap, type RankView} from '@papayaflow/experts';
+import {mapInTurn, type LayeredMap, type RankView} from '@papayaflow/experts';
 import {type GroupLoad, type RefusedRequest} from '@papayaflow/peer';
 import {
 	balancingNeed, createGroupAdmission, type GroupAdmission, type GroupState,
 } from '@papayaflow/policy';
 import {type EngineModel} from '@papayaflow/routing';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
-import {createDemandTracker, type DemandTracker} from './demand-tracker.js';
+import {type DemandMemory} from './demand-memory.js';
+import {decodeDemand} from './demand-record.js';
+import {type DemandTracker} from './demand-tracker.js';
+import {createDemandWriter} from './demand-writer.js';
 import {balanceExperts} from './expert-balancer.js';
 import {type BalancingWeights} from './map-choice.js';
 import {type OwnRank, type RankEngine} from './own-rank.js';
@@ -31,6 +34,12 @@
 /** The share of the pass time that depends on the tokens under typical load; the rest is the fixed time of its steps. */
 const typicalTokenWorkShare = 0.6;
 
+/** How long a coordinator waits until the sidecar of each rank has been connected before it reads the map, in milliseconds. */
+const maxMembersWaitMs = 1500;
+
+/** How often it checks whether they are, in milliseconds. */
+const membersCheckMs = 20;
+
 export type CoordinationDeps = {
 	readonly view: RankView;
 	readonly own: OwnRank;
@@ -39,10 +48,25 @@
 	/** The member of the group that has a rank; `undefined` if none was ever known. */
 	readonly member: (rank: number) => Member | undefined;
 	readonly model: () => EngineModel | undefined;
+	/** The demand that earlier terms of this process have estimated. */
+	readonly demandMemory: DemandMemory;
+	/** The record of the group's demand in the store. */
+	readonly demandStore: {
+		/** `undefined` if there is none or it can't be read. */
+		readonly read: () => Promise<Uint8Array | undefined>;
+		readonly write: (record: Uint8Array) => Promise<void>;
+	};
+	/** The number of groups of the service. */
+	readonly groups: () => number;
+	/** The wall time, in milliseconds. */
+	readonly wallMs: () => number;
 	/** Whether each rank accepts new requests, indexed by rank. */
 	readonly openByRank: () => readonly boolean[];
 	/** The availability zone of each rank, indexed by rank. */
 	readonly zones: () => ReadonlyArray<string | undefined>;
+	/** Whether each rank is cold, and whether it may get another request now. */
+	readonly isCold?: (rank: number) => boolean;
+	readonly mayPlace?: (rank: number) => boolean;
 	/** Acquires a new fencing token for this group; `undefined` if it could not be acquired. */
 	readonly acquireToken: () => Promise<number | undefined>;
 	readonly weights: Pick<BalancingWeights, 'goodSkew' | 'copyCost'>;
@@ -77,6 +101,8 @@
 	readonly ranks: RemoteRanks;
 	/** Handles a new view of the own rank, from which the pass time is measured. */
 	onView(view: RankView): void;
+	/** Notes that a request has been placed. */
+	onPlaced(): void;
 	/** Records a refused request, so that the entries recognise its retry. */
 	onRefused(request: RefusedRequest): void;
 	/** Starts no further map switch; resolves when a switch in progress has ended and no longer holds the group. */
@@ -99,18 +125,27 @@
 		return undefined;
 	}
 
-	log.info({group: view.group, formation: view.formation, rank: view.rank}, 'started coordinating the group');
-	let currentMap: LayeredMap | undefined;
+	/** Logs a step of the start. The clock begins with the process. */
+	const logStep = (step: string, context: Readonly<Record<string, string | number>> = {}): void => {
+		log.info({
+			group: view.group, formation: view.formation, ...context, sinceStartMs: Math.round(monotonicMs()),
+		}, step);
+	};
+
+	logStep('started coordinating the group', {rank: view.rank});
+	// Map version 0 is the one that ranks start with. Without it, the skew under a known demand would count as 1 until the map is read, and too many requests would be placed.
+	let currentMap = view.mapVersion === 0 ? mapInTurn({layers: experts.layers, ranks: view.size, expertsPerLayer: experts.expertsPerLayer}) : undefined;
 	const stopController = new AbortController();
 	const meter = createPassMeter();
-	const tracker = createDemandTracker({layers: experts.layers, experts: experts.expertsPerLayer});
+	const sizes = {layers: experts.layers, experts: experts.expertsPerLayer};
+	const tracker = deps.demandMemory.trackerOf(view.group, sizes);
 	const skewMonitor = createSkewMonitor(tracker, () => currentMap);
 	const admission = createGroupAdmission({
 		model() {
 			const model = deps.model();
 			return model && {...model, expertShare: model.experts?.workShare ?? 0};
 		},
-		openRanks: deps.openByRank, zones: deps.zones,
+		openRanks: deps.openByRank, zones: deps.zones, isCold: deps.isCold, mayPlace: deps.mayPlace,
 		skew: () => skewMonitor.skew(), demandShifts: () => skewMonitor.shifts(), slowdown: () => meter.slowdown(), isStalled: () => meter.stalledMs() > stallTimeoutMs,
 		nowMs: monotonicMs, random: deps.random,
 	});
@@ -134,6 +169,11 @@
 		const room = admission.room();
 		if (now - loggedMs >= loadLogIntervalMs) {
 			loggedMs = now;
+			// Before the map has been read, this process may not hold the highest token.
+			if (hasReadMap) {
+				void writeDemand();
+			}
+
 			const shifts = skewMonitor.shifts();
 			log.info({
 				group: view.group, running, waiting, room, passMs: Math.round(meter.passMs()), predictedMs: Math.round(passMs), slowdown: round(meter.slowdown()),
@@ -150,6 +190,39 @@
 		refused = [];
 	}, refusedIntervalMs).unref();
 
+	const isStopped = (): boolean => stopController.signal.aborted || deps.signal.aborted;
+
+	const restoreDemand = async (): Promise<void> => {
+		const record = await deps.demandStore.read();
+		const known = record && decodeDemand(record, sizes, deps.wallMs());
+		if (known && !isStopped()) {
+			tracker.restore(known);
+			logStep('demand read from the store', {ageMs: Math.round(known.ageMs)});
+		}
+	};
+
+	if (tracker.updatedMs() === Number.NEGATIVE_INFINITY) {
+		void restoreDemand();
+	}
+
+	const writeDemand = createDemandWriter({
+		tracker, groups: deps.groups, write: deps.demandStore.write, nowMs: monotonicMs, wallMs: deps.wallMs,
+	});
+	let hasReadMap = false;
+	let hasPlaced = false;
+	const startedMs = monotonicMs();
+	// A sidecar that has been connected and is gone isn't waited for, because the group may be held meanwhile; its rank is read directly.
+	const areMembersKnown = (): boolean => Array.from({length: view.size}, (_, rank) => deps.member(rank)).every(member => member !== undefined);
+
+	const waitForMembers = async (): Promise<void> => {
+		while (!areMembersKnown() && monotonicMs() - startedMs < maxMembersWaitMs && !isStopped()) {
+			await deps.sleep(membersCheckMs);
+		}
+
+		const known = Array.from({length: view.size}, (_, rank) => deps.member(rank)).filter(member => member !== undefined).length;
+		logStep('members connected', {known, size: view.size, waitedMs: Math.round(monotonicMs() - startedMs)});
+	};
+
 	const readMap = async (): Promise<{readonly version: number; readonly map: LayeredMap} | undefined> => {
 		const parts = await Promise.all(Array.from({length: view.size}, async (_, rank) => ranks.readExperts(rank)));
 		if (!parts.every(part => part !== undefined) || parts.some(part => part.version !== parts[0].version || part.formation !== view.formation)) {
@@ -161,11 +234,15 @@
 
 	const balancing = balanceExperts({
 		ranks, ownRank: view.rank, tracker, model: experts, formation: view.formation, weights: {...deps.weights, workShare: experts.workShare * typicalTokenWorkShare},
-		acquireToken: deps.acquireToken, readMap, view: deps.own.view, log, metrics, nowMs: monotonicMs, sleep: deps.sleep, yieldTurn: deps.yieldTurn,
+		acquireToken: deps.acquireToken, waitForMembers, readMap, view: deps.own.view, log, metrics, nowMs: monotonicMs, sleep: deps.sleep, yieldTurn: deps.yieldTurn,
 		need: () => balancingNeed(admission.passRatio()),
-		isStopped: () => stopController.signal.aborted || deps.signal.aborted,
+		isStopped,
 		onMap(map) {
 			currentMap = map;
+			if (!hasReadMap) {
+				hasReadMap = true;
+				logStep('map read');
+			}
 		},
 	});
 
@@ -174,6 +251,12 @@
 		onView(ownView) {
 			meter.addSample(ownView, admission.state().passMs / meter.slowdown(), monotonicMs());
 		},
+		onPlaced() {
+			if (!hasPlaced) {
+				hasPlaced = true;
+				logStep('first request placed');
+			}
+		},
 		onRefused([identity, waitedMs]) {
 			refused.push({identity, firstSentMs: monotonicMs() - waitedMs});
 		},
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -6,6 +6,8 @@
 import {latestByAddress, type TargetRecord} from '@papayaflow/routing';
 import {startCoordination, type Coordination, type CoordinationDeps} from './coordination.js';
 import {packCounts, unpackCounts} from './counts.js';
+import {createDemandMemory} from './demand-memory.js';
+import {createLinkChoice} from './link-choice.js';
 import {createMapReceiver} from './map-transfer.js';
 import {candidateCount, createMembership} from './membership.js';
 import {
@@ -31,13 +33,33 @@
 /** How long a disconnected entry may take to reconnect before its streams count as ended, in milliseconds. */
 const entryReconnectTimeoutMs = 1200;
 
-export type GroupSidecarDeps = Pick<CoordinationDeps, 'engine' | 'connect' | 'model' | 'weights' | 'metrics' | 'log' | 'monotonicMs' | 'random' | 'sleep' | 'yieldTurn' | 'signal'> & {
+/** Which ranks are cold, and how often they get requests, by their registrations. */
+export type ColdRanks = {
+	isCold(record: TargetRecord): boolean;
+	/** How long a rank may get no request, in milliseconds; 0 if it may get one now. */
+	waitMs(record: TargetRecord): number;
+	/** Records that a request is placed on a rank. */
+	onPlaced(record: TargetRecord): void;
+};
+
+export type GroupSidecarDeps = Pick<CoordinationDeps, 'engine' | 'connect' | 'wallMs' | 'model' | 'weights' | 'metrics' | 'log' | 'monotonicMs' | 'random' | 'sleep' | 'yieldTurn' | 'signal'> & {
 	/** The engine beside this sidecar, as `IP:PORT`. */
 	readonly target: string;
 	/** The registered targets of this engine's service. */
 	readonly records: () => readonly TargetRecord[];
+	/** Whether the ranks of an availability zone accept no new requests, by order of the operator; they still take part in passes, commands and maps. */
+	readonly isEvacuated?: (zone: string) => boolean;
+	/** The limits of cold ranks; none by default. */
+	readonly cold?: ColdRanks;
 	/** Acquires a new fencing token for a group; `undefined` if it could not be acquired. */
 	readonly acquireToken: (group: string) => Promise<number | undefined>;
+	/** The records of the groups' demand in the store. */
+	readonly demandStore: {
+		readonly read: (group: string) => Promise<Uint8Array | undefined>;
+		readonly write: (group: string, record: Uint8Array) => Promise<void>;
+	};
+	/** Called when the state of the own rank has changed, and with it perhaps the links that are needed. */
+	readonly onStateChange: () => void;
 };
 
 /** The component of a sidecar that connects its rank with the rest of its group. */
@@ -48,10 +70,12 @@
 	onFrame(peer: Peer, frame: Frame): boolean;
 	/** Whether the loss of a peer must be detected quickly: true for the entries of a coordinator, and between the sidecars that may coordinate the group. */
 	isNear(peer: Peer): boolean;
-	/** Whether this sidecar may coordinate the group and therefore connects to all other sidecars of the group. */
-	isCandidate(): boolean;
-	/** Whether the engine at an address may belong to the own group: unless its sidecar has lately said that it belongs to another one. */
-	mayBeMember(target: string): boolean;
+	/**
+	Returns to the sidecars of which targets this one keeps links, out of all targets of the
+	service: none unless it may coordinate the group, and otherwise the members of the group.
+	Targets whose group is not known are tried in the given order, a few at a time.
+	*/
+	linkedTargets(targets: readonly string[]): readonly string[];
 	/** Stops coordinating, so that the next candidate takes over; resolves when this sidecar no longer holds the group. */
 	leave(): Promise<void>;
 	/** The group's part of the status page. */
@@ -72,6 +96,8 @@
 	const entries = new Set<Peer>();
 	const sidecars = new Set<Peer>();
 	const membership = createMembership();
+	const linkChoice = createLinkChoice({groupOf: membership.groupOf, nowMs: monotonicMs});
+	const demandMemory = createDemandMemory(monotonicMs);
 	/** The instance of the entry that each placed request came from, by request id. */
 	const entryByRequest = new Map<string, string>();
 	let coordination: Coordination | undefined;
@@ -79,6 +105,7 @@
 	let notice: RankNotice | undefined;
 	let openByRank: readonly boolean[] = [];
 	let zones: ReadonlyArray<string | undefined> = [];
+	let recordByRank: ReadonlyArray<TargetRecord | undefined> = [];
 	let lowerCandidateSeenMs = monotonicMs() + startupDelayMs;
 	let lastViewMs = monotonicMs();
 	let isLeaving = false;
@@ -131,21 +158,35 @@
 		return rank === notice.rank ? {rank, target: deps.target, peer: undefined} : membership.member(notice.group, rank);
 	};
 
+	const areMembersConnected = ({group, size}: Pick<RankNotice, 'group' | 'size'>): boolean => membership.connectedCount(group, size) >= size - 1;
+
 	const targetOf = (rank: number): string | undefined => member(rank)?.target;
 
 	const onView = (view: RankView): void => {
 		const records = latestByAddress(deps.records());
 		openByRank = Array.from({length: view.size}, (_, rank) => {
 			const target = targetOf(rank);
+			const record = target === undefined ? undefined : records.get(target);
 			// A sidecar that stopped responding may be on a frozen machine. A request sent there can't be cancelled: the engine would still run it after the caller has disconnected.
-			return view.isOpen && target !== undefined && records.get(target)?.state === 'serving' && !membership.isSilent(view.group, rank);
+			return view.isOpen && record?.state === 'serving' && !deps.isEvacuated?.(record.zone) && !membership.isSilent(view.group, rank);
 		});
-		zones = openByRank.map((_, rank) => records.get(targetOf(rank) ?? '')?.zone);
+		recordByRank = openByRank.map((_, rank) => records.get(targetOf(rank) ?? ''));
+		zones = recordByRank.map(record => record?.zone);
 		updateRole(view);
 		updateNotice(view);
 		coordination?.onView(view);
 	};
 
+	const isCold = (rank: number): boolean => {
+		const record = recordByRank[rank];
+		return record !== undefined && (deps.cold?.isCold(record) ?? false);
+	};
+
+	const mayPlace = (rank: number): boolean => {
+		const record = recordByRank[rank];
+		return record === undefined || (deps.cold?.waitMs(record) ?? 0) === 0;
+	};
+
 	const updateRole = (view: RankView): void => {
 		const now = monotonicMs();
 		const hasLowerCandidate = membership.hasLowerCandidate(view.group, view.rank);
@@ -163,8 +204,9 @@
 		const shouldCoordinate = view.rank === 0 || (view.rank < candidateCount && !hasLowerCandidate && now - lowerCandidateSeenMs >= takeoverDelayMs * view.rank);
 		if (!coordination && shouldCoordinate && !isLeaving && view.isOpen) {
 			coordination = startCoordination({
-				...deps, view, own, member, openByRank: () => openByRank, zones: () => zones, entries: () => entries.size,
-				acquireToken: async () => deps.acquireToken(view.group),
+				...deps, view, own, member, demandMemory, openByRank: () => openByRank, zones: () => zones, isCold, mayPlace, entries: () => entries.size,
+				acquireToken: async () => deps.acquireToken(view.group), groups: () => Math.ceil(deps.records().length / view.size),
+				demandStore: {read: async () => deps.demandStore.read(view.group), write: async record => deps.demandStore.write(view.group, record)},
 				sendLoad(load) {
 					for (const peer of entries) {
 						peer.send({kind: 'groupLoad', group: view.group, load});
@@ -192,20 +234,21 @@
 
 		if (notice?.formation !== next.formation || notice.isOpen !== next.isOpen) {
 			log.info({
-				group: next.group, formation: next.formation, rank: next.rank, isOpen: next.isOpen, pass: view.pass,
+				group: next.group, formation: next.formation, rank: next.rank, isOpen: next.isOpen, pass: view.pass, sinceStartMs: Math.round(monotonicMs()),
 			}, 'group state changed');
 		}
 
 		notice = next;
+		deps.onStateChange();
 		for (const peer of [...entries, ...sidecars]) {
 			peer.send({kind: 'rank', notice: next});
 		}
 	};
 
 	const placementRequestOf = (peer: Peer, frame: Extract<Frame, {kind: 'place'}>): PlacementRequest => {
-		const {excluded, identity: _, ...request} = frame.ask;
+		const {excluded, excludedZones = [], identity: _, ...request} = frame.ask;
 		const ranks = Array.from({length: notice?.size ?? 0}, (_, rank) => rank);
-		return {...request, zone: peer.hello.zone, excluded: new Set(ranks.filter(rank => excluded.includes(targetOf(rank) ?? '')))};
+		return {...request, zone: peer.hello.zone, excluded: new Set(ranks.filter(rank => excluded.includes(targetOf(rank) ?? '') || excludedZones.includes(zones[rank] ?? '')))};
 	};
 
 	const onPlace = (peer: Peer, frame: Extract<Frame, {kind: 'place'}>): void => {
@@ -219,22 +262,32 @@
 		}
 
 		coordination.admission.ask(placementRequestOf(peer, frame), decision => {
-			metrics.count('group_decisions', {kind: decision.kind});
+			const queuedMs = monotonicMs() - askedMs;
+			metrics.count('group_decisions', {kind: decision.kind, priority: String(frame.ask.priority)});
+			metrics.latency('group_wait', queuedMs);
 			const target = decision.kind === 'placed' ? targetOf(decision.rank) : undefined;
+			const record = decision.kind === 'placed' ? recordByRank[decision.rank] : undefined;
+			if (record) {
+				deps.cold?.onPlaced(record);
+			}
+
 			log.info({
-				requestId: id, entry: peer.hello.instance, outcome: decision.kind, reason: decision.kind === 'refused' ? decision.reason : undefined, target,
-				waitedMs: Math.round(frame.ask.waitedMs), hasReturned: frame.ask.hasReturned, isResumed: frame.ask.isResumed, viewAgeMs: Math.round(monotonicMs() - lastViewMs),
+				requestId: id, entry: peer.hello.instance, outcome: decision.kind, target,
+				...(decision.kind === 'refused' && {reason: decision.reason, rule: decision.rule, retryAfterMs: Math.round(decision.retryAfterMs)}),
+				priority: frame.ask.priority, queuedMs: Math.round(queuedMs), waitedMs: Math.round(frame.ask.waitedMs),
+				hasReturned: frame.ask.hasReturned, isResumed: frame.ask.isResumed, viewAgeMs: Math.round(monotonicMs() - lastViewMs),
 				...coordination?.status(),
 			}, 'placement decided');
 			if (target !== undefined) {
 				entryByRequest.set(id, peer.hello.instance);
+				coordination?.onPlaced();
 				peer.send({kind: 'placed', id, target});
 				return;
 			}
 
 			coordination?.admission.ended(id);
 			if (identity !== undefined) {
-				coordination?.onRefused([identity, frame.ask.waitedMs + monotonicMs() - askedMs]);
+				coordination?.onRefused([identity, frame.ask.waitedMs + queuedMs]);
 			}
 
 			peer.send({
@@ -382,11 +435,12 @@
 			const isCandidate = (notice?.rank ?? 0) < candidateCount;
 			return isCandidate && membership.isCandidate(peer, notice?.group);
 		},
-		mayBeMember(target) {
-			const group = membership.groupOf(target);
-			return notice === undefined || group === undefined || group === notice.group;
+		linkedTargets(targets) {
+			const rank = own.view()?.rank ?? candidateCount;
+			return notice && rank < candidateCount
+				? linkChoice.choose(targets.filter(target => target !== deps.target), {group: notice.group, isComplete: areMembersConnected(notice)})
+				: [];
 		},
-		isCandidate: () => (own.view()?.rank ?? candidateCount) < candidateCount,
 		async leave() {
 			isLeaving = true;
 			const stopping = coordination;
--- a/packages/group/test/sidecar.test.ts
+++ b/packages/group/test/sidecar.test.ts
@@ -3,8 +3,12 @@
 import {describe, it} from 'mocha';
 import {type RankView} from '@papayaflow/experts';
 import {type Frame, type Peer, type RankNotice} from '@papayaflow/peer';
-import {createLog, createMetrics} from '@papayaflow/telemetry';
-import {createGroupSidecar, type GroupSidecar, type RankEngine} from '@papayaflow/group';
+import {
+	createLog, createMetrics, type Log, type Metrics,
+} from '@papayaflow/telemetry';
+import {
+	createGroupSidecar, encodeDemand, type GroupSidecar, type RankEngine,
+} from '@papayaflow/group';
 
 const size = 3;
 
@@ -22,8 +26,11 @@
 
 const targetOf = (rank: number): string => `10.0.0.${rank}:80`;
 
+type StartOptions = {readonly isEvacuated?: (zone: string) => boolean; readonly record?: Uint8Array; readonly log?: Log; readonly metrics?: Metrics};
+
 /** Starts a sidecar with a clock that the test sets. */
-function startSidecar(rank: number, clock: {nowMs: number}, engine = engineOf(rank)): {sidecar: GroupSidecar; stop: () => void} {
+function startSidecar(rank: number, clock: {nowMs: number}, engine = engineOf(rank), options: StartOptions = {}): {sidecar: GroupSidecar; stop: () => void} {
+	const {isEvacuated = () => false, record, log = createLog({}, 'error'), metrics = createMetrics()} = options;
 	const ending = new AbortController();
 	const sidecar = createGroupSidecar({
 		target: targetOf(rank), engine, connect: target => engineOf(Number(target.slice(7, 8))),
@@ -35,14 +42,14 @@
 			},
 		}),
 		records: () => Array.from({length: size}, (_, index) => ({
-			id: `i-${index}`, incarnation: 1, registeredAt: 1, service: 's', host: `10.0.0.${index}`, port: 80, zone: 'z', slots: 8, state: 'serving' as const, warmingMs: 0,
+			id: `i-${index}`, incarnation: 1, registeredAt: 1, service: 's', host: `10.0.0.${index}`, port: 80, zone: `z-${index}`, slots: 8, state: 'serving' as const, warmingMs: 0,
 		})),
-		acquireToken: async () => 1, weights: {goodSkew: 1.1, copyCost: 0}, metrics: createMetrics(), log: createLog({}, 'error'),
+		isEvacuated, acquireToken: async () => 1, weights: {goodSkew: 1.1, copyCost: 0}, metrics, log,
 		monotonicMs: () => clock.nowMs, random: () => 0.5, signal: ending.signal,
 		async sleep() {
 			await sleep(2);
 		},
-		yieldTurn: async () => undefined,
+		yieldTurn: async () => undefined, onStateChange: () => undefined, wallMs: () => 0, demandStore: {read: async () => record, write: async () => undefined},
 	});
 	return {
 		sidecar,
@@ -134,6 +141,75 @@
 		await sidecar.leave();
 	});
 
+	// Guards against a coordinator that places requests in an evacuated zone for entries that have not heard of it, and one that takes such ranks out of their group.
+	it('places no request on the ranks of an evacuated zone, its own among them, and continues to coordinate', async () => {
+		const evacuated = new Set<string>();
+		const {sidecar, stop} = startSidecar(0, {nowMs: 0}, engineOf(0), {isEvacuated: zone => evacuated.has(zone)});
+		const sent: Frame[] = [];
+		const entry = peerOf('entry', sent);
+		sidecar.onUp(entry);
+		for (const rank of [1, 2]) {
+			const peer = peerOf('sidecar', []);
+			sidecar.onUp(peer);
+			sidecar.onFrame(peer, {kind: 'rank', notice: noticeOf(rank, false)});
+		}
+
+		const targetsOfPlaced = async (prefix: string): Promise<ReadonlySet<string>> => {
+			await sleep(20);
+			sent.length = 0;
+			sidecar.onFrame(entry, {kind: 'streams', streams: []});
+			for (const index of [0, 1, 2, 3]) {
+				sidecar.onFrame(entry, placeFrame(`${prefix}-${index}`, []));
+			}
+
+			return new Set(sent.flatMap(frame => frame.kind === 'placed' ? [frame.target] : []));
+		};
+
+		expect(await targetsOfPlaced('before')).to.have.property('size', 3);
+		evacuated.add('z-0');
+		evacuated.add('z-1');
+		expect(await targetsOfPlaced('evacuated')).to.deep.equal(new Set([targetOf(2)]));
+		expect(isCoordinator(sidecar)).to.equal(true);
+		expect(sent.filter(frame => frame.kind === 'rank'), 'notices that the group is closed').to.deep.equal([]);
+		evacuated.clear();
+		expect(await targetsOfPlaced('after')).to.have.property('size', 3);
+		stop();
+		await sidecar.leave();
+	});
+
+	it('places a request on no rank of a zone that its entry excludes', async () => {
+		const {sidecar, stop} = startSidecar(0, {nowMs: 0});
+		const sent: Frame[] = [];
+		const entry = peerOf('entry', sent);
+		sidecar.onUp(entry);
+		const member = peerOf('sidecar', []);
+		sidecar.onUp(member);
+		sidecar.onFrame(member, {kind: 'rank', notice: noticeOf(1, false)});
+		await sleep(20);
+		for (const id of ['r-1', 'r-2', 'r-3']) {
+			const frame = placeFrame(id, []) as Extract<Frame, {kind: 'place'}>;
+			sidecar.onFrame(entry, {...frame, ask: {...frame.ask, excludedZones: ['z-0']}});
+		}
+
+		expect(sent.flatMap(frame => frame.kind === 'placed' ? [frame.target] : [])).to.deep.equal([targetOf(1), targetOf(1), targetOf(1)]);
+		stop();
+		await sidecar.leave();
+	});
+
+	// Guards against decisions that can't be told apart by priority: a burst of one kind then looks like a shortage for all.
+	it('counts its decisions by priority', async () => {
+		const metrics = createMetrics();
+		const {sidecar, stop} = startSidecar(0, {nowMs: 0}, engineOf(0), {metrics});
+		await sleep(20);
+		const entry = peerOf('entry', []);
+		sidecar.onUp(entry);
+		sidecar.onFrame(entry, placeFrame('a', []));
+		expect(metrics.read('group_decisions', {kind: 'placed', priority: '1'})).to.equal(1);
+		expect(await metrics.text()).to.include('papayaflow_group_wait_ms_count 1');
+		stop();
+		await sidecar.leave();
+	});
+
 	it('tells all entries which requests it has refused, so that they recognise the retries', async () => {
 		const {sidecar, stop} = startSidecar(0, {nowMs: 0});
 		const [sent, sentToOther]: [Frame[], Frame[]] = [[], []];
@@ -216,4 +292,114 @@
 		stop();
 		await sidecar.leave();
 	});
+
+	// Guards against requests that are refused for a second after a group forms anew, until counts have arrived and the first map is planned.
+	it('knows the demand of the last formation when the group forms anew', async () => {
+		const clock = {nowMs: 0};
+		let formation = 1;
+		let chosen = 0;
+		const {sidecar, stop} = startSidecar(0, clock, {
+			...engineOf(0),
+			view: async () => ({...viewOf(0), formation}),
+			async counts() {
+				chosen += 90;
+				return {formation: 1, pass: 5, counts: [chosen, chosen / 90, chosen / 90]};
+			},
+			experts: async () => ({formation, version: 0, experts: [[0]]}),
+		});
+		// The other sidecars are gone, so that their engines are read directly.
+		for (const rank of [1, 2]) {
+			const peer = peerOf('sidecar', []);
+			sidecar.onUp(peer);
+			sidecar.onFrame(peer, {kind: 'rank', notice: noticeOf(rank, false)});
+			sidecar.onDown(peer, 'closed');
+		}
+
+		const skew = (): number | undefined => (sidecar.status() as {load?: {skew: number}}).load?.skew;
+		const waitForSkew = async (): Promise<void> => {
+			while ((skew() ?? 1) < 2) {
+				await sleep(5);
+				clock.nowMs += 200;
+			}
+		};
+
+		await waitForSkew();
+		formation = 2;
+		await sleep(50);
+		expect(skew()).to.be.above(2);
+		clock.nowMs += 70_000;
+		formation = 3;
+		await sleep(50);
+		expect(skew(), 'after a minute without counts').to.equal(1);
+		stop();
+		await sidecar.leave();
+	});
+
+	// Guards against a map that can't be read at a start because the sidecars are still connecting.
+	it('reads the map once the sidecars of all ranks have been connected', async () => {
+		const {sidecar, stop} = startSidecar(0, {nowMs: 0});
+		const connect = (rank: number): Frame[] => {
+			const sent: Frame[] = [];
+			const peer = peerOf('sidecar', sent);
+			sidecar.onUp(peer);
+			sidecar.onFrame(peer, {kind: 'rank', notice: noticeOf(rank, false)});
+			return sent;
+		};
+
+		const first = connect(1);
+		await sleep(50);
+		expect(isCoordinator(sidecar)).to.equal(true);
+		expect(first.some(({kind}) => kind === 'askExperts'), 'before the last rank is connected').to.equal(false);
+		const second = connect(2);
+		await sleep(50);
+		expect([first, second].map(sent => sent.some(({kind}) => kind === 'askExperts'))).to.deep.equal([true, true]);
+		stop();
+		await sidecar.leave();
+	});
+
+	it('knows the demand that an earlier coordinator has written to the store', async () => {
+		const record = encodeDemand({shares: [[0.9, 0.05, 0.05]], meanShiftIntervalMs: undefined, meanLayerShiftIntervalMs: undefined}, 0);
+		const {sidecar, stop} = startSidecar(0, {nowMs: 0}, engineOf(0), {record});
+		await sleep(20);
+		expect((sidecar.status() as {load: {skew: number}}).load.skew).to.be.above(2);
+		stop();
+		await sidecar.leave();
+	});
+
+	it('logs each step of its start with the time since the process started', async () => {
+		const expectedSteps = [
+			'started coordinating the group',
+			'group state changed',
+			'demand read from the store',
+			'members connected',
+			'acquired a fencing token for balancing experts',
+			'map read',
+			'first request placed',
+		];
+		const steps: string[] = [];
+		const log = {
+			...createLog({}, 'error'),
+			info(context: Readonly<Record<string, unknown>>, message: string) {
+				if (context.sinceStartMs === 700) {
+					steps.push(message);
+				}
+			},
+		} as unknown as Log;
+		const record = encodeDemand({shares: [[0.9, 0.05, 0.05]], meanShiftIntervalMs: undefined, meanLayerShiftIntervalMs: undefined}, 0);
+		const {sidecar, stop} = startSidecar(0, {nowMs: 700}, engineOf(0), {record, log});
+		const entry = peerOf('entry', []);
+		sidecar.onUp(entry);
+		for (const rank of [1, 2]) {
+			const peer = peerOf('sidecar', []);
+			sidecar.onUp(peer);
+			sidecar.onFrame(peer, {kind: 'rank', notice: noticeOf(rank, false)});
+			sidecar.onDown(peer, 'closed');
+		}
+
+		await sleep(100);
+		sidecar.onFrame(entry, placeFrame('r-1', []));
+		expect([...new Set(steps)].toSorted()).to.deep.equal(expectedSteps.toSorted());
+		stop();
+		await sidecar.leave();
+	});
 });
--- a/packages/outcome/src/outcome.ts
+++ b/packages/outcome/src/outcome.ts
@@ -8,6 +8,9 @@
 	'badRequest',
 	'noRoute',
 	'noTarget',
+	'groupForming',
+	'zoneEvacuated',
+	'noTargetInRegion',
 	'quotaExceeded',
 	'queueFull',
 	'deadlineTooShort',
@@ -27,6 +30,7 @@
 	'resendBudgetSpent',
 	'rateLimited',
 	'targetsPaused',
+	'targetsCold',
 	'quarantined',
 	'shuttingDown',
 ] as const;
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -13,6 +13,8 @@
 export {
 	hashText, isReader, rendezvousFirst, rendezvousOrder, pickSubset, type ZonedNode,
 } from './rendezvous.js';
+export {createReturnSchedule, type ReturnSchedule, type ReturnWindow} from './returns.js';
+export {coldShare, type ColdShare} from './cold-share.js';
 export {claimShards, shardOfKey} from './shard.js';
 export {createResendBudget, type ResendBudget, type ResendOptions} from './resend.js';
 export {
@@ -31,8 +33,10 @@
 export {
 	createDemandEstimator, uniformDemand, type Demand, type DemandEstimator,
 } from './demand.js';
+export {groupCapacity, type GroupCapacityOptions} from './group-capacity.js';
 export {
-	createGroupAdmission, maxPlacementWaitMs, type GroupAdmission, type GroupAdmissionOptions, type GroupDecision, type GroupModel, type PlacementRequest, type GroupState, type DemandShifts,
+	createGroupAdmission, maxPlacementWaitMs, type GroupAdmission, type GroupAdmissionOptions, type GroupDecision, type GroupModel, type PlacementRequest, type RefusalRule,
+	type GroupState, type DemandShifts,
 } from './group-admission.js';
 export {
 	predictPassMs, tokenWorkMs, type PassModel, type RankWork,
--- a/packages/policy/test/group.test.ts
+++ b/packages/policy/test/group.test.ts
@@ -1,7 +1,8 @@
 import {expect} from 'chai';
 import {describe, it} from 'mocha';
+import {seededRandom} from '@papayaflow/standins';
 import {
-	balancingNeed, createGroupAdmission, createResendBudget, skewOfLayers, predictPassMs, spreadExperts,
+	balancingNeed, createGroupAdmission, createResendBudget, maxPlacementWaitMs, skewOfLayers, predictPassMs, spreadExperts,
 	type GroupAdmission, type GroupDecision, type GroupModel, type PlacementRequest, type DemandShifts,
 } from '@papayaflow/policy';
 
@@ -97,6 +98,39 @@
 		expect(admission.state().passMs).to.be.at.most(0.82 * 40);
 	});
 
+	// Load pattern: some ranks of a group that is not full have just started.
+	it('prefers ranks that are not cold, and places nothing on one that may get no request now', () => {
+		let mayPlace = true;
+		const admission = createGroupAdmission({
+			model: () => model, openRanks: () => [true, true], zones: () => [], skew: () => 1, demandShifts: () => undefined, slowdown: () => 1, isStalled: () => false,
+			isCold: rank => rank === 0, mayPlace: rank => rank !== 0 || mayPlace, nowMs: () => 0, random: () => 0.5,
+		});
+		const placeOn = (id: string): number | undefined => {
+			const [decision] = ask(admission, makeRequest(id, {gapMs: 1000, promptTokens: 1, zone: 'none'}));
+			admission.began(id);
+			return decision?.kind === 'placed' ? decision.rank : undefined;
+		};
+
+		expect(['a', 'b', 'c', 'd', 'e'].map(id => placeOn(id)).filter(rank => rank === 1).length, 'of five requests').to.be.within(3, 4);
+		mayPlace = false;
+		expect(['f', 'g', 'h'].map(id => placeOn(id))).to.deep.equal([1, 1, 1]);
+	});
+
+	// Load pattern: a zone of a group that lies in several is evacuated, and its ranks only take part in the passes.
+	it('counts only the ranks that accept requests as capacity, and all of them while none does', () => {
+		let open = [true, true, true];
+		const admission = createGroupAdmission({
+			model: () => model, openRanks: () => open, zones: () => [], skew: () => 1, demandShifts: () => undefined, slowdown: () => 1, isStalled: () => false,
+			nowMs: () => 0, random: () => 0.5,
+		});
+		ask(admission, makeRequest('a', {gapMs: 1000}));
+		expect(admission.room()).to.equal(3 * model.slots);
+		open = [true, false, true];
+		expect(admission.room()).to.equal(2 * model.slots);
+		open = [false, false, false];
+		expect(admission.room()).to.equal(3 * model.slots);
+	});
+
 	it('reserves capacity for shifts of demand only if they are frequent', () => {
 		const withoutShifts = fill(admissionOf({nowMs: 0}));
 		const rareShifts = fill(admissionOf({nowMs: 0}, 2, {skew: 1.5, intervalMs: 60_000}));
@@ -170,6 +204,156 @@
 		expect(late[0]?.kind).to.equal('placed');
 	});
 
+	// Guards against refusing a returned caller for good although capacity becomes free before it abandons the request.
+	it('places a late returned request with leftover capacity within 1.5 s, and refuses it after that', () => {
+		const clock = {nowMs: 0};
+		const admission = admissionOf(clock);
+		fill(admission);
+		const [first, second] = ['a', 'b'].map(id => ask(admission, makeRequest(id, {hasReturned: true, waitedMs: 700})));
+		clock.nowMs = 1400;
+		admission.ended('fill-0');
+		admission.tick();
+		expect([first.map(({kind}) => kind), second]).to.deep.equal([['placed'], []]);
+		clock.nowMs = 1500;
+		admission.tick();
+		expect(second[0]).to.include({kind: 'refused', rule: 'waitEnded'});
+	});
+
+	it('lets a returned request wait for less than callers wait for an event, but as long as it can be in time', () => {
+		const wait = (objectiveMs: number, deadlineMs = 8000): number => maxPlacementWaitMs({objectiveMs, hasReturned: true, deadlineMs});
+		expect([wait(500), wait(1003), wait(500, 900)]).to.deep.equal([1500, 1500, 900]);
+		expect(wait(5000)).to.be.closeTo(3500, 1e-9);
+	});
+
+	// Load pattern: the callers of all streams of a group return at once and are late, while first attempts need all capacity.
+	it('refuses late returned requests at once when more are waiting than can be placed during their wait', () => {
+		const clock = {nowMs: 0};
+		const admission = admissionOf(clock);
+		fill(admission);
+		const returned = Array.from({length: 100}, (_, i) => ask(admission, makeRequest(`returned-${i}`, {hasReturned: true, waitedMs: 3000})));
+		const waitingCount = returned.filter(decisions => decisions.length === 0).length;
+		expect(waitingCount).to.be.within(1, 40);
+		expect(returned.at(-1)?.[0]).to.include({kind: 'refused', rule: 'lateQueueFull'});
+		expect(ask(admission, makeRequest('in-time', {hasReturned: true, waitedMs: 100})), 'in time').to.deep.equal([]);
+	});
+
+	it('places a late returned request although an older one does not fit on any rank', () => {
+		const admission = admissionOf({nowMs: 0});
+		const large = ask(admission, makeRequest('large', {hasReturned: true, waitedMs: 900, promptTokens: 30_000}));
+		const small = ask(admission, makeRequest('small', {hasReturned: true, waitedMs: 700}));
+		expect([large, small.map(({kind}) => kind)]).to.deep.equal([[], ['placed']]);
+	});
+
+	describe('with several priorities', () => {
+		const placedOf = (admission: GroupAdmission, name: string, priority: number, most = 100): number => {
+			for (let count = 0; count < most; count++) {
+				const id = `${name}-${count}`;
+				if (ask(admission, makeRequest(id, {priority, gapMs: 200}))[0]?.kind !== 'placed') {
+					admission.withdraw(id);
+					return count;
+				}
+
+				admission.began(id);
+			}
+
+			return most;
+		};
+
+		/** Lets 20 urgent requests a second arrive for a second, and end at once. */
+		const letUrgentArrive = (admission: GroupAdmission, clock: Clock, priority: number): void => {
+			for (let i = 0; i < 20; i++) {
+				clock.nowMs += 50;
+				ask(admission, makeRequest(`earlier-${i}`, {priority, gapMs: 200}));
+				admission.ended(`earlier-${i}`);
+			}
+		};
+
+		// Load pattern: less urgent requests fill a group whose passes last longer than an urgent request waits, while urgent ones arrive regularly.
+		it('keeps room for urgent requests that are expected until streams end', () => {
+			const clock = {nowMs: 0};
+			const admission = admissionOf(clock);
+			letUrgentArrive(admission, clock, 0);
+			expect(placedOf(admission, 'patient', 2)).to.be.within(12, 14);
+			expect(placedOf(admission, 'urgent', 0)).to.be.within(2, 4);
+		});
+
+		it('keeps no room without arrivals of a more urgent priority', () => {
+			const clock = {nowMs: 0};
+			const admission = admissionOf(clock);
+			letUrgentArrive(admission, clock, 2);
+			expect(placedOf(admission, 'patient', 2)).to.equal(16);
+			expect(placedOf(admissionOf(clock), 'patient', 2), 'new coordinator').to.equal(16);
+		});
+
+		// Guards against refusing an urgent request before the end of the pass in which less urgent streams end.
+		it('lets an urgent first attempt wait for the end of a pass while less urgent requests arrive', () => {
+			const clock = {nowMs: 0};
+			const admission = admissionOf(clock);
+			placedOf(admission, 'patient', 2);
+			const urgent = ask(admission, makeRequest('urgent', {priority: 0, gapMs: 200}));
+			const patient = ask(admission, makeRequest('patient', {priority: 2, gapMs: 200}));
+			clock.nowMs = 150;
+			admission.tick();
+			expect([urgent, patient[0]?.kind]).to.deep.equal([[], 'refused']);
+			admission.ended('patient-0');
+			admission.tick();
+			expect(urgent[0]?.kind).to.equal('placed');
+		});
+
+		it('keeps no room any more some seconds after the last urgent request', () => {
+			const clock = {nowMs: 0};
+			const admission = admissionOf(clock);
+			letUrgentArrive(admission, clock, 0);
+			clock.nowMs += 3000;
+			expect(placedOf(admission, 'patient', 2)).to.equal(16);
+		});
+
+		// Load pattern: urgent requests alone exceed the capacity for seconds.
+		it('places some requests of each priority while the most urgent one takes all capacity', () => {
+			const clock = {nowMs: 0};
+			const admission = admissionOf(clock);
+			const placed = [0, 0];
+			const running: Array<{readonly id: string; readonly untilMs: number}> = [];
+			for (; clock.nowMs < 10_000; clock.nowMs += 10) {
+				// All streams last equally long, so they end in the order in which they were placed.
+				while (running.length > 0 && running[0].untilMs <= clock.nowMs) {
+					admission.ended(running.shift()!.id);
+				}
+
+				admission.tick();
+				for (const priority of clock.nowMs % 20 === 0 ? [0, 1] : [0]) {
+					const id = `${priority}-${clock.nowMs}`;
+					admission.ask(makeRequest(id, {priority, gapMs: 200}), ({kind}) => {
+						if (kind === 'placed') {
+							placed[priority]++;
+							admission.began(id);
+							running.push({id, untilMs: clock.nowMs + 400});
+						}
+					});
+				}
+			}
+
+			const [urgentRatio, otherRatio] = [placed[0] / 1000, placed[1] / 500];
+			expect(otherRatio).to.be.above((urgentRatio + otherRatio) / 2 / 4);
+			expect(urgentRatio).to.be.above(otherRatio);
+		});
+	});
+
+	// Guards against a second overload after an outage: all refused callers returned within 200 ms, and most second refusals are final.
+	it('spreads the return of callers refused during an outage over a third of their remaining time', () => {
+		const random = seededRandom(3);
+		const admission = createGroupAdmission({
+			model: () => model, openRanks: () => [false, false], zones: () => [],
+			skew: () => 1, demandShifts: () => undefined, slowdown: () => 1, isStalled: () => false, nowMs: () => 0, random,
+		});
+		const delays = Array.from({length: 300}, (_, i) => ask(admission, makeRequest(`r-${i}`, {deadlineMs: 7500}))[0])
+			.map(decision => decision.kind === 'refused' ? decision.retryAfterMs : Number.NaN);
+		expect(Math.max(...delays)).to.be.within(2000, 2500);
+		for (let fromMs = 0; fromMs < 2500; fromMs += 200) {
+			expect(delays.filter(ms => ms >= fromMs && ms < fromMs + 200).length, `returns from ${fromMs} ms on`).to.be.at.most(45);
+		}
+	});
+
 	it('places most requests in time when they arrive at 1.5 times the rate that the group can serve', () => {
 		const clock = {nowMs: 0};
 		const admission = admissionOf(clock, 4);
--- a/packages/routing/src/configuration.ts
+++ b/packages/routing/src/configuration.ts
@@ -30,6 +30,8 @@
 	readonly isPublic: boolean;
 	/** Whether a broken stream may be resumed at another target. */
 	readonly isResumable: boolean;
+	/** The regions whose targets the requests may reach; absent if they may reach all. */
+	readonly allowedRegions?: readonly string[];
 };
 
 /** The capacity and timing figures that are published for the engines of a model. */
@@ -78,11 +80,16 @@
 	readonly formationMs: number;
 };
 
+/** How long the targets of a service are cold after a start during traffic, in milliseconds, and how many requests one of them may get in a second meanwhile. */
+export type ColdService = {readonly startMs: number; readonly perSecond: number};
+
 export type Service = {
 	readonly name: string;
 	/** The maximum number of connections that one target accepts from all clients together. */
 	readonly maxConnections: number;
 	readonly engine: EngineModel | undefined;
+	/** The limits of cold targets; absent if the targets of the service are never cold. */
+	readonly cold?: ColdService;
 };
 
 /** Limits on the size of requests and on the timing of callers' connections. */
@@ -93,7 +100,12 @@
 	readonly idleTimeoutMs: number;
 };
 
-export type Organisation = {readonly name: string; readonly priority: number | undefined};
+export type Organisation = {
+	readonly name: string;
+	readonly priority: number | undefined;
+	/** The regions whose targets the requests may reach; absent if they may reach all. */
+	readonly allowedRegions?: readonly string[];
+};
 
 /**
 One version of the operators' configuration. The route, the key and the organisation
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,9 +1,10 @@
 export type {
-	CallerLimits, CallKind, Configuration, EngineModel, ExpertModel, Organisation, Route, Service, WeightedService,
+	CallerLimits, CallKind, ColdService, Configuration, EngineModel, ExpertModel, Organisation, Route, Service, WeightedService,
 } from './configuration.js';
 export {
 	createRouteTable, drawService, identifyCaller, type CallerIdentity, type RouteTable,
 } from './match.js';
+export {allowedZonesOf} from './region.js';
 export {
 	addressOf, isSameTarget, latestByAddress, type TargetRecord,
 } from './target.js';
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -251,12 +251,42 @@
 	},
 	{
 		name: 'a request is placed only if the next pass stays within the allowed pause', file: 'policy/src/group-admission.ts',
-		find: 'passMsWith(request, rank) > maxPassToGapRatio * request.gapMs', replace: 'request.gapMs < 0',
+		find: 'passMsWith(request, rank) + reservedMs <= maxPassToGapRatio * request.gapMs', replace: 'request.gapMs >= 0',
 		spec: 'policy/test/group.test.ts', test: 'places a request only if the next pass',
 	},
+	{
+		name: 'room is kept for more urgent requests that are expected', file: 'policy/src/group-admission.ts',
+		find: 'return reserveRatio * (expected + (reserveDeviations * Math.sqrt(expected)));', replace: 'return 0;',
+		spec: 'policy/test/group.test.ts', test: 'keeps room for urgent requests',
+	},
+	{
+		name: 'an urgent first attempt waits for the end of a pass while less urgent requests arrive', file: 'policy/src/group-admission.ts',
+		find: 'Math.max(maxPlacementWaitMs(request), urgentWaitMs(request))', replace: 'maxPlacementWaitMs(request)',
+		spec: 'policy/test/group.test.ts', test: 'lets an urgent first attempt wait',
+	},
+	{
+		name: 'a priority that gets far less than the others comes first', file: 'policy/src/group-admission.ts',
+		find: '|| Number(b.isStarved) - Number(a.isStarved)', replace: '',
+		spec: 'policy/test/group.test.ts', test: 'places some requests of each priority',
+	},
+	{
+		name: 'late returned requests are refused at once when too many are waiting', file: 'policy/src/group-admission.ts',
+		find: 'isLate(waitingRequest) && isLateQueueFull()', replace: 'isLateQueueFull() && request.objectiveMs < 0',
+		spec: 'policy/test/group.test.ts', test: 'refuses late returned requests at once',
+	},
+	{
+		name: 'a late request that fits on no rank does not hold up the others', file: 'policy/src/group-admission.ts',
+		find: '&& !isUnplaceable(waitingRequest);', replace: ';',
+		spec: 'policy/test/group.test.ts', test: 'although an older one does not fit',
+	},
+	{
+		name: 'callers refused during an outage return over the whole time that they accept', file: 'policy/src/group-admission.ts',
+		find: 'rule === \'waitEnded\' ? plan().perSecond : 0', replace: '1e9',
+		spec: 'policy/test/group.test.ts', test: 'spreads the return of callers',
+	},
 	{
 		name: 'requests that can meet their objective are placed before late ones', file: 'policy/src/group-admission.ts',
-		find: 'Number(slackB >= 0) - Number(slackA >= 0) ||', replace: '',
+		find: '|| Number(b.slack >= 0) - Number(a.slack >= 0)', replace: '',
 		spec: 'policy/test/group.test.ts', test: 'places a request that can meet its objective before a late one',
 	},
 	{
@@ -317,7 +347,7 @@
 	},
 	{
 		name: 'a target that accepts no connection gets no calls', file: 'direct/src/targets.ts',
-		find: 'record.service === service && isServing && isReachable);', replace: 'record.service === service && isServing);',
+		find: ' && isServing && isReachable && mayReach', replace: ' && isServing && mayReach',
 		spec: 'direct/test/targets.test.ts', test: 'takes no requests until it accepts one',
 	},
 	{
@@ -407,7 +437,7 @@
 	},
 	{
 		name: 'a target at its limit is left out of the choice', file: 'direct/src/limit-place.ts',
-		find: ', ...permits.blocked(), ...pauses.blocked(), ...denied', replace: ', ...pauses.blocked()',
+		find: ', ...restrictedTargets(restrictions), ...denied', replace: ', ...restrictions.pauses.blocked()',
 		spec: 'direct/test/limit-place.test.ts', test: 'chooses another target after a denial',
 	},
 	{
@@ -487,7 +517,7 @@
 	},
 	{
 		name: 'a target that says in an answer that it leaves takes no more requests', file: 'direct/src/targets.ts',
-		find: 'return record.state === \'serving\' && !isGone && !isLeaving;', replace: 'return record.state === \'serving\' && !isGone;',
+		find: ' && !isGone && !isLeaving && !isEvacuated', replace: ' && !isGone && !isEvacuated',
 		spec: 'direct/test/targets.test.ts', test: 'a target that says that it leaves',
 	},
 	{
@@ -497,7 +527,7 @@
 	},
 	{
 		name: 'a target that has named a later time is left out of the choice', file: 'direct/src/limit-place.ts',
-		find: '...pauses.blocked(), ', replace: '',
+		find: ', ...pauses.blocked()]', replace: ']',
 		spec: 'direct/test/limit-place.test.ts', test: 'before the time that it has named',
 	},
 	{
@@ -615,6 +645,26 @@
 		find: 'if (trialPart !== undefined && isRivalOf(trialPart, parts)) {', replace: 'if (trialPart === \'\') {',
 		spec: 'quarantine/test/quarantine.test.ts', test: 'clears the parts of such a request',
 	},
+	{
+		name: 'a target in an evacuated zone takes no requests', file: 'direct/src/targets.ts',
+		find: ' && !isLeaving && !isEvacuated(record.zone)', replace: ' && !isLeaving',
+		spec: 'direct/test/targets.test.ts', test: 'gets no request that was placed before',
+	},
+	{
+		name: 'a coordinator places no requests in an evacuated zone', file: 'group/src/sidecar.ts',
+		find: ' && !deps.isEvacuated?.(record.zone)', replace: '',
+		spec: 'group/test/sidecar.test.ts', test: 'places no request on the ranks of an evacuated zone',
+	},
+	{
+		name: 'a call reaches no target in a region that is not allowed', file: 'direct/src/targets.ts',
+		find: ' && isReachable && mayReach(call, record.zone)', replace: ' && isReachable',
+		spec: 'direct/test/group-place.test.ts', test: 'places a call in no other zone',
+	},
+	{
+		name: 'a coordinator excludes the zones that an entry names', file: 'group/src/sidecar.ts',
+		find: ' || excludedZones.includes(zones[rank] ?? \'\')', replace: '',
+		spec: 'group/test/sidecar.test.ts', test: 'places a request on no rank of a zone that its entry excludes',
+	},
 	{
 		name: 'a status that HTTP does not allow is no answer', file: 'direct/src/exchange.ts',
 		find: 'if (status < minStatus || status > maxStatus) {', replace: 'if (status < 0) {',
@@ -625,4 +675,59 @@
 		find: 'const timer = setTimeout(resolve, timeoutMs,', replace: 'const timer = setTimeout(resolve, 1_000_000,',
 		spec: '../platform/test/direct/slow-peers.test.ts', test: 'whose body has not arrived',
 	},
+	{
+		name: 'the demand of a group outlasts its formation', file: 'group/src/demand-memory.ts',
+		find: 'last = isUsable ? last :', replace: 'last = isUsable && nowMs() < 0 ? last :',
+		spec: 'group/test/sidecar.test.ts', test: 'knows the demand of the last formation',
+	},
+	{
+		name: 'restored shares count like some reports', file: 'policy/src/demand.ts',
+		find: 'const restoredReports = 8;', replace: 'const restoredReports = 0.01;',
+		spec: 'policy/test/demand.test.ts', test: 'keeps restored shares while reports agree',
+	},
+	{
+		name: 'links to sidecars of unknown group are opened a few at a time', file: 'group/src/link-choice.ts',
+		find: 'if (recent < maxProbes && !probes.has(target)) {', replace: 'if (!probes.has(target)) {',
+		spec: 'group/test/link-choice.test.ts', test: 'go to a few sidecars of unknown group',
+	},
+	{
+		name: 'sidecars that do not answer keep no other from being linked', file: 'group/src/link-choice.ts',
+		find: 'sinceMs => now - sinceMs < probeMs', replace: '() => true',
+		spec: 'group/test/link-choice.test.ts', test: 'reach every member within five seconds',
+	},
+	{
+		name: 'the map is read once the members are known', file: 'group/src/coordination.ts',
+		find: 'while (!areMembersKnown() &&', replace: 'while (monotonicMs() < 0 &&',
+		spec: 'group/test/sidecar.test.ts', test: 'reads the map once the sidecars of all ranks',
+	},
+	{
+		name: 'the map is read several times under one token', file: 'group/src/expert-balancer.ts',
+		find: 'const maxMapReads = 5;', replace: 'const maxMapReads = 1;',
+		spec: 'group/test/expert-balancer.test.ts', test: 'reads the map again under the same token',
+	},
+	{
+		name: 'an old demand record is ignored', file: 'group/src/demand-record.ts',
+		find: ' || !(Math.abs(ageMs) <= maxDemandAgeMs)', replace: '',
+		spec: 'group/test/demand-record.test.ts', test: 'is ignored if it is old',
+	},
+	{
+		name: 'demand records are not mirrored', file: 'mirror/src/mirror.ts',
+		find: 'if (!isMirrored(key)) {', replace: 'if (key === \'\') {',
+		spec: 'mirror/test/mirror.test.ts', test: 'holds and copies no entries of the keys',
+	},
+	{
+		name: 'a copy that lists keys that are not mirrored fits', file: 'mirror/src/copy.ts',
+		find: 'keys.filter(key => mirror.isMirrored(key))', replace: '[...keys]',
+		spec: 'mirror/test/mirror.test.ts', test: 'holds and copies no entries of the keys',
+	},
+	{
+		name: 'the share of a cold target also counts when a request is sent', file: 'direct/src/cold-place.ts',
+		find: 'chosen.mayStart() && reservation.use()', replace: 'chosen.mayStart()',
+		spec: 'direct/test/cold-place.test.ts', test: 'to a target that became cold after it was chosen',
+	},
+	{
+		name: 'entries beyond the bound of a cold target send in slots', file: 'policy/src/cold-share.ts',
+		find: 'Math.min(perSecond, mean), lapseMs: slotMs', replace: 'perSecond, lapseMs: Number.POSITIVE_INFINITY',
+		spec: 'limit/test/cold.test.ts', test: 'less than one request for each entry',
+	},
 ];
