--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -1,6 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	createAnswerBuffers, createBodyBuffers, createColdPlacer, createCrashDetector, createFront, createGroupPlacer, createLimitedPlacer, createPlainPlacer, createQuarantinedPlacer, createTargets, subjectsOf, type StopPlan,
+	createAnswerBuffers, createBodyBuffers, createColdPlacer, createCrashDetector, createExplainer, createFront, createGroupPlacer, createLimitedPlacer, createPlainPlacer, createQuarantinedPlacer,
+	createTargets, subjectsOf, type PlainChoiceOptions, type StopPlan,
 } from '@papayaflow/direct';
 import {
 	createBeliefs, createColdTargets, createEngineChoice, createEntryEstimate, createPauses, createPermits, limitChanges, permitResults, type DispenserLink, type TargetLifetime,
@@ -97,12 +98,13 @@
 	metrics.declare('permits', 'result', permitResults);
 	metrics.declare('suspicion_changes', 'change', suspicionChanges);
 
+	const isEvacuated = (targetZone: string): boolean => directory.evacuatedZones().has(targetZone);
 	const targets = createTargets({
 		connectMs: connectTimeoutMs, ejection, nowMs: monotonicMs, isKnownService: service => directory.table()?.configuration.services.has(service) ?? true,
 		onRestarted(record) {
 			cold.onStarted([record]);
 		},
-		isEvacuated: targetZone => directory.evacuatedZones().has(targetZone),
+		isEvacuated,
 		onChange(change, {id, service, zone: targetZone, incarnation: targetIncarnation}) {
 			log.info({
 				target: id, service, targetZone, incarnation: targetIncarnation, revision: directory.revision(),
@@ -133,9 +135,10 @@
 		},
 	});
 	const model = (service: string): EngineModel | undefined => directory.table()?.configuration.services.get(service)?.engine;
-	const placePlain = createPlainPlacer({
+	const plainOptions: PlainChoiceOptions = {
 		targets, ejection, nowMs: monotonicMs, random, zone,
-	});
+	};
+	const placePlain = createPlainPlacer(plainOptions);
 	const groupPlacer = createGroupPlacer({
 		targets, model, monotonicMs, random, metrics, log,
 	});
@@ -146,6 +149,7 @@
 			perSecond, overrun: settings.coldOverrun, slack: settings.coldSlack, entries: coldEntries(),
 		}),
 	});
+	const avoidsCold = ({service}: {readonly service: string}): boolean => model(service) === undefined;
 	const stopColdTicks = ticker.add(() => {
 		coldEntries();
 		cold.tick();
@@ -262,7 +266,7 @@
 			quarantine,
 			place: createLimitedPlacer({
 				place: createColdPlacer({
-					place: async need => model(need.call.service) ? groupPlacer.place(need) : placePlain(need), targets, cold, avoidsCold: ({service}) => model(service) === undefined, random,
+					place: async need => model(need.call.service) ? groupPlacer.place(need) : placePlain(need), targets, cold, avoidsCold, random,
 				}),
 				targets, permits, pauses, random,
 			}),
@@ -293,9 +297,13 @@
 			}
 		},
 	});
+	const explain = createExplainer({
+		...plainOptions, permits, pauses, cold, avoidsCold, groupPlacer, isEvacuated, regionByZone: settings.regions, table: directory.table, isEngine: service => model(service) !== undefined,
+	});
 	const createAdminServer = (): ReturnType<typeof serveAdmin> => serveAdmin({
 		metrics, containment,
 		actions: {
+			'GET /explain': explain,
 			'GET /quarantine': () => ({status: 200, body: quarantine.status()}),
 			'POST /quarantine/clear': query => ({status: 200, body: {cleared: quarantine.clear(query.get('part') ?? undefined)}}),
 		},
--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -8,7 +8,7 @@
 import {type EngineModel} from '@papayaflow/routing';
 import {mayReach, type Call} from './call.js';
 import {
-	type Place, type PlaceResult, type PlaceRequest, type Placer,
+	candidatesOf, type ChoiceRequest, type Place, type PlaceResult, type PlaceRequest, type Placer,
 } from './place.js';
 import {createGroupAvailability} from './group-availability.js';
 import {createRefusedRequests, generationIdentity} from './refused-requests.js';
@@ -35,6 +35,9 @@
 /** How long requests that arrive when a group has just formed are held until they fit into this entry's share of a group with a coordinator, in milliseconds. */
 const coordinatorWaitMs = 350;
 
+/** The shortest retry delay while the state of the groups is not known, in milliseconds. */
+const unknownRetryMs = 250;
+
 /** The longest `Retry-After` that callers honour, as a ratio of the time that they have left. */
 const maxRetryAfterRatio = 0.32;
 
@@ -62,6 +65,24 @@
 	readonly log: Log;
 };
 
+/** A decision without a coordinator: the target, or why there is none. */
+type OwnChoice
+	= | {readonly kind: 'target'; readonly target: Target; readonly group: string | undefined}
+		| {readonly kind: 'refused'; readonly reason: ReturnType<Targets['absenceReason']> | 'overloaded' | 'groupForming'; readonly detail?: string};
+
+/** The parts of a call that decide to which group it goes. */
+type GroupCall = Pick<Call, 'service' | 'route' | 'allowedZones'>;
+
+/** Where a call would be placed: by a coordinator among the ranks of its group, or by this entry itself. */
+export type GroupChoice
+	= | {readonly kind: 'coordinator'; readonly group: string | undefined; readonly coordinator: string}
+		/** The call would be held for a group that is closed or has just formed, for at most this long. */
+		| {readonly kind: 'held'; readonly groups: readonly string[]; readonly maxMs: number}
+		| OwnChoice;
+
+/** What an entry knows of a group: its coordinator, and the load that this has reported last. */
+export type KnownGroup = {readonly group: string; readonly coordinator: string | undefined; readonly load: Omit<GroupLoad, 'refused'> | undefined; readonly loadAgeMs: number | undefined};
+
 /** Places generations through the coordinators of the groups. */
 export type GroupPlacer = {
 	readonly place: Placer;
@@ -70,6 +91,14 @@
 	onFrame(peer: Peer, frame: Frame): boolean;
 	/** The largest number of entries that a coordinator has reported; `undefined` before the first report. */
 	entries(): number | undefined;
+	/** Returns the name of the group of a target as far as its sidecar has said. */
+	groupOf(target: Target): string | undefined;
+	/** Returns where a new call would be placed, without asking a coordinator or reserving anything. */
+	preview(request: ChoiceRequest & GroupCall): GroupChoice;
+	/** Whether the group of a target is known to be closed. */
+	isClosed(target: Target): boolean;
+	/** Returns what is known of the groups of a service. */
+	groups(service: string): readonly KnownGroup[];
 	status(): unknown;
 };
 
@@ -175,15 +204,14 @@
 	};
 
 	/**
-	Places a call without a coordinator, up to this entry's share of the group's capacity.
+	Chooses the target of a call without a coordinator, up to this entry's share of the group's capacity.
 	Uses a target whose sidecar does not respond only if there is no other target: its
 	machine may be frozen, and a request sent to a frozen machine can't be cancelled.
 	*/
-	const placeWithoutCoordinator = (call: Call, servingTargets: readonly Target[], placementRequest: PeerPlacementRequest, silentCoordinator?: Peer): PlaceResult => {
-		metrics.count('placed_alone');
+	const chooseWithoutCoordinator = (call: GroupCall, servingTargets: readonly Target[], isResumed: boolean, silentCoordinator?: Peer): OwnChoice => {
 		const remaining = servingTargets.filter(({isServing}) => isServing);
 		if (remaining.length === 0) {
-			return {kind: 'refused', reason: targets.absenceReason(call), retryAfterMs: drawRetryAfterMs(placementRequest)};
+			return {kind: 'refused', reason: targets.absenceReason(call)};
 		}
 
 		const isSilent = (address: string): boolean => notices.isSilent(address) || (silentCoordinator !== undefined && notices.of(silentCoordinator)?.target === address);
@@ -197,13 +225,20 @@
 		const share = Math.max(1, Math.floor(capacity / Math.max(1, freshLoad?.entries ?? assumedEntryCount)));
 		const [{target: leastLoaded}] = candidates.map(target => ({target, load: target.inFlight + (random() / 2)})).toSorted((a, b) => a.load - b.load);
 		const ownInFlight = all.reduce((sum, {inFlight}) => sum + inFlight, 0);
-		if (ownInFlight >= share && !placementRequest.isResumed) {
-			return {
-				kind: 'refused', reason: 'overloaded', retryAfterMs: drawRetryAfterMs(placementRequest), detail: `own share ${share}`,
-			};
+		return ownInFlight >= share && !isResumed
+			? {kind: 'refused', reason: 'overloaded', detail: `own share ${share}`}
+			: {kind: 'target', target: leastLoaded, group};
+	};
+
+	const placeWithoutCoordinator = (call: Call, servingTargets: readonly Target[], placementRequest: PeerPlacementRequest, silentCoordinator?: Peer): PlaceResult => {
+		metrics.count('placed_alone');
+		const choice = chooseWithoutCoordinator(call, servingTargets, placementRequest.isResumed, silentCoordinator);
+		if (choice.kind === 'refused') {
+			return choice.reason === 'groupForming' ? refuseForming(call, placementRequest, []) : {...choice, retryAfterMs: drawRetryAfterMs(placementRequest)};
 		}
 
-		const place = reservePlace(leastLoaded, call, placementRequest);
+		const {target, group} = choice;
+		const place = reservePlace(target, call, placementRequest);
 		if (group !== undefined) {
 			notices.coordinatorOf(group)?.send({kind: 'running', stream: createStreamNotice(placementRequest.id, streams.get(placementRequest.id)!)});
 		}
@@ -212,7 +247,7 @@
 	};
 
 	/** Returns how many requests of the call's service its ranks are assumed to serve at once, while no coordinator has told. */
-	const assumedCapacity = (ranks: number, {service, route}: Call): number => {
+	const assumedCapacity = (ranks: number, {service, route}: GroupCall): number => {
 		const model = options.model(service);
 		if (!model?.experts) {
 			return ranks * (model?.slots ?? 1) * defaultCapacityRatio;
@@ -223,18 +258,24 @@
 		});
 	};
 
+	/** Returns when the first of some closed groups is expected to open, in milliseconds from now; without a group, after which time something may be known. */
+	const formingMs = ({service}: GroupCall, groups: readonly string[]): number =>
+		groups.length === 0 ? unknownRetryMs : availability.remainingMs(groups, options.model(service)?.experts?.formationMs ?? 0);
+
+	const refusalOfForming = (call: GroupCall, groups: readonly string[]): Extract<OwnChoice, {kind: 'refused'}> => ({
+		kind: 'refused', reason: 'groupForming',
+		detail: groups.length === 0 ? 'the state of the groups is not known' : `${groups.join(', ')} closed, expected to open in ${Math.round(formingMs(call, groups))} ms`,
+	});
+
 	/** Refuses a request since all groups that could serve it are closed. The callers are spread over the time that they accept, at this entry's share of what the groups then serve. */
 	const refuseForming = (call: Call, {deadlineMs}: PeerPlacementRequest, groups: readonly string[]): PlaceResult => {
 		const model = options.model(call.service);
 		const ranks = targets.all().filter(({record}) => record.service === call.service).length;
 		const streamMs = (model?.usualAnswerTokens ?? 1) / (model?.stepsPerPass ?? 1) * (call.route.gapObjectiveMs ?? call.route.objectiveMs) * usualPassRatio;
-		const earliestMs = availability.remainingMs(groups, model?.experts?.formationMs ?? 0);
 		const retryAfterMs = returns.next({
-			earliestMs, latestMs: deadlineMs * maxRetryAfterRatio, perSecond: assumedCapacity(ranks, call) / streamMs * msPerSecond / (entryCount() ?? assumedEntryCount),
+			earliestMs: formingMs(call, groups), latestMs: deadlineMs * maxRetryAfterRatio, perSecond: assumedCapacity(ranks, call) / streamMs * msPerSecond / (entryCount() ?? assumedEntryCount),
 		});
-		return {
-			kind: 'refused', reason: 'groupForming', retryAfterMs, detail: groups.length === 0 ? 'the state of the groups is not known' : `${groups.join(', ')} closed, expected to open in ${Math.round(earliestMs)} ms`,
-		};
+		return {...refusalOfForming(call, groups), retryAfterMs};
 	};
 
 	const entryCount = (): number | undefined => loads.size === 0 ? undefined : Math.max(...[...loads.values()].map(({load}) => load.entries));
@@ -258,6 +299,25 @@
 		return {open, closedGroups: [...closedGroups]};
 	};
 
+	/** Returns the groups of some targets, each once. */
+	const groupsOf = (candidates: readonly Target[]): readonly string[] => [...new Set(candidates.flatMap(target => groupOf(target) ?? []))];
+
+	/** Returns the first open group with a known coordinator in which this entry's share is not used up. */
+	const groupWithShare = (groups: readonly string[], call: GroupCall): string | undefined => groups.find(group =>
+		!availability.isClosed(group) && notices.coordinatorOf(group) !== undefined && outstandingIn(group) + (claims.get(group) ?? 0) < shareOf(group, call));
+
+	const areSettled = (groups: readonly string[]): boolean => groups.every(group => !availability.isClosed(group) && !availability.hasJustFormed(group));
+
+	/** Returns the longest time for which a request may be held for a group, at most `leftMs`, in milliseconds; `undefined` if all groups are closed and none is expected to open by then. */
+	const maxHoldOf = (call: GroupCall, candidates: readonly Target[], leftMs: number): number | undefined => {
+		const {open, closedGroups} = withoutClosed(candidates);
+		if (open.length > 0) {
+			return Math.min(leftMs, coordinatorWaitMs);
+		}
+
+		return availability.remainingMs(closedGroups, options.model(call.service)?.experts?.formationMs ?? 0) > leftMs ? undefined : leftMs;
+	};
+
 	/**
 	Holds a request while all groups that could serve it are closed and one is expected to
 	open soon. When groups have just formed, requests that were held go on as far as this
@@ -273,16 +333,16 @@
 
 		const startedMs = monotonicMs();
 		const leftMs = maxHoldMs - (startedMs - call.arrivedMs);
-		const {open, closedGroups} = withoutClosed(candidates);
-		if (open.length === 0 && availability.remainingMs(closedGroups, options.model(call.service)?.experts?.formationMs ?? 0) > leftMs) {
+		const maxMs = isUnknown ? Math.max(0, leftMs) : maxHoldOf(call, candidates, leftMs);
+		if (maxMs === undefined) {
 			return {heldMs: 0, mayGoOn: false};
 		}
 
-		const groupsNow = (): readonly string[] => [...new Set(candidates.flatMap(target => groupOf(target) ?? []))];
-		const coordinated = (): readonly string[] => groupsNow().filter(group => !availability.isClosed(group) && notices.coordinatorOf(group) !== undefined);
+		// Sidecars may tell the state of further groups while the request is held.
+		const groups = (): readonly string[] => groupsOf(candidates);
 		let claimed: string | undefined;
 		const claimShare = (): boolean => {
-			claimed = coordinated().find(group => outstandingIn(group) + (claims.get(group) ?? 0) < shareOf(group, call));
+			claimed = groupWithShare(groups(), call);
 			if (claimed !== undefined) {
 				claims.set(claimed, (claims.get(claimed) ?? 0) + 1);
 			}
@@ -294,13 +354,13 @@
 		const mayGoOn = (): boolean => {
 			isReleased ||= claimShare()
 				|| (availability.hasRefused(call.service) && withoutClosed(candidates).open.length > 0 && availability.tryProbe(call.service))
-				|| (!isStateUnknown(call.service, candidates) && groupsNow().every(group => !availability.isClosed(group) && !availability.hasJustFormed(group)));
+				|| (!isStateUnknown(call.service, candidates) && areSettled(groups()));
 			return isReleased;
 		};
 
 		if (!mayGoOn()) {
 			metrics.count('held_for_group');
-			await availability.until(mayGoOn, open.length === 0 || isUnknown ? leftMs : Math.min(leftMs, coordinatorWaitMs), signal);
+			await availability.until(mayGoOn, maxMs, signal);
 		}
 
 		// The request is asked for now, so it counts as outstanding.
@@ -334,7 +394,7 @@
 	};
 
 	/** Returns this entry's share of what a group serves: of its reported room, or of what it serves with a badly fitting map. */
-	const shareOf = (group: string, call: Call): number => {
+	const shareOf = (group: string, call: GroupCall): number => {
 		const load = loads.get(group)?.load;
 		const ranks = notices.ofGroup(group).length;
 		return Math.max(1, (load?.room ?? assumedCapacity(ranks, call)) / (load?.entries ?? entryCount() ?? assumedEntryCount));
@@ -365,8 +425,8 @@
 	});
 
 	/** Returns the coordinator of the least utilized group among the candidates' groups. */
-	const chooseCoordinator = (call: Call, candidates: readonly Target[]): Peer | undefined => {
-		const groups = [...new Set(candidates.flatMap(target => groupOf(target) ?? []))];
+	const chooseCoordinator = (call: GroupCall, candidates: readonly Target[]): Peer | undefined => {
+		const groups = groupsOf(candidates);
 		let best: {peer: Peer; utilization: number} | undefined;
 		for (const group of groups) {
 			const peer = notices.coordinatorOf(group);
@@ -393,9 +453,9 @@
 
 	const placeOnce = async (request: PlaceRequest, identity: string | undefined): Promise<PlaceResult> => {
 		const {call, tried, excluded, signal} = request;
-		const serving = targets.servingTargets(call).filter(({record}) => !excluded.has(record.id));
-		const untried = serving.filter(({record}) => !tried.has(record.id));
-		const usable = untried.length > 0 ? untried : serving;
+		const usable = candidatesOf(targets, {
+			service: call.service, allowedZones: call.allowedZones, tried, excluded,
+		});
 		const {heldMs, mayGoOn} = await awaitGroup(call, usable, signal);
 		const placementRequest = createPlacementRequest(request, identity, heldMs);
 		const {open: candidates, closedGroups} = withoutClosed(usable.filter(({isServing}) => isServing));
@@ -482,6 +542,42 @@
 		},
 		onFrame: (peer, frame) => handleFrame(handlers, peer, frame),
 		entries: entryCount,
+		groupOf,
+		preview(request) {
+			const usable = candidatesOf(targets, request);
+			const groups = groupsOf(usable);
+			const isUnknown = isStateUnknown(request.service, usable);
+			const mayGoOn = !isUnknown && (availability.isSettled() || groupWithShare(groups, request) !== undefined || areSettled(groups));
+			const heldMs = isUnknown ? maxHoldMs : maxHoldOf(request, usable, maxHoldMs);
+			const maxMs = mayGoOn ? undefined : heldMs;
+			if (maxMs !== undefined) {
+				return {kind: 'held', groups, maxMs};
+			}
+
+			const {open, closedGroups} = withoutClosed(usable);
+			if (open.length === 0 && closedGroups.length > 0) {
+				return refusalOfForming(request, closedGroups);
+			}
+
+			const coordinator = chooseCoordinator(request, open);
+			return coordinator
+				? {kind: 'coordinator', group: notices.of(coordinator)?.group, coordinator: coordinator.hello.instance}
+				: chooseWithoutCoordinator(request, open, false);
+		},
+		isClosed(target) {
+			const group = groupOf(target);
+			return group !== undefined && availability.isClosed(group);
+		},
+		groups(service) {
+			const names = new Set(targets.all().filter(({record}) => record.service === service).flatMap(target => groupOf(target) ?? []));
+			return [...names].map(group => {
+				const known = loads.get(group);
+				const {refused: _, ...load} = known?.load ?? {refused: undefined};
+				return {
+					group, coordinator: notices.coordinatorOf(group)?.hello.instance, load: known && load as Omit<GroupLoad, 'refused'>, loadAgeMs: known && Math.round(monotonicMs() - known.atMs),
+				};
+			});
+		},
 		status: () => ({availability: availability.status(), streams: streams.size, loads: Object.fromEntries([...loads].map(([group, {load}]) => [group, load]))}),
 	};
 }
--- a/packages/direct/test/group-place.test.ts
+++ b/packages/direct/test/group-place.test.ts
@@ -5,7 +5,7 @@
 import {maxPlacementWaitMs} from '@papayaflow/policy';
 import {createLog, createMetrics} from '@papayaflow/telemetry';
 import {
-	createGroupPlacer, createTargets, type Call, type GroupPlacer,
+	createGroupPlacer, createTargets, type Call, type GroupPlacer, type Target,
 } from '@papayaflow/direct';
 
 const ranks = [0, 1, 2];
@@ -158,6 +158,26 @@
 		expect(result.kind === 'placed' && result.place.target.record.id).to.equal('i-2');
 	});
 
+	// Guards against a preview that differs from what a call gets, or that takes a share from held calls.
+	it('previews that a call would be held for a closed group, refused once that is expected to last too long, or placed', async () => {
+		const placer = createPlacer();
+		close(placer);
+		const preview = (): ReturnType<GroupPlacer['preview']> => placer.preview({...callOf('r'), tried: new Set(), excluded: new Set()});
+		expect(preview()).to.deep.equal({kind: 'held', groups: ['g'], maxMs: 1500});
+		expect(placer.isClosed({address: addressOf(0)} as Target)).to.equal(true);
+		placer.onFrame(peers[0], {kind: 'rank', notice: noticeOf(0, 2, true, true)});
+		const load = {
+			running: 0, room: 1, entries: 1, passMs: 10,
+		};
+		placer.onFrame(peers[0], {kind: 'groupLoad', group: 'g', load});
+		expect([preview(), preview()]).to.deep.equal(Array.from({length: 2}, () => ({kind: 'coordinator', group: 'g', coordinator: 'side-0'})));
+		expect(placer.isClosed({address: addressOf(0)} as Target)).to.equal(false);
+		placer.onFrame(peers[0], {kind: 'rank', notice: noticeOf(0, 2, false)});
+		await sleep(2500);
+		expect(preview()).to.include({kind: 'refused', reason: 'groupForming'});
+		expect(await place(placer, callOf('r'))).to.include({kind: 'refused', reason: 'groupForming'});
+	});
+
 	// Load pattern: hundreds of requests that were held go on in the moment in which the first of several groups has a coordinator again.
 	it('sends no more than its share of held requests to the first coordinator', async () => {
 		const placer = createPlacer();
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -347,7 +347,7 @@
 	},
 	{
 		name: 'a target that accepts no connection gets no calls', file: 'direct/src/targets.ts',
-		find: 'record.service === service && isServing && isReachable);', replace: 'record.service === service && isServing);',
+		find: ' && isServing && isReachable && mayReach', replace: ' && isServing && mayReach',
 		spec: 'direct/test/targets.test.ts', test: 'takes no requests until it accepts one',
 	},
 	{
@@ -437,7 +437,7 @@
 	},
 	{
 		name: 'a target at its limit is left out of the choice', file: 'direct/src/limit-place.ts',
-		find: ', ...permits.blocked(), ...pauses.blocked(), ...denied', replace: ', ...pauses.blocked()',
+		find: ', ...restrictedTargets(restrictions), ...denied', replace: ', ...restrictions.pauses.blocked()',
 		spec: 'direct/test/limit-place.test.ts', test: 'chooses another target after a denial',
 	},
 	{
@@ -517,7 +517,7 @@
 	},
 	{
 		name: 'a target that says in an answer that it leaves takes no more requests', file: 'direct/src/targets.ts',
-		find: 'return record.state === \'serving\' && !isGone && !isLeaving;', replace: 'return record.state === \'serving\' && !isGone;',
+		find: ' && !isGone && !isLeaving && !isEvacuated', replace: ' && !isGone && !isEvacuated',
 		spec: 'direct/test/targets.test.ts', test: 'a target that says that it leaves',
 	},
 	{
@@ -527,7 +527,7 @@
 	},
 	{
 		name: 'a target that has named a later time is left out of the choice', file: 'direct/src/limit-place.ts',
-		find: '...pauses.blocked(), ', replace: '',
+		find: ', ...pauses.blocked()]', replace: ']',
 		spec: 'direct/test/limit-place.test.ts', test: 'before the time that it has named',
 	},
 	{
@@ -647,7 +647,7 @@
 	},
 	{
 		name: 'a target in an evacuated zone takes no requests', file: 'direct/src/targets.ts',
-		find: ' && !isEvacuated(record.zone)', replace: '',
+		find: ' && !isLeaving && !isEvacuated(record.zone)', replace: ' && !isLeaving',
 		spec: 'direct/test/targets.test.ts', test: 'gets no request that was placed before',
 	},
 	{
