Let coordinators alone bound what cold ranks get while they place the calls

Change: the share of an entry applies only while no coordinator of the service is known; coordinators bound the rate of a cold rank over all entries.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -150,6 +150,7 @@
 		}),
 	});
 	const avoidsCold = ({service}: {readonly service: string}): boolean => model(service) === undefined;
+	const isCoordinated = ({service}: {readonly service: string}): boolean => model(service) !== undefined && groupPlacer.groups(service).some(({coordinator}) => coordinator !== undefined);
 	const stopColdTicks = ticker.add(() => {
 		coldEntries();
 		cold.tick();
@@ -266,7 +267,7 @@
 			quarantine,
 			place: createLimitedPlacer({
 				place: createColdPlacer({
-					place: async need => model(need.call.service) ? groupPlacer.place(need) : placePlain(need), targets, cold, avoidsCold, random,
+					place: async need => model(need.call.service) ? groupPlacer.place(need) : placePlain(need), targets, cold, avoidsCold, isCoordinated, random,
 				}),
 				targets, permits, pauses, random,
 			}),
@@ -298,7 +299,7 @@
 		},
 	});
 	const explain = createExplainer({
-		...plainOptions, permits, pauses, cold, avoidsCold, groupPlacer, isEvacuated, regionByZone: settings.regions, table: directory.table, isEngine: service => model(service) !== undefined,
+		...plainOptions, permits, pauses, cold, avoidsCold, isCoordinated, groupPlacer, isEvacuated, regionByZone: settings.regions, table: directory.table, isEngine: service => model(service) !== undefined,
 	});
 	const createAdminServer = (): ReturnType<typeof serveAdmin> => serveAdmin({
 		metrics, containment,
--- a/packages/direct/src/cold-place.ts
+++ b/packages/direct/src/cold-place.ts
@@ -14,6 +14,11 @@
 	readonly cold: ColdTargets;
 	/** Whether a call goes to no cold target while any other one takes requests. The coordinators of groups weigh cold ranks themselves. */
 	readonly avoidsCold: (call: Pick<Call, 'service'>) => boolean;
+	/**
+	Whether coordinators place the calls of a service now; none by default. They bound what a
+	cold rank gets from all entries, so this entry's share, which is much lower, does not apply.
+	*/
+	readonly isCoordinated?: (call: Pick<Call, 'service'>) => boolean;
 	readonly random: () => number;
 };
 
@@ -31,6 +36,10 @@
 */
 export function createColdPlacer({place, ...limits}: ColdPlacerOptions): Placer {
 	return async request => {
+		if (limits.cold.isActive() && limits.isCoordinated?.(request.call)) {
+			return place(request);
+		}
+
 		const denied = new Set<string>();
 		for (;;) {
 			const avoided = chooseAvoided(request.call, request.excluded, limits, denied);
@@ -87,8 +96,8 @@
 chooseAvoided({service: 'ledger'}, new Set(), {targets, cold, avoidsCold: () => true, random});
 */
 export function chooseAvoided(call: ZonedCall, excluded: ReadonlySet<string>, limits: ColdLimits, denied: ReadonlySet<string> = new Set()): Avoided | Refusal {
-	const {targets, cold, avoidsCold} = limits;
-	const serving = cold.isActive() ? targets.servingTargets(call).map(({record}) => record).filter(({id}) => !excluded.has(id)) : [];
+	const {targets, cold, avoidsCold, isCoordinated} = limits;
+	const serving = cold.isActive() && !isCoordinated?.(call) ? targets.servingTargets(call).map(({record}) => record).filter(({id}) => !excluded.has(id)) : [];
 	const blocked = serving.filter(record => denied.has(record.id) || cold.waitMs(record) > 0);
 	if (serving.length > 0 && blocked.length === serving.length) {
 		return refuse(serving, limits);
--- a/packages/direct/test/cold-place.test.ts
+++ b/packages/direct/test/cold-place.test.ts
@@ -16,7 +16,7 @@
 describe('a placer with cold targets', () => {
 	let nowMs: number;
 	let cold: ColdTargets;
-	let place: (excluded?: ReadonlySet<string>, avoidsCold?: boolean) => Promise<PlaceResult>;
+	let place: (excluded?: ReadonlySet<string>, avoidsCold?: boolean, isCoordinated?: boolean) => Promise<PlaceResult>;
 
 	beforeEach(() => {
 		nowMs = 0;
@@ -36,8 +36,8 @@
 		const request = {
 			call: partOfCall as Call, hasBegun: false, tried: new Set<string>(), excluded: new Set<string>(), signal: new AbortController().signal,
 		};
-		place = async (excluded = new Set(), avoidsCold = true) => createColdPlacer({
-			place: first, targets, cold, avoidsCold: () => avoidsCold, random: () => 0.5,
+		place = async (excluded = new Set(), avoidsCold = true, isCoordinated = false) => createColdPlacer({
+			place: first, targets, cold, avoidsCold: () => avoidsCold, isCoordinated: () => isCoordinated, random: () => 0.5,
 		})({...request, excluded});
 	});
 
@@ -66,6 +66,14 @@
 		expect(idOf(await place(new Set(), false))).to.equal('i-0');
 	});
 
+	// Guards against a group whose cold ranks get almost nothing after a loss of power: the share of each of many entries is far below what the coordinator allows in sum.
+	it('applies no share of its own while coordinators place the calls', async () => {
+		cold.onStarted(records);
+		for (let count = 0; count < 5; count++) {
+			expect((await placed(new Set(), false, true)).mayStart()).to.equal(true);
+		}
+	});
+
 	it('refuses a call for which only cold targets are left that may get none, with the time at which one may', async () => {
 		cold.onStarted(records);
 		expect((await placed()).mayStart()).to.equal(true);
