--- a/packages/peer/test/frame.test.ts
+++ b/packages/peer/test/frame.test.ts
@@ -64,7 +64,8 @@
 		await once(server, 'listening');
 		const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
 		await once(socket, 'connect');
-		const connection = openConnection(socket);
+		// Without a limit for all connections, which would close this one too.
+		const connection = openConnection(socket, createBacklogs(Number.POSITIVE_INFINITY));
 		const bytes = new Uint8Array(1_048_576);
 		for (let sent = 0; sent < 4 * maxBacklogBytes && !connection.closed; sent += bytes.length) {
 			connection.send({kind: 'data', attempt: 1, bytes});
