--- a/packages/cli/test/startup.test.ts
+++ b/packages/cli/test/startup.test.ts
@@ -45,11 +45,18 @@
 	node: 'edge-1', zone: 'z0', ip: '10.0.0.1', app: '10.0.0.1:8000', 'listen.front': '10.0.0.1:80', 'listen.ready_endpoint': '10.0.0.1:8081', 'platform.address': '10.0.0.9:2379', 'port_range.0': '7000',
 };
 
+const zones: Readonly<Record<string, string>> = {z0: 'north', z1: 'south'};
+
+/** Renders the sections of the template that repeat their text for each zone. */
+const renderZones = (text: string): string => text.replaceAll(/\{\{#zones\}\}(?<body>.*?)\{\{\/zones\}\}/gv, (_, body: string) => Object.entries(zones)
+	.map(([zone, region], index, all) => body.replaceAll('{{@}}', zone).replaceAll('{{.}}', region).replaceAll('{{,}}', index < all.length - 1 ? ',' : ''))
+	.join(''));
+
 /** Returns the environment that the deploy file gives a role where the platform's figures are as in `figures`. */
 const environmentOf = (role: string, figures: Readonly<Record<string, string>>): Record<string, string> => {
 	const [, section] = deployment.split(`[roles.${role}.env]\n`);
 	const lines = section.split('\n[', 1)[0].matchAll(/^(?<name>\w+) = "(?<value>.*)"$/gmv);
-	return Object.fromEntries([...lines].map(({groups}) => [groups!.name, groups!.value.replaceAll(/\{\{(?<key>[\w.]+)\}\}/gv, (_, key: string) => addresses[key] ?? figures[key] ?? '')]));
+	return Object.fromEntries([...lines].map(({groups}) => [groups!.name, renderZones(groups!.value).replaceAll(/\{\{(?<key>[\w.]+)\}\}/gv, (_, key: string) => addresses[key] ?? figures[key] ?? '')]));
 };
 
 const readDeployed = (figures: Readonly<Record<string, string>>) => [
@@ -71,6 +78,7 @@
 			}
 
 			expect(results[0]).to.have.nested.property('settings.resendWindowS', Number(windowS || 10));
+			expect(results[0]).to.have.nested.property('settings.regions').that.deep.equals(new Map(Object.entries(zones)));
 		});
 	}
 
