Hold no requests while one is suspected of crashing targets

Cause: copies of one request that had arrived at both entries were held while the group formed and went on at once when it opened, so that the request ran three times before the crashes were known.

Change: nothing is held while any request is suspected, nor a call that was sent before. The test of crashing prompts, which failed before, passes; so do those of the placer.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -140,7 +140,7 @@
 	};
 	const placePlain = createPlainPlacer(plainOptions);
 	const groupPlacer = createGroupPlacer({
-		targets, model, monotonicMs, random, metrics, log,
+		mayHold: () => !quarantine.knowsRequests(), targets, model, monotonicMs, random, metrics, log,
 	});
 	const coldEntries = createEntryEstimate({reported: () => groupPlacer.entries(), targets: () => directory.records().length, monotonicMs});
 	const cold = createColdTargets({
--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -61,6 +61,8 @@
 	readonly model: (service: string) => EngineModel | undefined;
 	readonly monotonicMs: () => number;
 	readonly random: () => number;
+	/** Whether requests may be held until a group opens; by default they may. */
+	readonly mayHold?: () => boolean;
 	readonly metrics: Metrics;
 	readonly log: Log;
 };
@@ -456,7 +458,8 @@
 		const usable = candidatesOf(targets, {
 			service: call.service, allowedZones: call.allowedZones, tried, excluded,
 		});
-		const {heldMs, mayGoOn} = await awaitGroup(call, usable, signal);
+		// Calls that may have crashed a target are not held: several of the same request would go on at once, and run before the crashes of the first are known.
+		const {heldMs, mayGoOn} = (tried.size > 0 && !request.hasBegun) || !(options.mayHold?.() ?? true) ? {heldMs: 0, mayGoOn: false} : await awaitGroup(call, usable, signal);
 		const placementRequest = createPlacementRequest(request, identity, heldMs);
 		const {open: candidates, closedGroups} = withoutClosed(usable.filter(({isServing}) => isServing));
 		if (signal.aborted) {
