Use one calculation of a group's capacity and one spread of retries

The entry's estimate of what a group serves had its own copy of the admission's capacity loop and of the limit on the pass time; both now call groupCapacity. The placers for limited and for cold targets had the same retry delay with its constant; both now call spreadRetryDelayMs. Removed a branch that no choice reaches and a field that nothing read.

--- a/packages/direct/src/cold-place.ts
+++ b/packages/direct/src/cold-place.ts
@@ -1,12 +1,10 @@
 import {type ColdTargets} from '@papayaflow/limit';
+import {spreadRetryDelayMs} from '@papayaflow/policy';
 import {type TargetRecord} from '@papayaflow/routing';
 import {type Call} from './call.js';
 import {type Placer, type PlaceResult} from './place.js';
 import {type Targets, type ZonedCall} from './targets.js';
 
-/** The shortest span over which the retries of refused callers are spread, in milliseconds. */
-const minRetrySpreadMs = 200;
-
 export type ColdPlacerOptions = {
 	/** Chooses among the targets that are not excluded. */
 	readonly place: Placer;
@@ -110,5 +108,5 @@
 
 function refuse(records: readonly TargetRecord[], {cold, random}: ColdLimits): Refusal {
 	const earliestMs = Math.min(...records.map(record => cold.waitMs(record)));
-	return {kind: 'refused', reason: 'targetsCold', retryAfterMs: earliestMs + (random() * Math.max(earliestMs, minRetrySpreadMs))};
+	return {kind: 'refused', reason: 'targetsCold', retryAfterMs: spreadRetryDelayMs(earliestMs, random)};
 }
--- a/packages/direct/src/group-availability.ts
+++ b/packages/direct/src/group-availability.ts
@@ -23,7 +23,7 @@
 const pollMs = 25;
 
 /** A group that takes no requests, as this entry knows it. */
-type ClosedGroup = {readonly formation: number; readonly sinceMs: number};
+type ClosedGroup = {readonly sinceMs: number};
 
 export type GroupAvailabilityOptions = {
 	readonly notices: Pick<RankNotices, 'ofGroup'>;
@@ -81,7 +81,7 @@
 	const hasJustFormed = (group: string): boolean => monotonicMs() - (openedAtMs.get(group) ?? Number.NEGATIVE_INFINITY) < justFormedMs;
 
 	const setClosed = (group: string, formation: number): void => {
-		closed.set(group, {formation, sinceMs: monotonicMs()});
+		closed.set(group, {sinceMs: monotonicMs()});
 		metrics.gauge('closed_groups', closed.size);
 		log.info({group, formation, meanOutageMs: meanOutageMs === undefined ? null : Math.round(meanOutageMs)}, 'group closed');
 	};
--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -236,7 +236,7 @@
 		metrics.count('placed_alone');
 		const choice = chooseWithoutCoordinator(call, servingTargets, placementRequest.isResumed, silentCoordinator);
 		if (choice.kind === 'refused') {
-			return choice.reason === 'groupForming' ? refuseForming(call, placementRequest, []) : {...choice, retryAfterMs: drawRetryAfterMs(placementRequest)};
+			return {...choice, retryAfterMs: drawRetryAfterMs(placementRequest)};
 		}
 
 		const {target, group} = choice;
@@ -256,7 +256,7 @@
 		}
 
 		return groupCapacity({...model, expertShare: model.experts.workShare}, {
-			ranks, slots: model.slots, usualAnswerTokens: model.usualAnswerTokens, skew: assumedSkew, gapMs: route.gapObjectiveMs ?? route.objectiveMs,
+			ranks: Array.from({length: ranks}, () => true), slots: model.slots, usualAnswerTokens: model.usualAnswerTokens, skew: assumedSkew, gapMs: route.gapObjectiveMs ?? route.objectiveMs,
 		});
 	};
 
--- a/packages/direct/src/limit-place.ts
+++ b/packages/direct/src/limit-place.ts
@@ -1,11 +1,9 @@
 import {type Pauses, type Permits} from '@papayaflow/limit';
+import {spreadRetryDelayMs} from '@papayaflow/policy';
 import {type TargetRecord} from '@papayaflow/routing';
 import {type Placer, type PlaceResult} from './place.js';
 import {type Targets} from './targets.js';
 
-/** The shortest span over which the retries of refused callers are spread, in milliseconds. */
-const minRetrySpreadMs = 200;
-
 export type LimitedPlacerOptions = {
 	/** Chooses among the targets that are not excluded. */
 	readonly place: Placer;
@@ -90,5 +88,5 @@
 function refuse(records: readonly TargetRecord[], {permits, pauses, random}: Restrictions): Refusal {
 	const earliestMs = Math.min(...records.map(record => Math.max(permits.waitMs(record), pauses.waitMs(record))));
 	const reason = records.every(record => pauses.waitMs(record) > 0) ? 'targetsPaused' : 'rateLimited';
-	return {kind: 'refused', reason, retryAfterMs: earliestMs + (random() * Math.max(earliestMs, minRetrySpreadMs))};
+	return {kind: 'refused', reason, retryAfterMs: spreadRetryDelayMs(earliestMs, random)};
 }
--- a/packages/policy/src/group-admission.ts
+++ b/packages/policy/src/group-admission.ts
@@ -1,4 +1,7 @@
 import {createArrivalForecast} from './arrivals.js';
+import {
+	balancedPassMs, groupCapacity, maxPassToGapRatio, type BalancedLoad,
+} from './group-capacity.js';
 import {predictPassMs, type PassModel, type RankWork} from './pass-time.js';
 import {refusalRetryDelayMs} from './retry.js';
 import {createReturnSchedule, type ReturnSchedule} from './returns.js';
@@ -109,9 +112,6 @@
 	readonly passMs: number;
 };
 
-/** The limit on the predicted pass time, as a ratio of the longest allowed pause between two events of a stream. The rest covers the delivery of an event and the prediction error; a higher value makes streams late. */
-const maxPassToGapRatio = 0.82;
-
 /** The longest wait for capacity on the first attempt, as a ratio of the objective. After that it is better to refuse the request, so that the caller retries. */
 const firstWaitRatio = 0.12;
 
@@ -196,28 +196,13 @@
 		return openRanks.some(Boolean) ? openRanks : openRanks.map(() => true);
 	};
 
-	/** Returns how many requests, spread evenly over the ranks that accept some, can decode at once with passes short enough for the allowed pause. */
-	const capacityAt = (model: GroupModel, skew: number): number => {
-		const ranks = acceptingRanks().filter(Boolean).length;
-		const maxRequests = ranks * model.slots;
-		for (let count = ranks; count <= maxRequests; count += ranks) {
-			if (balancedPassMs(model, count, skew) > maxPassToGapRatio * lastGapMs) {
-				return Math.max(ranks, count - ranks);
-			}
-		}
+	const balancedLoad = (model: GroupModel, skew: number): BalancedLoad => ({
+		ranks: acceptingRanks(), usualAnswerTokens: model.usualAnswerTokens, skew, slowdown: options.slowdown(),
+	});
 
-		return maxRequests;
-	};
+	const capacityAt = (model: GroupModel, skew: number): number => groupCapacity(model, {...balancedLoad(model, skew), slots: model.slots, gapMs: lastGapMs});
 
-	/** Predicts the pass time for `count` decoding requests of average progress, spread evenly over the ranks that accept some. */
-	const balancedPassMs = (model: GroupModel, count: number, skew: number): number => {
-		const ranks = acceptingRanks();
-		const perRank = count / ranks.filter(Boolean).length;
-		const work = ranks.map(isAccepting => ({
-			decodingRequests: isAccepting ? perRank : 0, contextTokens: isAccepting ? perRank * (model.usualAnswerTokens / 2) : 0, prefillTokens: 0,
-		}));
-		return options.slowdown() * predictPassMs(model, work, skew);
-	};
+	const passMsAt = (model: GroupModel, count: number, skew: number): number => balancedPassMs(model, count, balancedLoad(model, skew));
 
 	/**
 	The skew at which passes must stay short enough after a request is admitted. It is
@@ -244,7 +229,7 @@
 
 		const streams = capacityAt(model, skew);
 		const prefillPasses = 1;
-		const streamMs = balancedPassMs(model, streams, options.skew()) * ((model.usualAnswerTokens / model.stepsPerPass) + prefillPasses);
+		const streamMs = passMsAt(model, streams, options.skew()) * ((model.usualAnswerTokens / model.stepsPerPass) + prefillPasses);
 		return streams * 1000 / streamMs;
 	};
 
@@ -261,11 +246,11 @@
 
 		const currentCapacity = capacityAt(model, currentSkew);
 		const shiftCapacity = capacityAt(model, shifts.skew);
-		const currentPassMs = balancedPassMs(model, currentCapacity, currentSkew);
+		const currentPassMs = passMsAt(model, currentCapacity, currentSkew);
 		const streamDurationMs = currentPassMs * model.usualAnswerTokens / model.stepsPerPass;
 		// The part of the streams during which a shift is expected.
 		const affectedRatio = Math.min(1, streamDurationMs / shifts.intervalMs);
-		const throughputLossRatio = 1 - ((shiftCapacity / balancedPassMs(model, shiftCapacity, currentSkew)) / (currentCapacity / currentPassMs));
+		const throughputLossRatio = 1 - ((shiftCapacity / passMsAt(model, shiftCapacity, currentSkew)) / (currentCapacity / currentPassMs));
 		return affectedRatio * lateStreamLossRatio > throughputLossRatio ? shifts.skew : currentSkew;
 	};
 
@@ -441,7 +426,7 @@
 			return undefined;
 		}
 
-		return balancedPassMs(model, ranks + streams, planningSkew()) - balancedPassMs(model, ranks, planningSkew());
+		return passMsAt(model, ranks + streams, planningSkew()) - passMsAt(model, ranks, planningSkew());
 	};
 
 	/** Returns how long a request can still wait and meet its objective, in milliseconds; negative if it can't meet it. */
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -18,7 +18,7 @@
 export {claimShards, shardOfKey} from './shard.js';
 export {createResendBudget, type ResendBudget, type ResendOptions} from './resend.js';
 export {
-	backoffMs, createRetryBudget, refusalRetryDelayMs, type RetryBudget,
+	backoffMs, createRetryBudget, refusalRetryDelayMs, spreadRetryDelayMs, type RetryBudget,
 } from './retry.js';
 export {
 	applyMoves, countCopies, initialMap, isComplete, rankLoads, skewOf, type ExpertMap, type LayerMove, type Move,
--- a/packages/policy/src/retry.ts
+++ b/packages/policy/src/retry.ts
@@ -60,3 +60,18 @@
 export function refusalRetryDelayMs(objectiveMs: number, random: () => number): number {
 	return objectiveMs * retryDelayRatio * (0.75 + (random() / 2));
 }
+
+/** The shortest span over which the retries of refused callers are spread, in milliseconds. */
+const minRetrySpreadMs = 200;
+
+/**
+Returns the delay after which a request should be retried that no target may get before
+`earliestMs`, in milliseconds: that time and a random part of as much again, so that the
+refused callers do not all return at once.
+
+@example
+const retryAfterMs = spreadRetryDelayMs(400, Math.random); // 400 to 800
+*/
+export function spreadRetryDelayMs(earliestMs: number, random: () => number): number {
+	return earliestMs + (random() * Math.max(earliestMs, minRetrySpreadMs));
+}
