--- a/packages/cli/test/site.ts
+++ b/packages/cli/test/site.ts
@@ -19,7 +19,7 @@
 const readyTimeoutMs = 15_000;
 
 /** One program of the site. Its lines are the log lines that it has written so far. */
-export type SiteProcess = {readonly name: string; readonly child: ChildProcess; readonly port: number; readonly adminPort: number; readonly lines: string[]};
+export type SiteProcess = {readonly name: string; readonly child: ChildProcess; readonly host: string; readonly port: number; readonly adminPort: number; readonly lines: string[]};
 
 /** The response to one call: the status, or 0 if there was none, and the suggested delay before a retry. */
 export type CallResult = {
@@ -33,6 +33,11 @@
 	readonly tookMs: number;
 };
 
+/** A machine with less room than others: the flags of Node and the environment with which its program is started. */
+export type SmallMachine = {readonly nodeFlags: readonly string[]; readonly env: Readonly<Record<string, string>>};
+
+const ordinaryMachine: SmallMachine = {nodeFlags: [], env: {}};
+
 /** Entries and sidecars as processes, with stand-ins of the platform's store, a group of engines and a plain service. */
 export type Site = {
 	readonly store: PlatformStore;
@@ -42,8 +47,8 @@
 	readonly engines: readonly LimitedTarget[];
 	readonly entries: SiteProcess[];
 	readonly sidecars: SiteProcess[];
-	startEntry(name: string): Promise<SiteProcess>;
-	startSidecar(rank: number): Promise<SiteProcess>;
+	startEntry(name: string, machine?: SmallMachine): Promise<SiteProcess>;
+	startSidecar(rank: number, machine?: SmallMachine): Promise<SiteProcess>;
 	/** Writes the configuration to the store with another version. */
 	putConfiguration(version: number): void;
 	/** Sends a call to the plain service (`plain`), also by its route for calls that may run once only (`payment`), or to the group (`model`) through an entry; `prefix` lists the parts of its prompt. Calls of the same `name` are the same request; without one, each is another. */
@@ -148,8 +153,9 @@
 	putConfiguration(1);
 
 	const processes: SiteProcess[] = [];
-	const startProgram = async (program: string, name: string, args: readonly string[]): Promise<SiteProcess> => {
+	const startProgram = async (program: string, name: string, args: readonly string[], {nodeFlags, env}: SmallMachine = ordinaryMachine): Promise<SiteProcess> => {
 		const child = spawn(process.execPath, [
+			...nodeFlags,
 			path.join(programs, `${program}.js`),
 			'direct',
 			'--instance',
@@ -167,7 +173,7 @@
 			'--grace-s',
 			'4',
 			...args,
-		], {stdio: ['ignore', 'pipe', 'inherit']});
+		], {stdio: ['ignore', 'pipe', 'inherit'], env: {...process.env, ...env}});
 		const lines: string[] = [];
 		let rest = '';
 		child.stdout.on('data', chunk => {
@@ -178,14 +184,14 @@
 		const started = await waitFor(async () => lines.find(line => line.includes(`${program.slice('papayaflow-'.length)} started"`)));
 		const {context} = JSON.parse(started) as {context: {port: number; adminPort: number}};
 		const running: SiteProcess = {
-			name, child, port: context.port, adminPort: context.adminPort, lines,
+			name, child, host: args[args.indexOf('--address') + 1], port: context.port, adminPort: context.adminPort, lines,
 		};
 		processes.push(running);
 		return running;
 	};
 
-	const startEntry = async (name: string): Promise<SiteProcess> => startProgram('papayaflow-entry', name, ['--address', '127.0.0.1', '--listen', '127.0.0.1:0', '--admin', '127.0.0.1:0']);
-	const startSidecar = async (rank: number): Promise<SiteProcess> => startProgram('papayaflow-sidecar', `side-${rank}`, ['--address', hosts[rank], '--target', ranks.addresses[rank]]);
+	const startEntry = async (name: string, machine?: SmallMachine): Promise<SiteProcess> => startProgram('papayaflow-entry', name, ['--address', '127.0.0.1', '--listen', '127.0.0.1:0', '--admin', '127.0.0.1:0'], machine);
+	const startSidecar = async (rank: number, machine?: SmallMachine): Promise<SiteProcess> => startProgram('papayaflow-sidecar', `side-${rank}`, ['--address', hosts[rank], '--target', ranks.addresses[rank]], machine);
 	const sidecars = await Promise.all(engines.map(async (_, rank) => startSidecar(rank)));
 	const entries = await Promise.all(Array.from({length: counts.entries}, async (_, index) => startEntry(`entry-${index}`)));
 	const agent = new Agent({keepAlive: true});
