Handle one request of a connection at a time, and read no further meanwhile

What callers saw: 40 clients that each sent 20,000 small requests, 200 heads of 1,800 fields or one body of 200,000 one-byte chunks ended an entry (heap exhausted); on a path without a route or at the readiness address nobody else was answered for 15 s and more.

Cause: Node.js parses all requests that arrive together and emits each with the objects of its head and answer; each became a call with a place and a connection to a target (302 sockets for 40 callers). A chunk costs the parser as much as a long one, and the rest of a refused body was read without end.

Change: the new package inbound stands between a connection and the parser and hands over one request at a time, up to the end of its head or body; the next one waits until the answer has been taken. What waits is counted for the process (a part of PAPAYAFLOW_MEMORY_MB); over it, the connection closes after its answer. A connection gets 256 lines parsed in one turn of the event loop. The rest of a refused body is dropped up to the length of a legal one, for 5 s at most. All HTTP servers use it: both fronts and the admin addresses.

Why it works: no client can make a connection hold more than one request, one read of bytes ahead and one answer, whatever the form of what it sends.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -25,6 +25,7 @@
 import {openDirectory} from './directory.js';
 import {reportHeldBytes} from './held-bytes.js';
 import {abortFlushMs, listen, type RunningProgram} from './program.js';
+import {resourceLimitsOf} from './resource-limits.js';
 
 /** The connect timeout of a target, in milliseconds: long enough for several round trips between zones. */
 const connectTimeoutMs = 300;
@@ -50,12 +51,6 @@
 /** The number of entries that are assumed to share the resend budget and the rates of limited targets if the sidecars report a smaller number of entries or none yet. */
 const minAssumedEntries = 4;
 
-/** The most bytes of answers that an entry holds because they are not whole yet or not read: a part of the memory that a small instance has. */
-const maxBufferedAnswerBytes = 67_108_864;
-
-/** The most bytes of request bodies that an entry holds. */
-const maxBodyBufferBytes = 67_108_864;
-
 /** How many sidecars an entry tells what it learns of prompts that crash targets. Each passes it on to all entries, so a second one covers the loss of the first. */
 const suspicionRelays = 2;
 
@@ -254,10 +249,12 @@
 		setLinkedHosts(records.filter(({service}) => model(service) !== undefined).map(({host}) => host));
 	};
 
-	const answerBuffers = createAnswerBuffers(maxBufferedAnswerBytes);
-	const bodyBuffers = createBodyBuffers(maxBodyBufferBytes);
+	const limits = resourceLimitsOf(settings);
+	const answerBuffers = createAnswerBuffers(limits.answerBytes);
+	const bodyBuffers = createBodyBuffers(limits.bodyBytes);
 	ticker.add(reportHeldBytes(metrics, {
 		bodies: bodyBuffers.bytes, answers: () => answerBuffers.bytes('answers'), unread: () => answerBuffers.bytes('unread'), frames: processBacklogs.bytes,
+		ahead: () => front.aheadBytes(),
 		unsent: () => targets.all().reduce((sum, {pool}) => sum + pool.unsentBytes(), 0),
 	}));
 	const front = createFront({
@@ -275,7 +272,7 @@
 		resendBudget: createResendBudget({
 			ratio: settings.resendRatio, slack: settings.resendSlack, entries: assumedEntries, windowMs: settings.resendWindowS * msPerSecond, nowMs: monotonicMs,
 		}),
-		answerBuffers, bodyBuffers,
+		answerBuffers, bodyBuffers, callerLimits: limits.callers,
 		crashes: createCrashDetector({
 			connectMs: connectTimeoutMs, log, metrics,
 			onCrash({record}, requests) {
@@ -302,7 +299,7 @@
 		...plainOptions, permits, pauses, cold, avoidsCold, isCoordinated, groupPlacer, isEvacuated, regionByZone: settings.regions, table: directory.table, isEngine: service => model(service) !== undefined,
 	});
 	const createAdminServer = (): ReturnType<typeof serveAdmin> => serveAdmin({
-		metrics, containment,
+		metrics, containment, log, monotonicMs,
 		actions: {
 			'GET /explain': explain,
 			'GET /quarantine': () => ({status: 200, body: quarantine.status()}),
--- a/packages/cli/src/direct-settings.ts
+++ b/packages/cli/src/direct-settings.ts
@@ -3,6 +3,7 @@
 } from '@papayaflow/settings';
 import {logLevels} from '@papayaflow/telemetry';
 import * as z from 'zod';
+import {resourceSettings} from './resource-limits.js';
 
 /** How long a process that has finished its work waits for its last log lines to be written, in milliseconds. */
 export const logFlushMs = 30;
@@ -11,6 +12,7 @@
 
 /** The settings that entry and sidecar share in direct mode, in which entries connect to the targets without a sidecar in between. */
 export const directSettings = {
+	...resourceSettings,
 	instance: nameSetting('the name of this instance'),
 	zone: nameSetting('the availability zone of this instance'),
 	address: ipSetting('the address at which peers reach this instance'),
--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -216,7 +216,7 @@
 	// The rank of an engine, and with it whether its sidecar may coordinate, can change with each formation.
 	const stopLinkUpdates = ticker.add(updateLinks);
 	const admin = serveAdmin({
-		metrics, containment,
+		metrics, containment, log, monotonicMs,
 		ready: () => isLeaving ? {ready: false, reason: 'stopping'} : {ready: true},
 		status: () => ({
 			instance, role: 'sidecar', zone, incarnation, leaving: isLeaving, revision: directory.revision(), group: group.status(), limits: dispenser.status(),
--- a/packages/cli/src/entry-wiring.ts
+++ b/packages/cli/src/entry-wiring.ts
@@ -16,6 +16,7 @@
 import {
 	abortFlushMs, listen, reportPorts, type RunningProgram,
 } from './program.js';
+import {resourceLimitsOf} from './resource-limits.js';
 import {sharedSettings} from './shared-settings.js';
 
 const defaultSubsetSize = 20;
@@ -75,13 +76,13 @@
 	});
 
 	const front = createFront({
-		follower, log, containment, links, metrics, zone, random, monotonicMs, budget: createRetryBudget(), owners: createOwnerCache(),
+		callerLimits: resourceLimitsOf(settings).callers, follower, log, containment, links, metrics, zone, random, monotonicMs, budget: createRetryBudget(), owners: createOwnerCache(),
 		async sleep(ms) {
 			await sleep(ms);
 		},
 	});
 	const admin = serveAdmin({
-		metrics, containment,
+		metrics, containment, log, monotonicMs,
 		ready: () => isStopping ? {ready: false, reason: 'stopping'} : (follower.applied() ? {ready: true} : {ready: false, reason: 'no configuration yet'}),
 		status: () => ({
 			instance, role: 'entry', zone, incarnation, revision: follower.revision(), inForce: follower.applied()?.name, leaving: isStopping,
--- a/packages/cli/src/shared-settings.ts
+++ b/packages/cli/src/shared-settings.ts
@@ -3,11 +3,13 @@
 	ipSetting, nameSetting, portSetting, urlSetting,
 } from '@papayaflow/settings';
 import * as z from 'zod';
+import {resourceSettings} from './resource-limits.js';
 
 const maxMs = 60_000;
 
 /** The settings that entry and sidecar share. */
 export const sharedSettings = {
+	...resourceSettings,
 	instance: nameSetting('the name of this instance in the platform\'s list of instances'),
 	zone: nameSetting('the availability zone of this instance'),
 	address: ipSetting('the address to listen on', '127.0.0.1'),
--- a/packages/cli/src/sidecar-wiring.ts
+++ b/packages/cli/src/sidecar-wiring.ts
@@ -227,7 +227,7 @@
 	});
 
 	const admin = serveAdmin({
-		metrics, containment,
+		metrics, containment, log, monotonicMs,
 		ready: () => leaveReason === undefined ? {ready: true} : {ready: false, reason: 'leaving'},
 		status: () => ({
 			instance, role: 'sidecar', zone, service, incarnation, revision: follower.revision(), inForce: follower.applied()?.name,
--- a/packages/direct/src/front.ts
+++ b/packages/direct/src/front.ts
@@ -6,12 +6,13 @@
 import {
 	readBody, trackConnections, type Body, type CallerConnections,
 } from '@papayaflow/caller';
+import {superviseServer, type SupervisionLimits} from '@papayaflow/inbound';
 import {type LossReason, type RefusalReason} from '@papayaflow/outcome';
 import {requestSubject} from '@papayaflow/quarantine';
 import {
 	allowedZonesOf, drawService, identifyCaller, type Organisation, type Route, type RouteTable,
 } from '@papayaflow/routing';
-import {type Containment} from '@papayaflow/telemetry';
+import {reportClosedConnections, type Containment} from '@papayaflow/telemetry';
 import {createCallerAnswer, type CallerAnswer} from './answer.js';
 import {type BodyBuffers, type BodyBytes} from './buffers.js';
 import {maxLoggedParts, type Call} from './call.js';
@@ -61,6 +62,8 @@
 	/** The region of each availability zone; none is known by default. */
 	readonly regionByZone?: ReadonlyMap<string, string>;
 	readonly bodyBuffers: BodyBuffers;
+	/** What all callers together may hold beside bodies and answers. */
+	readonly callerLimits: SupervisionLimits;
 	/** How long a caller may take none of the bytes that wait for it before it is disconnected, in milliseconds; five seconds by default. */
 	readonly unreadTimeoutMs?: number;
 	/** The plan of a stop; `undefined` while the entry is not stopping. A stopping entry closes callers' connections after their responses. */
@@ -71,6 +74,8 @@
 export type Front = {
 	readonly server: Server;
 	readonly connections: CallerConnections;
+	/** Returns the bytes of requests that callers have sent ahead of their turn. */
+	aheadBytes(): number;
 	/** The number of calls that are being forwarded. */
 	inFlight(): number;
 	/** Aborts the remaining calls and refuses the requests that are still being read; each caller still receives the outcome of its call. Returns the number of calls. */
@@ -322,6 +327,9 @@
 			held.release();
 		}
 	});
+	const supervision = superviseServer(server, {
+		...deps.callerLimits, maxDroppedBytes: () => deps.table()?.configuration.limits.maxBodyBytes ?? 0, onClosed: reportClosedConnections('caller', deps),
+	});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 		metrics.count('caller_faults', {code: error.code ?? 'unknown'});
 		if (socket.writable && error.code !== 'ECONNRESET') {
@@ -334,6 +342,7 @@
 	return {
 		server,
 		connections: trackConnections(server, monotonicMs),
+		aheadBytes: supervision.aheadBytes,
 		inFlight: () => openCalls.size,
 		abortAll() {
 			const aborted = [...openCalls];
--- a/packages/entry/src/front.ts
+++ b/packages/entry/src/front.ts
@@ -6,9 +6,10 @@
 	openAnswer, readCall, trackConnections, type Answer, type Call, type CallerConnections, type CallResult,
 } from '@papayaflow/caller';
 import {findOrganisation, type Follower, type Preset} from '@papayaflow/config';
+import {superviseServer, type SupervisionLimits} from '@papayaflow/inbound';
 import {type LossReason, type Outcome} from '@papayaflow/outcome';
 import {consumeQuota, type Bucket} from '@papayaflow/policy';
-import {type Containment, type Log} from '@papayaflow/telemetry';
+import {reportClosedConnections, type Containment, type Log} from '@papayaflow/telemetry';
 import {LRUCache} from 'lru-cache';
 import {forward, isKeyed, type ForwardDeps} from './forward.js';
 
@@ -20,7 +21,13 @@
 
 type Refusal = Extract<Outcome, {kind: 'notRun'}>;
 
-export type FrontDeps = ForwardDeps & {readonly follower: Follower; readonly log: Log; readonly containment: Containment};
+export type FrontDeps = ForwardDeps & {
+	readonly follower: Follower;
+	readonly log: Log;
+	readonly containment: Containment;
+	/** What all callers together may hold beside bodies and answers. */
+	readonly callerLimits: SupervisionLimits;
+};
 
 /** The HTTP front end of an entry. */
 export type Front = {
@@ -143,6 +150,9 @@
 			res.destroy();
 		}
 	});
+	superviseServer(server, {
+		...deps.callerLimits, maxDroppedBytes: () => follower.applied()?.preset.limits.maxBodyBytes ?? 0, onClosed: reportClosedConnections('caller', deps),
+	});
 	server.on('clientError', (_error, socket) => {
 		metrics.count('refusals', {reason: 'badRequest'});
 		if (socket.writable) {
--- /dev/null
+++ b/packages/inbound/src/paced-reader.ts
@@ -0,0 +1,290 @@
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
+import {findBlankLineEnd, findLinesEnd} from './lines.js';
+
+/** The most lines of heads and chunked bodies that one connection gets parsed in one turn of the event loop. The parser's work grows with them, since each field and each chunk has a line. */
+const linesPerTurn = 256;
+
+/** How long the rest of a request that has been answered may take to arrive, in milliseconds. */
+const droppingMs = 5000;
+
+/** How long a connection stays open after its last answer, in milliseconds: long enough for the answer to arrive. */
+const lingerMs = 1000;
+
+const nothing = new Uint8Array();
+
+/** What arrives on a connection, or is answered. */
+export type ReadingState
+	/** No part of a request has arrived since the last one was answered. */
+	= | 'idle'
+		/** A part of a head has arrived. */
+		| 'head'
+		/** The head has arrived, and not the whole body. */
+		| 'body'
+		/** The request has been answered, and its body has not arrived whole. */
+		| 'dropped'
+		/** A whole request has arrived and is being answered. */
+		| 'answering';
+
+export type PacedReader = {
+	readonly state: ReadingState;
+	/** Whether an answer has been written and not been taken whole. */
+	isUnread(): boolean;
+	/** To be called with each request that the HTTP server emits for this connection. */
+	onRequest(req: IncomingMessage, res: ServerResponse): void;
+};
+
+export type PacedReaderOptions = {
+	/** Changes the count of the bytes that have arrived ahead of their turn, by a negative number when they are no longer held; returns `false` if there is no room for them. */
+	readonly reserveAhead: (change: number) => boolean;
+	/** Returns the most bytes of a body that are read and dropped after its request was answered. */
+	readonly maxDroppedBytes: () => number;
+	/** Called when the state changes. */
+	readonly onState: () => void;
+	/** Called when the connection is closed because there is no room for what it has sent ahead, or because the rest of a refused request does not end. */
+	readonly onClosing: (reason: 'ahead' | 'dropped') => void;
+};
+
+/**
+Stands between a connection and the parser of Node's HTTP server, and hands over one
+request at a time: the next one is parsed when the answer to this one has been taken by the
+operating system. Until then its bytes wait, most of them outside of this process, since the
+connection is not read. By itself, Node.js parses all requests that arrive together, each with
+the objects of its head and its answer.
+
+Bytes are handed over up to the end of a head or a body. Where neither a length nor an empty
+line tells where that is, a second request may be parsed early; more can't.
+
+@example
+server.on('connection', socket => {
+	const reader = paceReading(socket, options);
+});
+*/
+export function paceReading(socket: Socket, {reserveAhead, maxDroppedBytes, onState, onClosing}: PacedReaderOptions): PacedReader {
+	// The parser's listener is the only one on a connection that the server has just accepted.
+	const [parse] = socket.listeners('data');
+	let ahead: Uint8Array = nothing;
+	let before = {last: 0, beforeLast: 0};
+	let latest: {readonly req: IncomingMessage; bodyBytesLeft: number | undefined} | undefined;
+	let countedAhead = 0;
+	const openAnswers = new Set<ServerResponse>();
+	let droppedBytes = 0;
+	let isClosing = false;
+	let isHeld = false;
+	let turnLines = 0;
+	let state: ReadingState = 'idle';
+
+	const currentState = (): ReadingState => {
+		if (latest && !latest.req.complete) {
+			return openAnswers.size > 0 ? 'body' : 'dropped';
+		}
+
+		if (openAnswers.size > 0) {
+			return 'answering';
+		}
+
+		return state === 'head' ? 'head' : 'idle';
+	};
+
+	const setState = (next: ReadingState): void => {
+		if (next !== state) {
+			state = next;
+			onState();
+		}
+	};
+
+	/** Lets go of a request that is done, since its listeners hold its body. */
+	const forgetAnswered = (): void => {
+		if (state === 'idle') {
+			latest = undefined;
+		}
+	};
+
+	/** Counts what waits now; returns `false` if there is no room for it. */
+	const countAhead = (): boolean => {
+		const change = ahead.length - countedAhead;
+		countedAhead = ahead.length;
+		return change === 0 || reserveAhead(change);
+	};
+
+	const dropAhead = (): void => {
+		ahead = nothing;
+		countAhead();
+	};
+
+	const hold = (): void => {
+		isHeld = true;
+		socket.pause();
+	};
+
+	const resume = (): void => {
+		// A connection that the HTTP server has paused itself is resumed by it.
+		if (isHeld) {
+			isHeld = false;
+			socket.resume();
+		}
+	};
+
+	/** Reads nothing more, and closes the connection when what has been answered may have arrived. */
+	const close = (reason: 'ahead' | 'dropped'): void => {
+		isClosing = true;
+		onClosing(reason);
+		dropAhead();
+		hold();
+		if (openAnswers.size === 0) {
+			socket.end();
+		}
+	};
+
+	/** Returns how many bytes to hand over next; 0 to wait. */
+	const nextLength = (): number => {
+		if (state === 'answering') {
+			return 0;
+		}
+
+		if (latest?.bodyBytesLeft !== undefined && !latest.req.complete) {
+			return Math.min(ahead.length, Math.max(1, latest.bodyBytesLeft));
+		}
+
+		if (turnLines >= linesPerTurn) {
+			return 0;
+		}
+
+		const {end, lines} = findLinesEnd(ahead, linesPerTurn - turnLines);
+		turnLines += Math.max(1, lines);
+		const blankLineEnd = findBlankLineEnd(ahead.subarray(0, end), before);
+		return blankLineEnd === -1 ? end : blankLineEnd;
+	};
+
+	const handOver = (bytes: Uint8Array): void => {
+		if (state === 'idle') {
+			setState('head');
+		}
+
+		if (state === 'dropped') {
+			droppedBytes += bytes.length;
+		}
+
+		if (latest?.bodyBytesLeft !== undefined) {
+			latest.bodyBytesLeft -= bytes.length;
+		}
+
+		before = {last: bytes.at(-1)!, beforeLast: bytes.at(-2) ?? before.last};
+		Reflect.apply(parse, socket, [bytes]);
+		setState(currentState());
+		forgetAnswered();
+	};
+
+	const advance = (): void => {
+		// The HTTP server pauses a connection whose body is not consumed, and its parser takes nothing meanwhile.
+		const isPausedByServer = socket.isPaused() && !isHeld;
+		while (ahead.length > 0 && !isPausedByServer) {
+			const length = nextLength();
+			if (length === 0) {
+				hold();
+				if (state !== 'answering') {
+					setImmediate(startTurn);
+				}
+
+				return;
+			}
+
+			const bytes = ahead.subarray(0, length);
+			ahead = ahead.subarray(length);
+			handOver(bytes);
+			if (socket.destroyed || !socket.writable) {
+				ahead = nothing;
+				return;
+			}
+
+			if (state === 'dropped' && droppedBytes > maxDroppedBytes()) {
+				close('dropped');
+				return;
+			}
+
+			if (socket.isPaused() && !isHeld) {
+				return;
+			}
+		}
+
+		if (!isPausedByServer) {
+			resume();
+		}
+	};
+
+	const startTurn = (): void => {
+		turnLines = 0;
+		if (!isClosing && !socket.destroyed) {
+			advance();
+			countAhead();
+		}
+	};
+
+	const onData = (bytes: Uint8Array): void => {
+		if (isClosing || !socket.writable) {
+			socket.pause();
+			return;
+		}
+
+		ahead = ahead.length === 0 ? bytes : Buffer.concat([ahead, bytes]);
+		advance();
+		if (!countAhead()) {
+			close('ahead');
+		}
+	};
+
+	const onAnswered = (res: ServerResponse): void => {
+		openAnswers.delete(res);
+		setState(currentState());
+		forgetAnswered();
+		if (socket.destroyed) {
+			return;
+		}
+
+		if (isClosing) {
+			socket.end();
+			return;
+		}
+
+		if (state === 'dropped') {
+			setTimeout(() => {
+				if (state === 'dropped' && !isClosing && !socket.destroyed) {
+					close('dropped');
+				}
+			}, droppingMs).unref();
+		}
+
+		setImmediate(startTurn);
+	};
+
+	socket.removeAllListeners('data');
+	socket.on('data', onData);
+	socket.on('resume', () => {
+		if (ahead.length > 0 && !isClosing) {
+			advance();
+			countAhead();
+		}
+	});
+	socket.once('finish', () => {
+		setTimeout(() => {
+			socket.destroy();
+		}, lingerMs).unref();
+	});
+	socket.once('close', dropAhead);
+	return {
+		get state() {
+			return state;
+		},
+		isUnread: () => [...openAnswers].some(({writableEnded, writableFinished}) => writableEnded && !writableFinished),
+		onRequest(req, res) {
+			const length = req.headers['content-length'];
+			latest = {req, bodyBytesLeft: length === undefined ? undefined : Number(length)};
+			openAnswers.add(res);
+			droppedBytes = 0;
+			res.once('close', () => {
+				onAnswered(res);
+			});
+		},
+	};
+}
--- /dev/null
+++ b/packages/inbound/test/supervise.test.ts
@@ -0,0 +1,172 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {connect, type AddressInfo, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import * as fc from 'fast-check';
+import {afterEach, describe, it} from 'mocha';
+import {superviseServer, type CloseReason, type Supervision} from '@papayaflow/inbound';
+
+const defaultLimits = {maxAheadBytes: 1_000_000};
+
+describe('a supervised server', () => {
+	let server: Server;
+	let supervision: Supervision;
+	let closed: CloseReason[] = [];
+	let sockets: Socket[] = [];
+
+	const start = async (handle: (req: IncomingMessage, res: ServerResponse) => void, limits: Partial<typeof defaultLimits> = {}): Promise<void> => {
+		closed = [];
+		server = createServer(handle);
+		supervision = superviseServer(server, {
+			...defaultLimits, ...limits, maxDroppedBytes: () => 100_000,
+			onClosed(reason) {
+				closed.push(reason);
+			},
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+	};
+
+	afterEach(() => {
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+
+		sockets = [];
+		server.closeAllConnections();
+		server.close();
+	});
+
+	const open = async (): Promise<{readonly socket: Socket; text(): string}> => {
+		const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+		sockets.push(socket);
+		let text = '';
+		socket.on('data', chunk => {
+			text += chunk.toString('latin1');
+		});
+		socket.on('error', () => undefined);
+		await once(socket, 'connect');
+		return {socket, text: () => text};
+	};
+
+	const until = async (isTrue: () => boolean): Promise<void> => {
+		while (!isTrue()) {
+			await sleep(5);
+		}
+	};
+
+	const echo = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+		const parts: Uint8Array[] = [];
+		for await (const part of req) {
+			parts.push(part as Uint8Array);
+		}
+
+		res.end(`<${req.url}:${Buffer.concat(parts).toString('latin1')}>`);
+	};
+
+	const toRequest = ({path, body, framing}: {readonly path: number; readonly body: string; readonly framing: 'length' | 'chunks' | 'none'}): string => {
+		switch (framing) {
+			case 'none': {
+				return `GET /${path} HTTP/1.1\r\nhost: h\r\n\r\n`;
+			}
+
+			case 'length': {
+				return `POST /${path} HTTP/1.1\r\nhost: h\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+			}
+
+			case 'chunks': {
+				const chunks = [...body].map(character => `1\r\n${character}\r\n`).join('');
+				return `POST /${path} HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n${chunks}0\r\n\r\n`;
+			}
+		}
+	};
+
+	// Guards against requests that are lost, mixed up or held for ever because the end of one before them is not found.
+	it('answers all requests that are sent ahead, in their order and with their bodies, wherever their bytes are split', async () => {
+		await start(echo);
+		const body = fc.array(fc.constantFrom('\r', '\n', '0', 'a'), {maxLength: 12}).map(characters => characters.join(''));
+		const requests = fc.array(fc.record({path: fc.nat(9), body, framing: fc.constantFrom('length', 'chunks', 'none')}), {minLength: 1, maxLength: 8});
+		await fc.assert(fc.asyncProperty(requests, fc.array(fc.nat(1000), {maxLength: 12}), async (sent, cuts) => {
+			const bytes = sent.map(request => toRequest(request)).join('');
+			const {socket, text} = await open();
+			socket.setNoDelay(true);
+			let from = 0;
+			for (const cut of [...cuts.map(cut => cut % bytes.length).toSorted((a, b) => a - b), bytes.length]) {
+				socket.write(bytes.slice(from, cut));
+				from = cut;
+				await sleep(0);
+			}
+
+			await until(() => [...text().matchAll(/HTTP\/1\.1 /gv)].length === sent.length && text().endsWith('>'));
+			expect([...text().matchAll(/<[^>]*>/gv)].map(([answer]) => answer)).to.deep.equal(sent.map(request => `</${request.path}:${request.framing === 'none' ? '' : request.body}>`));
+			socket.destroy();
+		}), {seed: 53, numRuns: 150});
+	}).timeout(60_000);
+
+	// Guards against the memory and the work of requests whose answers nobody takes.
+	it('handles one request of a connection at a time, and reads no further meanwhile', async () => {
+		const waiting: ServerResponse[] = [];
+		await start((_req, res) => {
+			waiting.push(res);
+		});
+		const {socket, text} = await open();
+		socket.write(toRequest({path: 1, body: '', framing: 'none'}).repeat(20_000));
+		await until(() => waiting.length > 0);
+		await sleep(50);
+		expect(waiting).to.have.length(1);
+		expect(supervision.aheadBytes()).to.be.at.most(2 * 65_536);
+		waiting.pop()!.end('first');
+		await until(() => waiting.length > 0);
+		expect(text()).to.contain('first');
+		expect(waiting).to.have.length(1);
+	});
+
+	it('closes connections that have sent too much ahead once their request is answered', async () => {
+		const waiting: ServerResponse[] = [];
+		await start((_req, res) => {
+			waiting.push(res);
+		}, {maxAheadBytes: 10_000});
+		const {socket, text} = await open();
+		const gone = once(socket, 'end');
+		socket.write(toRequest({path: 1, body: '', framing: 'none'}).repeat(2000));
+		await until(() => closed.includes('ahead'));
+		waiting[0].end('first');
+		await gone;
+		expect(text()).to.contain('first');
+		expect(waiting).to.have.length(1);
+		expect(supervision.aheadBytes()).to.equal(0);
+	});
+
+	// Guards against refused requests whose bodies are read and dropped for as long as their clients like.
+	it('answers a request that it refuses at once, and reads no more than a part of its body', async () => {
+		await start((_req, res) => {
+			res.writeHead(404).end();
+		});
+		const {socket, text} = await open();
+		socket.write('POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n');
+		await until(() => text().includes('404'));
+		const ended = once(socket, 'close');
+		const timer = setInterval(() => {
+			socket.write('1\r\na\r\n'.repeat(1000));
+		}, 1);
+		await ended;
+		clearInterval(timer);
+		expect(closed).to.deep.equal(['dropped']);
+	});
+
+	it('keeps the connection of a refused request whose body ends', async () => {
+		await start((req, res) => {
+			res.writeHead(req.url === '/1' ? 404 : 200).end();
+		});
+		const {socket, text} = await open();
+		socket.write(toRequest({path: 1, body: 'a'.repeat(20_000), framing: 'length'}));
+		await until(() => text().includes('404'));
+		socket.write(toRequest({path: 2, body: 'a', framing: 'chunks'}));
+		await until(() => text().includes('200'));
+		expect(closed).to.deep.equal([]);
+	});
+});
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -7,3 +7,4 @@
 export {createMetrics, type Metrics} from './metrics.js';
 export {sampleLoopDelay, type LoopDelayOptions} from './loop-delay.js';
 export {serveAdmin, type AdminReply, type AdminSources} from './admin.js';
+export {reportClosedConnections} from './closed-connections.js';
