Bound the connections of clients, and close those that are the least likely to be served

What callers saw: 300 connections that say nothing, stop within a head or send a body a byte at a time were all kept (309 to 321 sockets of the 200 of the test's machine), at every address. In the real sizes ordinary requests then got 503, since no descriptor was left for the way to a target.

Cause: nothing bounded accepted connections, and nothing knew which of them could give way.

Change: callers take half of the descriptors that are not for files (PAPAYAFLOW_MAX_FDS, from the platform's max_fds) and connections of a quarter of the memory; admin addresses 64 each; the port for peers half of the descriptors with connections that have not said who they are. A new connection replaces one by state: no whole request sent yet, or the rest of a refused one, the oldest first; then idle ones; then bodies that arrive for more than a second, and answers unread for as long. One whose request may be running never gives way. Counters caller_, admin_ and peer_connections_closed{reason}; one log line a second at most.

Why it works: what is held is counted by connection, whatever was sent on it, and a client that only holds connections always has one that goes before a client that has sent a request.

--- a/packages/cli/src/direct-sidecar-wiring.ts
+++ b/packages/cli/src/direct-sidecar-wiring.ts
@@ -4,13 +4,13 @@
 import {createGroupSidecar, nearestFirst, type RankEngine} from '@papayaflow/group';
 import {createColdTargets, createDispenser, ownedTargets} from '@papayaflow/limit';
 import {
-	handleFrame, maintainHostLinks, processBacklogs, servePeer, type FrameHandlers, type Peer, type PeerEvents,
+	createStrangers, handleFrame, maintainHostLinks, processBacklogs, servePeer, type FrameHandlers, type Peer, type PeerEvents,
 } from '@papayaflow/peer';
 import {connectPlatformStore, connectRank} from '@papayaflow/platform';
 import {createSuspicionRelay} from '@papayaflow/quarantine';
 import {addressOf, latestByAddress, type TargetRecord} from '@papayaflow/routing';
 import {addressSetting, numberSetting, type SettingsOf} from '@papayaflow/settings';
-import {serveAdmin} from '@papayaflow/telemetry';
+import {reportClosedConnections, serveAdmin} from '@papayaflow/telemetry';
 import {createProcessContext} from './direct-process.js';
 import {
 	directSettings, logFlushMs, msPerSecond, storePauseOf,
@@ -19,6 +19,7 @@
 import {openDirectory} from './directory.js';
 import {reportHeldBytes} from './held-bytes.js';
 import {listen, type RunningProgram} from './program.js';
+import {resourceLimitsOf} from './resource-limits.js';
 
 /** The timeout of a query to an engine, in milliseconds: long enough for several round trips between zones. */
 const engineTimeoutMs = 300;
@@ -191,8 +192,12 @@
 			containment.report('frame', error);
 		},
 	};
+	const onPeerClosed = reportClosedConnections('peer', {metrics, log, monotonicMs});
+	const strangers = createStrangers(resourceLimitsOf(settings).strangers, () => {
+		onPeerClosed('silent');
+	});
 	const options = {
-		role: 'sidecar', instance, incarnation, zone, monotonicMs, sleep: pause, ticker,
+		role: 'sidecar', instance, incarnation, zone, monotonicMs, sleep: pause, ticker, strangers,
 	} as const;
 	const setLinkedHosts = maintainHostLinks({
 		port: settings.peerPort, options, events, signal: shutdown.signal,
@@ -224,6 +229,7 @@
 		}),
 	});
 	const server = createServer(socket => {
+		strangers.add(socket);
 		void servePeer(socket, options, events);
 	});
 	const adminPort = await listen(admin, {port: settings.metricsPort, host: settings.address}, {log, containment});
--- a/packages/cli/src/sidecar-wiring.ts
+++ b/packages/cli/src/sidecar-wiring.ts
@@ -8,6 +8,7 @@
 import {createClaims, createLease, type Claims} from '@papayaflow/idempotency';
 import {createInstanceClient, pollInstances, type Instance} from '@papayaflow/instances';
 import {lossReasons, refusalReasons} from '@papayaflow/outcome';
+import {createStrangers} from '@papayaflow/peer';
 import {isReader, consumeQuota, type Bucket} from '@papayaflow/policy';
 import {
 	nameSetting, portSetting, urlSetting, type SettingsOf,
@@ -18,10 +19,11 @@
 import {connectStore} from '@papayaflow/store';
 import {fetchExpertReport, connectTarget, sendRankOrder} from '@papayaflow/target';
 import {
-	createContainment, createLog, createMetrics, serveAdmin,
+	createContainment, createLog, createMetrics, reportClosedConnections, serveAdmin,
 } from '@papayaflow/telemetry';
 import * as z from 'zod';
 import {listen, reportPorts, type RunningProgram} from './program.js';
+import {resourceLimitsOf} from './resource-limits.js';
 import {sharedSettings} from './shared-settings.js';
 
 /** How often the revision is broadcast while nothing changes. */
@@ -154,7 +156,12 @@
 		isStopped: () => shutdown.signal.aborted,
 	});
 
+	const onPeerClosed = reportClosedConnections('peer', {metrics, log, monotonicMs});
+	const strangers = createStrangers(resourceLimitsOf(settings).strangers, () => {
+		onPeerClosed('silent');
+	});
 	const peers = createPeerServer({
+		strangers,
 		ranks: localRanks, orderRank: orderLocalRank,
 		instance, incarnation, zone, follower, metrics, containment, monotonicMs,
 		load() {
--- a/packages/direct/src/front.ts
+++ b/packages/direct/src/front.ts
@@ -328,7 +328,7 @@
 		}
 	});
 	const supervision = superviseServer(server, {
-		...deps.callerLimits, maxDroppedBytes: () => deps.table()?.configuration.limits.maxBodyBytes ?? 0, onClosed: reportClosedConnections('caller', deps),
+		...deps.callerLimits, monotonicMs, maxDroppedBytes: () => deps.table()?.configuration.limits.maxBodyBytes ?? 0, onClosed: reportClosedConnections('caller', deps),
 	});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 		metrics.count('caller_faults', {code: error.code ?? 'unknown'});
--- a/packages/entry/src/front.ts
+++ b/packages/entry/src/front.ts
@@ -151,7 +151,7 @@
 		}
 	});
 	superviseServer(server, {
-		...deps.callerLimits, maxDroppedBytes: () => follower.applied()?.preset.limits.maxBodyBytes ?? 0, onClosed: reportClosedConnections('caller', deps),
+		...deps.callerLimits, monotonicMs: deps.monotonicMs, maxDroppedBytes: () => follower.applied()?.preset.limits.maxBodyBytes ?? 0, onClosed: reportClosedConnections('caller', deps),
 	});
 	server.on('clientError', (_error, socket) => {
 		metrics.count('refusals', {reason: 'badRequest'});
--- a/packages/inbound/src/index.ts
+++ b/packages/inbound/src/index.ts
@@ -1,3 +1,4 @@
 export {
-	closeReasons, superviseServer, type CloseReason, type Supervision, type SupervisionLimits, type SupervisionOptions,
+	superviseServer, type Supervision, type SupervisionLimits, type SupervisionOptions,
 } from './supervise.js';
+export {closeReasons, type CloseReason} from './connection-table.js';
--- a/packages/inbound/src/supervise.ts
+++ b/packages/inbound/src/supervise.ts
@@ -1,20 +1,18 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
-import {paceReading, type PacedReader} from './paced-reader.js';
-
-/**
-Why a connection was closed: `dropped`, the rest of a request that was refused did not end; `ahead`, there was no room for what it had sent before it took its answers.
-*/
-export const closeReasons = ['dropped', 'ahead'] as const;
-export type CloseReason = typeof closeReasons[number];
+import {chooseVictim, type CloseReason, type Connection} from './connection-table.js';
+import {paceReading} from './paced-reader.js';
 
 /** What all clients of a server together may hold. */
 export type SupervisionLimits = {
+	/** The most connections that are open at once. */
+	readonly maxConnections: number;
 	/** The most bytes that may have arrived ahead of their turn. */
 	readonly maxAheadBytes: number;
 };
 
 export type SupervisionOptions = SupervisionLimits & {
+	readonly monotonicMs: () => number;
 	/** Returns the most bytes of a body that are read and dropped after its request was answered. */
 	readonly maxDroppedBytes: () => number;
 	/** Called for each connection that is closed because of what its client does. */
@@ -33,16 +31,18 @@
 Bounds what the clients of an HTTP server hold, whatever they send. To be called before the
 server listens.
 
-Load pattern: clients that send requests ahead, or bodies that are refused without end. Each
-connection gets one request handled at a time.
+Load pattern: many clients that open connections and say nothing, stop within a head or a
+body, send requests ahead, or do not read their answers. Each connection gets one request
+handled at a time. Above `maxConnections`, the connection gives way that is the least likely to
+be served; a connection whose request may be running never does.
 
 @example
 const server = createServer(handle);
-superviseServer(server, {maxAheadBytes: 1_048_576, maxDroppedBytes: () => 1_048_576, onClosed: reason => metrics.count('closed', {reason})});
+superviseServer(server, {maxConnections: 64, maxAheadBytes: 1_048_576, maxDroppedBytes: () => 1_048_576, monotonicMs: () => performance.now(), onClosed: reason => metrics.count('closed', {reason})});
 server.listen(8080, '127.0.0.1');
 */
-export function superviseServer(server: Server, {maxAheadBytes, maxDroppedBytes, onClosed}: SupervisionOptions): Supervision {
-	const connections = new Map<Socket, PacedReader>();
+export function superviseServer(server: Server, {maxConnections, maxAheadBytes, maxDroppedBytes, monotonicMs, onClosed}: SupervisionOptions): Supervision {
+	const connections = new Map<Socket, Connection>();
 	let aheadBytes = 0;
 
 	const reserveAhead = (change: number): boolean => {
@@ -50,16 +50,53 @@
 		return aheadBytes <= maxAheadBytes;
 	};
 
+	/** Makes room for a new connection; returns `false` if no other one can give way. */
+	const makeRoom = (): boolean => {
+		if (connections.size < maxConnections) {
+			return true;
+		}
+
+		const victim = chooseVictim(connections.values(), monotonicMs());
+		if (!victim) {
+			return false;
+		}
+
+		onClosed(victim.reason);
+		connections.delete(victim.connection.socket);
+		victim.connection.socket.destroy();
+		return true;
+	};
+
 	server.on('connection', (socket: Socket) => {
-		connections.set(socket, paceReading(socket, {
-			reserveAhead, maxDroppedBytes, onState: () => undefined, onClosing: onClosed,
-		}));
+		if (!makeRoom()) {
+			onClosed('full');
+			socket.destroy();
+			return;
+		}
+
+		const reader = paceReading(socket, {
+			reserveAhead, maxDroppedBytes,
+			onState() {
+				connection.sinceMs = monotonicMs();
+			},
+			onClosing: onClosed,
+		});
+		const connection: Connection = {
+			socket, reader, requests: 0, sinceMs: monotonicMs(),
+		};
+		connections.set(socket, connection);
 		socket.once('close', () => {
 			connections.delete(socket);
 		});
 	});
 	server.prependListener('request', (req: IncomingMessage, res: ServerResponse) => {
-		connections.get(req.socket)?.onRequest(req, res);
+		const connection = connections.get(req.socket);
+		if (!connection) {
+			return;
+		}
+
+		connection.requests++;
+		connection.reader.onRequest(req, res);
 	});
 	return {connections: () => connections.size, aheadBytes: () => aheadBytes};
 }
--- a/packages/inbound/test/supervise.test.ts
+++ b/packages/inbound/test/supervise.test.ts
@@ -10,7 +10,7 @@
 import {afterEach, describe, it} from 'mocha';
 import {superviseServer, type CloseReason, type Supervision} from '@papayaflow/inbound';
 
-const defaultLimits = {maxAheadBytes: 1_000_000};
+const defaultLimits = {maxConnections: 8, maxAheadBytes: 1_000_000};
 
 describe('a supervised server', () => {
 	let server: Server;
@@ -22,7 +22,7 @@
 		closed = [];
 		server = createServer(handle);
 		supervision = superviseServer(server, {
-			...defaultLimits, ...limits, maxDroppedBytes: () => 100_000,
+			...defaultLimits, ...limits, monotonicMs: () => performance.now(), maxDroppedBytes: () => 100_000,
 			onClosed(reason) {
 				closed.push(reason);
 			},
@@ -169,4 +169,46 @@
 		await until(() => text().includes('200'));
 		expect(closed).to.deep.equal([]);
 	});
+
+	// Guards against clients that take the descriptors which the server needs for others.
+	it('closes the connection that has been silent for the longest when there are too many, and none whose request is being answered', async () => {
+		const waiting: ServerResponse[] = [];
+		await start((_req, res) => {
+			waiting.push(res);
+		}, {maxConnections: 3});
+		const running = await open();
+		running.socket.write(toRequest({path: 1, body: '', framing: 'none'}));
+		await until(() => waiting.length === 1);
+		const silent = await open();
+		const gone = once(silent.socket, 'close');
+		await sleep(5);
+		const partial = await open();
+		partial.socket.write('GET / HTTP/1.1\r\n');
+		await sleep(20);
+		await open();
+		await gone;
+		const partialGone = once(partial.socket, 'close');
+		await open();
+		await partialGone;
+		expect(closed).to.deep.equal(['silent', 'head']);
+		expect(supervision.connections()).to.equal(3);
+		waiting[0].end('served');
+		await until(() => running.text().includes('served'));
+	});
+
+	it('closes idle connections before it turns a new one away', async () => {
+		await start((_req, res) => {
+			res.end('ok');
+		}, {maxConnections: 1});
+		const idle = await open();
+		const gone = once(idle.socket, 'close');
+		idle.socket.write(toRequest({path: 1, body: '', framing: 'none'}));
+		await until(() => idle.text().includes('ok'));
+		await sleep(20);
+		const next = await open();
+		await gone;
+		next.socket.write(toRequest({path: 1, body: '', framing: 'none'}));
+		await until(() => next.text().includes('ok'));
+		expect(closed).to.deep.equal(['idle']);
+	});
 });
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -8,6 +8,7 @@
 	type GroupFrame, type GroupLoad, type LoadReport, type RefusedRequest, type MapUpdate, type RequestPathFrame, type PeerCommand, type PeerRequest, type PeerPlacementRequest,
 	type RankNotice, type StoreCopy, type StreamNotice,
 } from './frame.js';
+export {createStrangers, type Strangers} from './strangers.js';
 export {createTicker, tickIntervalMs, type Ticker} from './ticker.js';
 export {maintainHostLinks, type LinksOptions} from './links.js';
 export {createRankNotices, type RankNotices} from './rank-notices.js';
--- a/packages/peer/src/peer.ts
+++ b/packages/peer/src/peer.ts
@@ -3,6 +3,7 @@
 	openConnection, openSocket, serveFrames, type Connection,
 } from './connection.js';
 import {protocolVersion, type Frame, type FrameFault} from './frame.js';
+import {type Strangers} from './strangers.js';
 import {tickIntervalMs, type Ticker} from './ticker.js';
 
 /** The heartbeat interval between sidecars otherwise. With hundreds of peers, short intervals would make heartbeats most of the work. */
@@ -77,6 +78,8 @@
 	readonly sleep: (ms: number) => Promise<void>;
 	/** Calls the heartbeat checks of all connections of the process. */
 	readonly ticker: Ticker;
+	/** The accepted connections whose other end is not known yet. */
+	readonly strangers?: Strangers;
 };
 
 /**
@@ -125,6 +128,7 @@
 	await serveFrames(socket, frame => {
 		lastReceivedMs = options.monotonicMs();
 		if (frame.kind === 'hello') {
+			options.strangers?.remove(socket);
 			peer = createPeer(frame, socket, connection);
 			events.onUp(peer);
 		} else if (frame.kind === 'alive') {
--- a/packages/sidecar/src/server.ts
+++ b/packages/sidecar/src/server.ts
@@ -2,7 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {onConfigMessage, revisionMessage, type Follower} from '@papayaflow/config';
 import {
-	createFrameDelayEstimator, isGroupFrame, openConnection, protocolVersion, serveFrames, type Connection, type Frame, type LoadReport, type RequestPathFrame,
+	createFrameDelayEstimator, isGroupFrame, openConnection, protocolVersion, serveFrames, type Connection, type Frame, type LoadReport, type RequestPathFrame, type Strangers,
 } from '@papayaflow/peer';
 import {type RankOrder, type RankReply} from '@papayaflow/experts';
 import {type LossReason} from '@papayaflow/outcome';
@@ -30,6 +30,8 @@
 	readonly monotonicMs: () => number;
 	readonly load: () => LoadReport;
 	readonly isLeaving: () => boolean;
+	/** The accepted connections whose other end is not known yet. */
+	readonly strangers: Strangers;
 	readonly serve: (received: ReceivedAttempt) => Promise<void>;
 	/** The ranks beside this sidecar, sent in the `hello` frame of each connection. */
 	readonly ranks?: Extract<Frame, {kind: 'hello'}>['ranks'];
@@ -137,6 +139,7 @@
 				}
 
 				case 'hello': {
+					deps.strangers.remove(socket);
 					state.isEntry = frame.role === 'entry';
 					frameAgeMs(frame.sentMs, deps.monotonicMs());
 					connection.send(revisionMessage(follower, deps));
@@ -227,6 +230,7 @@
 	};
 
 	const server = createServer(socket => {
+		deps.strangers.add(socket);
 		void serveConnection(socket);
 	});
 	const broadcast = (frame: Frame): void => {
--- a/packages/sidecar/test/server.test.ts
+++ b/packages/sidecar/test/server.test.ts
@@ -5,7 +5,7 @@
 import {describe, it} from 'mocha';
 import {createFollower} from '@papayaflow/config';
 import {
-	openConnection, openSocket, protocolVersion, serveFrames, type Connection, type Frame,
+	openConnection, openSocket, protocolVersion, serveFrames, type Connection, type Frame, createStrangers,
 } from '@papayaflow/peer';
 import {
 	createContainment, createLog, createMetrics, type Metrics,
@@ -17,6 +17,7 @@
 async function startServer(): Promise<{peers: PeerServer; port: number; metrics: Metrics}> {
 	const metrics = createMetrics();
 	const peers = createPeerServer({
+		strangers: createStrangers(8, () => undefined),
 		instance: 's', incarnation: 'i', zone: 'z', follower: createFollower(), metrics, containment: createContainment({metrics, log: createLog({}, 'error')}),
 		monotonicMs: () => performance.now(), load: () => ({
 			outstandingTokens: 0, concurrency: 1, isBusy: false, queued: 0, running: 0, serviceMs: 0,
--- a/packages/telemetry/src/admin.ts
+++ b/packages/telemetry/src/admin.ts
@@ -5,6 +5,9 @@
 import {type Log} from './log.js';
 import {type Metrics} from './metrics.js';
 
+/** The most connections to one admin address. The platform and operators use a few. */
+const maxConnections = 64;
+
 /** The most bytes that clients of one admin address may have sent ahead of their turn. */
 const maxAheadBytes = 1_048_576;
 
@@ -45,7 +48,7 @@
 		res.end(isText ? reply.body : JSON.stringify(reply.body));
 	});
 	superviseServer(server, {
-		maxAheadBytes, maxDroppedBytes: () => maxDroppedBytes, onClosed: reportClosedConnections('admin', sources),
+		maxConnections, maxAheadBytes, maxDroppedBytes: () => maxDroppedBytes, monotonicMs: sources.monotonicMs, onClosed: reportClosedConnections('admin', sources),
 	});
 	return server;
 }
--- a/packages/telemetry/src/closed-connections.ts
+++ b/packages/telemetry/src/closed-connections.ts
@@ -13,7 +13,7 @@
 const onClosed = reportClosedConnections('caller', {metrics, log, monotonicMs: () => performance.now()});
 superviseServer(server, {...limits, onClosed});
 */
-export function reportClosedConnections(name: 'caller' | 'admin', {metrics, log, monotonicMs}: {readonly metrics: Metrics; readonly log: Log; readonly monotonicMs: () => number}): (reason: CloseReason) => void {
+export function reportClosedConnections(name: 'caller' | 'admin' | 'peer', {metrics, log, monotonicMs}: {readonly metrics: Metrics; readonly log: Log; readonly monotonicMs: () => number}): (reason: CloseReason) => void {
 	const counter = `${name}_connections_closed`;
 	metrics.declare(counter, 'reason', closeReasons);
 	const unlogged = new Map<CloseReason, number>();
