--- /dev/null
+++ b/packages/caller/test/body.test.ts
@@ -0,0 +1,75 @@
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage} from 'node:http';
+import process from 'node:process';
+import {PassThrough} from 'node:stream';
+import {setImmediate} from 'node:timers/promises';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
+import {expect} from 'chai';
+import {describe, it} from 'mocha';
+import {readBody} from '@papayaflow/caller';
+
+const parts = 200_000;
+
+function openRequest(headers: IncomingMessage['headers'] = {}): PassThrough & IncomingMessage {
+	return Object.assign(new PassThrough(), {headers}) as unknown as PassThrough & IncomingMessage;
+}
+
+function usedBytes(): number {
+	setFlagsFromString('--expose-gc');
+	(runInNewContext('gc') as () => void)();
+	const {heapUsed, arrayBuffers} = process.memoryUsage();
+	return heapUsed + arrayBuffers;
+}
+
+describe('the body of a request', () => {
+	// Guards against bodies in very small parts, each of which took some hundred bytes until the body was whole.
+	it('takes little more memory than its bytes if it comes a byte at a time', async () => {
+		const before = usedBytes();
+		const req = openRequest();
+		const body = readBody(req, 4_194_304);
+		for (let part = 0; part < parts; part++) {
+			req.write(Buffer.from('a'));
+			await setImmediate();
+		}
+
+		await setImmediate();
+		expect(usedBytes() - before).to.be.at.most(8 * 1_048_576);
+		req.end();
+		const result = await body;
+		expect(result).to.have.property('kind', 'read');
+		expect(result).to.have.nested.property('bytes.length', parts);
+	}).timeout(20_000);
+
+	it('is the same however long its parts are', async () => {
+		const text = Buffer.from(Array.from({length: 60_000}, (_, index) => index % 251));
+		for (const length of [1, 7, 4096, 16_385, 60_000]) {
+			for (const headers of [{}, {'content-length': String(text.length)}]) {
+				const req = openRequest(headers);
+				const body = readBody(req, 100_000);
+				for (let at = 0; at < text.length; at += length) {
+					req.write(text.subarray(at, at + length));
+				}
+
+				req.end();
+				const result = await body;
+				expect(result.kind === 'read' && Buffer.compare(result.bytes, text)).to.equal(0);
+			}
+		}
+	});
+
+	it('is given up when there is no room for a part of it, or it is too long', async () => {
+		const refused = openRequest();
+		const noRoom = readBody(refused, 100, () => false);
+		refused.write('a');
+		expect(await noRoom).to.deep.equal({kind: 'noRoom'});
+		const long = openRequest();
+		const tooLarge = readBody(long, 1);
+		long.write('ab');
+		expect(await tooLarge).to.deep.equal({kind: 'tooLarge'});
+		const left = openRequest();
+		const broken = readBody(left, 100);
+		left.destroy();
+		expect(await broken).to.deep.equal({kind: 'broken'});
+	});
+});
