Let slow bodies give way to others when there is no room

What callers saw: while callers that stop short of the end of their bodies held the memory for bodies, every other body was refused (503) until their deadlines.

Cause: over the limit the body that arrives is refused, whatever the others do.

Change: a body that has been arriving for more than a second gives way, the slowest first; it gets 503 with Retry-After, which is true, since nothing of it was forwarded. A body that is whole never gives way, as its call may run.

Why it works: an honest body needs no more than the time of its bytes, so those that hold memory for the longest at the lowest rate are the stopped ones.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -251,7 +251,7 @@
 
 	const limits = resourceLimitsOf(settings);
 	const answerBuffers = createAnswerBuffers(limits.answerBytes);
-	const bodyBuffers = createBodyBuffers(limits.bodyBytes);
+	const bodyBuffers = createBodyBuffers(limits.bodyBytes, monotonicMs);
 	ticker.add(reportHeldBytes(metrics, {
 		bodies: bodyBuffers.bytes, answers: () => answerBuffers.bytes('answers'), unread: () => answerBuffers.bytes('unread'), frames: processBacklogs.bytes,
 		ahead: () => front.aheadBytes(),
--- a/packages/direct/src/front.ts
+++ b/packages/direct/src/front.ts
@@ -85,11 +85,14 @@
 };
 
 /** Why a request is refused whose body was not read to its end. */
-const bodyRefusals: Readonly<Record<'abandoned' | 'late' | 'tooLarge' | 'noRoom', Refusal>> = {
+const bodyRefusals: Readonly<Record<'abandoned' | 'late' | 'evicted' | 'tooLarge' | 'noRoom', Refusal>> = {
 	// The parts of the body that have arrived are free only when the connection is closed.
 	late: {reason: 'deadlinePassed', detail: 'the body had not arrived at the deadline', closes: true},
 	abandoned: {reason: 'shuttingDown', retryAfterMs: shutdownRetryAfterMs, detail: 'the entry stopped before the body had arrived'},
 	noRoom: {reason: 'overloaded', retryAfterMs: noRoomRetryAfterMs, detail: 'the entry holds as many bytes of bodies as it may'},
+	evicted: {
+		reason: 'overloaded', retryAfterMs: noRoomRetryAfterMs, detail: 'the body arrived slowly, and the entry needed the memory for others', closes: true,
+	},
 	tooLarge: {reason: 'badRequest', status: 413, detail: 'the body is too long'},
 };
 
@@ -112,7 +115,7 @@
 	/** Ends the reading of each request whose body is still arriving. */
 	const unreadRequests = new Set<() => void>();
 
-	const readWholeBody = async (req: IncomingMessage, held: BodyBytes, {maxBytes, timeoutMs}: BodyLimits): Promise<Body | {readonly kind: 'abandoned' | 'late'}> => new Promise((resolve, reject) => {
+	const readWholeBody = async (req: IncomingMessage, held: BodyBytes, {maxBytes, timeoutMs}: BodyLimits): Promise<Body | {readonly kind: 'abandoned' | 'late' | 'evicted'}> => new Promise((resolve, reject) => {
 		const abandon = (): void => {
 			resolve({kind: 'abandoned'});
 		};
@@ -120,8 +123,12 @@
 		// A caller that sends its body slowly, or stops, would hold its bytes for as long as it stays connected.
 		const timer = setTimeout(resolve, timeoutMs, {kind: 'late'});
 		unreadRequests.add(abandon);
+		held.beginArrival(() => {
+			resolve({kind: 'evicted'});
+		});
 		void readBody(req, maxBytes, held.add).then(resolve, reject).finally(() => {
 			clearTimeout(timer);
+			held.endArrival();
 			unreadRequests.delete(abandon);
 		});
 	});
