Schedule one turn of a connection at a time

What callers saw: while 40 clients sent bodies of one-byte chunks to an entry with presets, another request took 13 s; its connection was accepted late, since the process accepts one in each turn of the event loop and a turn took 0.7 s.

Cause: each time a connection was resumed while its share of a turn was used up, it scheduled a further turn, which scheduled the next one. The bound on the lines that are parsed in a turn held for each of them alone.

--- /dev/null
+++ b/packages/demo/test/misbehaving-clients.test.ts
@@ -0,0 +1,105 @@
+import {Buffer} from 'node:buffer';
+import {readdirSync, readFileSync, readlinkSync} from 'node:fs';
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import {
+	after, before, describe, it,
+} from 'mocha';
+import {behaviours, gatherCrowd, type Behaviour} from '../../cli/test/crowd.js';
+import {startSmallFleet, type SmallFleet} from './helper.js';
+import {ask, type FleetProcess} from '@papayaflow/demo';
+
+/** The machine on which the entries of this test run, as in the test of the same name in `cli`. */
+const memoryMb = 200;
+const descriptors = 400;
+const socketDescriptors = descriptors - 200;
+const environment = {PAPAYAFLOW_MEMORY_MB: String(memoryMb), PAPAYAFLOW_MAX_FDS: String(descriptors), NODE_OPTIONS: '--max-old-space-size=96'};
+
+const senders = 40;
+const holders = 300;
+const waitMs = 15_000;
+
+const crowds = {
+	'bodies that stop short of their end': senders,
+	'bodies in chunks of one byte that stop short of their end': senders,
+	'requests of very many header fields, sent ahead': senders,
+	'small requests, sent ahead': senders,
+	'requests with bodies of 64 KB, sent ahead': senders,
+	'nothing at all': holders,
+} as const satisfies Readonly<Partial<Record<keyof typeof behaviours, number>>>;
+
+/** A behaviour whose requests name an organisation, as each request to these entries must. */
+function withOrganisation({parts, ...rest}: Behaviour): Behaviour {
+	return {
+		...rest,
+		parts: path => parts(path).map(part => Buffer.from(Buffer.from(part).toString('latin1').replaceAll('host: h.example\r\n', 'host: h.example\r\nx-organisation: crowd\r\n'), 'latin1')),
+	};
+}
+
+// Guards against clients that end or fill an entry that is run by presets.
+describe('clients that don\'t behave, at an entry with presets', () => {
+	let small: SmallFleet;
+	const inherited = {...process.env};
+
+	before(async () => {
+		Object.assign(process.env, environment);
+		small = await startSmallFleet();
+	});
+
+	after(async () => {
+		process.env = inherited;
+		await small.fleet.stop();
+	});
+
+	const checkServes = async ({child, port, adminPort}: FleetProcess): Promise<void> => {
+		const deadlineMs = performance.now() + waitMs;
+		for (;;) {
+			expect(child.signalCode ?? child.exitCode, 'how the process ended').to.equal(null);
+			const isReady = await ask(adminPort, '/readyz');
+			const response = await fetch(`http://127.0.0.1:${port}/ledger/x`, {
+				method: 'POST', headers: {'x-organisation': 'ayamoni', connection: 'close'}, body: '{"order": "o"}', signal: AbortSignal.timeout(waitMs),
+			}).catch(() => undefined);
+			await response?.text().catch(() => undefined);
+			if (isReady && response?.status === 200) {
+				return;
+			}
+
+			expect(performance.now(), 'when no ordinary request had been answered').to.be.below(deadlineMs);
+			await sleep(50);
+		}
+	};
+
+	const countSockets = ({child}: FleetProcess): number => readdirSync(`/proc/${child.pid}/fd`).filter(name => {
+		try {
+			return readlinkSync(`/proc/${child.pid}/fd/${name}`).startsWith('socket:');
+		} catch {
+			return false;
+		}
+	}).length;
+
+	const checkCrowd = async (name: keyof typeof crowds): Promise<void> => {
+		const size = crowds[name];
+		const entry = await small.fleet.startEntry(`crowded-${size}-${name.length}`, 'salt-lake');
+		await checkServes(entry);
+		const crowd = gatherCrowd({host: '127.0.0.1', port: entry.port, path: '/ledger/x'}, size, withOrganisation(behaviours[name]));
+		try {
+			await crowd.sent;
+			expect(countSockets(entry), 'sockets while the crowd is connected').to.be.at.most(socketDescriptors);
+			await checkServes(entry);
+		} finally {
+			crowd.leave();
+		}
+
+		await checkServes(entry);
+		const {groups} = /VmHWM:\s*(?<kilobytes>\d+)/v.exec(readFileSync(`/proc/${entry.child.pid}/status`, 'utf8'))!;
+		expect(Number(groups!.kilobytes) / 1024, 'the most memory that the process has used, in megabytes').to.be.at.most(memoryMb);
+		entry.child.kill('SIGKILL');
+	};
+
+	for (const name of Object.keys(crowds) as Array<keyof typeof crowds>) {
+		it(`leave it to others: ${name}`, async () => {
+			await checkCrowd(name);
+		}).timeout(60_000);
+	}
+});
--- a/packages/inbound/src/paced-reader.ts
+++ b/packages/inbound/src/paced-reader.ts
@@ -77,6 +77,7 @@
 	let isClosing = false;
 	let isHeld = false;
 	let turnLines = 0;
+	let isTurnScheduled = false;
 	let state: ReadingState = 'idle';
 
 	const currentState = (): ReadingState => {
@@ -188,7 +189,7 @@
 			if (length === 0) {
 				hold();
 				if (state !== 'answering') {
-					setImmediate(startTurn);
+					scheduleTurn();
 				}
 
 				return;
@@ -218,6 +219,7 @@
 	};
 
 	const startTurn = (): void => {
+		isTurnScheduled = false;
 		turnLines = 0;
 		if (!isClosing && !socket.destroyed) {
 			advance();
@@ -225,6 +227,13 @@
 		}
 	};
 
+	const scheduleTurn = (): void => {
+		if (!isTurnScheduled) {
+			isTurnScheduled = true;
+			setImmediate(startTurn);
+		}
+	};
+
 	const onData = (bytes: Uint8Array): void => {
 		if (isClosing || !socket.writable) {
 			socket.pause();
@@ -260,7 +269,7 @@
 			}, droppingMs).unref();
 		}
 
-		setImmediate(startTurn);
+		scheduleTurn();
 	};
 
 	socket.removeAllListeners('data');
--- a/packages/inbound/test/supervise.test.ts
+++ b/packages/inbound/test/supervise.test.ts
@@ -125,6 +125,45 @@
 		expect(waiting).to.have.length(1);
 	});
 
+	// Guards against bodies in very small chunks that keep the process from accepting other connections, of which it takes one a turn.
+	it('gets few chunks of a body in one turn of the event loop, however often the connection is resumed', async () => {
+		let inTurn = 0;
+		let mostInTurn = 0;
+		let total = 0;
+		await start((req, res) => {
+			req.on('data', () => {
+				inTurn++;
+				total++;
+				mostInTurn = Math.max(mostInTurn, inTurn);
+				req.socket.resume();
+			});
+			req.once('end', () => {
+				res.end('read');
+			});
+		});
+		let isCounting = true;
+		const countTurns = (): void => {
+			inTurn = 0;
+			if (isCounting) {
+				setImmediate(countTurns);
+			}
+		};
+
+		countTurns();
+		const {socket, text} = await open();
+		socket.write('POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n');
+		for (let part = 0; part < 20; part++) {
+			socket.write('1\r\na\r\n'.repeat(1000));
+			await sleep(1);
+		}
+
+		socket.write('0\r\n\r\n');
+		await until(() => text().includes('read'));
+		isCounting = false;
+		expect(total).to.equal(20_000);
+		expect(mostInTurn).to.be.at.most(400);
+	});
+
 	it('closes connections that have sent too much ahead once their request is answered', async () => {
 		const waiting: ServerResponse[] = [];
 		await start((_req, res) => {
