Drop the bodies of requests that come before the first configuration

Without a configuration the bound on a refused body was zero, so a request that an entry refused while it had no configuration yet lost its connection with the answer. It is 1 MB now. Removes an option of the tests' crowds that nothing used.

--- a/packages/cli/test/crowd.ts
+++ b/packages/cli/test/crowd.ts
@@ -11,13 +11,12 @@
 /** How long a crowd stays after it has sent everything before it is looked at, in milliseconds, so that what it has sent is read and answered. */
 const settlingMs = 1000;
 
-/** What one client of a crowd sends; it reads no answers unless `reads` is set. */
+/** What one client of a crowd sends. It reads no answers. */
 export type Behaviour = {
 	/** The bytes that the client sends, one part after the other. */
 	readonly parts: (path: string) => readonly Uint8Array[];
 	/** The pause after each part, in milliseconds. */
 	readonly pauseMs?: number;
-	readonly reads?: boolean;
 	/** Whether the client closes its connection once it has sent everything, and connects again as often as this. */
 	readonly reconnects?: number;
 };
@@ -33,7 +32,7 @@
 export type Place = {readonly host: string; readonly port: number; readonly path: string};
 
 /** Opens `size` connections to a port on loopback, each of which behaves in the same way. */
-export function gatherCrowd({host, port, path}: Place, size: number, {parts, pauseMs = 0, reads = false, reconnects = 0}: Behaviour): Crowd {
+export function gatherCrowd({host, port, path}: Place, size: number, {parts, pauseMs = 0, reconnects = 0}: Behaviour): Crowd {
 	const sockets = new Set<Socket>();
 	const bytes = parts(path);
 	const endsAtMs = performance.now() + sendingMs;
@@ -46,12 +45,7 @@
 		socket.once('close', () => {
 			sockets.delete(socket);
 		});
-		if (reads) {
-			socket.resume();
-		} else {
-			socket.pause();
-		}
-
+		socket.pause();
 		await changeOf(socket, 'connect');
 		return socket;
 	};
--- a/packages/inbound/src/supervise.ts
+++ b/packages/inbound/src/supervise.ts
@@ -3,6 +3,9 @@
 import {chooseVictim, type CloseReason, type Connection} from './connection-table.js';
 import {paceReading} from './paced-reader.js';
 
+/** How many bytes of a refused body a server drops that does not know how long a body may be. */
+export const defaultDroppedBytes = 1_048_576;
+
 /** What all clients of a server together may hold. */
 export type SupervisionLimits = {
 	/** The most connections that are open at once. */
