Update the guard of the limit for bodies, and add three for what clients hold

The code of the guard "all bodies together have a limit" has moved; it is found again, with the same test. New guards: a slow body gives way to others, a new connection replaces one that is not served, the rest of a refused body is bounded.

--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -100,9 +100,24 @@
 	},
 	{
 		name: 'all bodies together have a limit', file: 'direct/src/buffers.ts',
-		find: 'if (isReleased || total + bytes > maxTotalBytes) {', replace: 'if (isReleased) {',
+		find: 'while (!isReleased && total + bytes > maxTotalBytes) {', replace: 'while (false) {',
 		spec: 'direct/test/buffers.test.ts', test: 'free again when a call has ended',
 	},
+	{
+		name: 'a slow body gives way to others', file: 'direct/src/buffers.ts',
+		find: 'slowest?.arrival.evict();\n\t\treturn slowest !== undefined;', replace: 'return false;',
+		spec: 'direct/test/buffers.test.ts', test: 'the slowest one that has been arriving for a second gives way',
+	},
+	{
+		name: 'a new connection replaces one that is not served', file: 'inbound/src/supervise.ts',
+		find: 'if (connections.size < maxConnections) {', replace: 'if (connections.size < Number.POSITIVE_INFINITY) {',
+		spec: 'inbound/test/supervise.test.ts', test: 'closes the connection that has been silent for the longest',
+	},
+	{
+		name: 'the rest of a refused body is bounded', file: 'inbound/src/paced-reader.ts',
+		find: 'if (state === \'dropped\' && droppedBytes > maxDroppedBytes()) {', replace: 'if (droppedBytes > Number.POSITIVE_INFINITY) {',
+		spec: 'inbound/test/supervise.test.ts', test: 'reads no more than a part of its body',
+	},
 	{
 		name: 'an oversized frame is rejected by its header', file: 'peer/src/frame.ts',
 		find: 'if (length > maxBytes) {', replace: 'if (length < 0) {',
