Leave each caller's call a descriptor for its target

Callers could take half of the descriptors that are not for files, and each of their calls may need another one for its target, so that a crowd that is served could use them all up, without one for peers, the store and operators. It is 0.4 of them now (1,600 connections of 4,200 descriptors).

--- a/packages/cli/src/resource-limits.ts
+++ b/packages/cli/src/resource-limits.ts
@@ -6,8 +6,8 @@
 /** The descriptors that a machine reserves for files. Sockets and pipes share the others. */
 const fileDescriptors = 200;
 
-/** The part of the other descriptors that clients of one port may take: callers, or at the port for peers those that have not said who they are. Targets, peers, the store and operators need the rest. */
-const clientDescriptorRatio = 0.5;
+/** The part of the other descriptors that clients of one port may take: callers, or at the port for peers those that have not said who they are. Each call of a caller may need one more for its target; peers, the store and operators need the rest. */
+const clientDescriptorRatio = 0.4;
 
 /** What a connection costs in memory beside its bytes, with its parser, its request and its answer. */
 const connectionBytes = 40_960;
@@ -41,7 +41,7 @@
 Derives what clients may hold from the memory, in megabytes, and the descriptors of the process.
 
 @example
-resourceLimitsOf({memoryMb: 350, maxFds: 4200}).callers.maxConnections; // 2000
+resourceLimitsOf({memoryMb: 350, maxFds: 4200}).callers.maxConnections; // 1600
 */
 export function resourceLimitsOf({memoryMb, maxFds}: {readonly memoryMb: number; readonly maxFds: number}): ResourceLimits {
 	const memoryBytes = memoryMb * bytesPerMb;
