Find the end of what a connection may hand over in one scan

findLinesEnd and findBlankLineEnd scanned the same bytes, and the first counted the lines of its whole window, so one request used up the share of a turn that several lines of it had left. One function now stops at an empty line or at the last line of the share and counts what it hands over; what the line before holds replaces the last two bytes. The bound on a refused body without a configuration is a default of the reader, not of both fronts.

Without the check that an answer is open, the test now sees 85 requests instead of 1; before, the wrong count hid its absence, so it had no guard. The guard is added.

--- a/packages/direct/src/front.ts
+++ b/packages/direct/src/front.ts
@@ -6,7 +6,7 @@
 import {
 	readBody, trackConnections, type Body, type CallerConnections,
 } from '@papayaflow/caller';
-import {defaultDroppedBytes, superviseServer, type SupervisionLimits} from '@papayaflow/inbound';
+import {superviseServer, type SupervisionLimits} from '@papayaflow/inbound';
 import {type LossReason, type RefusalReason} from '@papayaflow/outcome';
 import {requestSubject} from '@papayaflow/quarantine';
 import {
@@ -335,7 +335,7 @@
 		}
 	});
 	const supervision = superviseServer(server, {
-		...deps.callerLimits, monotonicMs, maxDroppedBytes: () => deps.table()?.configuration.limits.maxBodyBytes ?? defaultDroppedBytes, onClosed: reportClosedConnections('caller', deps),
+		...deps.callerLimits, monotonicMs, maxDroppedBytes: () => deps.table()?.configuration.limits.maxBodyBytes, onClosed: reportClosedConnections('caller', deps),
 	});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 		metrics.count('caller_faults', {code: error.code ?? 'unknown'});
--- a/packages/entry/src/front.ts
+++ b/packages/entry/src/front.ts
@@ -6,7 +6,7 @@
 	openAnswer, readCall, trackConnections, type Answer, type Call, type CallerConnections, type CallResult,
 } from '@papayaflow/caller';
 import {findOrganisation, type Follower, type Preset} from '@papayaflow/config';
-import {defaultDroppedBytes, superviseServer, type SupervisionLimits} from '@papayaflow/inbound';
+import {superviseServer, type SupervisionLimits} from '@papayaflow/inbound';
 import {type LossReason, type Outcome} from '@papayaflow/outcome';
 import {consumeQuota, type Bucket} from '@papayaflow/policy';
 import {reportClosedConnections, type Containment, type Log} from '@papayaflow/telemetry';
@@ -151,7 +151,7 @@
 		}
 	});
 	superviseServer(server, {
-		...deps.callerLimits, monotonicMs: deps.monotonicMs, maxDroppedBytes: () => follower.applied()?.preset.limits.maxBodyBytes ?? defaultDroppedBytes, onClosed: reportClosedConnections('caller', deps),
+		...deps.callerLimits, monotonicMs: deps.monotonicMs, maxDroppedBytes: () => follower.applied()?.preset.limits.maxBodyBytes, onClosed: reportClosedConnections('caller', deps),
 	});
 	server.on('clientError', (_error, socket) => {
 		metrics.count('refusals', {reason: 'badRequest'});
--- a/packages/inbound/src/index.ts
+++ b/packages/inbound/src/index.ts
@@ -1,5 +1,5 @@
 export {createBufferCollector} from './buffer-collector.js';
 export {
-	defaultDroppedBytes, superviseServer, type Supervision, type SupervisionLimits, type SupervisionOptions,
+	superviseServer, type Supervision, type SupervisionLimits, type SupervisionOptions,
 } from './supervise.js';
 export {closeReasons, type CloseReason} from './connection-table.js';
--- a/packages/inbound/src/lines.ts
+++ b/packages/inbound/src/lines.ts
@@ -1,54 +1,49 @@
-import {Buffer} from 'node:buffer';
-
 const newline = 0x0A;
 const carriageReturn = 0x0D;
 
-/** The end of a line and an empty line after it, as HTTP writes it and as some clients do. */
-const lineEnds = ['\n\r\n', '\n\n'] as const;
+/** What the line that bytes end in holds so far: nothing, a carriage return only, or something else. */
+export type OpenLine = 'nothing' | 'carriageReturn' | 'text';
 
 /**
-Returns the index after the first empty line in `bytes`; -1 if there is none. `before`
-are the last two bytes that came before them, since the empty line may begin there.
+Returns the index after the first empty line of `bytes` or after their `maxLines`th line,
+whichever comes first, or their length if they have neither; and how many lines end before
+it. `openLine` is what the bytes before them hold of the first line. A line ends with a line
+feed; one that holds a carriage return only is empty too.
 
 @example
-findBlankLineEnd(Buffer.from('host: a\r\n\r\nbody'), {last: 0, beforeLast: 0}); // 11
+findLinesEnd(Buffer.from('host: a\r\n\r\nbody'), 'text', 10); // {end: 11, lines: 2}
 */
-export function findBlankLineEnd(bytes: Uint8Array, before: {readonly last: number; readonly beforeLast: number}): number {
-	const isAfterLine = before.last === newline;
-	if ((isAfterLine && bytes[0] === newline) || (before.last === carriageReturn && before.beforeLast === newline && bytes[0] === newline)) {
-		return 1;
-	}
+export function findLinesEnd(bytes: Uint8Array, openLine: OpenLine, maxLines: number): {readonly end: number; readonly lines: number} {
+	let end = 0;
+	for (let lines = 1; lines <= maxLines; lines++) {
+		const index = bytes.indexOf(newline, end);
+		if (index === -1) {
+			return {end: bytes.length, lines: lines - 1};
+		}
 
-	if (isAfterLine && bytes[0] === carriageReturn && bytes[1] === newline) {
-		return 2;
+		const line = openLineOf(bytes.subarray(end, index), lines === 1 ? openLine : 'nothing');
+		end = index + 1;
+		if (line !== 'text') {
+			return {end, lines};
+		}
 	}
 
-	const buffer = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length);
-	const ends = lineEnds.map(text => {
-		const index = buffer.indexOf(text, 0, 'latin1');
-		return index === -1 ? Number.POSITIVE_INFINITY : index + text.length;
-	});
-	const end = Math.min(...ends);
-	return end === Number.POSITIVE_INFINITY ? -1 : end;
+	return {end, lines: maxLines};
 }
 
 /**
-Returns the index after the `maxLines`th line of `bytes`, or their length if they have fewer
-lines, and how many lines end before it.
+Returns what the line that `bytes` end in holds, where `before` is what it held before them.
 
 @example
-findLinesEnd(Buffer.from('a\nb\nc'), 1); // {end: 2, lines: 1}
+openLineOf(Buffer.from('a: b\r\n\r'), 'text'); // 'carriageReturn'
 */
-export function findLinesEnd(bytes: Uint8Array, maxLines: number): {readonly end: number; readonly lines: number} {
-	let end = 0;
-	for (let lines = 0; lines < maxLines; lines++) {
-		const index = bytes.indexOf(newline, end);
-		if (index === -1) {
-			return {end: bytes.length, lines};
-		}
-
-		end = index + 1;
+export function openLineOf(bytes: Uint8Array, before: OpenLine): OpenLine {
+	const start = bytes.lastIndexOf(newline) + 1;
+	const length = bytes.length - start;
+	const held = start > 0 ? 'nothing' : before;
+	if (length === 0) {
+		return held;
 	}
 
-	return {end, lines: maxLines};
+	return held === 'nothing' && length === 1 && bytes[start] === carriageReturn ? 'carriageReturn' : 'text';
 }
--- a/packages/inbound/src/paced-reader.ts
+++ b/packages/inbound/src/paced-reader.ts
@@ -2,11 +2,14 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {onBuffersAllocated} from './buffer-collector.js';
-import {findBlankLineEnd, findLinesEnd} from './lines.js';
+import {findLinesEnd, openLineOf, type OpenLine} from './lines.js';
 
 /** The most lines of heads and chunked bodies that one connection gets parsed in one turn of the event loop. The parser's work grows with them, since each field and each chunk has a line. */
 const linesPerTurn = 256;
 
+/** The most bytes of a refused body that are read and dropped if the server does not know how long a body may be. */
+const defaultDroppedBytes = 1_048_576;
+
 /** How long the rest of a request that has been answered may take to arrive, in milliseconds. */
 const droppingMs = 5000;
 
@@ -42,8 +45,8 @@
 export type PacedReaderOptions = {
 	/** Changes the count of the bytes that have arrived ahead of their turn, by a negative number when they are no longer held; returns `false` if there is no room for them. */
 	readonly reserveAhead: (change: number) => boolean;
-	/** Returns the most bytes of a body that are read and dropped after its request was answered. */
-	readonly maxDroppedBytes: () => number;
+	/** Returns the most bytes of a body that are read and dropped after its request was answered; `undefined` if the server does not know how long a body may be, for 1 MB. */
+	readonly maxDroppedBytes: () => number | undefined;
 	/** Called when the state changes. */
 	readonly onState: () => void;
 	/** Called when the connection is closed because there is no room for what it has sent ahead, or because the rest of a refused request does not end. */
@@ -69,7 +72,7 @@
 	// The parser's listener is the only one on a connection that the server has just accepted.
 	const [parse] = socket.listeners('data');
 	let ahead: Uint8Array = nothing;
-	let before = {last: 0, beforeLast: 0};
+	let openLine: OpenLine = 'nothing';
 	let latest: {readonly req: IncomingMessage; bodyBytesLeft: number | undefined} | undefined;
 	let countedAhead = 0;
 	const openAnswers = new Set<ServerResponse>();
@@ -99,16 +102,17 @@
 		}
 	};
 
-	/** Lets go of a request that is done, since its listeners hold its body. */
-	const forgetAnswered = (): void => {
+	const updateState = (): void => {
+		setState(currentState());
 		if (state === 'idle') {
+			// The listeners of a request that is done hold its body.
 			latest = undefined;
 		}
 	};
 
 	/** Counts what waits now; returns `false` if there is no room for it. */
 	const countAhead = (): boolean => {
-		// What waits may be a small part of a long read, all of which it would keep in memory.
+		// A view keeps the whole buffer of its read in memory.
 		if (ahead.length < ahead.buffer.byteLength / 2) {
 			ahead = Buffer.concat([ahead]);
 		}
@@ -161,10 +165,9 @@
 			return 0;
 		}
 
-		const {end, lines} = findLinesEnd(ahead, linesPerTurn - turnLines);
+		const {end, lines} = findLinesEnd(ahead, openLine, linesPerTurn - turnLines);
 		turnLines += Math.max(1, lines);
-		const blankLineEnd = findBlankLineEnd(ahead.subarray(0, end), before);
-		return blankLineEnd === -1 ? end : blankLineEnd;
+		return end;
 	};
 
 	const handOver = (bytes: Uint8Array): void => {
@@ -180,10 +183,9 @@
 			latest.bodyBytesLeft -= bytes.length;
 		}
 
-		before = {last: bytes.at(-1)!, beforeLast: bytes.at(-2) ?? before.last};
+		openLine = openLineOf(bytes, openLine);
 		Reflect.apply(parse, socket, [bytes]);
-		setState(currentState());
-		forgetAnswered();
+		updateState();
 	};
 
 	const advance = (): void => {
@@ -208,7 +210,7 @@
 				return;
 			}
 
-			if (state === 'dropped' && droppedBytes > maxDroppedBytes()) {
+			if (state === 'dropped' && droppedBytes > (maxDroppedBytes() ?? defaultDroppedBytes)) {
 				close('dropped');
 				return;
 			}
@@ -255,8 +257,7 @@
 
 	const onAnswered = (res: ServerResponse): void => {
 		openAnswers.delete(res);
-		setState(currentState());
-		forgetAnswered();
+		updateState();
 		if (socket.destroyed) {
 			return;
 		}
--- a/packages/inbound/src/supervise.ts
+++ b/packages/inbound/src/supervise.ts
@@ -1,10 +1,7 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {chooseVictim, type CloseReason, type Connection} from './connection-table.js';
-import {paceReading} from './paced-reader.js';
-
-/** How many bytes of a refused body a server drops that does not know how long a body may be. */
-export const defaultDroppedBytes = 1_048_576;
+import {paceReading, type PacedReaderOptions} from './paced-reader.js';
 
 /** What all clients of a server together may hold. */
 export type SupervisionLimits = {
@@ -14,10 +11,8 @@
 	readonly maxAheadBytes: number;
 };
 
-export type SupervisionOptions = SupervisionLimits & {
+export type SupervisionOptions = SupervisionLimits & Pick<PacedReaderOptions, 'maxDroppedBytes'> & {
 	readonly monotonicMs: () => number;
-	/** Returns the most bytes of a body that are read and dropped after its request was answered. */
-	readonly maxDroppedBytes: () => number;
 	/** Called for each connection that is closed because of what its client does. */
 	readonly onClosed: (reason: CloseReason) => void;
 };
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -108,6 +108,11 @@
 		find: 'slowest?.arrival.evict();\n\t\treturn slowest !== undefined;', replace: 'return false;',
 		spec: 'direct/test/buffers.test.ts', test: 'the slowest one that has been arriving for a second gives way',
 	},
+	{
+		name: 'the next request of a connection waits for the answer to this one', file: 'inbound/src/paced-reader.ts',
+		find: 'if (state === \'answering\') {', replace: 'if (ahead.length < 0) {',
+		spec: 'inbound/test/supervise.test.ts', test: 'handles one request of a connection at a time',
+	},
 	{
 		name: 'a new connection replaces one that is not served', file: 'inbound/src/supervise.ts',
 		find: 'if (connections.size < maxConnections) {', replace: 'if (connections.size < Number.POSITIVE_INFINITY) {',
