Let go of bodies whose requests are answered before they are whole

Cause: a body that has to give way, or is late, is answered at once. Node.js then emits neither an end, an error nor a close on the request. The set of unread requests grew by an entry each time.

Reading a body now can be cancelled: it lets go of the buffer and drops what still arrives. A closed connection no longer refers to its last request. The buffer of a body grows by a factor of 2, not of 16: the rest of a buffer is not counted, and it does take memory if the allocator hands out pages that have been used before.

The new test of the body holds 20 MB without the fix, bound 8.

The crowds at a machine with many descriptors are new, as are three behaviours.

--- a/packages/caller/src/body.ts
+++ b/packages/caller/src/body.ts
@@ -1,66 +1,98 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
 
-/** The result of reading a body; `noRoom` means that `reserve` refused a part of it, and `broken` that the caller closed the connection before the body was complete. */
-export type Body = {readonly kind: 'read'; readonly bytes: Uint8Array} | {readonly kind: 'tooLarge' | 'noRoom' | 'broken'};
+/** The result of reading a body; `noRoom` means that `reserve` refused a part of it, `broken` that the caller closed the connection before the body was complete, and `cancelled` that `cancel` was called before. */
+export type Body = {readonly kind: 'read'; readonly bytes: Uint8Array} | {readonly kind: 'tooLarge' | 'noRoom' | 'broken'} | {readonly kind: 'cancelled'};
+
+/** A body that is arriving. */
+export type BodyReading = {
+	readonly body: Promise<Body>;
+	/** Lets go of the parts that have arrived, and drops the others as they arrive. A body that has been read is not affected. */
+	cancel(): void;
+};
 
 const nothing = new Uint8Array();
 
 /** The first capacity of the buffer for a body that comes in parts, in bytes. */
 const minCapacity = 16_384;
 
-/** By how much the capacity grows. The rest of a large buffer takes no memory until it is written. */
-const growth = 16;
+/** By how much the capacity grows. The rest of a buffer counts for nobody, and may be memory that has been written to before. */
+const growth = 2;
 
 /**
-Reads a request's body into memory, up to `maxBytes`. Returns `tooLarge` as soon
+Reads a request's body into memory, up to `maxBytes`. Results in `tooLarge` as soon
 as the body or its `content-length` exceeds `maxBytes`. Calls `reserve` with the length of
 each part before it is kept. The rest of a body that is not kept is dropped as it arrives,
 so that the caller reads the response.
 
 The parts are copied into one buffer, so a body that comes a byte at a time takes no more
-memory than another one.
+memory than another one. A request that is answered before its body is whole has to be
+cancelled: Node.js reports neither its end nor that its connection is closed.
 
 @example
-const body = await readBody(req, 1_048_576);
+const reading = beginReading(req, 1_048_576);
+const timer = setTimeout(reading.cancel, 1000);
+const body = await reading.body;
 */
-export async function readBody(req: IncomingMessage, maxBytes: number, reserve: (bytes: number) => boolean = () => true): Promise<Body> {
+export function beginReading(req: IncomingMessage, maxBytes: number, reserve: (bytes: number) => boolean = () => true): BodyReading {
 	const stated = req.headers['content-length'];
 	const expectedBytes = stated === undefined ? undefined : Number(stated);
 	if (expectedBytes !== undefined && expectedBytes > maxBytes) {
-		return {kind: 'tooLarge'};
+		return {body: Promise.resolve({kind: 'tooLarge'}), cancel: () => undefined};
 	}
 
 	const parts = joinParts(expectedBytes ?? maxBytes);
-	return new Promise(resolve => {
-		const end = (body: Body): void => {
-			req.off('data', onPart);
-			parts.clear();
-			resolve(body);
-		};
-
-		const onPart = (part: Uint8Array): void => {
-			const isTooLarge = parts.length() + part.length > maxBytes;
-			if (isTooLarge || !reserve(part.length)) {
-				end({kind: isTooLarge ? 'tooLarge' : 'noRoom'});
-				req.resume();
-				return;
-			}
+	let settle: (body: Body) => void;
+	const body = new Promise<Body>(resolve => {
+		settle = resolve;
+	});
+	const end = (result: Body): void => {
+		req.off('data', onPart);
+		parts.clear();
+		settle(result);
+	};
 
-			parts.add(part);
-		};
-
-		req.on('data', onPart);
-		req.once('end', () => {
-			end({kind: 'read', bytes: parts.bytes()});
-		});
-		req.once('error', () => {
-			end({kind: 'broken'});
-		});
-		req.once('close', () => {
-			end({kind: 'broken'});
-		});
+	const dropRest = (kind: 'tooLarge' | 'noRoom' | 'cancelled'): void => {
+		end({kind});
+		req.resume();
+	};
+
+	const onPart = (part: Uint8Array): void => {
+		const isTooLarge = parts.length() + part.length > maxBytes;
+		if (isTooLarge || !reserve(part.length)) {
+			dropRest(isTooLarge ? 'tooLarge' : 'noRoom');
+			return;
+		}
+
+		parts.add(part);
+	};
+
+	req.on('data', onPart);
+	req.once('end', () => {
+		end({kind: 'read', bytes: parts.bytes()});
+	});
+	req.once('error', () => {
+		end({kind: 'broken'});
 	});
+	req.once('close', () => {
+		end({kind: 'broken'});
+	});
+	return {
+		body,
+		cancel() {
+			dropRest('cancelled');
+		},
+	};
+}
+
+/**
+Reads a request's body as `beginReading` does, if nothing ends the reading.
+
+@example
+const body = await readBody(req, 1_048_576);
+*/
+export async function readBody(req: IncomingMessage, maxBytes: number, reserve?: (bytes: number) => boolean): Promise<Body> {
+	return beginReading(req, maxBytes, reserve).body;
 }
 
 /** Joins the parts of a body of at most `maxBytes` bytes. A body that comes in one part is not copied. */
--- a/packages/caller/src/index.ts
+++ b/packages/caller/src/index.ts
@@ -1,5 +1,7 @@
 export {openAnswer, type Answer} from './answer.js';
-export {readBody, type Body} from './body.js';
+export {
+	beginReading, readBody, type Body, type BodyReading,
+} from './body.js';
 export {
 	headerNames, readCall, type Call, type CallResult,
 } from './call.js';
--- a/packages/caller/test/body.test.ts
+++ b/packages/caller/test/body.test.ts
@@ -2,12 +2,12 @@
 import {type IncomingMessage} from 'node:http';
 import process from 'node:process';
 import {PassThrough} from 'node:stream';
-import {setImmediate} from 'node:timers/promises';
+import {setImmediate, setTimeout as sleep} from 'node:timers/promises';
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
 import {expect} from 'chai';
 import {describe, it} from 'mocha';
-import {readBody} from '@papayaflow/caller';
+import {beginReading, readBody} from '@papayaflow/caller';
 
 const parts = 200_000;
 
@@ -22,6 +22,17 @@
 	return heapUsed + arrayBuffers;
 }
 
+/** Returns what stays in use over several collections: buffers may be freed some time after one. */
+async function heldBytes(): Promise<number> {
+	let held = usedBytes();
+	for (let collections = 1; collections < 10; collections++) {
+		await sleep(20);
+		held = Math.min(held, usedBytes());
+	}
+
+	return held;
+}
+
 describe('the body of a request', () => {
 	// Guards against bodies in very small parts, each of which took some hundred bytes until the body was whole.
 	it('takes little more memory than its bytes if it comes a byte at a time', async () => {
@@ -41,6 +52,25 @@
 		expect(result).to.have.nested.property('bytes.length', parts);
 	}).timeout(20_000);
 
+	// Guards against bodies that are no longer counted and stay in memory: once a request has been answered, nothing reports its end.
+	it('takes no memory once it is cancelled, although its request stays open', async () => {
+		const before = usedBytes();
+		const requests = Array.from({length: 10}, () => openRequest());
+		const readings = requests.map(req => beginReading(req, 4_194_304));
+		for (const req of requests) {
+			req.write(Buffer.alloc(2_000_000));
+		}
+
+		await setImmediate();
+		for (const {cancel} of readings) {
+			cancel();
+		}
+
+		expect(await Promise.all(readings.map(async ({body}) => body))).to.deep.equal(requests.map(() => ({kind: 'cancelled'})));
+		expect(await heldBytes() - before).to.be.at.most(8 * 1_048_576);
+		expect(requests.every(req => req.readableFlowing)).to.equal(true);
+	});
+
 	it('is the same however long its parts are', async () => {
 		const text = Buffer.from(Array.from({length: 60_000}, (_, index) => index % 251));
 		for (const length of [1, 7, 4096, 16_385, 60_000]) {
--- a/packages/cli/test/crowd.ts
+++ b/packages/cli/test/crowd.ts
@@ -11,7 +11,7 @@
 /** How long a crowd stays after it has sent everything before it is looked at, in milliseconds, so that what it has sent is read and answered. */
 const settlingMs = 1000;
 
-/** What one client of a crowd sends. It reads no answers. */
+/** What one client of a crowd sends. It reads no answers, or slowly. */
 export type Behaviour = {
 	/** The bytes that the client sends, one part after the other. */
 	readonly parts: (path: string) => readonly Uint8Array[];
@@ -19,6 +19,10 @@
 	readonly pauseMs?: number;
 	/** Whether the client closes its connection once it has sent everything, and connects again as often as this. */
 	readonly reconnects?: number;
+	/** How often the client reads a part of its answer, of up to 64 KB; never by default. */
+	readonly readsPerSecond?: number;
+	/** How long the crowd stays before it is looked at, in milliseconds, if its requests take the process longer than others. */
+	readonly staysMs?: number;
 };
 
 /** Many clients of one port that stay connected after they have sent what they send. */
@@ -32,7 +36,7 @@
 export type Place = {readonly host: string; readonly port: number; readonly path: string};
 
 /** Opens `size` connections to a port on loopback, each of which behaves in the same way. */
-export function gatherCrowd({host, port, path}: Place, size: number, {parts, pauseMs = 0, reconnects = 0}: Behaviour): Crowd {
+export function gatherCrowd({host, port, path}: Place, size: number, {parts, pauseMs = 0, reconnects = 0, readsPerSecond = 0, staysMs = settlingMs}: Behaviour): Crowd {
 	const sockets = new Set<Socket>();
 	const bytes = parts(path);
 	const endsAtMs = performance.now() + sendingMs;
@@ -46,6 +50,10 @@
 			sockets.delete(socket);
 		});
 		socket.pause();
+		if (readsPerSecond > 0) {
+			readSlowly(socket, readsPerSecond);
+		}
+
 		await changeOf(socket, 'connect');
 		return socket;
 	};
@@ -91,7 +99,7 @@
 	};
 
 	return {
-		sent: Promise.all(Array.from({length: size}, behave)).then(async () => sleep(settlingMs)),
+		sent: Promise.all(Array.from({length: size}, behave)).then(async () => sleep(staysMs)),
 		leave() {
 			hasLeft = true;
 			for (const socket of sockets) {
@@ -101,9 +109,22 @@
 	};
 }
 
+/** Reads what a connection has received a part at a time. */
+function readSlowly(socket: Socket, readsPerSecond: number): void {
+	socket.on('data', () => {
+		socket.pause();
+	});
+	const timer = setInterval(() => {
+		socket.resume();
+	}, 1000 / readsPerSecond);
+	socket.once('close', () => {
+		clearInterval(timer);
+	});
+}
+
 /** Returns the head of a request; `fields` are further header lines. */
-export function headOf(path: string, fields = '', method = 'POST'): string {
-	return `${method} ${path} HTTP/1.1\r\nhost: h.example\r\nx-request-id: crowd\r\nx-deadline-ms: 3000\r\n${fields}\r\n`;
+export function headOf(path: string, fields = '', method = 'POST', deadlineMs = 3000): string {
+	return `${method} ${path} HTTP/1.1\r\nhost: h.example\r\nx-request-id: crowd\r\nx-deadline-ms: ${deadlineMs}\r\n${fields}\r\n`;
 }
 
 const longBodyBytes = 4_000_000;
@@ -111,6 +132,10 @@
 const fieldCount = 1800;
 const mebibyte = 1_048_576;
 
+/** The deadline of requests that are to be running while the crowd is looked at, and how long it takes until they are, in milliseconds. */
+const longDeadlineMs = 30_000;
+const longStayMs = 5000;
+
 const bytesOf = (text: string): Uint8Array => Buffer.from(text);
 
 /** 64 KB in one chunk of a body. */
@@ -155,12 +180,21 @@
 	'requests whose answers are not read': {
 		parts: path => [bytesOf(headOf(path, '', 'GET'))],
 	},
+	'requests whose answers are read slowly': {
+		parts: path => [bytesOf(headOf(path, '', 'GET', longDeadlineMs))], readsPerSecond: 10, staysMs: longStayMs,
+	},
 	'nothing at all': {
 		parts: () => [],
 	},
 	'heads that stop half-way': {
 		parts: path => [bytesOf(headOf(path, `a: ${'a'.repeat(8000)}`, 'GET').slice(0, -4))],
 	},
+	'heads of very many fields that stop half-way': {
+		parts: path => [bytesOf(headOf(path, manyFields, 'GET').slice(0, -2))], staysMs: longStayMs,
+	},
+	'requests of very many header fields that run for long': {
+		parts: path => [bytesOf(headOf(path, manyFields, 'GET', longDeadlineMs))], staysMs: longStayMs,
+	},
 	'heads that never end': {
 		parts: path => [bytesOf(headOf(path, '', 'GET').slice(0, -2)), ...Array.from({length: 400}, () => bytesOf(`a:${'a'.repeat(1000)}\r\n`))], pauseMs: 1,
 	},
--- a/packages/cli/test/misbehaving-clients.test.ts
+++ b/packages/cli/test/misbehaving-clients.test.ts
@@ -12,19 +12,28 @@
 	startSite, waitFor, type Site, type SiteProcess, type SmallMachine,
 } from './site.js';
 
-/** The machine on which the processes of these tests run. Of its descriptors, 200 are for files. */
+/** The machine on which the processes of these tests run. */
 const memoryMb = 200;
 const descriptors = 400;
-const socketDescriptors = descriptors - 200;
+const fileDescriptors = 200;
+const socketDescriptors = descriptors - fileDescriptors;
 const machine: SmallMachine = {
 	nodeFlags: ['--max-old-space-size=96'], env: {PAPAYAFLOW_MEMORY_MB: String(memoryMb), PAPAYAFLOW_MAX_FDS: String(descriptors)},
 };
 
+const roomyDescriptors = 4200;
+
+/** A machine of the same memory whose descriptors don't bound what callers hold. */
+const roomyMachine: SmallMachine = {...machine, env: {...machine.env, PAPAYAFLOW_MAX_FDS: String(roomyDescriptors)}};
+
 /** The clients of a crowd that sends much, of one that reads nothing, and of one that only holds connections. */
 const senders = 40;
 const idleReaders = 180;
 const holders = 300;
 
+/** The clients of a crowd at a machine with many descriptors. */
+const roomyHolders = 900;
+
 /** The longest body that the configuration allows, in bytes. */
 const maxBodyBytes = 4_194_304;
 
@@ -52,6 +61,7 @@
 describe('clients that don\'t behave', () => {
 	let site: Site;
 	let target: Server;
+	let silentTarget: Server;
 
 	before(async () => {
 		site = await startSite({entries: 1, ranks: 2, plains: 2}, maxBodyBytes);
@@ -62,21 +72,36 @@
 		});
 		target.listen(0, '127.0.0.1');
 		await once(target, 'listening');
+		silentTarget = createServer(req => {
+			req.resume();
+		});
+		silentTarget.listen(0, '127.0.0.1');
+		await once(silentTarget, 'listening');
 		const configuration = JSON.parse(site.store.get('op/config')!) as {routes: unknown[]; services: unknown[]};
 		configuration.routes.push({
 			name: 'long', host: 'h.example', prefix: '/long/', route_kind: 'idempotent', timeout_ms: 3000, target_latency_ms: 300, service: 'long', max_attempts: 2, public: true,
+		}, {
+			name: 'silent', host: 'h.example', prefix: '/silent/', route_kind: 'idempotent', timeout_ms: 30_000, target_latency_ms: 30_000, service: 'silent', max_attempts: 2, public: true,
 		});
-		configuration.services.push({name: 'long', max_connections: 1000});
-		site.store.put('servers/long-0', JSON.stringify({
-			service: 'long', address: `127.0.0.1:${(target.address() as AddressInfo).port}`, zone: 'z', version: '1', slots: 100, state: 'ready', cold_remaining_ms: 0, seq: 1, born: 1,
-		}));
+		configuration.services.push({name: 'long', max_connections: 1000}, {name: 'silent', max_connections: 1000});
+		const register = (service: string, server: Server, slots: number): void => {
+			site.store.put(`servers/${service}-0`, JSON.stringify({
+				service, address: `127.0.0.1:${(server.address() as AddressInfo).port}`, zone: 'z', version: '1', slots, state: 'ready', cold_remaining_ms: 0, seq: 1, born: 1,
+			}));
+		};
+
+		register('long', target, 100);
+		register('silent', silentTarget, 1000);
+
 		site.store.put('op/config', JSON.stringify({...configuration, version: 2}));
 	});
 
 	after(async () => {
 		await site.stop();
-		target.closeAllConnections();
-		target.close();
+		for (const server of [target, silentTarget]) {
+			server.closeAllConnections();
+			server.close();
+		}
 	});
 
 	const isServed = async (entry: SiteProcess): Promise<boolean> => (await site.call(entry, 'plain')).status === 200;
@@ -109,18 +134,25 @@
 		});
 	};
 
+	/** The paths at which crowds need a target that answers in its own way. */
+	const routePaths: Readonly<Partial<Record<keyof typeof behaviours, string>>> = {
+		'requests whose answers are not read': '/long/x', 'requests whose answers are read slowly': '/long/x', 'requests of very many header fields that run for long': '/silent/x',
+	};
+	const pathOf = (name: keyof typeof behaviours): string => routePaths[name] ?? '/plain/x';
+
 	const sizes: Readonly<Partial<Record<keyof typeof behaviours, number>>> = {
-		'requests whose answers are not read': idleReaders, 'nothing at all': holders, 'heads that stop half-way': holders, 'frames that stop half-way': holders, 'bodies a byte at a time': holders,
+		'requests whose answers are not read': idleReaders, 'nothing at all': holders, 'heads that stop half-way': holders, 'heads of very many fields that stop half-way': holders, 'frames that stop half-way': holders, 'bodies a byte at a time': holders,
 	};
 
 	/** Lets a crowd loose on a process of a small machine. `serves` asks it for what others get of it. */
-	const checkCrowd = async (running: SiteProcess, place: Omit<Place, 'host'>, name: keyof typeof behaviours, serves: () => Promise<boolean>): Promise<void> => {
+	const checkCrowd = async (running: SiteProcess, place: Omit<Place, 'host'>, name: keyof typeof behaviours, serves: () => Promise<boolean>, maxSockets = socketDescriptors): Promise<void> => {
+		const size = maxSockets === socketDescriptors ? sizes[name] ?? senders : roomyHolders;
 		await checkServes(running, serves);
-		const crowd = gatherCrowd({...place, host: running.host}, sizes[name] ?? senders, behaviours[name]);
+		const crowd = gatherCrowd({...place, host: running.host}, size, behaviours[name]);
 		try {
 			await crowd.sent;
 			checkLives(running);
-			expect(countSockets(running), 'sockets while the crowd is connected').to.be.at.most(socketDescriptors);
+			expect(countSockets(running), 'sockets while the crowd is connected').to.be.at.most(maxSockets);
 			await checkServes(running, serves);
 		} finally {
 			crowd.leave();
@@ -131,8 +163,8 @@
 		running.child.kill('SIGKILL');
 	};
 
-	const startServing = async (): Promise<SiteProcess> => {
-		const entry = await site.startEntry(`entry-${site.entries.length}`, machine);
+	const startServing = async (on = machine): Promise<SiteProcess> => {
+		const entry = await site.startEntry(`entry-${site.entries.length}`, on);
 		site.entries.push(entry);
 		return entry;
 	};
@@ -146,11 +178,27 @@
 	};
 
 	const frameCrowds = ['nothing at all', 'frames that stop half-way', 'frames that can\'t be read'] as const satisfies ReadonlyArray<keyof typeof behaviours>;
+	/** The crowds that fill the memory if only descriptors bound them. */
+	const roomyCrowds = [
+		'heads of very many fields that stop half-way',
+		'requests of very many header fields that run for long',
+		'bodies that stop short of their end',
+		'requests whose answers are not read',
+		'requests whose answers are read slowly',
+		'requests with bodies of 64 KB, sent ahead',
+	] as const satisfies ReadonlyArray<keyof typeof behaviours>;
 	const crowds = (Object.keys(behaviours) as Array<keyof typeof behaviours>).filter(name => !name.startsWith('frames'));
 	for (const name of crowds) {
 		it(`leave an entry to others: ${name}, at a route`, async () => {
 			const entry = await startServing();
-			await checkCrowd(entry, {port: entry.port, path: name === 'requests whose answers are not read' ? '/long/x' : '/plain/x'}, name, async () => isServed(entry));
+			await checkCrowd(entry, {port: entry.port, path: pathOf(name)}, name, async () => isServed(entry));
+		}).timeout(60_000);
+	}
+
+	for (const name of roomyCrowds) {
+		it(`leave an entry with many descriptors to others: ${name}`, async () => {
+			const entry = await startServing(roomyMachine);
+			await checkCrowd(entry, {port: entry.port, path: pathOf(name)}, name, async () => isServed(entry), roomyDescriptors - fileDescriptors);
 		}).timeout(60_000);
 	}
 
--- a/packages/direct/src/front.ts
+++ b/packages/direct/src/front.ts
@@ -4,7 +4,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {
-	readBody, trackConnections, type Body, type CallerConnections,
+	beginReading, trackConnections, type Body, type CallerConnections,
 } from '@papayaflow/caller';
 import {superviseServer, type SupervisionLimits} from '@papayaflow/inbound';
 import {type LossReason, type RefusalReason} from '@papayaflow/outcome';
@@ -85,8 +85,7 @@
 };
 
 /** Why a request is refused whose body was not read to its end. */
-const bodyRefusals: Readonly<Record<'abandoned' | 'late' | 'evicted' | 'tooLarge' | 'noRoom', Refusal>> = {
-	// The parts of the body that have arrived are free only when the connection is closed.
+const bodyRefusals: Readonly<Record<CancelReason | 'tooLarge' | 'noRoom', Refusal>> = {
 	late: {reason: 'deadlinePassed', detail: 'the body had not arrived at the deadline', closes: true},
 	abandoned: {reason: 'shuttingDown', retryAfterMs: shutdownRetryAfterMs, detail: 'the entry stopped before the body had arrived'},
 	noRoom: {reason: 'overloaded', retryAfterMs: noRoomRetryAfterMs, detail: 'the entry holds as many bytes of bodies as it may'},
@@ -98,6 +97,9 @@
 
 type Refusal = {readonly reason: RefusalReason; readonly status?: number; readonly retryAfterMs?: number; readonly detail: string; readonly closes?: boolean};
 
+/** Why a body is no longer read: the entry is stopping, the deadline has passed, or others need its memory. */
+type CancelReason = 'abandoned' | 'late' | 'evicted';
+
 type BodyLimits = {readonly maxBytes: number; readonly timeoutMs: number};
 
 /**
@@ -115,23 +117,30 @@
 	/** Ends the reading of each request whose body is still arriving. */
 	const unreadRequests = new Set<() => void>();
 
-	const readWholeBody = async (req: IncomingMessage, held: BodyBytes, {maxBytes, timeoutMs}: BodyLimits): Promise<Body | {readonly kind: 'abandoned' | 'late' | 'evicted'}> => new Promise((resolve, reject) => {
+	const readWholeBody = async (req: IncomingMessage, held: BodyBytes, {maxBytes, timeoutMs}: BodyLimits): Promise<Exclude<Body, {kind: 'cancelled'}> | {readonly kind: CancelReason}> => {
+		const reading = beginReading(req, maxBytes, held.add);
+		let cancelReason: CancelReason = 'abandoned';
+		const cancel = (reason: CancelReason): void => {
+			cancelReason = reason;
+			reading.cancel();
+		};
+
 		const abandon = (): void => {
-			resolve({kind: 'abandoned'});
+			cancel('abandoned');
 		};
 
 		// A caller that sends its body slowly, or stops, would hold its bytes for as long as it stays connected.
-		const timer = setTimeout(resolve, timeoutMs, {kind: 'late'});
+		const timer = setTimeout(cancel, timeoutMs, 'late');
 		unreadRequests.add(abandon);
 		held.beginArrival(() => {
-			resolve({kind: 'evicted'});
+			cancel('evicted');
 		});
-		void readBody(req, maxBytes, held.add).then(resolve, reject).finally(() => {
-			clearTimeout(timer);
-			held.endArrival();
-			unreadRequests.delete(abandon);
-		});
-	});
+		const body = await reading.body;
+		clearTimeout(timer);
+		held.endArrival();
+		unreadRequests.delete(abandon);
+		return body.kind === 'cancelled' ? {kind: cancelReason} : body;
+	};
 
 	const zonesFor = (route: Route, organisation: Organisation | undefined): ReadonlySet<string> | undefined => allowedZonesOf(deps.regionByZone ?? new Map(), [route.allowedRegions, organisation?.allowedRegions]);
 
--- a/packages/inbound/src/paced-reader.ts
+++ b/packages/inbound/src/paced-reader.ts
@@ -291,7 +291,10 @@
 			socket.destroy();
 		}, lingerMs).unref();
 	});
-	socket.once('close', dropAhead);
+	socket.once('close', () => {
+		dropAhead();
+		latest = undefined;
+	});
 	return {
 		get state() {
 			return state;
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -108,6 +108,11 @@
 		find: 'slowest?.arrival.evict();\n\t\treturn slowest !== undefined;', replace: 'return false;',
 		spec: 'direct/test/buffers.test.ts', test: 'the slowest one that has been arriving for a second gives way',
 	},
+	{
+		name: 'a body that is no longer read takes no memory', file: 'caller/src/body.ts',
+		find: 'parts.clear();\n\t\tsettle', replace: 'settle',
+		spec: 'caller/test/body.test.ts', test: 'takes no memory once it is cancelled',
+	},
 	{
 		name: 'the next request of a connection waits for the answer to this one', file: 'inbound/src/paced-reader.ts',
 		find: 'if (state === \'answering\') {', replace: 'if (ahead.length < 0) {',
@@ -692,7 +697,7 @@
 	},
 	{
 		name: 'a body that has not arrived at its deadline is not waited for', file: 'direct/src/front.ts',
-		find: 'const timer = setTimeout(resolve, timeoutMs,', replace: 'const timer = setTimeout(resolve, 1_000_000,',
+		find: 'const timer = setTimeout(cancel, timeoutMs,', replace: 'const timer = setTimeout(cancel, 1_000_000,',
 		spec: '../platform/test/direct/slow-peers.test.ts', test: 'whose body has not arrived',
 	},
 	{
