Check how much of a refused body is read, not only that its connection is closed

Since the connection of a refused request whose body does not end is closed after 5 s, the test passed with the bound on dropped bytes removed: the guard was found again, but guarded nothing.

--- a/packages/inbound/test/supervise.test.ts
+++ b/packages/inbound/test/supervise.test.ts
@@ -20,6 +20,10 @@
 }
 
 const defaultLimits = {maxConnections: 8, maxAheadBytes: 1_000_000};
+const maxDroppedBytes = 100_000;
+
+/** The most that Node.js reads from a connection at once, in bytes. */
+const bytesPerRead = 65_536;
 
 describe('a supervised server', () => {
 	let server: Server;
@@ -31,7 +35,7 @@
 		closed = [];
 		server = createServer(handle);
 		supervision = superviseServer(server, {
-			...defaultLimits, ...limits, monotonicMs: () => performance.now(), maxDroppedBytes: () => 100_000,
+			...defaultLimits, ...limits, monotonicMs: () => performance.now(), maxDroppedBytes: () => maxDroppedBytes,
 			onClosed(reason) {
 				closed.push(reason);
 			},
@@ -212,7 +216,9 @@
 
 	// Guards against refused requests whose bodies are read and dropped for as long as their clients like.
 	it('answers a request that it refuses at once, and reads no more than a part of its body', async () => {
-		await start((_req, res) => {
+		let accepted: Socket | undefined;
+		await start((req, res) => {
+			accepted = req.socket;
 			res.writeHead(404).end();
 		});
 		const {socket, text} = await open();
@@ -225,6 +231,7 @@
 		await ended;
 		clearInterval(timer);
 		expect(closed).to.deep.equal(['dropped']);
+		expect(accepted?.bytesRead).to.be.at.most(maxDroppedBytes + (2 * bytesPerRead));
 	});
 
 	it('keeps the connection of a refused request whose body ends', async () => {
