Collect all objects when buffers have grown, as was meant

Callers could fill an entry with buffers that were no longer used: those that had been in use for more than two young collections stayed until the collector ran by itself, which the heap, with little in it, seldom asks for.

Without options it is a "Mark-Compact".

All objects are now collected when the buffers in memory have grown by 16 MB over their lowest, and the young ones after each 8 MB instead of 16.

--- a/packages/inbound/src/buffer-collector.ts
+++ b/packages/inbound/src/buffer-collector.ts
@@ -1,13 +1,15 @@
+import process from 'node:process';
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
 
-/** The bytes of buffers after whose allocation the collector runs. */
-const bytesPerCollection = 16_777_216;
+/** The bytes of buffers after whose allocation the short-lived objects are collected. */
+const bytesPerCollection = 8_388_608;
 
-/** Every how many collections all objects are collected, and with them the buffers that have been in use for some time. */
-const collectionsPerMajor = 4;
+/** By how many bytes the buffers in memory may have grown after that before all objects are collected. */
+const maxGrowthBytes = 16_777_216;
 
-type Collect = (options: {readonly type: 'minor' | 'major'}) => void;
+/** Collects all objects, or those that have been in use for a short time only. */
+type Collect = (options?: {readonly type: 'minor'}) => void;
 
 /**
 Creates a function that is told how many bytes of short-lived buffers have been allocated, and
@@ -24,7 +26,7 @@
 export function createBufferCollector(): (bytes: number) => void {
 	let collect: Collect | undefined;
 	let allocatedBytes = 0;
-	let collections = 0;
+	let lowestBytes = Number.POSITIVE_INFINITY;
 	return bytes => {
 		allocatedBytes += bytes;
 		if (allocatedBytes < bytesPerCollection) {
@@ -33,8 +35,14 @@
 
 		allocatedBytes = 0;
 		collect ??= exposeCollector();
-		collections++;
-		collect({type: collections % collectionsPerMajor === 0 ? 'major' : 'minor'});
+		collect({type: 'minor'});
+		const {arrayBuffers} = process.memoryUsage();
+		lowestBytes = Math.min(lowestBytes, arrayBuffers);
+		if (arrayBuffers - lowestBytes > maxGrowthBytes) {
+			// Node.js 20 takes every call with options for a minor collection.
+			collect();
+			lowestBytes = process.memoryUsage().arrayBuffers;
+		}
 	};
 }
 
--- a/packages/inbound/test/buffer-collector.test.ts
+++ b/packages/inbound/test/buffer-collector.test.ts
@@ -18,4 +18,18 @@
 
 		expect(most).to.be.at.most(48 * 1_048_576);
 	});
+
+	it('does so too with buffers that were in use for some time', () => {
+		const onAllocated = createBufferCollector();
+		const before = process.memoryUsage().arrayBuffers;
+		const used: Uint8Array[] = [];
+		let most = 0;
+		for (let count = 0; count < 8000; count++) {
+			used[count % 768] = Buffer.allocUnsafeSlow(65_536);
+			onAllocated(65_536);
+			most = Math.max(most, process.memoryUsage().arrayBuffers - before);
+		}
+
+		expect(most).to.be.at.most((48 + 48) * 1_048_576);
+	});
 });
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -113,6 +113,11 @@
 		find: 'parts.clear();\n\t\tsettle', replace: 'settle',
 		spec: 'caller/test/body.test.ts', test: 'takes no memory once it is cancelled',
 	},
+	{
+		name: 'buffers that were in use for some time are freed', file: 'inbound/src/buffer-collector.ts',
+		find: 'arrayBuffers - lowestBytes > maxGrowthBytes', replace: 'arrayBuffers < 0',
+		spec: 'inbound/test/buffer-collector.test.ts', test: 'in use for some time',
+	},
 	{
 		name: 'the next request of a connection waits for the answer to this one', file: 'inbound/src/paced-reader.ts',
 		find: 'if (state === \'answering\') {', replace: 'if (ahead.length < 0) {',
