Count the bytes of targets' answers for the collector too

Callers that ask for long answers could fill an entry with buffers it had already passed on or given up: only what clients sent told the collector that buffers were being allocated, not what targets answered.

The exchange now counts what it reads, twice, since the parts of an answer are joined.

--- a/packages/direct/src/exchange.ts
+++ b/packages/direct/src/exchange.ts
@@ -1,3 +1,4 @@
+import {onBuffersAllocated} from '@papayaflow/inbound';
 import {type Dispatcher} from 'undici';
 import {type AnswerHead, type Dialect} from './dialect.js';
 import {type Pool, type TargetConnection} from './pool.js';
@@ -49,6 +50,9 @@
 /** How many bytes of framing may come with each byte of a body. A body in chunks of one byte has five. */
 const maxFramingRatio = 8;
 
+/** How often the bytes of an answer are allocated: when they are read, and when its parts are joined. */
+const copiesOfBytes = 2;
+
 /** The lowest and the highest status that HTTP allows. */
 const minStatus = 100;
 const maxStatus = 599;
@@ -129,8 +133,12 @@
 		};
 
 		signal.addEventListener('abort', cancel, {once: true});
+		let bytesCounted = bytesBefore;
 		connection.onReadable(() => {
-			if (connection.bytesRead() - bytesBefore > maxOverheadBytes + (maxFramingRatio * bodyBytes)) {
+			const bytesNow = connection.bytesRead();
+			onBuffersAllocated(copiesOfBytes * (bytesNow - bytesCounted));
+			bytesCounted = bytesNow;
+			if (bytesNow - bytesBefore > maxOverheadBytes + (maxFramingRatio * bodyBytes)) {
 				cutOff();
 			}
 		});
--- a/packages/direct/test/exchange.test.ts
+++ b/packages/direct/test/exchange.test.ts
@@ -3,6 +3,7 @@
 import {
 	createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
+import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {
@@ -135,4 +136,38 @@
 
 		expect(receivedBytes).to.equal(0);
 	});
+
+	// Guards against targets that fill the memory with bytes which the entry has passed on or dropped.
+	it('keeps the bytes of an answer that were used for some time below a part of a small machine\'s memory', async () => {
+		const part = Buffer.alloc(65_536);
+		const before = process.memoryUsage().arrayBuffers;
+		const used: Uint8Array[] = [];
+		let parts = 0;
+		let most = 0;
+		const exchanged = exchange(pool, {
+			requestId: 'r-1', method: 'GET', path: '/', headers: [], body: Buffer.alloc(0),
+		}, {
+			head: () => undefined,
+			data(bytes) {
+				used[parts % 768] = bytes;
+				parts++;
+				most = Math.max(most, process.memoryUsage().arrayBuffers - before);
+				return true;
+			},
+		}, {
+			dialect, maxIdleMs: 0, signal: new AbortController().signal, mayStart: () => true, onSent: () => undefined, onAnswer: () => undefined,
+		});
+		const socket = await accepted;
+		socket.resume();
+		socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${8000 * part.length}\r\n\r\n`);
+		for (let count = 0; count < 8000; count++) {
+			if (!socket.write(part)) {
+				await once(socket, 'drain');
+			}
+		}
+
+		expect((await exchanged).kind).to.equal('complete');
+		expect(most).to.be.at.most((48 + 48) * 1_048_576);
+		socket.destroy();
+	});
 });
--- a/packages/inbound/src/index.ts
+++ b/packages/inbound/src/index.ts
@@ -1,4 +1,4 @@
-export {createBufferCollector} from './buffer-collector.js';
+export {createBufferCollector, onBuffersAllocated} from './buffer-collector.js';
 export {
 	superviseServer, type Supervision, type SupervisionLimits, type SupervisionOptions,
 } from './supervise.js';
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -118,6 +118,11 @@
 		find: 'arrayBuffers - lowestBytes > maxGrowthBytes', replace: 'arrayBuffers < 0',
 		spec: 'inbound/test/buffer-collector.test.ts', test: 'in use for some time',
 	},
+	{
+		name: 'buffers of answers that were in use for some time are freed', file: 'direct/src/exchange.ts',
+		find: 'onBuffersAllocated(copiesOfBytes * (bytesNow - bytesCounted));', replace: '',
+		spec: 'direct/test/exchange.test.ts', test: 'used for some time',
+	},
 	{
 		name: 'the next request of a connection waits for the answer to this one', file: 'inbound/src/paced-reader.ts',
 		find: 'if (state === \'answering\') {', replace: 'if (ahead.length < 0) {',
