Count what paused sockets have read, and close the largest holder

Cause: a socket that is paused in its listener reads once more, into its own buffer.

Both now count. Over the limit, the connection that holds the most gives way, not the one that happens to send; one that holds no more than an equal share never does, so a caller that sends little ahead is answered beside others that fill the memory. A connection that is closing and has been answered is closed at once then. Since the extra read comes without an event, the bytes are also counted every 100 ms.

--- a/packages/inbound/src/connection-table.ts
+++ b/packages/inbound/src/connection-table.ts
@@ -9,7 +9,7 @@
 - `body`: another one needed its place, and its body had been arriving for some time;
 - `unread`: another one needed its place, and its answer had not been taken for some time;
 - `dropped`: the rest of a request that was refused did not end;
-- `ahead`: there was no room for what it had sent before it took its answers;
+- `ahead`: there was too little room for what all had sent before they took their answers, and it had sent the most;
 - `full`: it was new, and no other one could give way.
 */
 export const closeReasons = ['silent', 'head', 'idle', 'body', 'unread', 'dropped', 'ahead', 'full'] as const;
@@ -62,3 +62,24 @@
 
 	return victim && {connection: victim.connection, reason: victim.rank.reason};
 }
+
+/**
+Returns the reader that holds the most bytes ahead of their turn, of those that hold more than
+`share` and can free some; `undefined` if there is none.
+
+@example
+chooseLargest(connections.values(), 65_536)?.shed();
+*/
+export function chooseLargest(connections: Iterable<Connection>, share: number): PacedReader | undefined {
+	let largest: PacedReader | undefined;
+	let mostBytes = share;
+	for (const {reader} of connections) {
+		const bytes = reader.aheadBytes();
+		if (bytes > mostBytes && reader.canShed()) {
+			largest = reader;
+			mostBytes = bytes;
+		}
+	}
+
+	return largest;
+}
--- a/packages/inbound/src/paced-reader.ts
+++ b/packages/inbound/src/paced-reader.ts
@@ -36,15 +36,21 @@
 
 export type PacedReader = {
 	readonly state: ReadingState;
+	/** The bytes that have arrived ahead of their turn. */
+	aheadBytes(): number;
 	/** Whether an answer has been written and not been taken whole. */
 	isUnread(): boolean;
+	/** Whether `shed` can still free bytes. */
+	canShed(): boolean;
+	/** Drops what has arrived ahead of its turn, and closes the connection after its present answer; at once if it is closing and has been answered. */
+	shed(): void;
 	/** To be called with each request that the HTTP server emits for this connection. */
 	onRequest(req: IncomingMessage, res: ServerResponse): void;
 };
 
 export type PacedReaderOptions = {
-	/** Changes the count of the bytes that have arrived ahead of their turn, by a negative number when they are no longer held; returns `false` if there is no room for them. */
-	readonly reserveAhead: (change: number) => boolean;
+	/** Called when more bytes have arrived ahead of their turn. */
+	readonly onAhead: () => void;
 	/** Returns the most bytes of a body that are read and dropped after its request was answered; `undefined` if the server does not know how long a body may be, for 1 MB. */
 	readonly maxDroppedBytes: () => number | undefined;
 	/** Called when the state changes. */
@@ -68,13 +74,12 @@
 	const reader = paceReading(socket, options);
 });
 */
-export function paceReading(socket: Socket, {reserveAhead, maxDroppedBytes, onState, onClosing}: PacedReaderOptions): PacedReader {
+export function paceReading(socket: Socket, {onAhead, maxDroppedBytes, onState, onClosing}: PacedReaderOptions): PacedReader {
 	// The parser's listener is the only one on a connection that the server has just accepted.
 	const [parse] = socket.listeners('data');
 	let ahead: Uint8Array = nothing;
 	let openLine: OpenLine = 'nothing';
 	let latest: {readonly req: IncomingMessage; bodyBytesLeft: number | undefined} | undefined;
-	let countedAhead = 0;
 	const openAnswers = new Set<ServerResponse>();
 	let droppedBytes = 0;
 	let isClosing = false;
@@ -110,21 +115,16 @@
 		}
 	};
 
-	/** Counts what waits now; returns `false` if there is no room for it. */
-	const countAhead = (): boolean => {
+	/** Lets others know that bytes have to wait. */
+	const reportAhead = (): void => {
 		// A view keeps the whole buffer of its read in memory.
 		if (ahead.length < ahead.buffer.byteLength / 2) {
 			ahead = Buffer.concat([ahead]);
 		}
 
-		const change = ahead.length - countedAhead;
-		countedAhead = ahead.length;
-		return change === 0 || reserveAhead(change);
-	};
-
-	const dropAhead = (): void => {
-		ahead = nothing;
-		countAhead();
+		if (ahead.length > 0) {
+			onAhead();
+		}
 	};
 
 	const hold = (): void => {
@@ -144,7 +144,7 @@
 	const close = (reason: 'ahead' | 'dropped'): void => {
 		isClosing = true;
 		onClosing(reason);
-		dropAhead();
+		ahead = nothing;
 		hold();
 		if (openAnswers.size === 0) {
 			socket.end();
@@ -230,7 +230,7 @@
 		turnLines = 0;
 		if (!isClosing && !socket.destroyed) {
 			advance();
-			countAhead();
+			reportAhead();
 		}
 	};
 
@@ -250,9 +250,7 @@
 		onBuffersAllocated(copiesOfBytes * bytes.length);
 		ahead = ahead.length === 0 ? bytes : Buffer.concat([ahead, bytes]);
 		advance();
-		if (!countAhead()) {
-			close('ahead');
-		}
+		reportAhead();
 	};
 
 	const onAnswered = (res: ServerResponse): void => {
@@ -283,7 +281,7 @@
 	socket.on('resume', () => {
 		if (ahead.length > 0 && !isClosing) {
 			advance();
-			countAhead();
+			reportAhead();
 		}
 	});
 	socket.once('finish', () => {
@@ -292,13 +290,23 @@
 		}, lingerMs).unref();
 	});
 	socket.once('close', () => {
-		dropAhead();
+		ahead = nothing;
 		latest = undefined;
 	});
 	return {
 		get state() {
 			return state;
 		},
+		// A socket that is paused reads once more, into its own buffer.
+		aheadBytes: () => ahead.length + socket.readableLength,
+		canShed: () => !isClosing || (openAnswers.size === 0 && !socket.destroyed),
+		shed() {
+			if (isClosing) {
+				socket.destroy();
+			} else {
+				close('ahead');
+			}
+		},
 		isUnread: () => [...openAnswers].some(({writableEnded, writableFinished}) => writableEnded && !writableFinished),
 		onRequest(req, res) {
 			const length = req.headers['content-length'];
--- a/packages/inbound/src/supervise.ts
+++ b/packages/inbound/src/supervise.ts
@@ -1,8 +1,13 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
-import {chooseVictim, type CloseReason, type Connection} from './connection-table.js';
+import {
+	chooseLargest, chooseVictim, type CloseReason, type Connection,
+} from './connection-table.js';
 import {paceReading, type PacedReaderOptions} from './paced-reader.js';
 
+/** How often the bytes that have arrived ahead of their turn are counted if nothing else leads to it, in milliseconds. */
+const aheadCheckMs = 100;
+
 /** What all clients of a server together may hold. */
 export type SupervisionLimits = {
 	/** The most connections that are open at once. */
@@ -41,11 +46,26 @@
 */
 export function superviseServer(server: Server, {maxConnections, maxAheadBytes, maxDroppedBytes, monotonicMs, onClosed}: SupervisionOptions): Supervision {
 	const connections = new Map<Socket, Connection>();
-	let aheadBytes = 0;
 
-	const reserveAhead = (change: number): boolean => {
-		aheadBytes += change;
-		return aheadBytes <= maxAheadBytes;
+	const aheadBytes = (): number => {
+		let sum = 0;
+		for (const {reader} of connections.values()) {
+			sum += reader.aheadBytes();
+		}
+
+		return sum;
+	};
+
+	/** Frees bytes that have arrived ahead of their turn if there are too many: those of the connections that hold the most, and more than an equal share. */
+	const limitAhead = (): void => {
+		while (aheadBytes() > maxAheadBytes) {
+			const largest = chooseLargest(connections.values(), maxAheadBytes / connections.size);
+			if (!largest) {
+				return;
+			}
+
+			largest.shed();
+		}
 	};
 
 	/** Makes room for a new connection; returns `false` if no other one can give way. */
@@ -65,6 +85,11 @@
 		return true;
 	};
 
+	// A socket that is paused reads once more, without an event.
+	const timer = setInterval(limitAhead, aheadCheckMs).unref();
+	server.once('close', () => {
+		clearInterval(timer);
+	});
 	server.on('connection', (socket: Socket) => {
 		if (!makeRoom()) {
 			onClosed('full');
@@ -73,7 +98,8 @@
 		}
 
 		const reader = paceReading(socket, {
-			reserveAhead, maxDroppedBytes,
+			maxDroppedBytes,
+			onAhead: limitAhead,
 			onState() {
 				connection.sinceMs = monotonicMs();
 			},
@@ -96,5 +122,5 @@
 		connection.requests++;
 		connection.reader.onRequest(req, res);
 	});
-	return {connections: () => connections.size, aheadBytes: () => aheadBytes};
+	return {connections: () => connections.size, aheadBytes};
 }
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -143,6 +143,16 @@
 		find: 'if (state === \'answering\') {', replace: 'if (ahead.length < 0) {',
 		spec: 'inbound/test/supervise.test.ts', test: 'handles one request of a connection at a time',
 	},
+	{
+		name: 'what a paused socket has read counts', file: 'inbound/src/paced-reader.ts',
+		find: 'ahead.length + socket.readableLength', replace: 'ahead.length',
+		spec: 'inbound/test/supervise.test.ts', test: 'what its sockets have read while they were paused',
+	},
+	{
+		name: 'a connection that holds little ahead does not give way', file: 'inbound/src/connection-table.ts',
+		find: 'let mostBytes = share;', replace: 'let mostBytes = 0;',
+		spec: 'inbound/test/supervise.test.ts', test: 'closes the connections that have sent the most ahead',
+	},
 	{
 		name: 'a new connection replaces one that is not served', file: 'inbound/src/supervise.ts',
 		find: 'if (connections.size < maxConnections) {', replace: 'if (connections.size < Number.POSITIVE_INFINITY) {',
