Bound what the heads of requests take together

Cause: a head stays in memory until its request has been answered, as strings and lists: 102 KB for one of 13 KB, 57 bytes for each field. Only connections were counted, with 40 KB each.

What heads take is now counted, as their bytes and 64 for each line, from their arrival until the answer, and bounded by 12 % of the memory together. The first 4 KB of each are a part of its connection, so ordinary requests need no room. When there is none for a large head, a connection with another large one gives way in the order that holds for descriptors, never one whose request may be running; if there is none, the new one gets 503 with Retry-After, before its head is whole, so that it has not run.

Both new tests of the server hang without the bound.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -254,7 +254,7 @@
 	const bodyBuffers = createBodyBuffers(limits.bodyBytes, monotonicMs);
 	ticker.add(reportHeldBytes(metrics, {
 		bodies: bodyBuffers.bytes, answers: () => answerBuffers.bytes('answers'), unread: () => answerBuffers.bytes('unread'), frames: processBacklogs.bytes,
-		ahead: () => front.aheadBytes(),
+		ahead: () => front.aheadBytes(), heads: () => front.headBytes(),
 		unsent: () => targets.all().reduce((sum, {pool}) => sum + pool.unsentBytes(), 0),
 	}));
 	const front = createFront({
--- a/packages/cli/src/held-bytes.ts
+++ b/packages/cli/src/held-bytes.ts
@@ -1,7 +1,7 @@
 import {type Metrics} from '@papayaflow/telemetry';
 
 /** What a process may hold for a peer that is slow to send or to read. */
-export type HeldUse = 'ahead' | 'bodies' | 'answers' | 'unread' | 'unsent' | 'frames';
+export type HeldUse = 'ahead' | 'heads' | 'bodies' | 'answers' | 'unread' | 'unsent' | 'frames';
 
 /** How many ticks pass between two reports. Counting the bytes of some hundred connections at each tick is not worth its time. */
 const ticksPerReport = 4;
--- a/packages/cli/src/resource-limits.ts
+++ b/packages/cli/src/resource-limits.ts
@@ -17,6 +17,7 @@
 const bodyMemoryRatio = 0.12;
 const answerMemoryRatio = 0.18;
 const aheadMemoryRatio = 0.04;
+const headMemoryRatio = 0.12;
 
 /** The settings that say how much a process may use. */
 export const resourceSettings = {
@@ -50,6 +51,7 @@
 		callers: {
 			maxConnections: Math.min(clientDescriptors, Math.floor(memoryBytes * connectionMemoryRatio / connectionBytes)),
 			maxAheadBytes: memoryBytes * aheadMemoryRatio,
+			maxHeadBytes: memoryBytes * headMemoryRatio,
 		},
 		strangers: clientDescriptors,
 		bodyBytes: memoryBytes * bodyMemoryRatio,
--- a/packages/direct/src/front.ts
+++ b/packages/direct/src/front.ts
@@ -76,6 +76,8 @@
 	readonly connections: CallerConnections;
 	/** Returns the bytes of requests that callers have sent ahead of their turn. */
 	aheadBytes(): number;
+	/** What the heads of requests take in memory beyond what most heads do. */
+	headBytes(): number;
 	/** The number of calls that are being forwarded. */
 	inFlight(): number;
 	/** Aborts the remaining calls and refuses the requests that are still being read; each caller still receives the outcome of its call. Returns the number of calls. */
@@ -359,6 +361,7 @@
 		server,
 		connections: trackConnections(server, monotonicMs),
 		aheadBytes: supervision.aheadBytes,
+		headBytes: supervision.headBytes,
 		inFlight: () => openCalls.size,
 		abortAll() {
 			const aborted = [...openCalls];
--- a/packages/inbound/src/connection-table.ts
+++ b/packages/inbound/src/connection-table.ts
@@ -10,9 +10,10 @@
 - `unread`: another one needed its place, and its answer had not been taken for some time;
 - `dropped`: the rest of a request that was refused did not end;
 - `ahead`: there was too little room for what all had sent before they took their answers, and it had sent the most;
+- `heads`: there was no room for the head of its request, which was larger than most;
 - `full`: it was new, and no other one could give way.
 */
-export const closeReasons = ['silent', 'head', 'idle', 'body', 'unread', 'dropped', 'ahead', 'full'] as const;
+export const closeReasons = ['silent', 'head', 'idle', 'body', 'unread', 'dropped', 'ahead', 'heads', 'full'] as const;
 export type CloseReason = typeof closeReasons[number];
 
 /** How long a body may arrive, or an answer be unread, before its connection may be closed for another one, in milliseconds. Most requests need less. */
--- a/packages/inbound/src/paced-reader.ts
+++ b/packages/inbound/src/paced-reader.ts
@@ -19,8 +19,19 @@
 /** How often the bytes of a body are allocated on their way to its reader: when they are read, and again by the parser. */
 const copiesOfBytes = 2;
 
+/** What a line of a head takes in memory beside its bytes. */
+const lineBytes = 64;
+
+/** What the head of most requests takes in memory, in bytes. It counts as a part of its connection. */
+const ordinaryHeadBytes = 4096;
+
+/** The answer to a request whose head is not read to its end. */
+const headRefusal = 'HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n';
+
 const nothing = new Uint8Array();
 
+type ClosingReason = 'ahead' | 'dropped' | 'heads';
+
 /** What arrives on a connection, or is answered. */
 export type ReadingState
 	/** No part of a request has arrived since the last one was answered. */
@@ -38,6 +49,8 @@
 	readonly state: ReadingState;
 	/** The bytes that have arrived ahead of their turn. */
 	aheadBytes(): number;
+	/** What the head of the present request takes in memory, until it has been answered, beyond what most heads do. */
+	headBytes(): number;
 	/** Whether an answer has been written and not been taken whole. */
 	isUnread(): boolean;
 	/** Whether `shed` can still free bytes. */
@@ -51,12 +64,14 @@
 export type PacedReaderOptions = {
 	/** Called when more bytes have arrived ahead of their turn. */
 	readonly onAhead: () => void;
+	/** Called when the head of a request takes more than most heads do, and with each further part of it; returns `false` if there is no room for it. */
+	readonly hasRoomForHead: () => boolean;
 	/** Returns the most bytes of a body that are read and dropped after its request was answered; `undefined` if the server does not know how long a body may be, for 1 MB. */
 	readonly maxDroppedBytes: () => number | undefined;
 	/** Called when the state changes. */
 	readonly onState: () => void;
-	/** Called when the connection is closed because there is no room for what it has sent ahead, or because the rest of a refused request does not end. */
-	readonly onClosing: (reason: 'ahead' | 'dropped') => void;
+	/** Called when the connection is closed because there is no room for a head or for what it has sent ahead, or because the rest of a refused request does not end. */
+	readonly onClosing: (reason: ClosingReason) => void;
 };
 
 /**
@@ -74,7 +89,7 @@
 	const reader = paceReading(socket, options);
 });
 */
-export function paceReading(socket: Socket, {onAhead, maxDroppedBytes, onState, onClosing}: PacedReaderOptions): PacedReader {
+export function paceReading(socket: Socket, {onAhead, hasRoomForHead, maxDroppedBytes, onState, onClosing}: PacedReaderOptions): PacedReader {
 	// The parser's listener is the only one on a connection that the server has just accepted.
 	const [parse] = socket.listeners('data');
 	let ahead: Uint8Array = nothing;
@@ -85,6 +100,8 @@
 	let isClosing = false;
 	let isHeld = false;
 	let turnLines = 0;
+	let nextLines = 0;
+	let headCost = 0;
 	let isTurnScheduled = false;
 	let state: ReadingState = 'idle';
 
@@ -112,6 +129,7 @@
 		if (state === 'idle') {
 			// The listeners of a request that is done hold its body.
 			latest = undefined;
+			headCost = 0;
 		}
 	};
 
@@ -141,13 +159,13 @@
 	};
 
 	/** Reads nothing more, and closes the connection when what has been answered may have arrived. */
-	const close = (reason: 'ahead' | 'dropped'): void => {
+	const close = (reason: ClosingReason): void => {
 		isClosing = true;
 		onClosing(reason);
 		ahead = nothing;
 		hold();
 		if (openAnswers.size === 0) {
-			socket.end();
+			socket.end(reason === 'heads' ? headRefusal : '');
 		}
 	};
 
@@ -167,6 +185,7 @@
 
 		const {end, lines} = findLinesEnd(ahead, openLine, linesPerTurn - turnLines);
 		turnLines += Math.max(1, lines);
+		nextLines = lines;
 		return end;
 	};
 
@@ -175,6 +194,14 @@
 			setState('head');
 		}
 
+		if (state === 'head') {
+			headCost += bytes.length + (nextLines * lineBytes);
+			if (headCost > ordinaryHeadBytes && !hasRoomForHead()) {
+				close('heads');
+				return;
+			}
+		}
+
 		if (state === 'dropped') {
 			droppedBytes += bytes.length;
 		}
@@ -292,6 +319,7 @@
 	socket.once('close', () => {
 		ahead = nothing;
 		latest = undefined;
+		headCost = 0;
 	});
 	return {
 		get state() {
@@ -307,6 +335,7 @@
 				close('ahead');
 			}
 		},
+		headBytes: () => Math.max(0, headCost - ordinaryHeadBytes),
 		isUnread: () => [...openAnswers].some(({writableEnded, writableFinished}) => writableEnded && !writableFinished),
 		onRequest(req, res) {
 			const length = req.headers['content-length'];
--- a/packages/inbound/src/supervise.ts
+++ b/packages/inbound/src/supervise.ts
@@ -14,6 +14,8 @@
 	readonly maxConnections: number;
 	/** The most bytes that may have arrived ahead of their turn. */
 	readonly maxAheadBytes: number;
+	/** The most bytes that the heads of requests may take in memory until they have been answered, beyond the 4 KB of each that are a part of its connection. */
+	readonly maxHeadBytes: number;
 };
 
 export type SupervisionOptions = SupervisionLimits & Pick<PacedReaderOptions, 'maxDroppedBytes'> & {
@@ -28,6 +30,8 @@
 	connections(): number;
 	/** The bytes that have arrived ahead of their turn. */
 	aheadBytes(): number;
+	/** What the heads of requests take in memory beyond what most heads do. */
+	headBytes(): number;
 };
 
 /**
@@ -35,16 +39,16 @@
 server listens.
 
 Load pattern: many clients that open connections and say nothing, stop within a head or a
-body, send requests ahead, or do not read their answers. Each connection gets one request
+body, send requests ahead, send heads of very many fields, or do not read their answers. Each connection gets one request
 handled at a time. Above `maxConnections`, the connection gives way that is the least likely to
 be served; a connection whose request may be running never does.
 
 @example
 const server = createServer(handle);
-superviseServer(server, {maxConnections: 64, maxAheadBytes: 1_048_576, maxDroppedBytes: () => 1_048_576, monotonicMs: () => performance.now(), onClosed: reason => metrics.count('closed', {reason})});
+superviseServer(server, {maxConnections: 64, maxAheadBytes: 1_048_576, maxHeadBytes: 1_048_576, maxDroppedBytes: () => 1_048_576, monotonicMs: () => performance.now(), onClosed: reason => metrics.count('closed', {reason})});
 server.listen(8080, '127.0.0.1');
 */
-export function superviseServer(server: Server, {maxConnections, maxAheadBytes, maxDroppedBytes, monotonicMs, onClosed}: SupervisionOptions): Supervision {
+export function superviseServer(server: Server, {maxConnections, maxAheadBytes, maxHeadBytes, maxDroppedBytes, monotonicMs, onClosed}: SupervisionOptions): Supervision {
 	const connections = new Map<Socket, Connection>();
 
 	const aheadBytes = (): number => {
@@ -68,13 +72,18 @@
 		}
 	};
 
-	/** Makes room for a new connection; returns `false` if no other one can give way. */
-	const makeRoom = (): boolean => {
-		if (connections.size < maxConnections) {
-			return true;
+	const headBytes = (): number => {
+		let sum = 0;
+		for (const {reader} of connections.values()) {
+			sum += reader.headBytes();
 		}
 
-		const victim = chooseVictim(connections.values(), monotonicMs());
+		return sum;
+	};
+
+	/** Closes the connection of those given that is the least likely to be served; returns `false` if none can give way. */
+	const closeOne = (candidates: Iterable<Connection>): boolean => {
+		const victim = chooseVictim(candidates, monotonicMs());
 		if (!victim) {
 			return false;
 		}
@@ -85,13 +94,25 @@
 		return true;
 	};
 
+	/** Makes room for the head that arrives on a connection; returns `false` if no other one with such a head can give way. */
+	const makeRoomForHead = (arriving: Connection): boolean => {
+		while (headBytes() > maxHeadBytes) {
+			const others = [...connections.values()].filter(connection => connection !== arriving && connection.reader.headBytes() > 0);
+			if (!closeOne(others)) {
+				return false;
+			}
+		}
+
+		return true;
+	};
+
 	// A socket that is paused reads once more, without an event.
 	const timer = setInterval(limitAhead, aheadCheckMs).unref();
 	server.once('close', () => {
 		clearInterval(timer);
 	});
 	server.on('connection', (socket: Socket) => {
-		if (!makeRoom()) {
+		if (connections.size >= maxConnections && !closeOne(connections.values())) {
 			onClosed('full');
 			socket.destroy();
 			return;
@@ -100,6 +121,7 @@
 		const reader = paceReading(socket, {
 			maxDroppedBytes,
 			onAhead: limitAhead,
+			hasRoomForHead: () => makeRoomForHead(connection),
 			onState() {
 				connection.sinceMs = monotonicMs();
 			},
@@ -122,5 +144,5 @@
 		connection.requests++;
 		connection.reader.onRequest(req, res);
 	});
-	return {connections: () => connections.size, aheadBytes};
+	return {connections: () => connections.size, aheadBytes, headBytes};
 }
--- a/packages/inbound/test/supervise.test.ts
+++ b/packages/inbound/test/supervise.test.ts
@@ -19,7 +19,10 @@
 	(runInNewContext('gc') as () => void)();
 }
 
-const defaultLimits = {maxConnections: 8, maxAheadBytes: 1_000_000};
+const defaultLimits = {maxConnections: 8, maxAheadBytes: 1_000_000, maxHeadBytes: 1_000_000};
+
+/** The fields of a head that takes some 70 KB of memory. */
+const manyFields = 'a: 1\r\n'.repeat(1000);
 const maxDroppedBytes = 100_000;
 
 /** The most that Node.js reads from a connection at once, in bytes. */
@@ -259,6 +262,57 @@
 		expect(new Set(closed)).to.deep.equal(new Set(['ahead']));
 	});
 
+	// Guards against heads of very many fields, each of which takes ten times its bytes for as long as its request runs.
+	it('refuses a large head that there is no room for beside those of running requests, and serves ordinary ones', async () => {
+		const waiting: ServerResponse[] = [];
+		await start((req, res) => {
+			if (req.url === '/large') {
+				waiting.push(res);
+			} else {
+				res.end('ordinary');
+			}
+		}, {maxHeadBytes: 150_000});
+		const large = async (): ReturnType<typeof open> => {
+			const connection = await open();
+			connection.socket.write(`GET /large HTTP/1.1\r\nhost: h\r\n${manyFields}\r\n`);
+			return connection;
+		};
+
+		await large();
+		await large();
+		await until(() => waiting.length === 2);
+		const refused = await large();
+		await once(refused.socket, 'end');
+		expect(refused.text()).to.match(/^HTTP\/1\.1 503 .*\r\nretry-after: 1\r\n/v);
+		expect(closed).to.deep.equal(['heads']);
+		const ordinary = await open();
+		ordinary.socket.write(toRequest({path: 1, body: '', framing: 'none'}));
+		await until(() => ordinary.text().includes('ordinary'));
+		waiting[0].end();
+		await until(() => supervision.headBytes() <= 75_000);
+		await large();
+		await until(() => waiting.length === 3);
+	});
+
+	it('closes a large head that stops half-way for another one', async () => {
+		let requests = 0;
+		await start((_req, res) => {
+			requests++;
+			res.end();
+		}, {maxHeadBytes: 150_000});
+		const unfinished = await Promise.all(Array.from({length: 2}, async () => open()));
+		for (const {socket} of unfinished) {
+			socket.write(`GET / HTTP/1.1\r\nhost: h\r\n${manyFields}`);
+		}
+
+		await until(() => supervision.headBytes() > 130_000);
+		const {socket} = await open();
+		socket.write(`GET / HTTP/1.1\r\nhost: h\r\n${manyFields}\r\n`);
+		await until(() => requests === 1);
+		expect(closed).to.deep.equal(['head']);
+		await until(() => supervision.headBytes() < 75_000);
+	});
+
 	// Guards against refused requests whose bodies are read and dropped for as long as their clients like.
 	it('answers a request that it refuses at once, and reads no more than a part of its body', async () => {
 		let accepted: Socket | undefined;
--- a/packages/telemetry/src/admin.ts
+++ b/packages/telemetry/src/admin.ts
@@ -11,6 +11,9 @@
 /** The most bytes that clients of one admin address may have sent ahead of their turn. */
 const maxAheadBytes = 1_048_576;
 
+/** The most bytes that the heads of their requests may take. */
+const maxHeadBytes = 1_048_576;
+
 /** The most bytes of a body that are read and dropped. No admin request needs one. */
 const maxDroppedBytes = 65_536;
 
@@ -48,7 +51,7 @@
 		res.end(isText ? reply.body : JSON.stringify(reply.body));
 	});
 	superviseServer(server, {
-		maxConnections, maxAheadBytes, maxDroppedBytes: () => maxDroppedBytes, monotonicMs: sources.monotonicMs, onClosed: reportClosedConnections('admin', sources),
+		maxConnections, maxAheadBytes, maxHeadBytes, maxDroppedBytes: () => maxDroppedBytes, monotonicMs: sources.monotonicMs, onClosed: reportClosedConnections('admin', sources),
 	});
 	return server;
 }
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -153,9 +153,14 @@
 		find: 'let mostBytes = share;', replace: 'let mostBytes = 0;',
 		spec: 'inbound/test/supervise.test.ts', test: 'closes the connections that have sent the most ahead',
 	},
+	{
+		name: 'the heads of running requests have a limit', file: 'inbound/src/supervise.ts',
+		find: 'while (headBytes() > maxHeadBytes) {', replace: 'while (headBytes() < 0) {',
+		spec: 'inbound/test/supervise.test.ts', test: 'refuses a large head that there is no room for',
+	},
 	{
 		name: 'a new connection replaces one that is not served', file: 'inbound/src/supervise.ts',
-		find: 'if (connections.size < maxConnections) {', replace: 'if (connections.size < Number.POSITIVE_INFINITY) {',
+		find: 'if (connections.size >= maxConnections && !closeOne', replace: 'if (connections.size < 0 && !closeOne',
 		spec: 'inbound/test/supervise.test.ts', test: 'closes the connection that has been silent for the longest',
 	},
 	{
