Bound the bodies at an entry with presets together

900 callers that each sent 900 KB of a body, less than the limit of 1 MB, and stayed, took an entry with presets and 200 MB of memory to 899 MB: its machine would have ended it, with all calls of its other callers.

Cause: bodies were bounded each, not together; only entries on the platform counted them.

The count of bodies moves to the package that both kinds of entries share, and an entry with presets opens it for each request, until its call has ended. A request without room gets 503, overloaded; one with a key gets the outcome unknown, as other refusals do, since only the owner of the key knows whether an earlier one has run.

--- a/packages/caller/src/call.ts
+++ b/packages/caller/src/call.ts
@@ -2,7 +2,8 @@
 import {randomUUID} from 'node:crypto';
 import {type IncomingMessage} from 'node:http';
 import {lowestPriority, findRoute, type Preset} from '@papayaflow/config';
-import {readBody} from './body.js';
+import {type BodyBytes} from './body-buffers.js';
+import {beginReading, type Body} from './body.js';
 
 const defaultPriority = 5;
 
@@ -48,18 +49,19 @@
 
 export type CallResult
 	= | {readonly kind: 'call'; readonly call: Call}
+		| {readonly kind: 'noRoom'; readonly requestId: string; readonly key: string | undefined}
 		| {readonly kind: 'bad'; readonly requestId: string; readonly reason: 'badRequest' | 'noRoute'; readonly status: number; readonly detail: string};
 
 type Classification = Pick<Call, 'service' | 'idempotent' | 'affinityKey' | 'tokens'>;
 
 /**
 Reads a request and validates it against the preset in force. A malformed request
-results in `bad` with its HTTP status; nothing is thrown.
+results in `bad` with its HTTP status, and one whose body `held` has no room for in `noRoom`; nothing is thrown.
 
 @example
-const result = await readCall(req, preset);
+const result = await readCall(req, preset, bodyBuffers.open());
 */
-export async function readCall(req: IncomingMessage, preset: Preset): Promise<CallResult> {
+export async function readCall(req: IncomingMessage, preset: Preset, held: BodyBytes): Promise<CallResult> {
 	const callerRequestId = headerOf(req, headerNames.requestId);
 	const requestId = callerRequestId !== undefined && requestIdPattern.test(callerRequestId) ? callerRequestId : randomUUID();
 	const bad = (detail: string, status = 400): CallResult => ({
@@ -86,11 +88,15 @@
 		return bad(`${preset.idempotency.keyHeader} must be 1 to 255 visible ASCII characters`);
 	}
 
-	const body = await readBody(req, preset.limits.maxBodyBytes);
+	const body = await readCountedBody(req, preset.limits.maxBodyBytes, held);
 	if (body.kind === 'tooLarge') {
 		return bad(`the body is over ${preset.limits.maxBodyBytes} bytes`, 413);
 	}
 
+	if (body.kind === 'noRoom' || body.kind === 'cancelled') {
+		return {kind: 'noRoom', requestId, key};
+	}
+
 	if (body.kind !== 'read') {
 		return bad('the body did not arrive whole');
 	}
@@ -113,6 +119,15 @@
 	};
 }
 
+/** Reads a body that gives way to others if it arrives slowly. */
+async function readCountedBody(req: IncomingMessage, maxBytes: number, held: BodyBytes): Promise<Body> {
+	const reading = beginReading(req, maxBytes, held.add);
+	held.beginArrival(reading.cancel);
+	const body = await reading.body;
+	held.endArrival();
+	return body;
+}
+
 function classifyChat(bytes: Uint8Array, organisation: string, preset: Preset): Classification | string {
 	let document: unknown;
 	try {
--- a/packages/caller/src/index.ts
+++ b/packages/caller/src/index.ts
@@ -1,4 +1,5 @@
 export {openAnswer, type Answer} from './answer.js';
+export {createBodyBuffers, type BodyBuffers, type BodyBytes} from './body-buffers.js';
 export {
 	beginReading, readBody, type Body, type BodyReading,
 } from './body.js';
--- a/packages/caller/test/caller.test.ts
+++ b/packages/caller/test/caller.test.ts
@@ -8,7 +8,7 @@
 import {request} from 'undici';
 import {checkPreset, type Preset} from '@papayaflow/config';
 import {
-	openAnswer, problemOf, readCall, type CallResult,
+	createBodyBuffers, openAnswer, problemOf, readCall, type CallResult,
 } from '@papayaflow/caller';
 
 const {preset} = checkPreset({
@@ -26,6 +26,7 @@
 describe('readCall', () => {
 	let server: Server;
 	let last: CallResult;
+	let bodyBuffers = createBodyBuffers(1_048_576, () => performance.now());
 
 	const send = async ({path = '/v1/chat/completions', method = 'POST', body = chat, headers = {}}: RequestOptions = {}): Promise<CallResult> => {
 		const {port} = server.address() as AddressInfo;
@@ -41,7 +42,7 @@
 
 	before(async () => {
 		server = createServer(async (req, res) => {
-			last = await readCall(req, preset);
+			last = await readCall(req, preset, bodyBuffers.open());
 			res.setHeader('connection', 'close');
 			res.end();
 		});
@@ -78,6 +79,16 @@
 		expect(result.kind === 'call' && result.call.deadlineMs).to.equal(60_000);
 	});
 
+	it('refuses a request whose body there is no room for beside others', async () => {
+		const before = bodyBuffers;
+		bodyBuffers = createBodyBuffers(300, () => performance.now());
+		const result = await send({path: '/ledger/payments', body: 'a'.repeat(200), headers: {'x-request-id': 'r-1'}});
+		expect(result).to.have.property('kind', 'call');
+		expect(await send({path: '/ledger/payments', body: 'a'.repeat(200), headers: {'x-request-id': 'r-2', 'idempotency-key': 'pay-1'}})).to.deep.equal({kind: 'noRoom', requestId: 'r-2', key: 'pay-1'});
+		expect(bodyBuffers.bytes()).to.equal(200);
+		bodyBuffers = before;
+	});
+
 	it('rejects a malformed request with a 4xx status and the reason', async () => {
 		expect(await badDetail({headers: {'x-organisation': 'a b'}})).to.contain('400 x-organisation');
 		expect(await badDetail({headers: {'x-priority': '10'}})).to.contain('400 x-priority');
--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -1,6 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
+import {createBodyBuffers} from '@papayaflow/caller';
 import {
-	createAnswerBuffers, createBodyBuffers, createColdPlacer, createCrashDetector, createExplainer, createFront, createGroupPlacer, createLimitedPlacer, createPlainPlacer, createQuarantinedPlacer,
+	createAnswerBuffers, createColdPlacer, createCrashDetector, createExplainer, createFront, createGroupPlacer, createLimitedPlacer, createPlainPlacer, createQuarantinedPlacer,
 	createTargets, subjectsOf, type PlainChoiceOptions, type StopPlan,
 } from '@papayaflow/direct';
 import {
--- a/packages/cli/src/entry-wiring.ts
+++ b/packages/cli/src/entry-wiring.ts
@@ -1,6 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {createBodyBuffers} from '@papayaflow/caller';
 import {
 	createFollower, followStore, revisionMessage,
 } from '@papayaflow/config';
@@ -13,6 +14,7 @@
 import {
 	createContainment, createLog, createMetrics, serveAdmin,
 } from '@papayaflow/telemetry';
+import {reportHeldBytes} from './held-bytes.js';
 import {
 	abortFlushMs, listen, reportPorts, type RunningProgram,
 } from './program.js';
@@ -75,8 +77,10 @@
 		updateLinks();
 	});
 
+	const limits = resourceLimitsOf(settings);
+	const bodyBuffers = createBodyBuffers(limits.bodyBytes, monotonicMs);
 	const front = createFront({
-		callerLimits: resourceLimitsOf(settings).callers, follower, log, containment, links, metrics, zone, random, monotonicMs, budget: createRetryBudget(), owners: createOwnerCache(),
+		bodyBuffers, callerLimits: limits.callers, follower, log, containment, links, metrics, zone, random, monotonicMs, budget: createRetryBudget(), owners: createOwnerCache(),
 		async sleep(ms) {
 			await sleep(ms);
 		},
@@ -105,7 +109,9 @@
 		links.broadcast(revisionMessage(follower, {monotonicMs}));
 	}, heartbeatIntervalMs).unref();
 	// Retries a configuration pull that got no answer: peers with a newer revision reply to the broadcast, which starts a new pull.
+	const reportHeld = reportHeldBytes(metrics, {bodies: bodyBuffers.bytes});
 	const catchUpTimer = setInterval(() => {
+		reportHeld();
 		if (follower.isBehind()) {
 			links.broadcast(revisionMessage(follower, {monotonicMs}));
 		}
--- a/packages/cli/test/crowd.ts
+++ b/packages/cli/test/crowd.ts
@@ -128,6 +128,9 @@
 }
 
 const longBodyBytes = 4_000_000;
+
+/** Below the limit of presets, which is 1 MB. */
+const presetBodyBytes = 900_000;
 const chunkCount = 200_000;
 const fieldCount = 1800;
 const mebibyte = 1_048_576;
@@ -156,6 +159,9 @@
 	'bodies that stop short of their end': {
 		parts: path => [bytesOf(headOf(path, `content-length: ${longBodyBytes}\r\n`)), Buffer.alloc(longBodyBytes - 1, 'a')],
 	},
+	'bodies of 900 KB that stop short of their end': {
+		parts: path => [bytesOf(headOf(path, `content-length: ${presetBodyBytes}\r\n`)), Buffer.alloc(presetBodyBytes - 1, 'a')],
+	},
 	'bodies in chunks of 64 KB that stop short of their end': {
 		parts: path => [bytesOf(headOf(path, 'transfer-encoding: chunked\r\n')), bytesOf(longChunk.repeat(Math.floor(longBodyBytes / 65_536)))],
 	},
--- a/packages/demo/test/misbehaving-clients.test.ts
+++ b/packages/demo/test/misbehaving-clients.test.ts
@@ -13,13 +13,19 @@
 /** The machine on which the entries of this test run, as in the test of the same name in `cli`. */
 const memoryMb = 200;
 const descriptors = 400;
-const socketDescriptors = descriptors - 200;
+const fileDescriptors = 200;
+const roomyDescriptors = 4200;
 const environment = {PAPAYAFLOW_MEMORY_MB: String(memoryMb), PAPAYAFLOW_MAX_FDS: String(descriptors), NODE_OPTIONS: '--max-old-space-size=96'};
 
 const senders = 40;
 const holders = 300;
+
+/** The clients of a crowd at a machine whose descriptors don't bound what they hold. */
+const roomyHolders = 900;
 const waitMs = 15_000;
 
+const roomyCrowds = ['bodies of 900 KB that stop short of their end', 'requests of very many header fields, sent ahead'] as const satisfies ReadonlyArray<keyof typeof behaviours>;
+
 const crowds = {
 	'bodies that stop short of their end': senders,
 	'bodies in chunks of one byte that stop short of their end': senders,
@@ -78,14 +84,14 @@
 		}
 	}).length;
 
-	const checkCrowd = async (name: keyof typeof crowds): Promise<void> => {
-		const size = crowds[name];
+	const checkCrowd = async (name: keyof typeof behaviours, size: number, maxDescriptors = descriptors): Promise<void> => {
+		process.env.PAPAYAFLOW_MAX_FDS = String(maxDescriptors);
 		const entry = await small.fleet.startEntry(`crowded-${size}-${name.length}`, 'salt-lake');
 		await checkServes(entry);
 		const crowd = gatherCrowd({host: '127.0.0.1', port: entry.port, path: '/ledger/x'}, size, withOrganisation(behaviours[name]));
 		try {
 			await crowd.sent;
-			expect(countSockets(entry), 'sockets while the crowd is connected').to.be.at.most(socketDescriptors);
+			expect(countSockets(entry), 'sockets while the crowd is connected').to.be.at.most(maxDescriptors - fileDescriptors);
 			await checkServes(entry);
 		} finally {
 			crowd.leave();
@@ -99,7 +105,13 @@
 
 	for (const name of Object.keys(crowds) as Array<keyof typeof crowds>) {
 		it(`leave it to others: ${name}`, async () => {
-			await checkCrowd(name);
+			await checkCrowd(name, crowds[name]);
+		}).timeout(60_000);
+	}
+
+	for (const name of roomyCrowds) {
+		it(`leave it to others with many descriptors: ${name}`, async () => {
+			await checkCrowd(name, roomyHolders, roomyDescriptors);
 		}).timeout(60_000);
 	}
 });
--- a/packages/direct/src/front.ts
+++ b/packages/direct/src/front.ts
@@ -4,7 +4,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {
-	beginReading, trackConnections, type Body, type CallerConnections,
+	beginReading, trackConnections, type Body, type BodyBuffers, type BodyBytes, type CallerConnections,
 } from '@papayaflow/caller';
 import {superviseServer, type SupervisionLimits} from '@papayaflow/inbound';
 import {type LossReason, type RefusalReason} from '@papayaflow/outcome';
@@ -14,7 +14,6 @@
 } from '@papayaflow/routing';
 import {reportClosedConnections, type Containment} from '@papayaflow/telemetry';
 import {createCallerAnswer, type CallerAnswer} from './answer.js';
-import {type BodyBuffers, type BodyBytes} from './buffers.js';
 import {maxLoggedParts, type Call} from './call.js';
 import {forward, type ForwardDeps, type ForwardResult} from './forward.js';
 
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -1,5 +1,5 @@
 export {
-	createAnswerBuffers, createBodyBuffers, type AnswerBuffers, type AnswerUse, type BodyBuffers, type BodyBytes, type HeldBytes,
+	createAnswerBuffers, type AnswerBuffers, type AnswerUse, type HeldBytes,
 } from './buffers.js';
 export {isRetryable, type Call} from './call.js';
 export {
--- a/packages/entry/src/front.ts
+++ b/packages/entry/src/front.ts
@@ -3,7 +3,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {
-	openAnswer, readCall, trackConnections, type Answer, type Call, type CallerConnections, type CallResult,
+	openAnswer, readCall, trackConnections, type Answer, type BodyBuffers, type BodyBytes, type Call, type CallerConnections, type CallResult,
 } from '@papayaflow/caller';
 import {findOrganisation, type Follower, type Preset} from '@papayaflow/config';
 import {superviseServer, type SupervisionLimits} from '@papayaflow/inbound';
@@ -14,6 +14,9 @@
 import {forward, isKeyed, type ForwardDeps} from './forward.js';
 
 const noConfigRetryAfterMs = 1000;
+
+/** The retry delay suggested to a caller whose body there was no room for, in milliseconds. Bodies that arrive slowly give way after this time. */
+const noRoomRetryAfterMs = 1000;
 const defaultKeyHeader = 'idempotency-key';
 const maxTrackedOrganisations = 20_000;
 const headersTimeoutMs = 10_000;
@@ -25,6 +28,8 @@
 	readonly follower: Follower;
 	readonly log: Log;
 	readonly containment: Containment;
+	/** Counts the bytes of all bodies, from their arrival until their calls have ended. */
+	readonly bodyBuffers: BodyBuffers;
 	/** What all callers together may hold beside bodies and answers. */
 	readonly callerLimits: SupervisionLimits;
 };
@@ -53,7 +58,7 @@
 	const buckets = new LRUCache<string, Bucket>({max: maxTrackedOrganisations});
 	const inFlightControllers = new Set<AbortController>();
 
-	const handleRequest = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+	const handleRequest = async (req: IncomingMessage, res: ServerResponse, held: BodyBytes): Promise<void> => {
 		const startedMs = deps.monotonicMs();
 		const preset = follower.applied()?.preset;
 		if (!preset) {
@@ -62,17 +67,25 @@
 			return;
 		}
 
-		const read = await readCall(req, preset);
+		const read = await readCall(req, preset, held);
 		if (read.kind === 'bad') {
 			sendBadRequest(res, read, req.headers[preset.idempotency.keyHeader] !== undefined);
 			metrics.count('refusals', {reason: read.reason});
 			return;
 		}
 
+		if (read.kind === 'noRoom') {
+			openAnswer(res, read.requestId).fail(outcomeOfRefusal(read.key !== undefined, {
+				kind: 'notRun', reason: 'overloaded', retryAfterMs: noRoomRetryAfterMs, detail: 'the entry holds as many bytes of bodies as it may',
+			}));
+			metrics.count('refusals', {reason: 'overloaded'});
+			return;
+		}
+
 		const {call} = read;
 		const answer = openAnswer(res, call.requestId);
 		const refusal = checkLimits(call, preset);
-		const result = refusal ? {outcome: outcomeOfRefusal(call, refusal), attempts: 0, target: undefined} : await forwardCall(call, answer, preset, res);
+		const result = refusal ? {outcome: outcomeOfRefusal(isKeyed(call), refusal), attempts: 0, target: undefined} : await forwardCall(call, answer, preset, res);
 		finish(answer, result.outcome, res);
 		countOutcome(result.outcome, deps.monotonicMs() - startedMs);
 		log.info({
@@ -143,11 +156,14 @@
 
 	const server = createServer({maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs}, async (req, res) => {
 		res.on('error', () => undefined);
+		const held = deps.bodyBuffers.open();
 		try {
-			await handleRequest(req, res);
+			await handleRequest(req, res, held);
 		} catch (error) {
 			deps.containment.report('request', error);
 			res.destroy();
+		} finally {
+			held.release();
 		}
 	});
 	superviseServer(server, {
@@ -173,8 +189,8 @@
 }
 
 // For a keyed call `notRun` means that no call with the key has run, and only the owner of the key's shard knows that.
-function outcomeOfRefusal(call: Call, refusal: Refusal): Outcome {
-	return isKeyed(call)
+function outcomeOfRefusal(hasKey: boolean, refusal: Refusal): Exclude<Outcome, {kind: 'answered'}> {
+	return hasKey
 		? {
 			kind: 'unknown', reason: 'notAsked', retryAfterMs: refusal.retryAfterMs, detail: `refused without asking the owner of the key: ${refusal.reason}`,
 		}
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -99,14 +99,14 @@
 		spec: 'experts/test/coordinator.test.ts', test: 'late commit of an old coordinator',
 	},
 	{
-		name: 'all bodies together have a limit', file: 'direct/src/buffers.ts',
+		name: 'all bodies together have a limit', file: 'caller/src/body-buffers.ts',
 		find: 'while (!isReleased && total + bytes > maxTotalBytes) {', replace: 'while (false) {',
-		spec: 'direct/test/buffers.test.ts', test: 'free again when a call has ended',
+		spec: 'caller/test/body-buffers.test.ts', test: 'free again when a call has ended',
 	},
 	{
-		name: 'a slow body gives way to others', file: 'direct/src/buffers.ts',
+		name: 'a slow body gives way to others', file: 'caller/src/body-buffers.ts',
 		find: 'slowest?.arrival.evict();\n\t\treturn slowest !== undefined;', replace: 'return false;',
-		spec: 'direct/test/buffers.test.ts', test: 'the slowest one that has been arriving for a second gives way',
+		spec: 'caller/test/body-buffers.test.ts', test: 'the slowest one that has been arriving for a second gives way',
 	},
 	{
 		name: 'a body that is no longer read takes no memory', file: 'caller/src/body.ts',
@@ -138,6 +138,11 @@
 		find: 'connection.onReadable(ignore);', replace: 'connection.onReadable(() => undefined);',
 		spec: 'direct/test/exchange.test.ts', test: 'keeps no body with a connection that is idle',
 	},
+	{
+		name: 'bodies at an entry with presets count', file: 'caller/src/call.ts',
+		find: 'beginReading(req, maxBytes, held.add)', replace: 'beginReading(req, maxBytes)',
+		spec: 'caller/test/caller.test.ts', test: 'refuses a request whose body there is no room for',
+	},
 	{
 		name: 'the next request of a connection waits for the answer to this one', file: 'inbound/src/paced-reader.ts',
 		find: 'if (state === \'answering\') {', replace: 'if (ahead.length < 0) {',
