Count what is sent ahead by a timer only while there is some; one function for bodies

The check every 100 ms ran in each server of each process, also without any bytes: hundreds of processes of a site would wake for nothing. It is armed by bytes that have to wait, and ends with them.

readBody was only used by tests beside beginReading, so there is one function, readBody, that returns the reading.

--- a/packages/caller/src/body.ts
+++ b/packages/caller/src/body.ts
@@ -31,11 +31,11 @@
 cancelled: Node.js reports neither its end nor that its connection is closed.
 
 @example
-const reading = beginReading(req, 1_048_576);
+const reading = readBody(req, 1_048_576);
 const timer = setTimeout(reading.cancel, 1000);
 const body = await reading.body;
 */
-export function beginReading(req: IncomingMessage, maxBytes: number, reserve: (bytes: number) => boolean = () => true): BodyReading {
+export function readBody(req: IncomingMessage, maxBytes: number, reserve: (bytes: number) => boolean = () => true): BodyReading {
 	const stated = req.headers['content-length'];
 	const expectedBytes = stated === undefined ? undefined : Number(stated);
 	if (expectedBytes !== undefined && expectedBytes > maxBytes) {
@@ -86,16 +86,6 @@
 	};
 }
 
-/**
-Reads a request's body as `beginReading` does, if nothing ends the reading.
-
-@example
-const body = await readBody(req, 1_048_576);
-*/
-export async function readBody(req: IncomingMessage, maxBytes: number, reserve?: (bytes: number) => boolean): Promise<Body> {
-	return beginReading(req, maxBytes, reserve).body;
-}
-
 /** Joins the parts of a body of at most `maxBytes` bytes. A body that comes in one part is not copied. */
 function joinParts(maxBytes: number): {length(): number; add(part: Uint8Array): void; bytes(): Uint8Array; clear(): void} {
 	let buffer: Uint8Array = nothing;
--- a/packages/caller/src/call.ts
+++ b/packages/caller/src/call.ts
@@ -3,7 +3,7 @@
 import {type IncomingMessage} from 'node:http';
 import {lowestPriority, findRoute, type Preset} from '@papayaflow/config';
 import {type BodyBytes} from './body-buffers.js';
-import {beginReading, type Body} from './body.js';
+import {readBody, type Body} from './body.js';
 
 const defaultPriority = 5;
 
@@ -121,7 +121,7 @@
 
 /** Reads a body that gives way to others if it arrives slowly. */
 async function readCountedBody(req: IncomingMessage, maxBytes: number, held: BodyBytes): Promise<Body> {
-	const reading = beginReading(req, maxBytes, held.add);
+	const reading = readBody(req, maxBytes, held.add);
 	held.beginArrival(reading.cancel);
 	const body = await reading.body;
 	held.endArrival();
--- a/packages/caller/src/index.ts
+++ b/packages/caller/src/index.ts
@@ -1,7 +1,7 @@
 export {openAnswer, type Answer} from './answer.js';
 export {createBodyBuffers, type BodyBuffers, type BodyBytes} from './body-buffers.js';
 export {
-	beginReading, readBody, type Body, type BodyReading,
+	readBody, type Body, type BodyReading,
 } from './body.js';
 export {
 	headerNames, readCall, type Call, type CallResult,
--- a/packages/caller/test/body.test.ts
+++ b/packages/caller/test/body.test.ts
@@ -7,7 +7,7 @@
 import {runInNewContext} from 'node:vm';
 import {expect} from 'chai';
 import {describe, it} from 'mocha';
-import {beginReading, readBody, type Body} from '@papayaflow/caller';
+import {readBody, type Body} from '@papayaflow/caller';
 
 const parts = 200_000;
 
@@ -38,7 +38,7 @@
 	it('takes little more memory than its bytes if it comes a byte at a time', async () => {
 		const before = usedBytes();
 		const req = openRequest();
-		const body = readBody(req, 4_194_304);
+		const {body} = readBody(req, 4_194_304);
 		for (let part = 0; part < parts; part++) {
 			req.write(Buffer.from('a'));
 			await setImmediate();
@@ -56,7 +56,7 @@
 	it('takes no memory once it is cancelled, although its request stays open', async () => {
 		const before = usedBytes();
 		const requests = Array.from({length: 10}, () => openRequest());
-		const readings = requests.map(req => beginReading(req, 4_194_304));
+		const readings = requests.map(req => readBody(req, 4_194_304));
 		for (const req of requests) {
 			req.write(Buffer.alloc(2_000_000));
 		}
@@ -75,7 +75,7 @@
 	it('is not kept by its request', async () => {
 		const req = openRequest();
 		const read = async (): Promise<WeakRef<Uint8Array>> => {
-			const body = readBody(req, 4_194_304);
+			const {body} = readBody(req, 4_194_304);
 			req.end(Buffer.alloc(100_000));
 			const result = await body;
 			return new WeakRef((result as Extract<Body, {kind: 'read'}>).bytes);
@@ -94,7 +94,7 @@
 		for (const length of [1, 7, 4096, 16_385, 60_000]) {
 			for (const headers of [{}, {'content-length': String(text.length)}]) {
 				const req = openRequest(headers);
-				const body = readBody(req, 100_000);
+				const {body} = readBody(req, 100_000);
 				for (let at = 0; at < text.length; at += length) {
 					req.write(text.subarray(at, at + length));
 				}
@@ -108,15 +108,15 @@
 
 	it('is given up when there is no room for a part of it, or it is too long', async () => {
 		const refused = openRequest();
-		const noRoom = readBody(refused, 100, () => false);
+		const noRoom = readBody(refused, 100, () => false).body;
 		refused.write('a');
 		expect(await noRoom).to.deep.equal({kind: 'noRoom'});
 		const long = openRequest();
-		const tooLarge = readBody(long, 1);
+		const tooLarge = readBody(long, 1).body;
 		long.write('ab');
 		expect(await tooLarge).to.deep.equal({kind: 'tooLarge'});
 		const left = openRequest();
-		const broken = readBody(left, 100);
+		const broken = readBody(left, 100).body;
 		left.destroy();
 		expect(await broken).to.deep.equal({kind: 'broken'});
 	});
--- a/packages/direct/src/front.ts
+++ b/packages/direct/src/front.ts
@@ -4,7 +4,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {
-	beginReading, trackConnections, type Body, type BodyBuffers, type BodyBytes, type CallerConnections,
+	readBody, trackConnections, type Body, type BodyBuffers, type BodyBytes, type CallerConnections,
 } from '@papayaflow/caller';
 import {superviseServer, type SupervisionLimits} from '@papayaflow/inbound';
 import {type LossReason, type RefusalReason} from '@papayaflow/outcome';
@@ -119,7 +119,7 @@
 	const unreadRequests = new Set<() => void>();
 
 	const readWholeBody = async (req: IncomingMessage, held: BodyBytes, {maxBytes, timeoutMs}: BodyLimits): Promise<Exclude<Body, {kind: 'cancelled'}> | {readonly kind: CancelReason}> => {
-		const reading = beginReading(req, maxBytes, held.add);
+		const reading = readBody(req, maxBytes, held.add);
 		let cancelReason: CancelReason = 'abandoned';
 		const cancel = (reason: CancelReason): void => {
 			cancelReason = reason;
--- a/packages/inbound/src/supervise.ts
+++ b/packages/inbound/src/supervise.ts
@@ -5,7 +5,7 @@
 } from './connection-table.js';
 import {paceReading, type PacedReaderOptions} from './paced-reader.js';
 
-/** How often the bytes that have arrived ahead of their turn are counted if nothing else leads to it, in milliseconds. */
+/** How often the bytes that have arrived ahead of their turn are counted while there are some, in milliseconds. */
 const aheadCheckMs = 100;
 
 /** What all clients of a server together may hold. */
@@ -50,6 +50,7 @@
 */
 export function superviseServer(server: Server, {maxConnections, maxAheadBytes, maxHeadBytes, maxDroppedBytes, monotonicMs, onClosed}: SupervisionOptions): Supervision {
 	const connections = new Map<Socket, Connection>();
+	let timer: NodeJS.Timeout | undefined;
 
 	const aheadBytes = (): number => {
 		let sum = 0;
@@ -62,6 +63,13 @@
 
 	/** Frees bytes that have arrived ahead of their turn if there are too many: those of the connections that hold the most, and more than an equal share. */
 	const limitAhead = (): void => {
+		// A socket that is paused reads once more, without an event.
+		timer ??= setTimeout(() => {
+			timer = undefined;
+			if (aheadBytes() > 0) {
+				limitAhead();
+			}
+		}, aheadCheckMs).unref();
 		while (aheadBytes() > maxAheadBytes) {
 			const largest = chooseLargest(connections.values(), maxAheadBytes / connections.size);
 			if (!largest) {
@@ -106,11 +114,6 @@
 		return true;
 	};
 
-	// A socket that is paused reads once more, without an event.
-	const timer = setInterval(limitAhead, aheadCheckMs).unref();
-	server.once('close', () => {
-		clearInterval(timer);
-	});
 	server.on('connection', (socket: Socket) => {
 		if (connections.size >= maxConnections && !closeOne(connections.values())) {
 			onClosed('full');
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -140,7 +140,7 @@
 	},
 	{
 		name: 'bodies at an entry with presets count', file: 'caller/src/call.ts',
-		find: 'beginReading(req, maxBytes, held.add)', replace: 'beginReading(req, maxBytes)',
+		find: 'readBody(req, maxBytes, held.add)', replace: 'readBody(req, maxBytes)',
 		spec: 'caller/test/caller.test.ts', test: 'refuses a request whose body there is no room for',
 	},
 	{
