Refuse a chat request that is nested too deeply with 400

A caller that sent a legal body of 400 KB whose messages are lists in lists, 200,000 deep, to an entry with presets got no answer: its connection was closed, and the log had an internal error.

Cause: JSON.parse reads such a text, but JSON.stringify, which the estimate of the tokens needs, throws a RangeError. It is now an error of the request. The new test gets no answer before; the process was never at risk, since errors of a request are contained.

--- a/packages/caller/src/call.ts
+++ b/packages/caller/src/call.ts
@@ -153,7 +153,11 @@
 		return `"max_tokens" must be a whole number from 1 to ${maxTokens}`;
 	}
 
-	const prompt = JSON.stringify(messages);
+	const prompt = textOf(messages);
+	if (prompt === undefined) {
+		return '"messages" must not be nested as deeply';
+	}
+
 	const prefix = prompt.slice(0, preset.routing.affinityBytes);
 	return {
 		service: model,
@@ -163,6 +167,15 @@
 	};
 }
 
+/** Returns a value as JSON; `undefined` if it is nested too deeply, as a text that can be parsed may be. */
+function textOf(value: unknown): string | undefined {
+	try {
+		return JSON.stringify(value);
+	} catch {
+		return undefined;
+	}
+}
+
 function classifyByRoute(method: string, path: string, body: Uint8Array, preset: Preset): Classification | string {
 	const route = findRoute(preset, method, path);
 	return route
--- a/packages/caller/test/caller.test.ts
+++ b/packages/caller/test/caller.test.ts
@@ -26,6 +26,7 @@
 describe('readCall', () => {
 	let server: Server;
 	let last: CallResult;
+	let inForce = preset;
 	let bodyBuffers = createBodyBuffers(1_048_576, () => performance.now());
 
 	const send = async ({path = '/v1/chat/completions', method = 'POST', body = chat, headers = {}}: RequestOptions = {}): Promise<CallResult> => {
@@ -42,7 +43,7 @@
 
 	before(async () => {
 		server = createServer(async (req, res) => {
-			last = await readCall(req, preset, bodyBuffers.open());
+			last = await readCall(req, inForce, bodyBuffers.open());
 			res.setHeader('connection', 'close');
 			res.end();
 		});
@@ -79,6 +80,16 @@
 		expect(result.kind === 'call' && result.call.deadlineMs).to.equal(60_000);
 	});
 
+	// Guards against requests that are ended without an answer: a text that can be parsed may be too deep to be written again.
+	it('rejects messages that are nested too deeply', async () => {
+		const depth = 200_000;
+		const before = inForce;
+		inForce = {...preset, limits: {...preset.limits, maxBodyBytes: 1_048_576}};
+		const body = `{"model":"notice-drafting","messages":[${'['.repeat(depth)}${']'.repeat(depth)}]}`;
+		expect(await badDetail({body})).to.equal('400 "messages" must not be nested as deeply');
+		inForce = before;
+	});
+
 	it('refuses a request whose body there is no room for beside others', async () => {
 		const before = bodyBuffers;
 		bodyBuffers = createBodyBuffers(300, () => performance.now());
