--- a/packages/inbound/src/paced-reader.ts
+++ b/packages/inbound/src/paced-reader.ts
@@ -165,7 +165,11 @@
 		ahead = nothing;
 		hold();
 		if (openAnswers.size === 0) {
-			socket.end(reason === 'heads' ? headRefusal : '');
+			if (reason === 'heads') {
+				socket.write(headRefusal);
+			}
+
+			socket.end();
 		}
 	};
 
