Count an answer as unread from when it was written

A caller of a slow call could lose its answer as it was written: when another client needed the place, a connection counted as unread for as long as its request had been running, so a call of 1.2 s whose answer had just been written gave way at once. The call had run; the caller did not learn it.

Cause: the age of the connection's state was compared with the second that answers have, and the state begins with the request. The age now begins anew when an answer has been written whole, as the documents said. The new test closes the slow caller's connection in place of the new one without this.

--- a/packages/inbound/src/connection-table.ts
+++ b/packages/inbound/src/connection-table.ts
@@ -25,7 +25,7 @@
 	readonly reader: PacedReader;
 	/** The requests that it has sent so far. */
 	requests: number;
-	/** When its state last changed, in milliseconds of the monotonic clock. */
+	/** When its state last changed, or its present answer was written whole, in milliseconds of the monotonic clock. */
 	sinceMs: number;
 };
 
--- a/packages/inbound/src/paced-reader.ts
+++ b/packages/inbound/src/paced-reader.ts
@@ -68,7 +68,7 @@
 	readonly hasRoomForHead: () => boolean;
 	/** Returns the most bytes of a body that are read and dropped after its request was answered; `undefined` if the server does not know how long a body may be, for 1 MB. */
 	readonly maxDroppedBytes: () => number | undefined;
-	/** Called when the state changes. */
+	/** Called when the state changes, and when an answer has been written whole. */
 	readonly onState: () => void;
 	/** Called when the connection is closed because there is no room for a head or for what it has sent ahead, or because the rest of a refused request does not end. */
 	readonly onClosing: (reason: ClosingReason) => void;
@@ -346,6 +346,8 @@
 			latest = {req, bodyBytesLeft: length === undefined ? undefined : Number(length)};
 			openAnswers.add(res);
 			droppedBytes = 0;
+			// From here on, what keeps the answer is its reader.
+			res.once('prefinish', onState);
 			res.once('close', () => {
 				onAnswered(res);
 			});
--- a/packages/inbound/test/supervise.test.ts
+++ b/packages/inbound/test/supervise.test.ts
@@ -386,4 +386,25 @@
 		await until(() => next.text().includes('ok'));
 		expect(closed).to.deep.equal(['idle']);
 	});
+
+	// Guards against answers of slow requests that are lost as they are written, because their connections count as unread since their requests arrived.
+	it('closes a connection whose answer is not read only when it has been unread for a second', async () => {
+		let waiting: ServerResponse | undefined;
+		await start((_req, res) => {
+			waiting = res;
+		}, {maxConnections: 1});
+		const slow = await open();
+		slow.socket.pause();
+		slow.socket.write(toRequest({path: 1, body: '', framing: 'none'}));
+		await until(() => waiting !== undefined);
+		await sleep(1200);
+		waiting!.end(Buffer.alloc(16_777_216));
+		const early = await open();
+		await once(early.socket, 'close');
+		expect(closed).to.deep.equal(['full']);
+		await sleep(1200);
+		await open();
+		await until(() => closed.length === 2);
+		expect(closed).to.deep.equal(['full', 'unread']);
+	});
 });
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -163,6 +163,11 @@
 		find: 'while (headBytes() > maxHeadBytes) {', replace: 'while (headBytes() < 0) {',
 		spec: 'inbound/test/supervise.test.ts', test: 'refuses a large head that there is no room for',
 	},
+	{
+		name: 'an answer is unread from when it was written', file: 'inbound/src/paced-reader.ts',
+		find: 'res.once(\'prefinish\', onState);', replace: '',
+		spec: 'inbound/test/supervise.test.ts', test: 'only when it has been unread for a second',
+	},
 	{
 		name: 'a new connection replaces one that is not served', file: 'inbound/src/supervise.ts',
 		find: 'if (connections.size >= maxConnections && !closeOne', replace: 'if (connections.size < 0 && !closeOne',
