--- a/packages/demo/test/misbehaving-clients.test.ts
+++ b/packages/demo/test/misbehaving-clients.test.ts
@@ -1,5 +1,8 @@
 import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
 import {readdirSync, readFileSync, readlinkSync} from 'node:fs';
+import {createServer, type Server} from 'node:http';
+import {type AddressInfo} from 'node:net';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
@@ -7,7 +10,7 @@
 	after, before, describe, it,
 } from 'mocha';
 import {behaviours, gatherCrowd, type Behaviour} from '../../cli/test/crowd.js';
-import {startSmallFleet, type SmallFleet} from './helper.js';
+import {startSmallFleet, testPreset, type SmallFleet} from './helper.js';
 import {ask, type FleetProcess} from '@papayaflow/demo';
 
 /** The machine on which the entries of this test run, as in the test of the same name in `cli`. */
@@ -24,7 +27,9 @@
 const roomyHolders = 900;
 const waitMs = 15_000;
 
-const roomyCrowds = ['bodies of 900 KB that stop short of their end', 'requests of very many header fields, sent ahead'] as const satisfies ReadonlyArray<keyof typeof behaviours>;
+const longAnswer = Buffer.alloc(3_000_000, 'a');
+
+const roomyCrowds = ['bodies of 900 KB that stop short of their end', 'requests of very many header fields, sent ahead', 'requests whose answers are not read'] as const satisfies ReadonlyArray<keyof typeof behaviours>;
 
 const crowds = {
 	'bodies that stop short of their end': senders,
@@ -46,16 +51,33 @@
 // Guards against clients that end or fill an entry that is run by presets.
 describe('clients that don\'t behave, at an entry with presets', () => {
 	let small: SmallFleet;
+	let target: Server;
 	const inherited = {...process.env};
 
 	before(async () => {
 		Object.assign(process.env, environment);
-		small = await startSmallFleet();
+		small = await startSmallFleet({
+			long: {
+				...testPreset, services: {...testPreset.services, long: {kind: 'plain', concurrency: 100, queueLimit: 1000}},
+				routes: [...testPreset.routes, {
+					methods: ['GET'], pathPrefix: '/long/', service: 'long', idempotent: true,
+				}],
+			},
+		});
+		target = createServer((_req, res) => {
+			res.end(longAnswer);
+		});
+		target.listen(0, '127.0.0.1');
+		await once(target, 'listening');
+		const {port} = target.address() as AddressInfo;
+		await small.fleet.startSidecar('long-1', 'salt-lake', {service: 'long', target: {...small.plainTargets[0], id: 'long', port}});
 	});
 
 	after(async () => {
 		process.env = inherited;
 		await small.fleet.stop();
+		target.closeAllConnections();
+		target.close();
 	});
 
 	const checkServes = async ({child, port, adminPort}: FleetProcess): Promise<void> => {
@@ -88,7 +110,7 @@
 		process.env.PAPAYAFLOW_MAX_FDS = String(maxDescriptors);
 		const entry = await small.fleet.startEntry(`crowded-${size}-${name.length}`, 'salt-lake');
 		await checkServes(entry);
-		const crowd = gatherCrowd({host: '127.0.0.1', port: entry.port, path: '/ledger/x'}, size, withOrganisation(behaviours[name]));
+		const crowd = gatherCrowd({host: '127.0.0.1', port: entry.port, path: name === 'requests whose answers are not read' ? '/long/x' : '/ledger/x'}, size, withOrganisation(behaviours[name]));
 		try {
 			await crowd.sent;
 			expect(countSockets(entry), 'sockets while the crowd is connected').to.be.at.most(maxDescriptors - fileDescriptors);
