End a request at once when a part of its body is dropped

A caller whose body came in small chunks, while others had sent too much ahead, could have a part of it dropped for lack of room, and was answered only at its deadline, although it could not be served any more: the connection was to close after its present answer, and the answer waited for the rest of the body.

Its connection is closed at once; the request has not run, since its body was not whole. The new test waits for ever without this.

--- a/packages/inbound/src/paced-reader.ts
+++ b/packages/inbound/src/paced-reader.ts
@@ -55,7 +55,7 @@
 	isUnread(): boolean;
 	/** Whether `shed` can still free bytes. */
 	canShed(): boolean;
-	/** Drops what has arrived ahead of its turn, and closes the connection after its present answer; at once if it is closing and has been answered. */
+	/** Drops what has arrived ahead of its turn, and closes the connection: after its present answer, or at once if it has been answered or a part of its present body is dropped. */
 	shed(): void;
 	/** To be called with each request that the HTTP server emits for this connection. */
 	onRequest(req: IncomingMessage, res: ServerResponse): void;
@@ -344,8 +344,13 @@
 		shed() {
 			if (isClosing) {
 				socket.destroy();
-			} else {
-				close('ahead');
+				return;
+			}
+
+			const dropsBody = state === 'body';
+			close('ahead');
+			if (dropsBody) {
+				socket.destroy();
 			}
 		},
 		headBytes: () => Math.max(0, headCost - ordinaryHeadBytes),
--- a/packages/inbound/test/supervise.test.ts
+++ b/packages/inbound/test/supervise.test.ts
@@ -313,6 +313,22 @@
 		await until(() => supervision.headBytes() < 75_000);
 	});
 
+	// Guards against requests that wait until their deadlines for the rest of their bodies, which has been dropped.
+	it('ends a request at once when its body is dropped for lack of room', async () => {
+		let hasEnded = false;
+		await start(req => {
+			req.resume();
+			req.once('close', () => {
+				hasEnded = true;
+			});
+		}, {maxAheadBytes: 10_000});
+		const {socket} = await open();
+		socket.write(`POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n${'1\r\na\r\n'.repeat(8000)}`);
+		await once(socket, 'close');
+		await until(() => hasEnded);
+		expect(closed).to.deep.equal(['ahead']);
+	});
+
 	it('drops the fields after a body', async () => {
 		let trailers: unknown;
 		await start(async (req, res) => {
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -168,6 +168,11 @@
 		find: 'res.once(\'prefinish\', onState);', replace: '',
 		spec: 'inbound/test/supervise.test.ts', test: 'only when it has been unread for a second',
 	},
+	{
+		name: 'a request whose body is dropped ends at once', file: 'inbound/src/paced-reader.ts',
+		find: 'if (dropsBody) {', replace: 'if (dropsBody && socket.destroyed) {',
+		spec: 'inbound/test/supervise.test.ts', test: 'ends a request at once when its body is dropped',
+	},
 	{
 		name: 'the fields after a body are dropped', file: 'inbound/src/paced-reader.ts',
 		find: 'latest.req.rawTrailers = [];\n\t\t\tlatest.req.trailers = {};', replace: '',
