Give the sidecars of a test's site a port below the ephemeral ones

The port was one that the operating system gives to listeners on port 0, and each sidecar listens on one of those too, for its metrics, on the same host: suspected is that it was given the same one. The port is now below them.

--- a/packages/cli/test/site.ts
+++ b/packages/cli/test/site.ts
@@ -298,19 +298,23 @@
 	throw new Error('the site was not ready in time');
 }
 
+/** The ports from which those of sidecars are taken. */
+const firstPort = 20_000;
+const lastPort = 29_999;
+let nextPort = firstPort;
+
 /** A loopback address that no other test process uses, so that all sidecars of a site can have the same port. */
 function loopbackHost(index: number): string {
 	const octets = 254;
 	return `127.${1 + (Math.floor(process.pid / octets) % octets)}.${1 + (process.pid % octets)}.${index}`;
 }
 
-/** Finds a port that is free on all hosts. */
-async function findFreePort([host, ...others]: readonly string[]): Promise<number> {
-	const server = createServer();
-	const port = await listenOn(server, host);
-	const isFree = await Promise.all(others.map(async other => isPortFree(other, port)));
-	server.close();
-	return isFree.every(Boolean) ? port : findFreePort([host, ...others]);
+/** Finds a port that is free on all hosts, below those that the operating system gives to listeners on port 0: a sidecar listens on one of them too, on the same host. */
+async function findFreePort(hosts: readonly string[]): Promise<number> {
+	nextPort = nextPort < lastPort ? nextPort + 1 : firstPort;
+	const port = nextPort;
+	const isFree = await Promise.all(hosts.map(async host => isPortFree(host, port)));
+	return isFree.every(Boolean) ? port : findFreePort(hosts);
 }
 
 async function isPortFree(host: string, port: number): Promise<boolean> {
