Sum what connections hold in one loop, and put a comment back at its code

Two loops over the connections differed in what they add up. The comment on configuration pulls had come to stand above the report of held bytes. One test is named by what it closes and why.

--- a/packages/cli/src/entry-wiring.ts
+++ b/packages/cli/src/entry-wiring.ts
@@ -108,10 +108,10 @@
 	const heartbeatTimer = setInterval(() => {
 		links.broadcast(revisionMessage(follower, {monotonicMs}));
 	}, heartbeatIntervalMs).unref();
-	// Retries a configuration pull that got no answer: peers with a newer revision reply to the broadcast, which starts a new pull.
 	const reportHeld = reportHeldBytes(metrics, {bodies: bodyBuffers.bytes});
 	const catchUpTimer = setInterval(() => {
 		reportHeld();
+		// Retries a configuration pull that got no answer: peers with a newer revision reply to the broadcast, which starts a new pull.
 		if (follower.isBehind()) {
 			links.broadcast(revisionMessage(follower, {monotonicMs}));
 		}
--- a/packages/inbound/src/supervise.ts
+++ b/packages/inbound/src/supervise.ts
@@ -3,7 +3,7 @@
 import {
 	chooseLargest, chooseVictim, type CloseReason, type Connection,
 } from './connection-table.js';
-import {paceReading, type PacedReaderOptions} from './paced-reader.js';
+import {paceReading, type PacedReader, type PacedReaderOptions} from './paced-reader.js';
 
 /** How often the bytes that have arrived ahead of their turn are counted while there are some, in milliseconds. */
 const aheadCheckMs = 100;
@@ -52,15 +52,18 @@
 	const connections = new Map<Socket, Connection>();
 	let timer: NodeJS.Timeout | undefined;
 
-	const aheadBytes = (): number => {
+	const sumOf = (bytesOf: (reader: PacedReader) => number): number => {
 		let sum = 0;
 		for (const {reader} of connections.values()) {
-			sum += reader.aheadBytes();
+			sum += bytesOf(reader);
 		}
 
 		return sum;
 	};
 
+	const aheadBytes = (): number => sumOf(reader => reader.aheadBytes());
+	const headBytes = (): number => sumOf(reader => reader.headBytes());
+
 	/** Frees bytes that have arrived ahead of their turn if there are too many: those of the connections that hold the most, and more than an equal share. */
 	const limitAhead = (): void => {
 		// A socket that is paused reads once more, without an event.
@@ -80,15 +83,6 @@
 		}
 	};
 
-	const headBytes = (): number => {
-		let sum = 0;
-		for (const {reader} of connections.values()) {
-			sum += reader.headBytes();
-		}
-
-		return sum;
-	};
-
 	/** Closes the connection of those given that is the least likely to be served; returns `false` if none can give way. */
 	const closeOne = (candidates: Iterable<Connection>): boolean => {
 		const victim = chooseVictim(candidates, monotonicMs());
--- a/packages/inbound/test/supervise.test.ts
+++ b/packages/inbound/test/supervise.test.ts
@@ -262,7 +262,7 @@
 		expect(new Set(closed)).to.deep.equal(new Set(['ahead']));
 	});
 
-	// Guards against heads of very many fields, each of which takes ten times its bytes for as long as its request runs.
+	// Guards against heads of very many fields, each of which takes many times its bytes for as long as its request runs.
 	it('refuses a large head that there is no room for beside those of running requests, and serves ordinary ones', async () => {
 		const waiting: ServerResponse[] = [];
 		await start((req, res) => {
@@ -294,7 +294,7 @@
 		await until(() => waiting.length === 3);
 	});
 
-	it('closes a large head that stops half-way for another one', async () => {
+	it('closes the connection of a large head that stops half-way when another large head needs its memory', async () => {
 		let requests = 0;
 		await start((_req, res) => {
 			requests++;
