Disarm each rank from the version that it reports

Cause: resolvePass read the state of each rank and then sent all of them the same abort, of the newest version that any rank knew. Ranks that an earlier abort had not reached stayed armed for an older version; a disarm of another version succeeds without effect, and armed ranks refuse every prepare. Each new token raised the version of the others and changed nothing else.

Each rank is now disarmed from the version that it reports, until it reports that it is not armed and has prepared a version above all that were seen. By the same search from arbitrary states: ranks that are all armed in an idle group were waited for without an end; ranks armed while nobody held the group were not held before they were disarmed; a rank that copies a later version refused the abort; a map that could not be read kept any switch from being resolved. What can't be resolved is logged with the state of each rank.

--- a/packages/experts/src/pass-switch.ts
+++ b/packages/experts/src/pass-switch.ts
@@ -33,9 +33,9 @@
 	readonly nowMs: () => number;
 	readonly sleep: (ms: number) => Promise<void>;
 	/**
-	Time limit for the abort of a switch and for the release of a held group, in
-	milliseconds each. When it runs out, the group stays held until the next
-	`resolvePass`.
+	Time limit for the abort of a switch, for the release of a held group and for
+	`resolvePass`, in milliseconds each. When it runs out, the group stays held until the
+	next `resolvePass`.
 	*/
 	readonly decideTimeoutMs: number;
 	/** Whether this coordinator should start no further work. A switch that already holds the group is still completed or aborted. */
@@ -46,7 +46,8 @@
 Outcome of a switch. `switched`: every rank uses the map from `pass` on.
 `abandoned`: no rank will use the map. `superseded`: another coordinator has a higher
 fencing token, or the group has a new formation. `stuck`: the outcome could not be
-confirmed by every rank, and the group may still be held; call `resolvePass`.
+confirmed by every rank, and the group may still be held; call `resolvePass`. Its `at`
+names the phase that could not be ended.
 
 `preparedMs` is the duration of the prepare phase, and `heldMs` the time from the hold
 of the group to its release.
@@ -55,7 +56,7 @@
 	= | {readonly kind: 'switched'; readonly pass: number; readonly preparedMs: number; readonly heldMs: number}
 		| {readonly kind: 'abandoned'; readonly at: 'prepare' | 'hold' | 'arm'}
 		| {readonly kind: 'superseded'}
-		| {readonly kind: 'stuck'};
+		| {readonly kind: 'stuck'; readonly at: 'abort' | 'release'};
 
 type PhaseResult = 'done' | 'failed' | 'superseded';
 
@@ -98,87 +99,194 @@
 			? {
 				kind: 'switched', pass, preparedMs, heldMs: options.nowMs() - heldAtMs,
 			}
-			: {kind: 'stuck'};
+			: {kind: 'stuck', at: 'release'};
 	}
 
-	const abortResult = await abortOnAllRanks(version, current, options);
+	const deadlineMs = options.nowMs() + options.decideTimeoutMs;
+	const abortResult = await sealAllRanks({
+		newestVersion: version, map: current, deadlineMs, armedVersion: () => version,
+	}, options);
 	if (abortResult !== 'done') {
-		return abortResult === 'superseded' ? {kind: 'superseded'} : {kind: 'stuck'};
+		return abortResult === 'superseded' ? {kind: 'superseded'} : {kind: 'stuck', at: 'abort'};
 	}
 
 	const isReleased = await releaseGroup(pass, options);
-	return isReleased ? {kind: 'abandoned', at: 'arm'} : {kind: 'stuck'};
+	return isReleased ? {kind: 'abandoned', at: 'arm'} : {kind: 'stuck', at: 'release'};
 }
 
 /**
 Outcome of `resolvePass`. `superseded`: another coordinator has a higher fencing token,
-the group has a new formation, or this coordinator was stopped. `unreachable`: a rank
-did not answer, so the switch may still be unfinished.
+the group has a new formation, or this coordinator was stopped. `unresolved`: the ranks
+could not all be brought to the state that `clear` describes, so the switch may still be
+unfinished; `at` names the phase that could not be ended and `views` contains the last
+known state of each rank.
 */
 export type ResolveResult
 	/** The group is not held and no rank is armed. The next switch must use a version above `newestVersion` and hold a pass after `held`. */
 	= | {readonly kind: 'clear'; readonly newestVersion: number; readonly held: number}
 		| {readonly kind: 'superseded'}
-		| {readonly kind: 'unreachable'};
+		| {readonly kind: 'unresolved'; readonly at: 'fence' | 'read' | 'map' | 'abort' | 'release'; readonly views: ReadonlyArray<RankView | undefined>};
 
 /**
-Completes or aborts the switch that an earlier coordinator left unfinished, or a
-switch of this coordinator that ended as `stuck`. The fencing token must not have been
-used before.
+Completes or aborts the switches that earlier coordinators left unfinished, or a switch
+of this coordinator that ended as `stuck`. The fencing token must not have been used
+before. `readMap` reads the map of a version in use, which an abort prepares again;
+`undefined` while it can't be read.
 
 Every rank accepts the new token first, so that no earlier command can change the
-states of the ranks after they have been read. If every rank is armed for the held pass,
-the group is released and the switch takes effect. Otherwise the switch is aborted on
-every rank before the group is released.
+states of the ranks after they have been read. If every rank is armed for the same
+version and pass, the group is released and the switch takes effect. Otherwise every
+rank is disarmed, whichever version it is armed for, before the group is released. Ranks
+that are armed while nobody holds the group are held first.
 
 @example
-const resolved = await resolvePass(current, options);
+const resolved = await resolvePass(async () => current, options);
 */
-export async function resolvePass(current: LayeredMap, options: PassSwitchOptions): Promise<ResolveResult> {
+export async function resolvePass(readMap: (version: number) => Promise<LayeredMap | undefined>, options: PassSwitchOptions): Promise<ResolveResult> {
 	// Until every rank has accepted the token, an older command may still change the states to be read. (pass-switch.pml: fenceFirst)
 	const fenceResult = await fenceAllRanks(options);
 	if (fenceResult !== 'done') {
-		return fenceResult === 'superseded' ? {kind: 'superseded'} : {kind: 'unreachable'};
+		return fenceResult === 'superseded' ? {kind: 'superseded'} : {kind: 'unresolved', at: 'fence', views: await readAllViews(options)};
 	}
 
 	let lastHeldPass = 0;
+	let lastBegunPass = -1;
+	let progressedMs = options.nowMs();
+	let isAborting = false;
+	let phase: 'map' | 'release' = 'release';
 	while (!options.isStopped()) {
 		const views = await readAllViews(options);
-		if (!views) {
-			return {kind: 'unreachable'};
+		if (!isComplete(views)) {
+			return {kind: 'unresolved', at: 'read', views};
 		}
 
 		if (views.some(view => view.formation !== options.formation)) {
 			return {kind: 'superseded'};
 		}
 
-		const newest = Math.max(...views.map(view => Math.max(view.mapVersion, view.prepared ?? 0, view.armed?.version ?? 0)));
-		const armed = views.find(view => view.armed)?.armed;
-		const holder = views.find(view => view.held !== undefined);
-		if (!holder && !armed) {
-			return {kind: 'clear', newestVersion: newest, held: lastHeldPass};
+		const assessment = assessViews(views);
+		const {newestVersion, holders, earliestArmedPass} = assessment;
+		if (assessment.begunPass > lastBegunPass) {
+			lastBegunPass = assessment.begunPass;
+			progressedMs = options.nowMs();
+		}
+
+		const waitedMs = options.nowMs() - progressedMs;
+		const step = chooseStep(assessment, {isAborting, isIdle: waitedMs >= options.decideTimeoutMs / 2});
+		if (step === 'none') {
+			return {kind: 'clear', newestVersion, held: lastHeldPass};
+		}
+
+		if (waitedMs >= options.decideTimeoutMs) {
+			return {kind: 'unresolved', at: phase, views};
 		}
 
-		if (!holder) {
-			// The group has been released, so every rank is armed. The ranks switch when new work starts the pass.
+		lastHeldPass = Math.max(lastHeldPass, ...holders.map(({pass}) => pass));
+		isAborting ||= step === 'hold' || step === 'abort';
+		if (step === 'hold') {
+			await holdAtHolder(earliestArmedPass!, views[options.holder].held, options);
+			continue;
+		}
+
+		const map = step === 'abort' ? await readMap(assessment.mapVersion) : undefined;
+		phase = step === 'abort' && !map ? 'map' : 'release';
+		if (step === 'wait' || phase === 'map') {
 			await options.sleep(pollIntervalMs);
 			continue;
 		}
 
-		const pass = holder.held!;
-		lastHeldPass = Math.max(lastHeldPass, pass);
-		const isUnanimous = armed !== undefined && views.every(view => isArmed(view, armed.version, pass));
-		const abortResult = isUnanimous ? 'done' : await abortOnAllRanks(newest, current, options);
+		const abortResult = map
+			? await sealAllRanks({
+				newestVersion, map, deadlineMs: progressedMs + options.decideTimeoutMs, armedVersion: rank => views[rank].armed?.version,
+			}, options)
+			: 'done';
 		if (abortResult !== 'done') {
-			return abortResult === 'superseded' ? {kind: 'superseded'} : {kind: 'unreachable'};
+			return abortResult === 'superseded' ? {kind: 'superseded'} : {kind: 'unresolved', at: 'abort', views: await readAllViews(options)};
 		}
 
-		await options.ranks.order(holder.rank, withFencing({kind: 'release', pass}, options));
+		await releaseAll(holders, options);
 	}
 
 	return {kind: 'superseded'};
 }
 
+/**
+The next step of a resolution: `none` if there is nothing to resolve, `wait` until the
+ranks switch, `hold` the group before the earliest pass for which a rank is armed, `abort`
+the switches, or `release` the group.
+*/
+type ResolveStep = 'none' | 'wait' | 'hold' | 'abort' | 'release';
+
+function chooseStep(
+	{holders, earliestArmedPass, isUnanimous, isHeldInTime}: Assessment,
+	{isAborting, isIdle}: {readonly isAborting: boolean; readonly isIdle: boolean},
+): ResolveStep {
+	const isHeld = holders.length > 0;
+	if (!isHeld && earliestArmedPass === undefined) {
+		return 'none';
+	}
+
+	// Ranks that are all armed for one pass switch when work starts it. If none comes, the switch is aborted. (pass-resolve.pml: idleEnd)
+	if (isUnanimous && !isAborting && (isHeld || !isIdle)) {
+		return isHeld ? 'release' : 'wait';
+	}
+
+	// If the pass began while only some ranks were disarmed, it would begin with two maps. (pass-resolve.pml: heldFirst)
+	return earliestArmedPass === undefined || isHeldInTime ? 'abort' : 'hold';
+}
+
+/** What the states of all ranks say together. */
+type Assessment = {
+	/** The highest version that any rank knows. */
+	readonly newestVersion: number;
+	/** The highest version in use. */
+	readonly mapVersion: number;
+	/** The last pass that has begun. */
+	readonly begunPass: number;
+	/** The ranks that hold the group, and the pass that each holds. */
+	readonly holders: ReadonlyArray<{readonly rank: number; readonly pass: number}>;
+	/** The earliest pass for which a rank is armed; `undefined` if none is. */
+	readonly earliestArmedPass: number | undefined;
+	/** Whether all ranks are armed for the same version and pass. */
+	readonly isUnanimous: boolean;
+	/** Whether no pass for which a rank is armed can begin until a hold is released. */
+	readonly isHeldInTime: boolean;
+};
+
+function assessViews(views: readonly RankView[]): Assessment {
+	const holders = views.flatMap(({rank, held}) => held === undefined ? [] : [{rank, pass: held}]);
+	const armed = views.flatMap(view => view.armed ?? []);
+	const [first] = armed;
+	const earliestArmedPass = armed.length === 0 ? undefined : Math.min(...armed.map(({pass}) => pass));
+	return {
+		newestVersion: Math.max(...views.map(view => Math.max(view.mapVersion, view.prepared ?? 0, view.armed?.version ?? 0))),
+		mapVersion: Math.max(...views.map(view => view.mapVersion)),
+		begunPass: Math.max(...views.map(({pass}) => pass)),
+		holders,
+		earliestArmedPass,
+		isUnanimous: armed.length === views.length && armed.every(({version, pass}) => version === first.version && pass === first.pass),
+		isHeldInTime: holders.some(({pass}) => earliestArmedPass === undefined || pass <= earliestArmedPass),
+	};
+}
+
+async function releaseAll(holders: Assessment['holders'], options: PassSwitchOptions): Promise<void> {
+	const results = await Promise.all(holders.map(async ({rank, pass}) => options.ranks.order(rank, withFencing({kind: 'release', pass}, options))));
+	if (results.some(result => result !== 'obeyed')) {
+		await options.sleep(pollIntervalMs);
+	}
+}
+
+/** Makes the holder hold the group before `pass`. A rank holds one pass at a time, so the one that it holds already is released first. */
+async function holdAtHolder(pass: number, heldPass: number | undefined, options: PassSwitchOptions): Promise<void> {
+	if (heldPass !== undefined) {
+		await options.ranks.order(options.holder, withFencing({kind: 'release', pass: heldPass}, options));
+	}
+
+	if (await options.ranks.order(options.holder, withFencing({kind: 'hold', pass}, options)) !== 'obeyed') {
+		await options.sleep(pollIntervalMs);
+	}
+}
+
 /**
 Prepares a map on every rank and waits until each has copied its experts. Sets
 `replies.hasMissing` when the result of a command is unknown.
@@ -233,31 +341,46 @@
 	return 'failed';
 }
 
+type SealOptions = {
+	/** The highest version that any rank knows. */
+	readonly newestVersion: number;
+	/** The map in use, which is prepared again. */
+	readonly map: LayeredMap;
+	readonly deadlineMs: number;
+	/** The version that a rank is armed for, as far as it is known. */
+	readonly armedVersion: (rank: number) => number | undefined;
+};
+
 /**
-Aborts a switch on every rank: disarms the rank and prepares the map in use under a
-higher version, so that a late arm command for `version` has no effect.
+Disarms every rank and prepares the map in use under a version above `newestVersion`, so
+that a late arm command for any version up to that one has no effect. A rank is disarmed
+from the version that it reports, since the ranks may be armed for different ones, and a
+command that disarms another version succeeds without effect.
 */
-async function abortOnAllRanks(version: number, current: LayeredMap, options: PassSwitchOptions): Promise<PhaseResult> {
-	const deadlineMs = options.nowMs() + options.decideTimeoutMs;
+async function sealAllRanks({newestVersion, map, deadlineMs, armedVersion}: SealOptions, options: PassSwitchOptions): Promise<PhaseResult> {
 	const results = await Promise.all(rankIndexes(options).map(async (rank): Promise<PhaseResult> => {
+		let armed = armedVersion(rank);
+		let sealDistance = 1;
+		let isAccepted = false;
 		while (options.nowMs() < deadlineMs) {
-			const disarmReply = await options.ranks.command(rank, withFencing({kind: 'disarm', version}, options));
-			if (disarmReply.result === 'fenced' || isOtherFormation(disarmReply.view, options)) {
+			const command: PassCommand = armed === undefined ? {kind: 'prepare', version: newestVersion + sealDistance, map} : {kind: 'disarm', version: armed};
+			const {result, view} = await options.ranks.command(rank, withFencing(command, options));
+			if (result === 'fenced' || isOtherFormation(view, options)) {
 				return 'superseded';
 			}
 
-			const prepareReply = await options.ranks.command(rank, withFencing({kind: 'prepare', version: version + 1, map: current}, options));
-			const {view} = prepareReply;
-			if (view && view.armed === undefined && (view.prepared ?? 0) > version) {
+			if (view && isSealed(view, newestVersion)) {
 				return 'done';
 			}
 
-			// The held pass has begun with this map on every rank before the rank could be disarmed, so there is nothing to abort.
-			if (view?.mapVersion === version) {
-				return 'done';
+			const wasArmed = armed !== undefined;
+			armed = view ? view.armed?.version : armed;
+			isAccepted ||= command.kind === 'prepare' && result === 'obeyed';
+			// A rank doesn't report the version that it is copying, and refuses every lower one.
+			sealDistance *= command.kind === 'prepare' && result === 'refused' && armed === undefined && !isAccepted ? 2 : 1;
+			if (wasArmed === (armed !== undefined)) {
+				await options.sleep(pollIntervalMs);
 			}
-
-			await options.sleep(pollIntervalMs);
 		}
 
 		return 'failed';
@@ -265,6 +388,11 @@
 	return worstResult(results);
 }
 
+/** Whether no command for a version up to `newestVersion` can arm the rank any more. */
+function isSealed(view: RankView, newestVersion: number): boolean {
+	return view.armed === undefined && ((view.prepared ?? 0) > newestVersion || view.mapVersion >= newestVersion);
+}
+
 /**
 Establishes the fencing token on every rank, which then rejects commands with lower
 tokens. The command that carries the token releases pass 0. That pass is never held, so
@@ -330,9 +458,12 @@
 	return armed.every(Boolean);
 }
 
-async function readAllViews({ranks}: PassSwitchOptions): Promise<readonly RankView[] | undefined> {
-	const views = await Promise.all(Array.from({length: ranks.count}, async (_, rank) => ranks.readView(rank)));
-	return views.every(view => view !== undefined) ? views : undefined;
+async function readAllViews({ranks}: PassSwitchOptions): Promise<ReadonlyArray<RankView | undefined>> {
+	return Promise.all(Array.from({length: ranks.count}, async (_, rank) => ranks.readView(rank)));
+}
+
+function isComplete(views: ReadonlyArray<RankView | undefined>): views is readonly RankView[] {
+	return views.every(view => view !== undefined);
 }
 
 function rankIndexes({ranks}: PassSwitchOptions): readonly number[] {
--- a/packages/group/src/expert-balancer.ts
+++ b/packages/group/src/expert-balancer.ts
@@ -6,6 +6,7 @@
 import {type Log, type Metrics} from '@papayaflow/telemetry';
 import {type DemandTracker} from './demand-tracker.js';
 import {chooseMapChange, type BalancingWeights} from './map-choice.js';
+import {summarizeRanks} from './rank-summary.js';
 import {type RemoteRanks} from './remote-ranks.js';
 
 /** How many passes the held pass comes after the last pass that has begun. Arming all ranks takes less than a pass, so the group seldom has to wait. */
@@ -217,24 +218,36 @@
 /** The state in which a coordinator takes the ranks over: the current map, the highest version that a rank knows and the last held pass. */
 type TakeoverState = {readonly map: LayeredMap; readonly newest: number; readonly held: number};
 
-async function takeOver(options: PassSwitchOptions, {readMap, log, formation, isStopped, sleep}: ExpertBalancerDeps): Promise<TakeoverState | 'stuck' | 'superseded'> {
+async function takeOver(options: PassSwitchOptions, {readMap, log, metrics, formation, isStopped, sleep, nowMs}: ExpertBalancerDeps): Promise<TakeoverState | 'stuck' | 'superseded'> {
 	let mapBefore = await readMap();
 	for (let reads = 1; !mapBefore && reads < maxMapReads && !isStopped(); reads++) {
 		await sleep(retryDelayMs);
 		mapBefore = isStopped() ? undefined : await readMap();
 	}
 
-	if (!mapBefore) {
-		if (!isStopped()) {
-			log.warn({formation, token: options.fencingToken, reads: maxMapReads}, 'could not read the current map from every rank; retrying with a new token');
-		}
-
+	if (isStopped()) {
 		return 'stuck';
 	}
 
-	const resolved = await resolvePass(mapBefore.map, options);
+	// A group may be held until a switch is resolved, which needs the map only for an abort.
+	if (!mapBefore) {
+		log.warn({formation, token: options.fencingToken, reads: maxMapReads}, 'could not read the current map from every rank before resolving an earlier switch');
+	}
+
+	const readMapOf = async (version: number): Promise<LayeredMap | undefined> => {
+		const known = mapBefore?.version === version ? mapBefore : await readMap();
+		return known?.version === version ? known.map : undefined;
+	};
+
+	const startedMs = nowMs();
+	const resolved = await resolvePass(readMapOf, options);
+	metrics.count('pass_resolutions', {result: resolved.kind});
+	metrics.latency('pass_resolution', nowMs() - startedMs);
 	if (resolved.kind !== 'clear') {
-		log.warn({formation, result: resolved.kind, token: options.fencingToken}, 'could not resolve the switch that an earlier coordinator may have left; retrying with a new token');
+		log.warn({
+			formation, result: resolved.kind, token: options.fencingToken, tookMs: Math.round(nowMs() - startedMs),
+			...(resolved.kind === 'unresolved' && {at: resolved.at, ranks: summarizeRanks(resolved.views)}),
+		}, 'could not resolve the switch that an earlier coordinator may have left; retrying with a new token');
 		return resolved.kind === 'superseded' ? 'superseded' : 'stuck';
 	}
 
--- a/spec/pass-switch.pml
+++ b/spec/pass-switch.pml
@@ -38,7 +38,8 @@
 bool holdSent[TOKENS]; byte holdPass[TOKENS];
 /* The release that ends the resolution of an earlier switch. A rank may apply it late, during the next switch. */
 bool resolveReleaseSent[TOKENS]; byte resolveReleasePass[TOKENS];
-bool undoSent[TOKENS]; byte undoVersion[TOKENS];
+/* A rank is disarmed from the version that it was seen armed for. pass-resolve.pml checks that this ends every mix of states. */
+bool undoSent[TOKENS]; byte undoVersion[TOKENS]; byte undoArmed[TOKENS * N];
 bool armSent[TOKENS]; byte armPass[TOKENS];
 /* The withdrawal of the coordinator's own version; undoSent withdraws the versions of an earlier coordinator. */
 bool withdrawSent[TOKENS]; byte withdrawVersion[TOKENS];
@@ -64,7 +65,7 @@
 	:: atomic { withdrawSent[e] && fenced(e, r) && armedVersion[r] == 0 && withdrawVersion[e] + 1 > highest[r] -> \
 		prepared[r] = withdrawVersion[e] + 1; highest[r] = withdrawVersion[e] + 1; recordToken(e, r) } \
 	:: atomic { r == 0 && resolveReleaseSent[e] && fenced(e, r) && held == resolveReleasePass[e] -> held = 0; recordToken(e, r) } \
-	:: atomic { undoSent[e] && fenced(e, r) && armedVersion[r] == undoVersion[e] -> armedVersion[r] = 0; armedPass[r] = 0; recordToken(e, r) } \
+	:: atomic { undoSent[e] && fenced(e, r) && armedVersion[r] != 0 && armedVersion[r] == undoArmed[at(e, r)] -> armedVersion[r] = 0; armedPass[r] = 0; recordToken(e, r) } \
 	:: atomic { undoSent[e] && fenced(e, r) && armedVersion[r] == 0 && undoVersion[e] + 1 > highest[r] -> \
 		prepared[r] = undoVersion[e] + 1; highest[r] = undoVersion[e] + 1; recordToken(e, r) } \
 	:: atomic { r == 0 && releaseSent[e] && fenced(e, r) && held == releasePass[e] -> held = 0; recordToken(e, r) }
@@ -150,7 +151,11 @@
 	if
 	:: foundVersion != 0 && allArmed(foundVersion, heldPass)
 	:: else ->
-		atomic { undoVersion[e] = highestPrepared; undoSent[e] = true }
+		atomic {
+			undoVersion[e] = highestPrepared;
+			undoArmed[at(e, 0)] = armedVersion[0]; undoArmed[at(e, 1)] = armedVersion[1]; undoArmed[at(e, N - 1)] = armedVersion[N - 1];
+			undoSent[e] = true
+		}
 		awaitOrStop(allWithdrawn(highestPrepared))
 	fi;
 	atomic { resolveReleasePass[e] = heldPass; resolveReleaseSent[e] = true }
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -261,9 +261,29 @@
 	},
 	{
 		name: 'the abort of a switch prepares a higher version on every rank', file: 'experts/src/pass-switch.ts',
-		find: 'const prepareReply = await options.ranks.command(rank, withFencing({kind: \'prepare\', version: version + 1, map: current}, options));', replace: 'const prepareReply = disarmReply;',
+		find: 'return view.armed === undefined && ((view.prepared ?? 0) > newestVersion || view.mapVersion >= newestVersion);', replace: 'return view.armed === undefined;',
 		spec: 'experts/test/pass-switch.test.ts', test: 'aborts the switch on every rank when one rank is not armed',
 	},
+	{
+		name: 'each rank is disarmed from the version that it reports', file: 'experts/src/pass-switch.ts',
+		find: '{kind: \'disarm\', version: armed}', replace: '{kind: \'disarm\', version: newestVersion}',
+		spec: 'experts/test/pass-switch.test.ts', test: 'ends every mix of states in which the ranks can be left',
+	},
+	{
+		name: 'ranks that are armed while nobody holds the group are held before they are disarmed', file: 'experts/src/pass-switch.ts',
+		find: 'return earliestArmedPass === undefined || isHeldInTime ? \'abort\' : \'hold\';', replace: 'return \'abort\';',
+		spec: 'experts/test/pass-switch.test.ts', test: 'holds the group before it disarms ranks that nobody holds',
+	},
+	{
+		name: 'a switch whose group is idle is aborted after a time', file: 'experts/src/pass-switch.ts',
+		find: 'if (isUnanimous && !isAborting && (isHeld || !isIdle)) {', replace: 'if (isUnanimous && !isAborting) {',
+		spec: 'experts/test/pass-switch.test.ts', test: 'aborts a switch whose group is idle',
+	},
+	{
+		name: 'the version of an abort is raised until a rank that copies a map accepts it', file: 'experts/src/pass-switch.ts',
+		find: 'sealDistance *= command.kind === \'prepare\' && result === \'refused\' && armed === undefined && !isAccepted ? 2 : 1;', replace: 'sealDistance *= 1;',
+		spec: 'experts/test/pass-switch.test.ts', test: 'aborts a switch while a rank copies a map of a later version',
+	},
 	{
 		name: 'a coordinator that takes over fences every rank before it reads their states', file: 'experts/src/pass-switch.ts',
 		find: 'const fenceResult = await fenceAllRanks(options);', replace: 'const fenceResult = \'done\' as PhaseResult;',
