Keep what is known of a target for its lifetime, not for its registration

Cause: a registration that comes back made a new object of the target, while the running call marked the one of before. The new object had read the table of lifetimes that leave once, when it was made. That a target accepts no connection, its failures, its latency and its calls in flight were lost in the same way.

The object now belongs to a lifetime (id and start): if the registration lapses it is kept, at most 4,096 of them and for an hour, and comes back as the object that the running calls hold. The table is read at each choice. A refusal by another target at the address ends with the registration that comes back, and one of a call that was sent before says nothing of it.

Two guards name the changed lines, as strict as before; the one of the memory of lifetimes removes the entry into the table now.

--- a/packages/direct/src/forward.ts
+++ b/packages/direct/src/forward.ts
@@ -162,6 +162,7 @@
 
 		const isSentAgain = tried.has(id);
 		tried.add(id);
+		const placedMs = deps.monotonicMs();
 		let attempt: Awaited<ReturnType<typeof sendAttempt>>;
 		try {
 			attempt = await sendAttempt(admitted, {place, isSentAgain}, progress, deps);
@@ -179,7 +180,7 @@
 		await checkForCrash(admitted, place.target, {result, events}, deps);
 		possibleRuns += result.kind === 'notRun' ? 0 : 1;
 		if (result.kind === 'notRun' && result.isMisdirected) {
-			place.target.markGone();
+			place.target.markGone(placedMs);
 		} else if (result.kind === 'notRun' && result.isUnreachable) {
 			place.target.markUnreachable();
 			deps.metrics.count('unreachable_targets');
--- a/packages/direct/src/pool.ts
+++ b/packages/direct/src/pool.ts
@@ -42,6 +42,8 @@
 	unsentBytes(): number;
 	/** Closes the idle connections now, and each connection in use when it is returned. */
 	close(): void;
+	/** Keeps connections again after `close`. */
+	reopen(): void;
 };
 
 export type PoolOptions = {
@@ -165,5 +167,8 @@
 			isClosed = true;
 			dropIdle();
 		},
+		reopen() {
+			isClosed = false;
+		},
 	};
 }
--- a/packages/direct/src/reachability.ts
+++ b/packages/direct/src/reachability.ts
@@ -10,10 +10,12 @@
 export type Reachability = {
 	/** `false` from a connection that was not accepted until a trial is. */
 	isReachable(): boolean;
-	/** Records that the target accepted no connection, and begins to try others, one at a time. */
+	/** Records that the target accepted no connection, and begins to try others, one at a time. While the trials are suspended, only the former. */
 	onUnreachable(): void;
-	/** Ends the trials. */
-	stop(): void;
+	/** Ends the trials until `resume`. What is known stays. */
+	suspend(): void;
+	/** Begins the trials again if the target is not reachable. */
+	resume(): void;
 };
 
 export type ReachabilityOptions = {
@@ -33,12 +35,15 @@
 */
 export function createReachability({tryConnect, onChange, sleep: pause = async ms => sleep(ms, undefined, {ref: false})}: ReachabilityOptions): Reachability {
 	let isReachable = true;
-	let isStopped = false;
+	/** The number of suspensions so far; trials that began before the last one end. */
+	let suspensions = 0;
+	let isSuspended = false;
 
 	const tryUntilReachable = async (): Promise<void> => {
-		for (let delayMs = firstTrialMs; !isStopped; delayMs = Math.min(maxTrialMs, 2 * delayMs)) {
+		const startedAt = suspensions;
+		for (let delayMs = firstTrialMs; suspensions === startedAt; delayMs = Math.min(maxTrialMs, 2 * delayMs)) {
 			await pause(delayMs);
-			if (!isStopped && await tryConnect() && !isStopped) {
+			if (suspensions === startedAt && await tryConnect() && suspensions === startedAt) {
 				isReachable = true;
 				onChange(true);
 				return;
@@ -49,16 +54,25 @@
 	return {
 		isReachable: () => isReachable,
 		onUnreachable() {
-			if (!isReachable || isStopped) {
+			if (!isReachable) {
 				return;
 			}
 
 			isReachable = false;
 			onChange(false);
-			void tryUntilReachable();
+			if (!isSuspended) {
+				void tryUntilReachable();
+			}
+		},
+		suspend() {
+			suspensions++;
+			isSuspended = true;
 		},
-		stop() {
-			isStopped = true;
+		resume() {
+			isSuspended = false;
+			if (!isReachable) {
+				void tryUntilReachable();
+			}
 		},
 	};
 }
--- a/packages/direct/src/targets.ts
+++ b/packages/direct/src/targets.ts
@@ -14,8 +14,11 @@
 /** The weight of a new sample in the moving average of a target's latency. */
 const latencyWeight = 0.2;
 
-/** The number of lifetimes of targets that are remembered as leaving. */
-const maxLeavingLifetimes = 4096;
+/** The number of lifetimes of targets that are remembered after their registrations have lapsed, and as leaving. */
+const maxRememberedLifetimes = 4096;
+
+/** How long what is known of a target is remembered after its registration has lapsed, in milliseconds. */
+const rememberedMs = 3_600_000;
 
 /** A target with this entry's own measurements of it. */
 export type Target = {
@@ -40,8 +43,8 @@
 	startRequest(): (outcome: TargetOutcome) => void;
 	/** Records that the target has accepted no connection, so that it takes no requests until it accepts one. */
 	markUnreachable(): void;
-	/** Records that the target is no longer at its address, so that it takes no requests until it registers again. */
-	markGone(): void;
+	/** Records that another target has refused a request sent at `sentMs`, so that this one takes none until it registers again. Has no effect if it has done so since. */
+	markGone(sentMs: number): void;
 	/** Records that the target has said that it leaves, so that it takes no requests in this lifetime. */
 	markLeaving(): void;
 };
@@ -53,7 +56,11 @@
 export type ZonedCall = Pick<Call, 'service' | 'allowedZones'>;
 
 export type Targets = {
-	/** Replaces the list of targets. Measurements of targets that are removed or have restarted are discarded. */
+	/**
+	Replaces the list of targets. What is known of a target is kept for its lifetime: its
+	registration may lapse and come back, and calls that run meanwhile learn more. A target
+	that has restarted starts anew.
+	*/
 	update(records: readonly TargetRecord[]): void;
 	/** Returns the addresses at which a service has targets that are leaving, by an answer or by their registration, or that accept no connection, but none that takes requests. Those in evacuated zones are left out. */
 	departingAddresses(service: string): readonly string[];
@@ -84,8 +91,10 @@
 /** A target whose record the list replaces when its registration changes. */
 type ListedTarget = Target & {
 	readonly replaceRecord: (record: TargetRecord) => void;
-	/** Ends the trials of the target and closes its connections. */
-	readonly close: () => void;
+	/** Ends the trials of the target and closes its connections while it is not registered. */
+	readonly suspend: () => void;
+	/** Takes the target in use again with the registration that has come back. */
+	readonly resume: (record: TargetRecord) => void;
 };
 
 type CreateTargetOptions = TargetsOptions & {
@@ -103,8 +112,10 @@
 const [first] = targets.servingTargets({service: 'ledger'});
 */
 export function createTargets(options: TargetsOptions): Targets {
-	/** The lifetimes that have said that they leave. They are remembered when their registrations lapse, as these may come back. */
-	const leaving = new LRUCache<string, true>({max: maxLeavingLifetimes});
+	/** The lifetimes that have said that they leave, at whichever address. */
+	const leaving = new LRUCache<string, true>({max: maxRememberedLifetimes});
+	/** The targets whose registrations have lapsed, by lifetime. Each comes back as the same object, which the calls that run there hold. */
+	const lapsed = new LRUCache<string, ListedTarget>({max: maxRememberedLifetimes, ttl: rememberedMs});
 	let targets = new Map<string, ListedTarget>();
 	/** The targets that count at their addresses, of the present list; `undefined` after a change. */
 	let latest: readonly Target[] | undefined;
@@ -113,6 +124,19 @@
 		latest = undefined;
 	};
 
+	/** Takes back the target whose registration lapsed, if it is still at the same address; `undefined` if there is none. */
+	const returned = (record: TargetRecord): ListedTarget | undefined => {
+		const lifetime = lifetimeOf(record);
+		const target = lapsed.get(lifetime);
+		if (!target || !isSameIncarnation(target.record, record)) {
+			return undefined;
+		}
+
+		lapsed.delete(lifetime);
+		target.resume(record);
+		return target;
+	};
+
 	const zonesOf = (service: string): readonly string[] => [...new Set([...targets.values()].filter(({record}) => record.service === service).map(({record}) => record.zone))];
 
 	const latestTargets = (): readonly Target[] => {
@@ -127,9 +151,8 @@
 				const known = targets.get(record.id);
 				const isSame = known !== undefined && isSameIncarnation(known.record, record);
 				if (!isSame) {
-					known?.close();
 					options.onChange('added', record);
-					next.set(record.id, createTarget(record, {...options, onGone, leaving}));
+					next.set(record.id, returned(record) ?? createTarget(record, {...options, onGone, leaving}));
 					continue;
 				}
 
@@ -145,9 +168,13 @@
 			}
 
 			for (const [id, target] of targets) {
+				if (next.get(id) !== target) {
+					target.suspend();
+					lapsed.set(lifetimeOf(target.record), target);
+				}
+
 				if (!next.has(id)) {
 					options.onChange('removed', target.record);
-					target.close();
 				}
 			}
 
@@ -186,8 +213,9 @@
 	let health = healthy;
 	let isGone = false;
 	let hasRefused = false;
-	const lifetime = `${initialRecord.id}/${initialRecord.incarnation}`;
-	let isLeaving = leaving.has(lifetime);
+	let registeredMs = nowMs();
+	const lifetime = lifetimeOf(initialRecord);
+	const hasSaidLeaving = (): boolean => leaving.has(lifetime);
 	const pool = createPool({
 		host: initialRecord.host, port: initialRecord.port, connectMs, nowMs,
 	});
@@ -224,10 +252,10 @@
 			return isGone;
 		},
 		get isLeaving() {
-			return isLeaving || record.state === 'leaving';
+			return hasSaidLeaving() || record.state === 'leaving';
 		},
 		get isServing() {
-			return record.state === 'serving' && !isGone && !isLeaving && !isEvacuated(record.zone);
+			return record.state === 'serving' && !isGone && !hasSaidLeaving() && !isEvacuated(record.zone);
 		},
 		get isReachable() {
 			return reachability.isReachable();
@@ -235,10 +263,17 @@
 		replaceRecord(next) {
 			record = next;
 		},
-		close() {
-			reachability.stop();
+		suspend() {
+			reachability.suspend();
 			pool.close();
 		},
+		resume(next) {
+			record = next;
+			registeredMs = nowMs();
+			isGone = false;
+			pool.reopen();
+			reachability.resume();
+		},
 		startRequest() {
 			const startedMs = nowMs();
 			let hasEnded = false;
@@ -260,8 +295,8 @@
 			};
 		},
 		markUnreachable: reachability.onUnreachable,
-		markGone() {
-			if (!isGone) {
+		markGone(sentMs) {
+			if (!isGone && sentMs >= registeredMs) {
 				isGone = true;
 				onGone();
 				onChange('gone', record);
@@ -269,8 +304,7 @@
 			}
 		},
 		markLeaving() {
-			if (!isLeaving) {
-				isLeaving = true;
+			if (!hasSaidLeaving()) {
 				leaving.set(lifetime, true);
 				onChange('leaving', record);
 			}
@@ -278,6 +312,10 @@
 	};
 }
 
+function lifetimeOf({id, incarnation}: TargetRecord): string {
+	return `${id}/${incarnation}`;
+}
+
 /** Whether two records belong to the same process of a target at the same address. */
 function isSameIncarnation(a: TargetRecord, b: TargetRecord): boolean {
 	return a.incarnation === b.incarnation && a.host === b.host && a.port === b.port && a.service === b.service;
--- a/packages/direct/test/explain.test.ts
+++ b/packages/direct/test/explain.test.ts
@@ -86,7 +86,7 @@
 			recordOf('t5'),
 			recordOf('t6'),
 			recordOf('t7', {port: 1, registeredAt: 0})]);
-		targets.byId('t2')!.markGone();
+		targets.byId('t2')!.markGone(0);
 		targets.byId('t3')!.markUnreachable();
 		targets.byId('t4')!.markLeaving();
 		targets.byId('t5')!.startRequest()('failed');
--- a/packages/direct/test/reachability.test.ts
+++ b/packages/direct/test/reachability.test.ts
@@ -20,7 +20,7 @@
 		async sleep(ms) {
 			delaysMs.push(ms);
 			if (delaysMs.length > count) {
-				reachability.stop();
+				reachability.suspend();
 			}
 		},
 	});
--- a/packages/direct/test/targets.test.ts
+++ b/packages/direct/test/targets.test.ts
@@ -5,7 +5,7 @@
 import {beforeEach, describe, it} from 'mocha';
 import {isSameTarget, type TargetRecord} from '@papayaflow/routing';
 import {
-	createPlainPlacer, createTargets, type Call, type PlaceResult, type Targets,
+	createPlainPlacer, createTargets, type Call, type PlaceResult, type Target, type Targets,
 } from '@papayaflow/direct';
 
 const record = (id: string, registeredAt: number, more: Partial<TargetRecord> = {}): TargetRecord => ({
@@ -39,7 +39,7 @@
 
 	it('returns the earlier target after the later one is marked as gone', () => {
 		const targets = targetsOf(record('old', 1), record('new', 2));
-		targets.byId('new')?.markGone();
+		targets.byId('new')?.markGone(0);
 		expect(servingIds(targets)).to.deep.equal(['old']);
 	});
 
@@ -71,6 +71,117 @@
 	});
 });
 
+/** What is learned of a target, by a call that runs there, and what the next choice then sees of it. */
+type Fact = {readonly name: string; readonly learn: (target: Target) => void; readonly seen: (target: Target) => unknown; readonly learned: unknown};
+
+const facts: readonly Fact[] = [
+	{
+		name: 'that it leaves', learned: true, seen: ({isLeaving, isServing}) => isLeaving && !isServing,
+		learn(target) {
+			target.markLeaving();
+		},
+	},
+	{
+		name: 'that it accepts no connection', learned: false, seen: ({isReachable}) => isReachable,
+		learn(target) {
+			target.markUnreachable();
+		},
+	},
+	{
+		name: 'that its calls fail', learned: 1, seen: ({health}) => health.failures,
+		learn(target) {
+			target.startRequest()('failed');
+		},
+	},
+	{
+		name: 'how long its calls take', learned: 0, seen: ({latencyMs}) => latencyMs,
+		learn(target) {
+			target.startRequest()('served');
+		},
+	},
+	{
+		name: 'how many calls run there', learned: 1, seen: ({inFlight}) => inFlight,
+		learn(target) {
+			target.startRequest();
+		},
+	},
+];
+
+const moments = ['before its registration lapses', 'while it is not registered', 'when it is registered again'] as const;
+
+// Guards against a request to a server that has said that it leaves: the answer of a call that ran while the registration lapsed marked an object that was no longer chosen from.
+describe('what a call learns of a target', () => {
+	let clockMs = 0;
+	const play = (moment: typeof moments[number], learn: Fact['learn'], comingBack: TargetRecord): Target => {
+		clockMs = 0;
+		const targets = createTargets({
+			connectMs: 100, ejection: {ejectAfterFailures: 3, ejectMs: 1000, maxEjectedRatio: 0.5}, nowMs: () => clockMs, isKnownService: () => true, onChange: () => undefined,
+		});
+		targets.update([record('a', 1), record('b', 1, {port: 81})]);
+		const heldByCall = targets.byId('a')!;
+		const steps = [() => undefined, () => {
+			targets.update([record('b', 1, {port: 81})]);
+		}, () => {
+			targets.update([comingBack, record('b', 1, {port: 81})]);
+		}];
+		for (const [index, step] of steps.entries()) {
+			clockMs += 100;
+			step();
+			if (moments[index] === moment) {
+				learn(heldByCall);
+			}
+		}
+
+		const chosenFrom = targets.byId('a')!;
+		// Ends its trials.
+		targets.update([]);
+		return chosenFrom;
+	};
+
+	for (const moment of moments) {
+		for (const {name, learn, seen, learned} of facts) {
+			it(`holds for its lifetime, learned ${moment}: ${name}`, () => {
+				expect(seen(play(moment, learn, record('a', 2)))).to.equal(learned);
+			});
+
+			it(`says nothing of its next lifetime, learned ${moment}: ${name}`, () => {
+				const next = play(moment, learn, record('a', 2, {incarnation: 1}));
+				expect(seen(next)).to.not.equal(learned);
+				expect([next.isServing, next.isReachable]).to.deep.equal([true, true]);
+			});
+		}
+
+		// A registration that comes back is newer than the refusal of another target at its address.
+		it(`ends when it registers again, learned ${moment}: that another target is at its address`, () => {
+			const sentMs = 0;
+			expect(play(moment, target => {
+				target.markGone(sentMs);
+			}, record('a', 2)).isServing).to.equal(true);
+		});
+	}
+
+	it('is the same object for as many lapses as there are', () => {
+		const targets = targetsOf(record('a', 1));
+		const target = targets.byId('a');
+		for (let revision = 2; revision < 10; revision++) {
+			targets.update([]);
+			targets.update([record('a', revision, {incarnation: revision % 2 === 0 ? 7 : 0})]);
+		}
+
+		expect(targets.byId('a')).to.equal(target);
+	});
+
+	it('is kept apart for another target at another address under its id', () => {
+		const targets = targetsOf(record('a', 1));
+		targets.byId('a')?.markUnreachable();
+		targets.update([record('a', 2, {port: 99})]);
+		expect(targets.byId('a')?.isReachable).to.equal(true);
+		targets.update([record('a', 3)]);
+		expect(targets.byId('a')?.isReachable).to.equal(false);
+		targets.update([]);
+	});
+});
+
 describe('a target that accepts no connection', () => {
 	it('takes no requests until it accepts one, within a second of listening', async () => {
 		const server = createServer();
@@ -92,6 +203,23 @@
 		targets.update([]);
 	});
 
+	it('is tried again when its registration has lapsed and come back', async () => {
+		const server = createServer();
+		const port = await listenOn(server);
+		const targets = targetsOf(record('a', 1, {host: '127.0.0.1', port}));
+		targets.update([]);
+		targets.update([record('a', 2, {host: '127.0.0.1', port})]);
+		targets.byId('a')?.markUnreachable();
+		targets.update([]);
+		await sleep(150);
+		targets.update([record('a', 3, {host: '127.0.0.1', port})]);
+		expect(servingIds(targets)).to.deep.equal([]);
+		await sleep(150);
+		expect(servingIds(targets)).to.deep.equal(['a']);
+		targets.update([]);
+		server.close();
+	});
+
 	it('takes requests again when it has started anew', () => {
 		const targets = targetsOf(record('a', 1));
 		targets.byId('a')?.markUnreachable();
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -289,6 +289,21 @@
 		find: 'const fenceResult = await fenceAllRanks(options);', replace: 'const fenceResult = \'done\' as PhaseResult;',
 		spec: 'experts/test/pass-switch.test.ts', test: 'reads the state of a rank only after every rank',
 	},
+	{
+		name: 'a target whose registration lapses comes back as the object that its calls hold', file: 'direct/src/targets.ts',
+		find: 'returned(record) ?? createTarget(', replace: 'createTarget(',
+		spec: 'direct/test/targets.test.ts', test: 'holds for its lifetime, learned while it is not registered: that its calls fail',
+	},
+	{
+		name: 'the lifetimes that leave are read at each choice', file: 'direct/src/targets.ts',
+		find: 'const hasSaidLeaving = (): boolean => leaving.has(lifetime);', replace: 'const isLeavingNow = leaving.has(lifetime); const hasSaidLeaving = (): boolean => isLeavingNow;',
+		spec: 'direct/test/targets.test.ts', test: 'holds for its lifetime, learned when it is registered again: that it leaves',
+	},
+	{
+		name: 'a refusal of a request that was sent before the target registered again says nothing of it', file: 'direct/src/targets.ts',
+		find: 'if (!isGone && sentMs >= registeredMs) {', replace: 'if (!isGone) {',
+		spec: 'direct/test/targets.test.ts', test: 'ends when it registers again, learned when it is registered again: that another target is at its address',
+	},
 	{
 		name: 'a response counts only if it echoes the id of the request', file: 'direct/src/exchange.ts',
 		find: 'head.requestId !== undefined && head.requestId !== request.requestId', replace: 'request.requestId === \'\'',
@@ -622,12 +637,12 @@
 	},
 	{
 		name: 'a target that says in an answer that it leaves takes no more requests', file: 'direct/src/targets.ts',
-		find: ' && !isGone && !isLeaving && !isEvacuated', replace: ' && !isGone && !isEvacuated',
+		find: ' && !isGone && !hasSaidLeaving() && !isEvacuated', replace: ' && !isGone && !isEvacuated',
 		spec: 'direct/test/targets.test.ts', test: 'a target that says that it leaves',
 	},
 	{
 		name: 'a target that has said that it leaves is remembered when its registration lapses', file: 'direct/src/targets.ts',
-		find: 'let isLeaving = leaving.has(lifetime);', replace: 'let isLeaving = false;',
+		find: 'leaving.set(lifetime, true);', replace: '',
 		spec: 'direct/test/targets.test.ts', test: 'when its registration lapses',
 	},
 	{
@@ -752,7 +767,7 @@
 	},
 	{
 		name: 'a target in an evacuated zone takes no requests', file: 'direct/src/targets.ts',
-		find: ' && !isLeaving && !isEvacuated(record.zone)', replace: ' && !isLeaving',
+		find: ' && !hasSaidLeaving() && !isEvacuated(record.zone)', replace: ' && !hasSaidLeaving()',
 		spec: 'direct/test/targets.test.ts', test: 'gets no request that was placed before',
 	},
 	{
