Let nothing that a target said in an earlier lifetime exclude a later one

A server that started again under its id got no requests for as long as its earlier lifetime had asked for (a limit, or Retry-After of a refusal), and a late answer of the earlier lifetime ended the time that the later one had named, so that requests reached it within that time.

Cause: pauses and limits that exclude a target were listed by id alone, and each table kept one lifetime for an id, the last one that was heard of.

The tables are keyed by lifetime now, with a bound of 4,096 and an hour since a lifetime was last asked for, and a target is excluded only by what it said in the lifetime in which it is registered.

Evidence: two new tests fail before (the second server is chosen in place of the one that has started again; the time named by the later lifetime is 0 in place of 1,000 ms). The test that expected the pause of an earlier lifetime to be forgotten is replaced by one that expects neither lifetime to change the other: that pause excludes nobody any more, and forgetting it was what lost the later one.

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -158,9 +158,9 @@
 		engineOf = createEngineChoice({targets: directory.records(), isEngine: ({service}) => model(service) !== undefined});
 	};
 
-	const dispenserOf = ({id}: TargetLifetime): DispenserLink | undefined => {
+	const dispenserOf = ({id, incarnation}: TargetLifetime): DispenserLink | undefined => {
 		const record = targets.byId(id)?.record;
-		const engine = record && engineOf(record);
+		const engine = record?.incarnation === incarnation ? engineOf(record) : undefined;
 		const sidecar = engine && sidecars.get(engine.host);
 		return sidecar && createDispenserLink(sidecar);
 	};
--- a/packages/direct/src/limit-place.ts
+++ b/packages/direct/src/limit-place.ts
@@ -26,7 +26,9 @@
 const place = createLimitedPlacer({place: createPlainPlacer(options), targets, permits, pauses, random});
 */
 export function createLimitedPlacer({place, targets, permits, pauses, random}: LimitedPlacerOptions): Placer {
-	const restrictions = {permits, pauses, random};
+	const restrictions = {
+		targets, permits, pauses, random,
+	};
 	return async request => {
 		const denied = new Set<string>();
 		for (;;) {
@@ -66,11 +68,11 @@
 }
 
 /** What the targets say of the rate and the time at which they take requests. */
-export type Restrictions = Pick<LimitedPlacerOptions, 'permits' | 'pauses' | 'random'>;
+export type Restrictions = Pick<LimitedPlacerOptions, 'targets' | 'permits' | 'pauses' | 'random'>;
 
-/** Returns the ids of the targets that take no request now, by their limits or by the times that they have named. */
-export function restrictedTargets({permits, pauses}: Restrictions): readonly string[] {
-	return [...permits.blocked(), ...pauses.blocked()];
+/** Returns the ids of the targets that take no request now, by their limits or by the times that they have named. What a target of an earlier lifetime said does not count. */
+export function restrictedTargets({targets, permits, pauses}: Restrictions): readonly string[] {
+	return [...permits.blocked(), ...pauses.blocked()].filter(({id, incarnation}) => targets.byId(id)?.record.incarnation === incarnation).map(({id}) => id);
 }
 
 /**
@@ -85,7 +87,7 @@
 
 type Refusal = Extract<PlaceResult, {kind: 'refused'}>;
 
-function refuse(records: readonly TargetRecord[], {permits, pauses, random}: Restrictions): Refusal {
+function refuse(records: readonly TargetRecord[], {permits, pauses, random}: Omit<Restrictions, 'targets'>): Refusal {
 	const earliestMs = Math.min(...records.map(record => Math.max(permits.waitMs(record), pauses.waitMs(record))));
 	const reason = records.every(record => pauses.waitMs(record) > 0) ? 'targetsPaused' : 'rateLimited';
 	return {kind: 'refused', reason, retryAfterMs: spreadRetryDelayMs(earliestMs, random)};
--- a/packages/direct/test/explain.test.ts
+++ b/packages/direct/test/explain.test.ts
@@ -52,6 +52,8 @@
 		},
 	});
 
+	const lifetimesOf = (byId: ReadonlyMap<string, unknown>): ReadonlyArray<{readonly id: string; readonly incarnation: number}> => [...byId.keys()].map(id => ({id, incarnation: 1}));
+
 	const unused = (): never => {
 		throw new Error('changes something');
 	};
@@ -59,10 +61,10 @@
 	const explain = (query: Readonly<Record<string, string>>, options: Partial<ExplainOptions> = {}): ExplainReply => createExplainer({
 		targets, ejection, nowMs: () => 0, random: () => 0, zone: 'z', table: () => table, isEngine: service => service === 'model',
 		permits: {
-			blocked: () => [...limitedMs.keys()], waitMs: ({id}) => limitedMs.get(id) ?? 0, acquire: unused,
+			blocked: () => lifetimesOf(limitedMs), waitMs: ({id}) => limitedMs.get(id) ?? 0, acquire: unused,
 			onAnswer: unused, onAnnounced: unused, onDecision: unused, dispensers: unused, retain: unused,
 		},
-		pauses: {blocked: () => [...pausedMs.keys()], waitMs: ({id}) => pausedMs.get(id) ?? 0, observe: unused},
+		pauses: {blocked: () => lifetimesOf(pausedMs), waitMs: ({id}) => pausedMs.get(id) ?? 0, observe: unused},
 		cold: {
 			isActive: () => coldMs.size > 0, isCold: ({id}) => coldMs.has(id), waitMs: ({id}) => coldMs.get(id) ?? 0,
 			update: unused, onStated: unused, onStarted: unused, reserve: unused, tick: unused, status: unused,
--- a/packages/direct/test/limit-place.test.ts
+++ b/packages/direct/test/limit-place.test.ts
@@ -89,6 +89,17 @@
 		expect(result.kind === 'placed' && result.place.target.record.id).to.equal('b');
 	});
 
+	// Guards against a server that gets nothing after its start because of what it said in its earlier lifetime.
+	it('uses a target that has started again, whatever it said before', async () => {
+		limit('a');
+		await place();
+		expect(permits.waitMs({id: 'a', incarnation: 1}), 'denied').to.equal(800);
+		pauses.observe({id: 'a', incarnation: 1}, {kind: 'pause', ms: 5000});
+		targets.update(targets.all().map(({record}) => record.id === 'a' ? {...record, incarnation: 2} : record));
+		const result = await place();
+		expect(result.kind === 'placed' && result.place.target.record.id).to.equal('a');
+	});
+
 	it('sends no request to a target that names a later time while its connection opens, or says that it leaves', async () => {
 		const [first, second] = [await place(), await place()];
 		pauses.observe({id: 'a', incarnation: 1}, {kind: 'pause', ms: 5000});
--- a/packages/limit/src/lifetimes.ts
+++ b/packages/limit/src/lifetimes.ts
@@ -1,11 +1,21 @@
+import {LRUCache} from 'lru-cache';
+
+/** The number of lifetimes that a table remembers. */
+const maxLifetimes = 4096;
+
+/** How long a table remembers a lifetime that is no longer asked for, in milliseconds. */
+const rememberedMs = 3_600_000;
+
 /** One lifetime of a target. A target that has restarted, or another one at its address, starts without a limit. */
 export type TargetLifetime = {readonly id: string; readonly incarnation: number};
 
-/** What a process knows about targets, each for one lifetime. */
+/**
+What a process knows about targets, each for one lifetime. It does not depend on the
+registrations: one may lapse and come back, and calls that run meanwhile learn more.
+*/
 export type LifetimeTable<T> = {
 	/** The value of a target; `undefined` if there is none for this lifetime. */
 	get(target: TargetLifetime): T | undefined;
-	/** Sets the value of a target and forgets that of its earlier lifetime. */
 	set(target: TargetLifetime, value: T): void;
 	entries(): ReadonlyArray<readonly [TargetLifetime, T]>;
 	/** Forgets all targets but these. */
@@ -13,7 +23,7 @@
 };
 
 /**
-Creates an empty table.
+Creates an empty table. It remembers at most 4,096 lifetimes, each for an hour after it was last asked for.
 
 @example
 const table = createLifetimeTable<number>();
@@ -21,23 +31,24 @@
 table.get({id: 'i-1', incarnation: 2}); // undefined
 */
 export function createLifetimeTable<T>(): LifetimeTable<T> {
-	const byId = new Map<string, readonly [TargetLifetime, T]>();
+	const values = new LRUCache<string, readonly [TargetLifetime, T]>({max: maxLifetimes, ttl: rememberedMs, updateAgeOnGet: true});
 	return {
-		get({id, incarnation}) {
-			const [target, value] = byId.get(id) ?? [];
-			return target?.incarnation === incarnation ? value : undefined;
-		},
+		get: target => values.get(keyOf(target))?.[1],
 		set({id, incarnation}, value) {
-			byId.set(id, [{id, incarnation}, value]);
+			values.set(keyOf({id, incarnation}), [{id, incarnation}, value]);
 		},
-		entries: () => [...byId.values()],
+		entries: () => [...values.values()],
 		retain(targets) {
-			const incarnations = new Map(targets.map(({id, incarnation}) => [id, incarnation]));
-			for (const [id, [{incarnation}]] of byId) {
-				if (incarnations.get(id) !== incarnation) {
-					byId.delete(id);
+			const kept = new Set(targets.map(target => keyOf(target)));
+			for (const key of values.keys()) {
+				if (!kept.has(key)) {
+					values.delete(key);
 				}
 			}
 		},
 	};
 }
+
+function keyOf({id, incarnation}: TargetLifetime): string {
+	return `${id}/${incarnation}`;
+}
--- a/packages/limit/src/pause.ts
+++ b/packages/limit/src/pause.ts
@@ -1,5 +1,5 @@
 import {type Log, type Metrics} from '@papayaflow/telemetry';
-import {type TargetLifetime} from './lifetimes.js';
+import {createLifetimeTable, type TargetLifetime} from './lifetimes.js';
 
 /** What the head of a target's refusal says about when the target takes requests again. */
 export type NamedPause
@@ -17,8 +17,8 @@
 	observe(target: TargetLifetime, named: NamedPause): void;
 	/** How long a target takes no requests, in milliseconds; 0 if it takes them now. */
 	waitMs(target: TargetLifetime): number;
-	/** The ids of the targets that take no requests now. */
-	blocked(): readonly string[];
+	/** The targets that take no requests now. */
+	blocked(): readonly TargetLifetime[];
 };
 
 /**
@@ -32,23 +32,15 @@
 pauses.waitMs(record); // 2000
 */
 export function createPauses({monotonicMs, metrics, log}: {readonly monotonicMs: () => number; readonly metrics: Metrics; readonly log: Log}): Pauses {
-	const pausedById = new Map<string, {readonly incarnation: number; readonly untilMs: number}>();
+	const paused = createLifetimeTable<number>();
 
 	const removeEnded = (): void => {
 		const now = monotonicMs();
-		for (const [id, {untilMs}] of pausedById) {
-			if (untilMs <= now) {
-				pausedById.delete(id);
-			}
-		}
-
-		metrics.gauge('paused_targets', pausedById.size);
+		paused.retain(paused.entries().filter(([, untilMs]) => untilMs > now).map(([target]) => target));
+		metrics.gauge('paused_targets', paused.entries().length);
 	};
 
-	const waitMs = ({id, incarnation}: TargetLifetime): number => {
-		const paused = pausedById.get(id);
-		return paused?.incarnation === incarnation ? Math.max(0, paused.untilMs - monotonicMs()) : 0;
-	};
+	const waitMs = (target: TargetLifetime): number => Math.max(0, (paused.get(target) ?? 0) - monotonicMs());
 
 	return {
 		observe({id, incarnation}, named) {
@@ -68,20 +60,20 @@
 				return;
 			}
 
-			pausedById.set(id, {incarnation, untilMs: monotonicMs() + ms});
+			paused.set({id, incarnation}, monotonicMs() + ms);
 			metrics.count('target_pauses');
-			metrics.gauge('paused_targets', pausedById.size);
+			metrics.gauge('paused_targets', paused.entries().length);
 			log.info({
 				target: id, incarnation, beforeMs: Math.round(beforeMs), pauseMs: Math.round(ms), source: 'answer',
 			}, 'target takes no requests for a while');
 		},
 		waitMs,
 		blocked() {
-			if (pausedById.size > 0) {
+			if (paused.entries().length > 0) {
 				removeEnded();
 			}
 
-			return [...pausedById.keys()];
+			return paused.entries().map(([target]) => target);
 		},
 	};
 }
--- a/packages/limit/src/permits.ts
+++ b/packages/limit/src/permits.ts
@@ -38,7 +38,7 @@
 
 export type PermitsOptions = {
 	readonly beliefs: Beliefs;
-	/** Returns the link to the dispenser of a target; `undefined` while it is not connected. */
+	/** Returns the link to the dispenser of a target; `undefined` while it is not connected or the target is not registered. */
 	readonly dispenserOf: (target: TargetLifetime) => DispenserLink | undefined;
 	/** The number of entries among which a target's rate is divided while its dispenser can't be reached. */
 	readonly entries: () => number;
@@ -57,8 +57,8 @@
 export type Permits = {
 	/** How long no request may be sent to a target, in milliseconds; 0 if one may be sent or asked for now. */
 	waitMs(target: TargetLifetime): number;
-	/** The ids of the targets to which no request may be sent now. */
-	blocked(): readonly string[];
+	/** The targets to which no request may be sent now. */
+	blocked(): readonly TargetLifetime[];
 	/** Gets the permission to send one request now; `undefined` after a denial, whose duration `waitMs` returns. */
 	acquire(target: TargetLifetime, requestId: string): Promise<Permit | undefined>;
 	/** Takes in the limit in an answer; `sentMs` is when the answered request was sent. */
@@ -210,7 +210,7 @@
 
 	return {
 		waitMs,
-		blocked: () => beliefs.limited().filter(target => waitMs(target) > 0).map(({id}) => id),
+		blocked: () => beliefs.limited().filter(target => waitMs(target) > 0),
 		async acquire(target, requestId) {
 			if (beliefs.of(target).perSecond === undefined) {
 				return always;
--- a/packages/limit/test/pause.test.ts
+++ b/packages/limit/test/pause.test.ts
@@ -17,7 +17,7 @@
 	it('lasts for the time that the target has named', () => {
 		pauses.observe(target, {kind: 'pause', ms: 2000});
 		nowMs = 1999;
-		expect([pauses.waitMs(target), pauses.blocked()]).to.deep.equal([1, ['i-1']]);
+		expect([pauses.waitMs(target), pauses.blocked()]).to.deep.equal([1, [target]]);
 		nowMs = 2000;
 		expect([pauses.waitMs(target), pauses.blocked()]).to.deep.equal([0, []]);
 	});
@@ -44,9 +44,13 @@
 		expect(pauses.waitMs({id: 'i-1', incarnation: 2})).to.equal(0);
 	});
 
-	it('ends for an earlier lifetime when a later one has named a time', () => {
+	// Guards against requests in a time that a server has named: a late answer of its earlier lifetime took the place of it.
+	it('of one lifetime is not changed by answers of another one, late ones of the earlier lifetime too', () => {
+		const next = {id: 'i-1', incarnation: 2};
+		pauses.observe(next, {kind: 'pause', ms: 1000});
 		pauses.observe(target, {kind: 'pause', ms: 2000});
-		pauses.observe({id: 'i-1', incarnation: 2}, {kind: 'pause', ms: 1000});
-		expect([pauses.waitMs(target), pauses.waitMs({id: 'i-1', incarnation: 2})]).to.deep.equal([0, 1000]);
+		expect(pauses.waitMs(next)).to.equal(1000);
+		nowMs = 1500;
+		expect([pauses.waitMs(next), pauses.blocked()]).to.deep.equal([0, [target]]);
 	});
 });
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -655,6 +655,11 @@
 		find: 'pauses.waitMs(record) === 0 && permit.use()', replace: 'permit.use()',
 		spec: 'direct/test/limit-place.test.ts', test: 'while its connection opens',
 	},
+	{
+		name: 'what a target said in an earlier lifetime excludes no later one', file: 'direct/src/limit-place.ts',
+		find: '.filter(({id, incarnation}) => targets.byId(id)?.record.incarnation === incarnation)', replace: '',
+		spec: 'direct/test/limit-place.test.ts', test: 'uses a target that has started again, whatever it said before',
+	},
 	{
 		name: 'a later refusal does not shorten a pause', file: 'limit/src/pause.ts',
 		find: 'if (ms <= beforeMs) {', replace: 'if (ms === 0) {',
