Keep the limit that a target names when its registration lapses

Cause: with each change of the list an entry forgot the limits of all targets that were not in it, and sent what it would send to any target until answers named the limit again.

Limits are kept by lifetime now, as pauses are. The dispenser still forgets a target that is not registered; entries tell it the limit as they ask.

The new test with processes fails before for an engine (4 requests, 3 allowed).

--- a/packages/cli/src/direct-entry-wiring.ts
+++ b/packages/cli/src/direct-entry-wiring.ts
@@ -125,7 +125,6 @@
 		onRecords(records) {
 			targets.update(records);
 			cold.update(records);
-			permits.retain(records);
 			updateEngineChoice();
 			updateLinks(records);
 		},
--- a/packages/cli/test/target-notices.test.ts
+++ b/packages/cli/test/target-notices.test.ts
@@ -69,6 +69,34 @@
 		await checkLeaving('model', 'e-0');
 	});
 
+	const checkLimitAfterLapse = async (service: 'plain' | 'model', id: string): Promise<void> => {
+		const [target] = targetsOf(service);
+		target.limit = '1';
+		for (const other of targetsOf(service)) {
+			other.workMs = 200;
+		}
+
+		await loadSite(site, service, {perSecond: 30, ms: learnMs});
+		const value = site.store.get(`servers/${id}`)!;
+		site.store.remove(`servers/${id}`);
+		await sleep(1000);
+		site.store.put(`servers/${id}`, value);
+		await sleep(500);
+		target.arrivalsMs.length = 0;
+		await loadSite(site, service, {perSecond: 30, ms: 2000});
+		// A request a second, and one that was saved up before.
+		expect(target.arrivalsMs.length, 'requests in 2 s after its registration came back').to.be.at.most(3);
+	};
+
+	// These guard against requests above a limit that was named before the registration lapsed: the target's next answers, which name it again, come too late.
+	it('that it has a limit: a plain target gets no more requests, also when it registers again', async () => {
+		await checkLimitAfterLapse('plain', 'p-0');
+	});
+
+	it('that it has a limit: an engine gets no more requests, also when it registers again', async () => {
+		await checkLimitAfterLapse('model', 'e-0');
+	});
+
 	const checkPause = async (service: 'plain' | 'model'): Promise<void> => {
 		const [target] = targetsOf(service);
 		target.turnsAwayFor = '2.5';
--- a/packages/limit/src/beliefs.ts
+++ b/packages/limit/src/beliefs.ts
@@ -13,8 +13,6 @@
 	adopt(target: TargetLifetime, perSecond: number | undefined, instance: string): void;
 	/** The targets that are believed to have a limit. */
 	limited(): readonly TargetLifetime[];
-	/** Forgets all targets but these. */
-	retain(targets: readonly TargetLifetime[]): void;
 };
 
 /**
@@ -68,10 +66,6 @@
 			}
 		},
 		limited,
-		retain(targets) {
-			known.retain(targets);
-			metrics.gauge('limited_targets', limited().length);
-		},
 	};
 }
 
--- a/packages/limit/src/permits.ts
+++ b/packages/limit/src/permits.ts
@@ -68,8 +68,6 @@
 	onDecision(id: string, decision: PermitDecision): void;
 	/** The names of the dispensers that this entry depends on. */
 	dispensers(): ReadonlySet<string>;
-	/** Forgets all targets but these. */
-	retain(targets: readonly TargetLifetime[]): void;
 };
 
 /** What an entry knows about a limited target beyond the limit itself. */
@@ -252,10 +250,6 @@
 			pendingDecisions.get(id)?.(decision);
 		},
 		dispensers: () => new Set(beliefs.limited().flatMap(target => dispenserOf(target)?.instance ?? [])),
-		retain(records) {
-			beliefs.retain(records);
-			targets.retain(records);
-		},
 	};
 }
 
