Send the next command to a rank over another connection after a time-out

Cause: each command and its repetitions went over the connection to the rank's sidecar until its heartbeats had been missed, for 1.2 s (candidates) or 8 s (the others), and the limits of the arm, the abort and the reading of the map followed each other.

A sidecar that does not reply within 0.4 s is passed over for 2 s; the engine is called over a new connection meanwhile. A coordinator that knows the map in use does not read it again before or after it resolves a switch.

Evidence: the new test fails before.

--- a/packages/experts/src/pass-switch.ts
+++ b/packages/experts/src/pass-switch.ts
@@ -122,8 +122,8 @@
 known state of each rank.
 */
 export type ResolveResult
-	/** The group is not held and no rank is armed. The next switch must use a version above `newestVersion` and hold a pass after `held`. */
-	= | {readonly kind: 'clear'; readonly newestVersion: number; readonly held: number}
+	/** The group is not held and no rank is armed. All ranks use the map `mapVersion`. The next switch must use a version above `newestVersion` and hold a pass after `held`. */
+	= | {readonly kind: 'clear'; readonly newestVersion: number; readonly mapVersion: number; readonly held: number}
 		| {readonly kind: 'superseded'}
 		| {readonly kind: 'unresolved'; readonly at: 'fence' | 'read' | 'map' | 'abort' | 'release'; readonly views: ReadonlyArray<RankView | undefined>};
 
@@ -165,7 +165,9 @@
 		}
 
 		const assessment = assessViews(views);
-		const {newestVersion, holders, earliestArmedPass} = assessment;
+		const {
+			newestVersion, mapVersion, holders, earliestArmedPass,
+		} = assessment;
 		if (assessment.begunPass > lastBegunPass) {
 			lastBegunPass = assessment.begunPass;
 			progressedMs = options.nowMs();
@@ -174,7 +176,9 @@
 		const waitedMs = options.nowMs() - progressedMs;
 		const step = chooseStep(assessment, {isAborting, isIdle: waitedMs >= options.decideTimeoutMs / 2});
 		if (step === 'none') {
-			return {kind: 'clear', newestVersion, held: lastHeldPass};
+			return {
+				kind: 'clear', newestVersion, mapVersion, held: lastHeldPass,
+			};
 		}
 
 		if (waitedMs >= options.decideTimeoutMs) {
@@ -188,7 +192,7 @@
 			continue;
 		}
 
-		const map = step === 'abort' ? await readMap(assessment.mapVersion) : undefined;
+		const map = step === 'abort' ? await readMap(mapVersion) : undefined;
 		phase = step === 'abort' && !map ? 'map' : 'release';
 		if (step === 'wait' || phase === 'map') {
 			await options.sleep(pollIntervalMs);
--- a/packages/group/src/coordination.ts
+++ b/packages/group/src/coordination.ts
@@ -12,6 +12,7 @@
 import {balanceExperts} from './expert-balancer.js';
 import {type BalancingWeights} from './map-choice.js';
 import {type OwnRank, type RankEngine} from './own-rank.js';
+import {createHoldWatch} from './hold-watch.js';
 import {createPassMeter} from './pass-meter.js';
 import {createRemoteRanks, type Member, type RemoteRanks} from './remote-ranks.js';
 import {createSkewMonitor} from './skew-monitor.js';
@@ -140,6 +141,7 @@
 	let currentMap = view.mapVersion === 0 ? mapInTurn({layers: experts.layers, ranks: view.size, expertsPerLayer: experts.expertsPerLayer}) : undefined;
 	const stopController = new AbortController();
 	const meter = createPassMeter();
+	const holdWatch = createHoldWatch({nowMs: monotonicMs, log, metrics});
 	const sizes = {layers: experts.layers, experts: experts.expertsPerLayer};
 	const tracker = deps.demandMemory.trackerOf(view.group, sizes);
 	let isMapPlanned = currentMap === undefined;
@@ -156,6 +158,7 @@
 	});
 	const ranks = createRemoteRanks({
 		own: deps.own, engine: deps.engine, ownRank: view.rank, size: view.size, member: deps.member, connect: deps.connect, reportLagMs: () => deps.model()?.reportLagMs ?? 0, sleep: deps.sleep,
+		nowMs: monotonicMs, metrics,
 	});
 	const admissionTimer = setInterval(() => {
 		admission.tick();
@@ -256,6 +259,7 @@
 	return {
 		formation: view.formation, tracker, admission, ranks,
 		onView(ownView) {
+			holdWatch.onView(ownView);
 			meter.addSample(ownView, admission.state().passMs / meter.slowdown(), monotonicMs());
 		},
 		onPlaced() {
--- a/packages/group/src/expert-balancer.ts
+++ b/packages/group/src/expert-balancer.ts
@@ -51,6 +51,9 @@
 /** The most time that one measurement adds, in milliseconds. A preparation in which a rank leaves an order unanswered takes much longer, and the next one seldom does. */
 const maxOverheadMs = 400;
 
+/** A map in use on every rank. */
+type VersionedMap = {readonly version: number; readonly map: LayeredMap};
+
 export type ExpertBalancerDeps = {
 	readonly ranks: RemoteRanks;
 	readonly ownRank: number;
@@ -62,7 +65,7 @@
 	/** Waits until it is known how each rank can be reached, for a bounded time. */
 	readonly waitForMembers: () => Promise<void>;
 	/** Reads the current map from the ranks; `undefined` unless every rank returns its part of the same version. */
-	readonly readMap: () => Promise<{readonly version: number; readonly map: LayeredMap} | undefined>;
+	readonly readMap: () => Promise<VersionedMap | undefined>;
 	readonly formation: number;
 	readonly view: () => RankView | undefined;
 	readonly log: Log;
@@ -77,8 +80,8 @@
 	*/
 	readonly need: () => number;
 	readonly isStopped: () => boolean;
-	/** Called with the current map whenever it becomes known or changes, so that the pass time can be predicted from it. */
-	readonly onMap: (map: LayeredMap) => void;
+	/** Called with the current map and its version whenever it becomes known or changes, so that the pass time can be predicted from it. */
+	readonly onMap: (map: LayeredMap, version: number) => void;
 };
 
 /**
@@ -91,6 +94,12 @@
 await balanceExperts(deps);
 */
 export async function balanceExperts(deps: ExpertBalancerDeps): Promise<void> {
+	let known: VersionedMap | undefined;
+	const onMap = (map: LayeredMap, version: number): void => {
+		known = {version, map};
+		deps.onMap(map, version);
+	};
+
 	while (!deps.isStopped()) {
 		// The store is asked while the members connect.
 		const [token] = await Promise.all([waitForToken(deps), deps.waitForMembers()]);
@@ -99,14 +108,15 @@
 		}
 
 		// If two sidecars coordinate at once, the one of the higher rank steps down when it receives the other's notice. If this sidecar still coordinates after the delay, it continues with a new token.
-		if (await balanceWithToken(token, deps) === 'superseded') {
+		const result = await balanceWithToken(token, known, {...deps, onMap});
+		if (result === 'superseded') {
 			await deps.sleep(supersededDelayMs);
 		}
 	}
 }
 
 /** Balances the experts under one fencing token until the coordinator is stopped or superseded, or a switch gets stuck. */
-async function balanceWithToken(token: number, deps: ExpertBalancerDeps): Promise<'stuck' | 'superseded'> {
+async function balanceWithToken(token: number, known: VersionedMap | undefined, deps: ExpertBalancerDeps): Promise<'stuck' | 'superseded'> {
 	const {log, metrics} = deps;
 	let lastHeldPass = 0;
 	const options: PassSwitchOptions = {
@@ -118,7 +128,7 @@
 		},
 	};
 	log.info({token, formation: deps.formation, sinceStartMs: Math.round(deps.nowMs())}, 'acquired a fencing token for balancing experts');
-	const takeover = await takeOver(options, deps);
+	const takeover = await takeOver(options, known, deps);
 	if (typeof takeover === 'string') {
 		await deps.sleep(retryDelayMs);
 		return takeover;
@@ -130,7 +140,7 @@
 	let overheadMs = 0;
 	let plannedAtMs = Number.NEGATIVE_INFINITY;
 	let restUntilMs = Number.NEGATIVE_INFINITY;
-	deps.onMap(map);
+	deps.onMap(map, takeover.version);
 	while (!deps.isStopped()) {
 		await deps.sleep(demandCheckIntervalMs);
 		// A hold command that timed out may still have been executed, so that the group is held although no switch is running.
@@ -179,7 +189,7 @@
 				overheadMs += (Math.min(maxOverheadMs, Math.max(0, measuredMs)) - overheadMs) * overheadWeight;
 				map = chosen.placements;
 				plannedAtMs = Number.NEGATIVE_INFINITY;
-				deps.onMap(map);
+				deps.onMap(map, version);
 				break;
 			}
 
@@ -216,10 +226,14 @@
 }
 
 /** The state in which a coordinator takes the ranks over: the current map, the highest version that a rank knows and the last held pass. */
-type TakeoverState = {readonly map: LayeredMap; readonly newest: number; readonly held: number};
-
-async function takeOver(options: PassSwitchOptions, {readMap, log, metrics, formation, isStopped, sleep, nowMs}: ExpertBalancerDeps): Promise<TakeoverState | 'stuck' | 'superseded'> {
-	let mapBefore = await readMap();
+type TakeoverState = VersionedMap & {readonly newest: number; readonly held: number};
+
+async function takeOver(options: PassSwitchOptions, known: VersionedMap | undefined, deps: ExpertBalancerDeps): Promise<TakeoverState | 'stuck' | 'superseded'> {
+	const {
+		readMap, log, metrics, formation, isStopped, sleep, nowMs,
+	} = deps;
+	// A group may be held, and a map that is known need not be read meanwhile.
+	let mapBefore = known ?? await readMap();
 	for (let reads = 1; !mapBefore && reads < maxMapReads && !isStopped(); reads++) {
 		await sleep(retryDelayMs);
 		mapBefore = isStopped() ? undefined : await readMap();
@@ -235,8 +249,8 @@
 	}
 
 	const readMapOf = async (version: number): Promise<LayeredMap | undefined> => {
-		const known = mapBefore?.version === version ? mapBefore : await readMap();
-		return known?.version === version ? known.map : undefined;
+		const found = mapBefore?.version === version ? mapBefore : await readMap();
+		return found?.version === version ? found.map : undefined;
 	};
 
 	const startedMs = nowMs();
@@ -251,9 +265,9 @@
 		return resolved.kind === 'superseded' ? 'superseded' : 'stuck';
 	}
 
-	// Resolving may have completed a switch, so the map is read again.
-	const mapAfter = await readMap();
-	return mapAfter ? {map: mapAfter.map, newest: resolved.newestVersion, held: resolved.held} : 'stuck';
+	// Resolving may have completed a switch.
+	const map = mapBefore?.version === resolved.mapVersion ? mapBefore : await readMap();
+	return map ? {...map, newest: resolved.newestVersion, held: resolved.held} : 'stuck';
 }
 
 function demandAgesMs(demands: readonly Demand[], nowMs: number): ReadonlyArray<number | undefined> {
--- a/packages/group/src/remote-ranks.ts
+++ b/packages/group/src/remote-ranks.ts
@@ -2,12 +2,19 @@
 	type CommandReply, type GuardedCommand, type PassRanks, type RankExperts, type RankView,
 } from '@papayaflow/experts';
 import {type Frame, type Peer} from '@papayaflow/peer';
+import {type Metrics} from '@papayaflow/telemetry';
 import {createMapSender, createMapSorter} from './map-transfer.js';
 import {type OwnRank, type RankEngine} from './own-rank.js';
 
 /** How long to wait for another sidecar's reply, in milliseconds: it makes up to two calls to its engine, and the frames take a round trip. */
 const replyTimeoutMs = 400;
 
+/**
+How long a sidecar that did not reply in time is passed over, in milliseconds. Its
+connection may have gone silent, which its heartbeats show only after several seconds.
+*/
+const passOverMs = 2000;
+
 /** How long to wait for the experts of another rank, in milliseconds. They are asked for when all processes may just have started. */
 const expertsTimeoutMs = 1000;
 
@@ -32,6 +39,8 @@
 	/** The maximum age of the state that an engine returns to another machine, in milliseconds. */
 	readonly reportLagMs: () => number;
 	readonly sleep: (ms: number) => Promise<void>;
+	readonly nowMs: () => number;
+	readonly metrics: Metrics;
 };
 
 /** Access to the ranks of a group. */
@@ -44,8 +53,8 @@
 
 /**
 Creates the access to the ranks of a group: the own rank is called directly, any other
-rank through its sidecar. If that sidecar is gone, its engine is called from this
-machine, which is slower and costs more.
+rank through its sidecar. If that sidecar is gone or has just not replied, its engine is called
+from this machine, over another connection, which is slower and costs more.
 
 @example
 const ranks = createRemoteRanks(options);
@@ -54,6 +63,7 @@
 export function createRemoteRanks(options: RemoteRanksOptions): RemoteRanks {
 	const pendingReplies = new Map<number, (reply: CommandReply) => void>();
 	const pendingExperts = new Map<number, (held: RankExperts | undefined) => void>();
+	const passedOverUntilMs = new WeakMap<Peer, number>();
 	let lastId = 0;
 	const describeMap = createMapSender();
 	const sort = createMapSorter();
@@ -77,12 +87,21 @@
 				resolve(reply);
 			};
 
-			const timer = setTimeout(settle, replyTimeoutMs, {result: 'unknown', view: undefined});
+			const timer = setTimeout(() => {
+				options.metrics.count('rank_reply_timeouts');
+				passedOverUntilMs.set(peer, options.nowMs() + passOverMs);
+				settle({result: 'unknown', view: undefined});
+			}, replyTimeoutMs);
 			pendingReplies.set(id, settle);
 			peer.send(frame(id));
 		});
 	};
 
+	const replyingPeer = (member: Member | undefined): Peer | undefined => {
+		const peer = member?.peer;
+		return peer && options.nowMs() >= (passedOverUntilMs.get(peer) ?? Number.NEGATIVE_INFINITY) ? peer : undefined;
+	};
+
 	const requestExperts = async (peer: Peer): Promise<RankExperts | undefined> => {
 		const id = ++lastId;
 		return new Promise(resolve => {
@@ -108,7 +127,7 @@
 		count: options.size,
 		async order(rank, guarded) {
 			const member = options.member(rank);
-			if (rank === options.ownRank || member?.peer) {
+			if (rank === options.ownRank || replyingPeer(member)) {
 				const {result} = await this.command(rank, guarded);
 				return result;
 			}
@@ -122,8 +141,8 @@
 			}
 
 			const member = options.member(rank);
-			if (member?.peer) {
-				const {peer} = member;
+			const peer = replyingPeer(member);
+			if (peer) {
 				return request(peer, id => commandFrame(peer, id, guarded));
 			}
 
@@ -140,8 +159,9 @@
 			}
 
 			const member = options.member(rank);
-			if (member?.peer) {
-				const reply = await request(member.peer, id => ({kind: 'look', id}));
+			const peer = replyingPeer(member);
+			if (peer) {
+				const reply = await request(peer, id => ({kind: 'look', id}));
 				return reply.view;
 			}
 
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -264,6 +264,11 @@
 		find: 'return view.armed === undefined && ((view.prepared ?? 0) > newestVersion || view.mapVersion >= newestVersion);', replace: 'return view.armed === undefined;',
 		spec: 'experts/test/pass-switch.test.ts', test: 'aborts the switch on every rank when one rank is not armed',
 	},
+	{
+		name: 'a sidecar that has not replied is passed over', file: 'group/src/remote-ranks.ts',
+		find: 'passedOverUntilMs.set(peer, options.nowMs() + passOverMs);', replace: '',
+		spec: 'group/test/remote-ranks.test.ts', test: 'sends the next command over another connection',
+	},
 	{
 		name: 'each rank is disarmed from the version that it reports', file: 'experts/src/pass-switch.ts',
 		find: '{kind: \'disarm\', version: armed}', replace: '{kind: \'disarm\', version: newestVersion}',
