Place a request in an idle group, whatever was measured of it before

Cause: the pass meter took the time of the hold for slow passes and kept the average while the group was idle, and the admission refused a request that would run alone because of it; an idle group makes no passes that could correct it.

Times in which the group is held, stalled, closed or newly formed are no measurement now, the slowdown goes back to 1 while nothing runs, and a group in which nothing runs places a request.

Open: the latency of a plain target has no age.

--- a/packages/group/src/pass-meter.ts
+++ b/packages/group/src/pass-meter.ts
@@ -12,11 +12,18 @@
 /** The limit on the ratio of the measured to the predicted pass time, in either direction. A larger deviation is clamped to it. */
 const maxDeviationRatio = 2.5;
 
+/** The time in which the slowdown of an idle group goes back to 1 by the factor e, in milliseconds. An idle group makes no passes by which it could be measured again. */
+const idleDecayMs = 1000;
+
 /** Compares the measured pass time of a group with the predicted one. */
 export type PassMeter = {
-	/** Adds a view of the own rank with the time predicted for its pass, in milliseconds. `predictedMs` must not include the slowdown that this meter returns; 0 discards the samples so far. */
+	/**
+	Adds a view of the own rank with the time predicted for its pass, in milliseconds.
+	`predictedMs` must not include the slowdown that this meter returns; 0 means that nothing
+	runs. Times in which the group is held, stalled or closed are no measurement.
+	*/
 	addSample(view: RankView, predictedMs: number, nowMs: number): void;
-	/** The moving average of the ratio of the measured to the predicted pass time; 1 before the first measurement. */
+	/** The moving average of the ratio of the measured to the predicted pass time; 1 before the first measurement, to which it goes back while nothing runs. */
 	slowdown(): number;
 	/** The mean pass time in the last measurement, in milliseconds; 0 before the first measurement. */
 	passMs(): number;
@@ -37,6 +44,8 @@
 	let lastPass: number | undefined;
 	let lastProgressMs = 0;
 	let stalledMs = 0;
+	let formation: number | undefined;
+	let lastSampleMs = 0;
 	return {
 		addSample(view, predictedMs, nowMs) {
 			if (view.pass !== lastPass || view.active + view.queued === 0) {
@@ -45,8 +54,18 @@
 			}
 
 			stalledMs = nowMs - lastProgressMs;
+			const sinceSampleMs = nowMs - lastSampleMs;
+			lastSampleMs = nowMs;
 			if (predictedMs === 0) {
 				samples.length = 0;
+				slowdown = 1 + ((slowdown - 1) * Math.exp(-sinceSampleMs / idleDecayMs));
+				return;
+			}
+
+			const isHeld = view.held !== undefined && view.held <= view.pass + 1;
+			if (isHeld || stalledMs > windowMs || !view.isOpen || view.formation !== formation) {
+				samples.length = 0;
+				formation = view.formation;
 				return;
 			}
 
--- a/packages/policy/src/group-admission.ts
+++ b/packages/policy/src/group-admission.ts
@@ -161,7 +161,7 @@
 Creates the admission control of one group. All ranks run their passes in lockstep,
 so each additional request slows every stream of the group. A request is therefore
 admitted only if the predicted time of the next pass, with all running requests and
-this one, stays within the allowed pause. A request for which there is no capacity
+this one, stays within the allowed pause, or if nothing runs. A request for which there is no capacity
 waits for a short time and is then refused with a retry delay. Resumed streams are
 placed first, then requests that can still meet their objective, then late ones, so
 that a queue does not make every request late; within these, more urgent ones are placed
@@ -355,6 +355,11 @@
 	};
 
 	const fits = (request: PlacementRequest, rank: number): boolean => {
+		// An idle group makes no passes that could correct what is believed of them, and a request that runs alone slows no other one.
+		if (running.size === 0) {
+			return true;
+		}
+
 		const reserved = reservedStreams(request);
 		const reservedMs = reserved > 0 ? reservedPassMs(options.model()!, reserved) : 0;
 		return reservedMs !== undefined && passMsWith(request, rank) + reservedMs <= maxPassToGapRatio * request.gapMs;
--- a/packages/policy/test/group.test.ts
+++ b/packages/policy/test/group.test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import fc from 'fast-check';
 import {describe, it} from 'mocha';
 import {seededRandom} from '@papayaflow/standins';
 import {
@@ -81,6 +82,40 @@
 		expect(new Set(ranks.map(decision => decision.kind === 'placed' && decision.rank))).to.deep.equal(new Set([0, 1]));
 	});
 
+	// Guards against an idle group that refuses all requests: what was learned of its passes kept out the work that alone could correct it.
+	it('places a request in a group in which nothing runs or waits, whatever was learned of the group', () => {
+		fc.assert(fc.property(fc.record({
+			ranks: fc.integer({min: 1, max: 64}),
+			slowdown: fc.double({min: 0.1, max: 50, noNaN: true}),
+			skew: fc.double({min: 1, max: 20, noNaN: true}),
+			shifts: fc.option(fc.record({skew: fc.double({min: 1, max: 30, noNaN: true}), intervalMs: fc.double({min: 1, max: 10_000, noNaN: true})}), {nil: undefined}),
+			before: fc.array(fc.record({
+				afterMs: fc.integer({min: 0, max: 800}), priority: fc.integer({min: 0, max: 3}), promptTokens: fc.integer({min: 1, max: 5000}), hasReturned: fc.boolean(), hasBegun: fc.boolean(),
+			}), {maxLength: 80}),
+			priority: fc.integer({min: 0, max: 3}), promptTokens: fc.integer({min: 1, max: 5000}), gapMs: fc.integer({min: 20, max: 500}), hasReturned: fc.boolean(),
+		}), ({ranks, slowdown, skew, shifts, before, ...last}) => {
+			let nowMs = 0;
+			const admission = createGroupAdmission({
+				model: () => model, openRanks: () => Array.from({length: ranks}, () => true), zones: () => Array.from({length: ranks}, () => 'zone-0'),
+				skew: () => skew, demandShifts: () => shifts, slowdown: () => slowdown, isStalled: () => false, nowMs: () => nowMs, random: () => 0.5,
+			});
+			for (const [index, {afterMs, hasBegun, ...request}] of before.entries()) {
+				nowMs += afterMs;
+				admission.ask(makeRequest(`before-${index}`, request), () => undefined);
+				if (hasBegun) {
+					admission.began(`before-${index}`);
+				}
+			}
+
+			for (const index of before.keys()) {
+				admission.ended(`before-${index}`);
+			}
+
+			expect(admission.state()).to.include({running: 0, waiting: 0});
+			expect(ask(admission, makeRequest('last', last))[0]?.kind).to.equal('placed');
+		}), {seed: 58, numRuns: 300});
+	});
+
 	it('refuses new requests while the group is stalled, and places resumed streams', () => {
 		let isStalled = true;
 		const admission = admissionOf({nowMs: 0}, 2, undefined, () => isStalled);
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -264,6 +264,21 @@
 		find: 'return view.armed === undefined && ((view.prepared ?? 0) > newestVersion || view.mapVersion >= newestVersion);', replace: 'return view.armed === undefined;',
 		spec: 'experts/test/pass-switch.test.ts', test: 'aborts the switch on every rank when one rank is not armed',
 	},
+	{
+		name: 'a group in which nothing runs places a request', file: 'policy/src/group-admission.ts',
+		find: 'if (running.size === 0) {', replace: 'if (running.size < 0) {',
+		spec: 'policy/test/group.test.ts', test: 'places a request in a group in which nothing runs or waits',
+	},
+	{
+		name: 'a hold is no measurement of passes', file: 'group/src/pass-meter.ts',
+		find: 'if (isHeld || stalledMs', replace: 'if (stalledMs',
+		spec: 'group/test/pass-meter.test.ts', test: 'does not take the time in which the group is held for slow passes',
+	},
+	{
+		name: 'the slowdown of an idle group goes back to 1', file: 'group/src/pass-meter.ts',
+		find: 'slowdown = 1 + ((slowdown - 1) * Math.exp(-sinceSampleMs / idleDecayMs));', replace: '',
+		spec: 'group/test/pass-meter.test.ts', test: 'goes back to 1 within seconds while nothing runs',
+	},
 	{
 		name: 'a sidecar that has not replied is passed over', file: 'group/src/remote-ranks.ts',
 		find: 'passedOverUntilMs.set(peer, options.nowMs() + passOverMs);', replace: '',
