Describe maps to a rank by one last map of a connection

Cause: a coordination goes on until its switch is aborted, beside that of the next formation. Each described maps by their changes to the last map that it had sent itself, while the rank's sidecar keeps one last map for a connection. They also numbered their commands alike, and replies went to the newer one only.

All coordinations of a process share one channel now: one last map for a connection and one sequence of numbers; replies go to those that are stopping too. A description carries a digest of the whole map, a rank prepares nothing that does not match, and a map that is sent again is described as a whole.

Evidence: three guards; with a last map or with numbers of its own for each coordination, the tests of two coordinations on one connection fail.

--- a/packages/group/src/coordination.ts
+++ b/packages/group/src/coordination.ts
@@ -14,7 +14,9 @@
 import {type OwnRank, type RankEngine} from './own-rank.js';
 import {createHoldWatch} from './hold-watch.js';
 import {createPassMeter} from './pass-meter.js';
-import {createRemoteRanks, type Member, type RemoteRanks} from './remote-ranks.js';
+import {
+	createRemoteRanks, type Member, type RankChannel, type RemoteRanks,
+} from './remote-ranks.js';
 import {createSkewMonitor} from './skew-monitor.js';
 
 /** How often the group's load is sent to the entries, in milliseconds, unless requests have been refused. */
@@ -49,6 +51,7 @@
 	readonly own: OwnRank;
 	readonly engine: RankEngine;
 	readonly connect: (target: string) => RankEngine;
+	readonly channel: RankChannel;
 	/** The member of the group that has a rank; `undefined` if none was ever known. */
 	readonly member: (rank: number) => Member | undefined;
 	readonly model: () => EngineModel | undefined;
@@ -158,7 +161,7 @@
 	});
 	const ranks = createRemoteRanks({
 		own: deps.own, engine: deps.engine, ownRank: view.rank, size: view.size, member: deps.member, connect: deps.connect, reportLagMs: () => deps.model()?.reportLagMs ?? 0, sleep: deps.sleep,
-		nowMs: monotonicMs, metrics,
+		nowMs: monotonicMs, metrics, channel: deps.channel,
 	});
 	const admissionTimer = setInterval(() => {
 		admission.tick();
--- a/packages/group/src/map-transfer.ts
+++ b/packages/group/src/map-transfer.ts
@@ -1,3 +1,4 @@
+import {createHash} from 'node:crypto';
 import {
 	applyChanges, changesBetween, mapInTurn, sortedMap, type LayeredMap, type MapChanges,
 } from '@papayaflow/experts';
@@ -10,6 +11,9 @@
 thousands of numbers, and one for each rank would fill the link of the coordinator, over
 which it also places requests.
 
+A process needs one sender for all its connections, since the peer has one last map for
+each. A map that is sent again on the same connection is described as a whole.
+
 Load pattern: the expert map of a group of dozens of ranks changes every few seconds.
 
 @example
@@ -18,6 +22,7 @@
 */
 export function createMapSender(): (peer: Peer, map: LayeredMap) => MapUpdate {
 	const sent = new WeakMap<Peer, LayeredMap>();
+	const digestOf = createMapDigest();
 	/** The last result, since most ranks get the same one. */
 	let last: {readonly base: LayeredMap; readonly map: LayeredMap; readonly changes: MapChanges} | undefined;
 	let inTurn: {readonly map: LayeredMap; readonly layers: number; readonly ranks: number; readonly expertsPerLayer: number} | undefined;
@@ -33,8 +38,9 @@
 	return (peer, map) => {
 		const base = sent.get(peer);
 		sent.set(peer, map);
-		if (base?.length === map.length && base[0].length === map[0].length) {
-			return {base: 'previous', changes: changesOf(base, map)};
+		const digest = digestOf(map);
+		if (base !== map && base?.length === map.length && base[0].length === map[0].length) {
+			return {base: 'previous', changes: changesOf(base, map), digest};
 		}
 
 		const [layers, ranks, expertsPerLayer] = [map.length, map[0].length, 1 + Math.max(...map[0].flat())];
@@ -44,14 +50,15 @@
 		}
 
 		return {
-			base: 'inTurn', layers, ranks, expertsPerLayer, changes: changesOf(inTurn.map, map),
+			base: 'inTurn', layers, ranks, expertsPerLayer, changes: changesOf(inTurn.map, map), digest,
 		};
 	};
 }
 
 /**
 Creates the function that returns the map that a peer describes; `undefined` if its
-description doesn't fit the last map from that connection. The lists of experts are sorted.
+description doesn't fit the last map from that connection or leads to another map than the
+peer has. The lists of experts are sorted.
 
 @example
 const readMap = createMapReceiver();
@@ -59,19 +66,30 @@
 */
 export function createMapReceiver(): (peer: Peer, update: MapUpdate) => LayeredMap | undefined {
 	const received = new WeakMap<Peer, LayeredMap>();
+	const digestOf = createMapDigest();
 	return (peer, update) => {
 		const base = isMapUpdate(update) ? (update.base === 'previous' ? received.get(peer) : mapInTurn(update)) : undefined;
 		const map = base && applyChanges(base, update.changes);
-		if (map) {
-			received.set(peer, map);
-		} else {
+		if (!map || (update.digest !== undefined && update.digest !== digestOf(map))) {
 			received.delete(peer);
+			return undefined;
 		}
 
+		received.set(peer, map);
 		return map;
 	};
 }
 
+/** Creates a function that returns a digest of a map, computed once for each map. Equal maps have equal digests, in whichever order they list the experts. */
+function createMapDigest(): (map: LayeredMap) => string {
+	const digests = new WeakMap<LayeredMap, string>();
+	return map => {
+		const known = digests.get(map) ?? createHash('sha1').update(JSON.stringify(sortedMap(map))).digest('base64');
+		digests.set(map, known);
+		return known;
+	};
+}
+
 /** Whether a value from a peer has the shape of an update. A sidecar of an earlier version sends a whole map in its place. */
 function isMapUpdate(value: MapUpdate): boolean {
 	const isCount = (count: unknown): boolean => Number.isInteger(count) && (count as number) > 0 && (count as number) <= maxMapDimension;
--- a/packages/group/src/remote-ranks.ts
+++ b/packages/group/src/remote-ranks.ts
@@ -18,6 +18,30 @@
 /** How long to wait for the experts of another rank, in milliseconds. They are asked for when all processes may just have started. */
 const expertsTimeoutMs = 1000;
 
+/**
+What all coordinations of a process share on the connections to other sidecars. One that is
+stopping goes on beside the next one, so the ids of their frames must differ, and the
+maps must be described in the order in which they are sent.
+*/
+export type RankChannel = {
+	readonly nextId: () => number;
+	readonly describeMap: ReturnType<typeof createMapSender>;
+};
+
+/**
+Creates the channel of a process.
+
+@example
+const channel = createRankChannel();
+*/
+export function createRankChannel(): RankChannel {
+	let lastId = 0;
+	return {
+		nextId: () => ++lastId,
+		describeMap: createMapSender(),
+	};
+}
+
 /** A member of the group, as its coordinator reaches it. */
 export type Member = {
 	readonly rank: number;
@@ -41,13 +65,14 @@
 	readonly sleep: (ms: number) => Promise<void>;
 	readonly nowMs: () => number;
 	readonly metrics: Metrics;
+	readonly channel: RankChannel;
 };
 
 /** Access to the ranks of a group. */
 export type RemoteRanks = PassRanks & {
 	/** Reads the experts that a rank holds under the map in use; `undefined` if they can't be read. */
 	readExperts(rank: number): Promise<RankExperts | undefined>;
-	/** Handles a frame that replies to a command or a request; returns `false` for any other frame. */
+	/** Handles a frame that replies to a command or a request of these ranks; returns `false` for any other frame. */
 	onFrame(frame: Frame): boolean;
 };
 
@@ -64,8 +89,7 @@
 	const pendingReplies = new Map<number, (reply: CommandReply) => void>();
 	const pendingExperts = new Map<number, (held: RankExperts | undefined) => void>();
 	const passedOverUntilMs = new WeakMap<Peer, number>();
-	let lastId = 0;
-	const describeMap = createMapSender();
+	const {nextId, describeMap} = options.channel;
 	const sort = createMapSorter();
 
 	/** All ranks get the experts of a map in the same order, whichever way the map takes. */
@@ -79,7 +103,7 @@
 	});
 
 	const request = async (peer: Peer, frame: (id: number) => Frame): Promise<CommandReply> => {
-		const id = ++lastId;
+		const id = nextId();
 		return new Promise(resolve => {
 			const settle = (reply: CommandReply): void => {
 				clearTimeout(timer);
@@ -103,7 +127,7 @@
 	};
 
 	const requestExperts = async (peer: Peer): Promise<RankExperts | undefined> => {
-		const id = ++lastId;
+		const id = nextId();
 		return new Promise(resolve => {
 			const settle = (held: RankExperts | undefined): void => {
 				clearTimeout(timer);
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -13,7 +13,7 @@
 import {
 	candidatePollMs, coordinatorPollMs, memberPollMs, pollOwnRank,
 } from './own-rank.js';
-import {type Member} from './remote-ranks.js';
+import {createRankChannel, type Member} from './remote-ranks.js';
 
 /** The delay per lower rank before a candidate takes over, in milliseconds, counted from when it last saw a lower candidate connected. A shorter delay leaves the lower candidate no time to reconnect; a longer one prolongs the outage of a group that is held meanwhile. */
 const takeoverDelayMs = 300;
@@ -100,7 +100,10 @@
 	const demandMemory = createDemandMemory(monotonicMs);
 	/** The instance of the entry that each placed request came from, by request id. */
 	const entryByRequest = new Map<string, string>();
+	const channel = createRankChannel();
 	let coordination: Coordination | undefined;
+	/** The coordinations that still complete or abort a switch after this process has stopped coordinating their formations. */
+	const stopping = new Set<Coordination>();
 	let term = 0;
 	let notice: RankNotice | undefined;
 	let openByRank: readonly boolean[] = [];
@@ -204,7 +207,7 @@
 		const shouldCoordinate = view.rank === 0 || (view.rank < candidateCount && !hasLowerCandidate && now - lowerCandidateSeenMs >= takeoverDelayMs * view.rank);
 		if (!coordination && shouldCoordinate && !isLeaving && view.isOpen) {
 			coordination = startCoordination({
-				...deps, view, own, member, demandMemory, openByRank: () => openByRank, zones: () => zones, isCold, mayPlace, entries: () => entries.size,
+				...deps, channel, view, own, member, demandMemory, openByRank: () => openByRank, zones: () => zones, isCold, mayPlace, entries: () => entries.size,
 				acquireToken: async () => deps.acquireToken(view.group), groups: () => Math.ceil(deps.records().length / view.size),
 				demandStore: {read: async () => deps.demandStore.read(view.group), write: async record => deps.demandStore.write(view.group, record)},
 				sendLoad(load) {
@@ -219,10 +222,22 @@
 
 	const stepDown = (reason: string): void => {
 		log.info({because: reason, formation: coordination?.formation}, 'stopped coordinating the group');
-		void coordination?.stop();
+		if (coordination) {
+			void stopInBackground(coordination);
+		}
+
 		coordination = undefined;
 	};
 
+	const stopInBackground = async (ended: Coordination): Promise<void> => {
+		stopping.add(ended);
+		try {
+			await ended.stop();
+		} finally {
+			stopping.delete(ended);
+		}
+	};
+
 	const updateNotice = (view: RankView): void => {
 		const next: RankNotice = {
 			group: view.group, formation: view.formation, rank: view.rank, size: view.size, isOpen: view.isOpen, target: deps.target,
@@ -426,7 +441,11 @@
 				void removeStreamsUnlessReconnected(peer.hello.instance);
 			}
 		},
-		onFrame: (peer, frame) => handleFrame(handlers, peer, frame) || (coordination?.ranks.onFrame(frame) ?? false),
+		onFrame(peer, frame) {
+			const isHandled = handleFrame(handlers, peer, frame);
+			const replies = isHandled ? [] : [coordination, ...stopping].map(each => each?.ranks.onFrame(frame) ?? false);
+			return isHandled || replies.includes(true);
+		},
 		isNear(peer) {
 			if (peer.hello.role === 'entry') {
 				return coordination !== undefined;
@@ -443,12 +462,12 @@
 		},
 		async leave() {
 			isLeaving = true;
-			const stopping = coordination;
+			const last = coordination;
 			if (coordination) {
 				stepDown('this process stops');
 			}
 
-			await stopping?.stop();
+			await last?.stop();
 		},
 		status: () => ({
 			view: own.view(), isCoordinator: coordination !== undefined, entries: entries.size, members: sidecars.size, load: coordination?.status(),
--- a/packages/group/test/map-transfer.test.ts
+++ b/packages/group/test/map-transfer.test.ts
@@ -51,6 +51,19 @@
 		}), {numRuns: 20, seed: 5});
 	});
 
+	// Guards against a map that a rank derives from another one than its coordinator: it would be prepared under the same version as the right map.
+	it('yields no map that the sender does not have, and the whole map when it is sent again', () => {
+		const random = seededRandom(3);
+		const [send, receive] = [createMapSender(), createMapReceiver()];
+		const [there, here] = [peerOf('rank'), peerOf('coordinator')];
+		const first = changeMap(mapInTurn({layers, ranks, expertsPerLayer}), 20, random);
+		const second = changeMap(first, 20, random);
+		expect(receive(here, send(there, first))).to.deep.equal(first);
+		receive(here, createMapSender()(peerOf('other'), changeMap(first, 5, random)));
+		expect(receive(here, send(there, second)), 'after another map on the connection').to.equal(undefined);
+		expect(receive(here, send(there, second)), 'sent again').to.deep.equal(second);
+	});
+
 	// Load pattern: the map of 64 ranks with 12 layers changes every few seconds, and each rank gets it over one link of 4 Mbit/s.
 	it('takes at most a fifth of a second of such a link for a change of a hundred experts', () => {
 		const random = seededRandom(1);
--- a/packages/group/test/remote-ranks.test.ts
+++ b/packages/group/test/remote-ranks.test.ts
@@ -1,9 +1,14 @@
-import {type PassCommand, type RankExperts, type RankView} from '@papayaflow/experts';
+import {
+	type LayeredMap, type PassCommand, type RankExperts, type RankView,
+} from '@papayaflow/experts';
 import {type Frame, type Peer} from '@papayaflow/peer';
 import {createMetrics} from '@papayaflow/telemetry';
 import {expect} from 'chai';
 import {describe, it} from 'mocha';
-import {createRemoteRanks, type Member, type RemoteRanks} from '../src/remote-ranks.js';
+import {createMapReceiver} from '../src/map-transfer.js';
+import {
+	createRankChannel, createRemoteRanks, type Member, type RankChannel, type RemoteRanks,
+} from '../src/remote-ranks.js';
 
 const heldBy = (rank: number): RankExperts => ({formation: 1, version: 2, experts: [[rank]]});
 
@@ -32,7 +37,7 @@
 			own: {
 				view: () => undefined, pollView: async () => undefined, pollSoon: () => undefined, command: async () => ({result: 'refused', view: undefined}),
 			},
-			engine: {experts: async () => heldBy(0)}, ownRank: 0, size: 4, reportLagMs: () => 0, sleep: async () => undefined, nowMs: () => 0, metrics: createMetrics(),
+			engine: {experts: async () => heldBy(0)}, ownRank: 0, size: 4, reportLagMs: () => 0, sleep: async () => undefined, nowMs: () => 0, metrics: createMetrics(), channel: createRankChannel(),
 			member: rank => rank === 3 ? {rank, target: '10.0.0.3:80', peer: undefined} : members[rank - 1],
 			connect(target) {
 				connected.push(target);
@@ -64,7 +69,7 @@
 			own: {
 				view: () => undefined, pollView: async () => undefined, pollSoon: () => undefined, command: async () => ({result: 'refused', view: undefined}),
 			},
-			engine: {experts: async () => undefined}, ownRank: 0, size: 2, reportLagMs: () => 0, sleep: async () => undefined, nowMs: () => nowMs, metrics: createMetrics(),
+			engine: {experts: async () => undefined}, ownRank: 0, size: 2, reportLagMs: () => 0, sleep: async () => undefined, nowMs: () => nowMs, metrics: createMetrics(), channel: createRankChannel(),
 			member: () => ({rank: 1, target: '10.0.0.1:80', peer}),
 			connect: () => ({
 				view: async () => view, counts: async () => undefined, experts: async () => undefined,
@@ -85,12 +90,64 @@
 		expect(framesSent).to.equal(2);
 	}).timeout(3000);
 
+	/** Two coordinations of one process, of which the first is stopping, with the frames that they send to rank 1. */
+	const createTwo = (channel: RankChannel): {readonly ranks: readonly RemoteRanks[]; readonly frames: Frame[]} => {
+		const frames: Frame[] = [];
+		const peer: Peer = {
+			...createMember(1, () => ranks[0], true).peer!,
+			send(frame) {
+				frames.push(frame);
+			},
+		};
+		const ranks = [0, 1].map(() => createRemoteRanks({
+			own: {
+				view: () => undefined, pollView: async () => undefined, pollSoon: () => undefined, command: async () => ({result: 'refused', view: undefined}),
+			},
+			engine: {experts: async () => undefined}, ownRank: 0, size: 2, reportLagMs: () => 0, sleep: async () => undefined, nowMs: () => 0, metrics: createMetrics(), channel,
+			member: () => ({rank: 1, target: '10.0.0.1:80', peer}),
+			connect() {
+				throw new Error('not expected');
+			},
+		}));
+		return {ranks, frames};
+	};
+
+	// Guards against a rank that gets another map under the same version: the coordination of the formation before went on beside the next one, each with its own last map of the connection.
+	it('describes the maps of two coordinations at once so that the rank gets each of them', () => {
+		const maps: readonly LayeredMap[] = [[[[0, 1], [2]]], [[[0], [1, 2]]], [[[1, 2], [0]]], [[[0, 2], [1]]]];
+		const {ranks, frames} = createTwo(createRankChannel());
+		for (const [index, map] of maps.entries()) {
+			void ranks[index % 2].command(1, {command: {kind: 'prepare', version: index + 1, map}, fencingToken: 1, formation: 1 + (index % 2)});
+		}
+
+		const receive = createMapReceiver();
+		const sender = createMember(0, () => ranks[0], true).peer!;
+		const received = frames.map(frame => frame.kind === 'command' && frame.guarded.command.kind === 'prepare' ? receive(sender, frame.guarded.command.map) : undefined);
+		expect(received).to.deep.equal(maps);
+	});
+
+	it('takes no reply to a command of one coordination for that of another', async () => {
+		const {ranks, frames} = createTwo(createRankChannel());
+		const arm = {command: {kind: 'arm', version: 2, pass: 5}, fencingToken: 1, formation: 1} as const;
+		const replies = ranks.map(async each => each.command(1, arm));
+		const [first, second] = frames.map(frame => frame.kind === 'command' ? frame.id : Number.NaN);
+		for (const each of ranks) {
+			for (const [id, result] of [[first, 'refused'], [second, 'obeyed']] as const) {
+				each.onFrame({
+					kind: 'viewed', id, result, view: undefined,
+				});
+			}
+		}
+
+		expect((await Promise.all(replies)).map(({result}) => result)).to.deep.equal(['refused', 'obeyed']);
+	});
+
 	it('reads no experts of a rank whose sidecar does not reply', async () => {
 		const ranks: RemoteRanks = createRemoteRanks({
 			own: {
 				view: () => undefined, pollView: async () => undefined, pollSoon: () => undefined, command: async () => ({result: 'refused', view: undefined}),
 			},
-			engine: {experts: async () => undefined}, ownRank: 0, size: 2, reportLagMs: () => 0, sleep: async () => undefined, nowMs: () => 0, metrics: createMetrics(), member: rank => createMember(rank, () => ranks, true),
+			engine: {experts: async () => undefined}, ownRank: 0, size: 2, reportLagMs: () => 0, sleep: async () => undefined, nowMs: () => 0, metrics: createMetrics(), channel: createRankChannel(), member: rank => createMember(rank, () => ranks, true),
 			connect() {
 				throw new Error('not expected');
 			},
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -120,10 +120,14 @@
 	readonly keys: readonly string[];
 };
 
-/** A map as a coordinator sends it: by its changes to the last map on the same connection, or to the map in which the experts are assigned to the ranks in turn. */
-export type MapUpdate
-	= | {readonly base: 'previous'; readonly changes: MapChanges}
-		| {readonly base: 'inTurn'; readonly layers: number; readonly ranks: number; readonly expertsPerLayer: number; readonly changes: MapChanges};
+/**
+A map as a coordinator sends it: by its changes to the last map on the same connection, or
+to the map in which the experts are assigned to the ranks in turn. `digest` identifies the
+map that the changes lead to; a sidecar of an earlier version sends none.
+*/
+export type MapUpdate = {readonly digest?: string} & (
+	| {readonly base: 'previous'; readonly changes: MapChanges}
+	| {readonly base: 'inTurn'; readonly layers: number; readonly ranks: number; readonly expertsPerLayer: number; readonly changes: MapChanges});
 
 /** A command to a rank as a coordinator sends it to the rank's sidecar. */
 export type PeerCommand = Omit<GuardedCommand, 'command'> & {
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -279,6 +279,21 @@
 		find: 'slowdown = 1 + ((slowdown - 1) * Math.exp(-sinceSampleMs / idleDecayMs));', replace: '',
 		spec: 'group/test/pass-meter.test.ts', test: 'goes back to 1 within seconds while nothing runs',
 	},
+	{
+		name: 'all coordinations of a process describe maps by one last map of a connection', file: 'group/src/remote-ranks.ts',
+		find: 'const {nextId, describeMap} = options.channel;', replace: 'const {nextId} = options.channel; const describeMap = createMapSender();',
+		spec: 'group/test/remote-ranks.test.ts', test: 'describes the maps of two coordinations at once',
+	},
+	{
+		name: 'the commands of all coordinations of a process have different ids', file: 'group/src/remote-ranks.ts',
+		find: 'const {nextId, describeMap} = options.channel;', replace: 'let ownId = 0; const nextId = () => ++ownId; const {describeMap} = options.channel;',
+		spec: 'group/test/remote-ranks.test.ts', test: 'takes no reply to a command of one coordination for that of another',
+	},
+	{
+		name: 'a rank prepares no map that its coordinator does not have', file: 'group/src/map-transfer.ts',
+		find: 'if (!map || (update.digest !== undefined && update.digest !== digestOf(map))) {', replace: 'if (!map) {',
+		spec: 'group/test/map-transfer.test.ts', test: 'yields no map that the sender does not have',
+	},
 	{
 		name: 'a sidecar that has not replied is passed over', file: 'group/src/remote-ranks.ts',
 		find: 'passedOverUntilMs.set(peer, options.nowMs() + passOverMs);', replace: '',
