--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -552,7 +552,7 @@
 	},
 	{
 		name: 'a dispenser grants only for what it owns', file: 'limit/src/lifetimes.ts',
-		find: 'target?.incarnation === incarnation ? value : undefined', replace: 'value',
+		find: 'return `${id}/${incarnation}`;', replace: 'return id;',
 		spec: 'limit/test/dispenser.test.ts', test: 'denies what it does not own',
 	},
 	{
