Pass over only sidecars that have fallen silent, not busy ones

Since a sidecar that did not reply within 0.4 s was passed over for 2 s, also if it was only busy. Calls of its engine from another machine wait for a report that is no longer out of date (0.3 s) and cost more, so maps may come later in fleets whose sidecars have little processor time.

A sidecar is passed over only if no frame of any kind has arrived from it since the command was sent; sidecars of ranks with requests send reports several times a second.

--- a/packages/group/src/remote-ranks.ts
+++ b/packages/group/src/remote-ranks.ts
@@ -10,8 +10,9 @@
 const replyTimeoutMs = 400;
 
 /**
-How long a sidecar that did not reply in time is passed over, in milliseconds. Its
-connection may have gone silent, which its heartbeats show only after several seconds.
+How long a sidecar from which nothing has arrived while a reply was due is passed over, in
+milliseconds. Its connection may have gone silent, which its heartbeats show only after
+several seconds.
 */
 const passOverMs = 2000;
 
@@ -26,19 +27,28 @@
 export type RankChannel = {
 	readonly nextId: () => number;
 	readonly describeMap: ReturnType<typeof createMapSender>;
+	/** Records that a frame of any kind has arrived from another sidecar. */
+	readonly onHeard: (peer: Peer) => void;
+	/** When the last frame arrived from a sidecar, in milliseconds of the monotonic clock; `undefined` before the first. */
+	readonly heardMs: (peer: Peer) => number | undefined;
 };
 
 /**
 Creates the channel of a process.
 
 @example
-const channel = createRankChannel();
+const channel = createRankChannel(monotonicMs);
 */
-export function createRankChannel(): RankChannel {
+export function createRankChannel(nowMs: () => number): RankChannel {
 	let lastId = 0;
+	const heardMs = new WeakMap<Peer, number>();
 	return {
 		nextId: () => ++lastId,
 		describeMap: createMapSender(),
+		onHeard(peer) {
+			heardMs.set(peer, nowMs());
+		},
+		heardMs: peer => heardMs.get(peer),
 	};
 }
 
@@ -78,7 +88,7 @@
 
 /**
 Creates the access to the ranks of a group: the own rank is called directly, any other
-rank through its sidecar. If that sidecar is gone or has just not replied, its engine is called
+rank through its sidecar. If that sidecar is gone or has just fallen silent, its engine is called
 from this machine, over another connection, which is slower and costs more.
 
 @example
@@ -111,9 +121,15 @@
 				resolve(reply);
 			};
 
+			const sentMs = options.nowMs();
 			const timer = setTimeout(() => {
-				options.metrics.count('rank_reply_timeouts');
-				passedOverUntilMs.set(peer, options.nowMs() + passOverMs);
+				// A sidecar that sends other frames is only busy, and direct calls would take longer than its late replies.
+				const isSilent = (options.channel.heardMs(peer) ?? Number.NEGATIVE_INFINITY) <= sentMs;
+				options.metrics.count('rank_reply_timeouts', {silent: String(isSilent)});
+				if (isSilent) {
+					passedOverUntilMs.set(peer, options.nowMs() + passOverMs);
+				}
+
 				settle({result: 'unknown', view: undefined});
 			}, replyTimeoutMs);
 			pendingReplies.set(id, settle);
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -100,7 +100,7 @@
 	const demandMemory = createDemandMemory(monotonicMs);
 	/** The instance of the entry that each placed request came from, by request id. */
 	const entryByRequest = new Map<string, string>();
-	const channel = createRankChannel();
+	const channel = createRankChannel(monotonicMs);
 	let coordination: Coordination | undefined;
 	/** The coordinations that still complete or abort a switch after this process has stopped coordinating their formations. */
 	const stopping = new Set<Coordination>();
@@ -442,6 +442,7 @@
 			}
 		},
 		onFrame(peer, frame) {
+			channel.onHeard(peer);
 			const isHandled = handleFrame(handlers, peer, frame);
 			const replies = isHandled ? [] : [coordination, ...stopping].map(each => each?.ranks.onFrame(frame) ?? false);
 			return isHandled || replies.includes(true);
--- a/packages/group/test/remote-ranks.test.ts
+++ b/packages/group/test/remote-ranks.test.ts
@@ -1,5 +1,5 @@
 import {
-	type LayeredMap, type PassCommand, type RankExperts, type RankView,
+	type GuardedCommand, type LayeredMap, type RankExperts, type RankView,
 } from '@papayaflow/experts';
 import {type Frame, type Peer} from '@papayaflow/peer';
 import {createMetrics} from '@papayaflow/telemetry';
@@ -28,6 +28,13 @@
 	return {rank, target: `10.0.0.${rank}:80`, peer};
 }
 
+const armCommand: GuardedCommand = {command: {kind: 'arm', version: 2, pass: 5}, fencingToken: 1, formation: 1};
+
+const armedView: RankView = {
+	group: 'g', formation: 1, isOpen: true, rank: 1, size: 2, pass: 1, isCopying: false, mapVersion: 0, prepared: 2, armed: {version: 2, pass: 5}, held: undefined, pace: 1,
+	queued: 0, active: 0, usedTokens: 0,
+};
+
 describe('the access to the ranks of a group', () => {
 	// Guards against a coordinator that opens connections to dozens of engines just after all processes have started.
 	it('reads the experts of each rank through its sidecar, and directly only without a sidecar', async () => {
@@ -37,7 +44,7 @@
 			own: {
 				view: () => undefined, pollView: async () => undefined, pollSoon: () => undefined, command: async () => ({result: 'refused', view: undefined}),
 			},
-			engine: {experts: async () => heldBy(0)}, ownRank: 0, size: 4, reportLagMs: () => 0, sleep: async () => undefined, nowMs: () => 0, metrics: createMetrics(), channel: createRankChannel(),
+			engine: {experts: async () => heldBy(0)}, ownRank: 0, size: 4, reportLagMs: () => 0, sleep: async () => undefined, nowMs: () => 0, metrics: createMetrics(), channel: createRankChannel(() => 0),
 			member: rank => rank === 3 ? {rank, target: '10.0.0.3:80', peer: undefined} : members[rank - 1],
 			connect(target) {
 				connected.push(target);
@@ -50,44 +57,56 @@
 		expect(connected).to.deep.equal(['10.0.0.3:80']);
 	});
 
-	// Guards against a group that is held for seconds: commands went on over a connection that had gone silent, until its heartbeats were missed.
-	it('sends the next command over another connection if a sidecar has not replied, and asks the sidecar again later', async () => {
+	/** Calls an arm of rank 1 three times, whose sidecar never replies; `heard` is called while each reply is due. */
+	const armThrice = async (heard: (channel: RankChannel, peer: Peer) => void): Promise<{readonly results: readonly unknown[]; readonly framesSent: () => number; readonly ranks: RemoteRanks; readonly wait: (ms: number) => void}> => {
 		let nowMs = 0;
 		let framesSent = 0;
-		const view: RankView = {
-			group: 'g', formation: 1, isOpen: true, rank: 1, size: 2, pass: 1, isCopying: false, mapVersion: 0, prepared: 2, armed: {version: 2, pass: 5}, held: undefined, pace: 1,
-			queued: 0, active: 0, usedTokens: 0,
-		};
-		const commands: PassCommand[] = [];
-		const peer = {
+		const channel = createRankChannel(() => nowMs);
+		const peer: Peer = {
 			...createMember(1, () => ranks, true).peer!,
 			send() {
 				framesSent++;
+				nowMs += 100;
+				heard(channel, peer);
 			},
 		};
 		const ranks: RemoteRanks = createRemoteRanks({
 			own: {
 				view: () => undefined, pollView: async () => undefined, pollSoon: () => undefined, command: async () => ({result: 'refused', view: undefined}),
 			},
-			engine: {experts: async () => undefined}, ownRank: 0, size: 2, reportLagMs: () => 0, sleep: async () => undefined, nowMs: () => nowMs, metrics: createMetrics(), channel: createRankChannel(),
+			engine: {experts: async () => undefined}, ownRank: 0, size: 2, reportLagMs: () => 0, sleep: async () => undefined, nowMs: () => nowMs, metrics: createMetrics(), channel,
 			member: () => ({rank: 1, target: '10.0.0.1:80', peer}),
 			connect: () => ({
-				view: async () => view, counts: async () => undefined, experts: async () => undefined,
-				async command({command}) {
-					commands.push(command);
-					return 'obeyed';
-				},
+				view: async () => armedView, counts: async () => undefined, experts: async () => undefined, command: async () => 'obeyed',
 			}),
 		});
-		const arm = {command: {kind: 'arm', version: 2, pass: 5}, fencingToken: 1, formation: 1} as const;
-		expect(await ranks.command(1, arm)).to.deep.equal({result: 'unknown', view: undefined});
-		expect(await ranks.command(1, arm)).to.deep.equal({result: 'obeyed', view});
-		expect(await ranks.order(1, arm)).to.equal('obeyed');
-		expect(await ranks.readView(1)).to.equal(view);
-		expect([framesSent, commands.length]).to.deep.equal([1, 2]);
-		nowMs = 2000;
-		await ranks.command(1, arm);
-		expect(framesSent).to.equal(2);
+		const results = [await ranks.command(1, armCommand), await ranks.command(1, armCommand), await ranks.order(1, armCommand)];
+		return {
+			results, framesSent: () => framesSent, ranks,
+			wait(ms) {
+				nowMs += ms;
+			},
+		};
+	};
+
+	// Guards against a group that is held for seconds: commands went on over a connection that had gone silent, until its heartbeats were missed.
+	it('sends the next command over another connection if a sidecar has fallen silent, and asks the sidecar again later', async () => {
+		const {results, framesSent, ranks, wait} = await armThrice(() => undefined);
+		expect(results).to.deep.equal([{result: 'unknown', view: undefined}, {result: 'obeyed', view: armedView}, 'obeyed']);
+		expect(await ranks.readView(1)).to.equal(armedView);
+		expect(framesSent()).to.equal(1);
+		wait(2000);
+		await ranks.command(1, armCommand);
+		expect(framesSent()).to.equal(2);
+	}).timeout(3000);
+
+	// Guards against maps that come late in busy fleets: a direct call waits for a report that is no longer out of date.
+	it('goes on to ask a sidecar that sends other frames', async () => {
+		const {results, framesSent} = await armThrice((channel, peer) => {
+			channel.onHeard(peer);
+		});
+		expect(results).to.deep.equal([{result: 'unknown', view: undefined}, {result: 'unknown', view: undefined}, 'unknown']);
+		expect(framesSent()).to.equal(3);
 	}).timeout(3000);
 
 	/** Two coordinations of one process, of which the first is stopping, with the frames that they send to rank 1. */
@@ -115,7 +134,7 @@
 	// Guards against a rank that gets another map under the same version: the coordination of the formation before went on beside the next one, each with its own last map of the connection.
 	it('describes the maps of two coordinations at once so that the rank gets each of them', () => {
 		const maps: readonly LayeredMap[] = [[[[0, 1], [2]]], [[[0], [1, 2]]], [[[1, 2], [0]]], [[[0, 2], [1]]]];
-		const {ranks, frames} = createTwo(createRankChannel());
+		const {ranks, frames} = createTwo(createRankChannel(() => 0));
 		for (const [index, map] of maps.entries()) {
 			void ranks[index % 2].command(1, {command: {kind: 'prepare', version: index + 1, map}, fencingToken: 1, formation: 1 + (index % 2)});
 		}
@@ -127,9 +146,8 @@
 	});
 
 	it('takes no reply to a command of one coordination for that of another', async () => {
-		const {ranks, frames} = createTwo(createRankChannel());
-		const arm = {command: {kind: 'arm', version: 2, pass: 5}, fencingToken: 1, formation: 1} as const;
-		const replies = ranks.map(async each => each.command(1, arm));
+		const {ranks, frames} = createTwo(createRankChannel(() => 0));
+		const replies = ranks.map(async each => each.command(1, armCommand));
 		const [first, second] = frames.map(frame => frame.kind === 'command' ? frame.id : Number.NaN);
 		for (const each of ranks) {
 			for (const [id, result] of [[first, 'refused'], [second, 'obeyed']] as const) {
@@ -147,7 +165,7 @@
 			own: {
 				view: () => undefined, pollView: async () => undefined, pollSoon: () => undefined, command: async () => ({result: 'refused', view: undefined}),
 			},
-			engine: {experts: async () => undefined}, ownRank: 0, size: 2, reportLagMs: () => 0, sleep: async () => undefined, nowMs: () => 0, metrics: createMetrics(), channel: createRankChannel(), member: rank => createMember(rank, () => ranks, true),
+			engine: {experts: async () => undefined}, ownRank: 0, size: 2, reportLagMs: () => 0, sleep: async () => undefined, nowMs: () => 0, metrics: createMetrics(), channel: createRankChannel(() => 0), member: rank => createMember(rank, () => ranks, true),
 			connect() {
 				throw new Error('not expected');
 			},
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -295,10 +295,15 @@
 		spec: 'group/test/map-transfer.test.ts', test: 'yields no map that the sender does not have',
 	},
 	{
-		name: 'a sidecar that has not replied is passed over', file: 'group/src/remote-ranks.ts',
+		name: 'a sidecar that has fallen silent is passed over', file: 'group/src/remote-ranks.ts',
 		find: 'passedOverUntilMs.set(peer, options.nowMs() + passOverMs);', replace: '',
 		spec: 'group/test/remote-ranks.test.ts', test: 'sends the next command over another connection',
 	},
+	{
+		name: 'a sidecar that is only busy is not passed over', file: 'group/src/remote-ranks.ts',
+		find: 'if (isSilent) {', replace: 'if (sentMs >= 0) {',
+		spec: 'group/test/remote-ranks.test.ts', test: 'goes on to ask a sidecar that sends other frames',
+	},
 	{
 		name: 'each rank is disarmed from the version that it reports', file: 'experts/src/pass-switch.ts',
 		find: '{kind: \'disarm\', version: armed}', replace: '{kind: \'disarm\', version: newestVersion}',
