Send a map again by its changes, and the whole one only on request

Since a map that is sent again on one connection was described as a whole. Ranks that are still armed refuse the next map, which is then sent to each of them every 25 ms, so that whole maps of 24 ranks filled the coordinator's link, over which it also places requests.

A map that is sent again is described by its changes again, of which there are none. A sidecar that has not understood a map replies so, and then gets a whole one.

Evidence: a new test fails on the code before (thousands of bytes for a map sent again, below 200 now); two more for the request of a whole map, one with a guard.

--- a/packages/group/src/map-transfer.ts
+++ b/packages/group/src/map-transfer.ts
@@ -4,6 +4,11 @@
 } from '@papayaflow/experts';
 import {type MapUpdate, type Peer} from '@papayaflow/peer';
 
+export type MapSender = {
+	readonly describe: (peer: Peer, map: LayeredMap) => MapUpdate;
+	readonly forget: (peer: Peer) => void;
+};
+
 /**
 Creates the function that describes a map to a peer by its differences to the last map
 sent on the same connection, or to the map in turn if it is the first one. The frames of
@@ -12,15 +17,16 @@
 which it also places requests.
 
 A process needs one sender for all its connections, since the peer has one last map for
-each. A map that is sent again on the same connection is described as a whole.
+each. `forget` makes the next map on a connection a whole one, for a peer that has not
+understood the last.
 
 Load pattern: the expert map of a group of dozens of ranks changes every few seconds.
 
 @example
-const describe = createMapSender();
+const {describe} = createMapSender();
 peer.send({kind: 'command', id, guarded: {...guarded, command: {kind: 'prepare', version, map: describe(peer, map)}}});
 */
-export function createMapSender(): (peer: Peer, map: LayeredMap) => MapUpdate {
+export function createMapSender(): MapSender {
 	const sent = new WeakMap<Peer, LayeredMap>();
 	const digestOf = createMapDigest();
 	/** The last result, since most ranks get the same one. */
@@ -35,11 +41,11 @@
 		return last.changes;
 	};
 
-	return (peer, map) => {
+	const describe = (peer: Peer, map: LayeredMap): MapUpdate => {
 		const base = sent.get(peer);
 		sent.set(peer, map);
 		const digest = digestOf(map);
-		if (base !== map && base?.length === map.length && base[0].length === map[0].length) {
+		if (base?.length === map.length && base[0].length === map[0].length) {
 			return {base: 'previous', changes: changesOf(base, map), digest};
 		}
 
@@ -53,6 +59,13 @@
 			base: 'inTurn', layers, ranks, expertsPerLayer, changes: changesOf(inTurn.map, map), digest,
 		};
 	};
+
+	return {
+		describe,
+		forget(peer) {
+			sent.delete(peer);
+		},
+	};
 }
 
 /**
--- a/packages/group/src/remote-ranks.ts
+++ b/packages/group/src/remote-ranks.ts
@@ -3,7 +3,7 @@
 } from '@papayaflow/experts';
 import {type Frame, type Peer} from '@papayaflow/peer';
 import {type Metrics} from '@papayaflow/telemetry';
-import {createMapSender, createMapSorter} from './map-transfer.js';
+import {createMapSender, createMapSorter, type MapSender} from './map-transfer.js';
 import {type OwnRank, type RankEngine} from './own-rank.js';
 
 /** How long to wait for another sidecar's reply, in milliseconds: it makes up to two calls to its engine, and the frames take a round trip. */
@@ -26,7 +26,7 @@
 */
 export type RankChannel = {
 	readonly nextId: () => number;
-	readonly describeMap: ReturnType<typeof createMapSender>;
+	readonly maps: MapSender;
 	/** Records that a frame of any kind has arrived from another sidecar. */
 	readonly onHeard: (peer: Peer) => void;
 	/** When the last frame arrived from a sidecar, in milliseconds of the monotonic clock; `undefined` before the first. */
@@ -44,7 +44,7 @@
 	const heardMs = new WeakMap<Peer, number>();
 	return {
 		nextId: () => ++lastId,
-		describeMap: createMapSender(),
+		maps: createMapSender(),
 		onHeard(peer) {
 			heardMs.set(peer, nowMs());
 		},
@@ -99,7 +99,7 @@
 	const pendingReplies = new Map<number, (reply: CommandReply) => void>();
 	const pendingExperts = new Map<number, (held: RankExperts | undefined) => void>();
 	const passedOverUntilMs = new WeakMap<Peer, number>();
-	const {nextId, describeMap} = options.channel;
+	const {nextId, maps} = options.channel;
 	const sort = createMapSorter();
 
 	/** All ranks get the experts of a map in the same order, whichever way the map takes. */
@@ -109,7 +109,7 @@
 	};
 
 	const commandFrame = (peer: Peer, id: number, {command, ...guard}: GuardedCommand): Frame => ({
-		kind: 'command', id, guarded: {...guard, command: command.kind === 'prepare' ? {...command, map: describeMap(peer, command.map)} : command},
+		kind: 'command', id, guarded: {...guard, command: command.kind === 'prepare' ? {...command, map: maps.describe(peer, command.map)} : command},
 	});
 
 	const request = async (peer: Peer, frame: (id: number) => Frame): Promise<CommandReply> => {
@@ -183,7 +183,13 @@
 			const member = options.member(rank);
 			const peer = replyingPeer(member);
 			if (peer) {
-				return request(peer, id => commandFrame(peer, id, guarded));
+				const reply = await request(peer, id => commandFrame(peer, id, guarded));
+				// The sidecar may not have understood the map.
+				if (guarded.command.kind === 'prepare' && reply.result === 'unknown' && reply.view) {
+					maps.forget(peer);
+				}
+
+				return reply;
 			}
 
 			if (!member) {
--- a/packages/group/test/map-transfer.test.ts
+++ b/packages/group/test/map-transfer.test.ts
@@ -37,7 +37,7 @@
 	it('yields the sent map after any sequence of maps, also when the connection is replaced', () => {
 		fc.assert(fc.property(fc.integer(), fc.array(fc.record({count: fc.integer({min: 0, max: 80}), isNewConnection: fc.boolean()}), {maxLength: 8}), (seed, steps) => {
 			const random = seededRandom(seed);
-			const [send, receive] = [createMapSender(), createMapReceiver()];
+			const [{describe: send}, receive] = [createMapSender(), createMapReceiver()];
 			let map = mapInTurn({layers, ranks, expertsPerLayer});
 			let [there, here] = [peerOf('rank'), peerOf('coordinator')];
 			for (const {count, isNewConnection} of steps) {
@@ -52,22 +52,32 @@
 	});
 
 	// Guards against a map that a rank derives from another one than its coordinator: it would be prepared under the same version as the right map.
-	it('yields no map that the sender does not have, and the whole map when it is sent again', () => {
+	it('yields no map that the sender does not have, and the whole map once the sender has been told', () => {
 		const random = seededRandom(3);
-		const [send, receive] = [createMapSender(), createMapReceiver()];
+		const [{describe: send, forget}, receive] = [createMapSender(), createMapReceiver()];
 		const [there, here] = [peerOf('rank'), peerOf('coordinator')];
 		const first = changeMap(mapInTurn({layers, ranks, expertsPerLayer}), 20, random);
 		const second = changeMap(first, 20, random);
 		expect(receive(here, send(there, first))).to.deep.equal(first);
-		receive(here, createMapSender()(peerOf('other'), changeMap(first, 5, random)));
+		receive(here, createMapSender().describe(peerOf('other'), changeMap(first, 5, random)));
 		expect(receive(here, send(there, second)), 'after another map on the connection').to.equal(undefined);
+		forget(there);
 		expect(receive(here, send(there, second)), 'sent again').to.deep.equal(second);
 	});
 
+	// Load pattern: ranks that are still armed refuse the next map, which is sent to each of them every few milliseconds.
+	it('takes hardly any bytes for a map that is sent again', () => {
+		const {describe: send} = createMapSender();
+		const peer = peerOf('rank');
+		const map = changeMap(mapInTurn({layers, ranks, expertsPerLayer}), 100, seededRandom(1));
+		send(peer, map);
+		expect(sizeOf(send(peer, map))).to.be.below(200);
+	});
+
 	// Load pattern: the map of 64 ranks with 12 layers changes every few seconds, and each rank gets it over one link of 4 Mbit/s.
 	it('takes at most a fifth of a second of such a link for a change of a hundred experts', () => {
 		const random = seededRandom(1);
-		const send = createMapSender();
+		const {describe: send} = createMapSender();
 		const map = changeMap(mapInTurn({layers, ranks, expertsPerLayer}), 100, random);
 		const peers = Array.from({length: ranks}, (_, rank) => peerOf(`rank-${rank}`));
 		const bytes = peers.map(peer => sizeOf(send(peer, map))).reduce((a, b) => a + b, 0);
--- a/packages/group/test/remote-ranks.test.ts
+++ b/packages/group/test/remote-ranks.test.ts
@@ -145,6 +145,26 @@
 		expect(received).to.deep.equal(maps);
 	});
 
+	it('sends the whole map to a sidecar that has not understood the last one', async () => {
+		const {ranks: [ranks], frames} = createTwo(createRankChannel(() => 0));
+		const prepare: GuardedCommand = {command: {kind: 'prepare', version: 2, map: [[[0, 1], [2]]]}, fencingToken: 1, formation: 1};
+		const bases: unknown[] = [];
+		for (const result of ['refused', 'unknown', 'obeyed'] as const) {
+			const reply = ranks.command(1, prepare);
+			const frame = frames.at(-1)!;
+			if (frame.kind === 'command' && frame.guarded.command.kind === 'prepare') {
+				bases.push(frame.guarded.command.map.base);
+				ranks.onFrame({
+					kind: 'viewed', id: frame.id, result, view: armedView,
+				});
+			}
+
+			await reply;
+		}
+
+		expect(bases).to.deep.equal(['inTurn', 'previous', 'inTurn']);
+	});
+
 	it('takes no reply to a command of one coordination for that of another', async () => {
 		const {ranks, frames} = createTwo(createRankChannel(() => 0));
 		const replies = ranks.map(async each => each.command(1, armCommand));
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -281,14 +281,19 @@
 	},
 	{
 		name: 'all coordinations of a process describe maps by one last map of a connection', file: 'group/src/remote-ranks.ts',
-		find: 'const {nextId, describeMap} = options.channel;', replace: 'const {nextId} = options.channel; const describeMap = createMapSender();',
+		find: 'const {nextId, maps} = options.channel;', replace: 'const {nextId} = options.channel; const maps = createMapSender();',
 		spec: 'group/test/remote-ranks.test.ts', test: 'describes the maps of two coordinations at once',
 	},
 	{
 		name: 'the commands of all coordinations of a process have different ids', file: 'group/src/remote-ranks.ts',
-		find: 'const {nextId, describeMap} = options.channel;', replace: 'let ownId = 0; const nextId = () => ++ownId; const {describeMap} = options.channel;',
+		find: 'const {nextId, maps} = options.channel;', replace: 'let ownId = 0; const nextId = () => ++ownId; const {maps} = options.channel;',
 		spec: 'group/test/remote-ranks.test.ts', test: 'takes no reply to a command of one coordination for that of another',
 	},
+	{
+		name: 'a sidecar that has not understood a map gets the whole one', file: 'group/src/remote-ranks.ts',
+		find: 'maps.forget(peer);', replace: '',
+		spec: 'group/test/remote-ranks.test.ts', test: 'sends the whole map to a sidecar that has not understood',
+	},
 	{
 		name: 'a rank prepares no map that its coordinator does not have', file: 'group/src/map-transfer.ts',
 		find: 'if (!map || (update.digest !== undefined && update.digest !== digestOf(map))) {', replace: 'if (!map) {',
