Serve streams late where a group is too slow to serve more than one on time

Callers were refused nearly always by a group whose passes take longer than the longest one that keeps streams on time (0.82 of the allowed pause), whatever runs: only an idle group took a request.

A group whose passes take what the model says keeps its limit.

--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -2,7 +2,7 @@
 	createRankNotices, handleFrame, type DownCause, type Frame, type FrameHandlers, type GroupLoad, type Peer, type PeerPlacementRequest, type StreamNotice,
 } from '@papayaflow/peer';
 import {
-	createReturnSchedule, groupCapacity, maxPlacementWaitMs, refusalRetryDelayMs,
+	createReturnSchedule, groupCapacity, maxPlacementWaitMs, onTimePassMs, refusalRetryDelayMs,
 } from '@papayaflow/policy';
 import {type Log, type Metrics} from '@papayaflow/telemetry';
 import {type EngineModel} from '@papayaflow/routing';
@@ -256,7 +256,7 @@
 		}
 
 		return groupCapacity({...model, expertShare: model.experts.workShare}, {
-			ranks: Array.from({length: ranks}, () => true), slots: model.slots, usualAnswerTokens: model.usualAnswerTokens, skew: assumedSkew, gapMs: route.gapObjectiveMs ?? route.objectiveMs,
+			ranks: Array.from({length: ranks}, () => true), slots: model.slots, usualAnswerTokens: model.usualAnswerTokens, skew: assumedSkew, maxPassMs: onTimePassMs(route.gapObjectiveMs ?? route.objectiveMs),
 		});
 	};
 
--- a/packages/group/src/coordination.ts
+++ b/packages/group/src/coordination.ts
@@ -176,7 +176,7 @@
 		}
 
 		sentMs = now;
-		const {running, waiting, passMs} = admission.state();
+		const {running, waiting, passMs, lateness} = admission.state();
 		const room = admission.room();
 		if (now - loggedMs >= loadLogIntervalMs) {
 			loggedMs = now;
@@ -187,7 +187,7 @@
 
 			const shifts = skewMonitor.shifts();
 			log.info({
-				group: view.group, running, waiting, room, passMs: Math.round(meter.passMs()), predictedMs: Math.round(passMs), slowdown: round(meter.slowdown()),
+				group: view.group, running, waiting, room, lateness, passMs: Math.round(meter.passMs()), predictedMs: Math.round(passMs), slowdown: round(meter.slowdown()),
 				skew: round(skewMonitor.skew()), shiftSkew: round(shifts?.skew ?? 0), shiftMs: Math.round(shifts?.intervalMs ?? 0),
 			}, 'group load');
 		}
@@ -281,9 +281,9 @@
 			await balancing;
 		},
 		status() {
-			const {running, waiting, passMs} = admission.state();
+			const {running, waiting, passMs, lateness} = admission.state();
 			return {
-				running, waiting, passMs: Math.round(passMs), slowdown: round(meter.slowdown()), skew: round(skewMonitor.skew()), stalledMs: Math.round(meter.stalledMs()),
+				running, waiting, lateness, passMs: Math.round(passMs), slowdown: round(meter.slowdown()), skew: round(skewMonitor.skew()), stalledMs: Math.round(meter.stalledMs()),
 			};
 		},
 	};
--- a/packages/policy/src/arrivals.ts
+++ b/packages/policy/src/arrivals.ts
@@ -1,7 +1,7 @@
 /** The memory of the arrival rates, in milliseconds: long enough for some arrivals of each priority, short enough to follow a burst within a second. */
 const rateMemoryMs = 500;
 
-/** The memory of the ratio of placed to received requests, in milliseconds. */
+/** The memory of the mean rate and of the ratio of placed to received requests, in milliseconds. */
 const serviceMemoryMs = 4000;
 
 /** The received requests below which a priority's ratio is not compared, so that a single refusal does not count as starvation. */
@@ -18,6 +18,8 @@
 	placed(priority: number): void;
 	/** The forecast number of first attempts in a second of the priorities that `includes` accepts. */
 	perSecond(includes: (priority: number) => boolean): number;
+	/** The mean number of first attempts in a second over the last seconds, of all priorities. */
+	meanPerSecond(): number;
 	/** Whether a far smaller part of the requests of this priority than of all requests has been placed recently. */
 	isStarved(priority: number): boolean;
 };
@@ -69,6 +71,7 @@
 		perSecond(includes) {
 			return [...byPriority].filter(([priority]) => includes(priority)).reduce((sum, [, counts]) => sum + decay(counts).ratePerMs, 0) * 1000;
 		},
+		meanPerSecond: () => [...byPriority.values()].reduce((sum, counts) => sum + decay(counts).received, 0) * 1000 / serviceMemoryMs,
 		isStarved(priority) {
 			const own = byPriority.get(priority);
 			if (byPriority.size < 2 || !own || decay(own).received < minReceived) {
--- a/packages/policy/src/group-admission.ts
+++ b/packages/policy/src/group-admission.ts
@@ -1,8 +1,9 @@
 import {createArrivalForecast} from './arrivals.js';
 import {
-	balancedPassMs, groupCapacity, maxPassToGapRatio, type BalancedLoad,
+	balancedPassMs, groupCapacity, onTimePassMs, streamsPerSecond, type BalancedLoad,
 } from './group-capacity.js';
 import {predictPassMs, type PassModel, type RankWork} from './pass-time.js';
+import {createLatenessChoice, lateStreamLossRatio} from './pass-limit.js';
 import {refusalRetryDelayMs} from './retry.js';
 import {createReturnSchedule, type ReturnSchedule} from './returns.js';
 
@@ -110,6 +111,8 @@
 	readonly waiting: number;
 	/** The predicted time of the next pass, in milliseconds. */
 	readonly passMs: number;
+	/** The part of the streams that the group makes late because far fewer could be served on time, from 0 to 1. */
+	readonly lateness: number;
 };
 
 /** The longest wait for capacity on the first attempt, as a ratio of the objective. After that it is better to refuse the request, so that the caller retries. */
@@ -142,8 +145,14 @@
 /** The largest part of the slots of a group that is reserved. */
 const maxReserveRatio = 0.25;
 
-/** The approximate part of a stream's value that is lost when a pause makes it late, as a ratio. */
-const lateStreamLossRatio = 0.5;
+/** The longest time that a stream which is served late is predicted to take, as a ratio of the time until its deadline. The rest covers the wait, the prediction error and passes that get slower. */
+const maxLateStreamRatio = 0.5;
+
+/** The longest pass of streams that are served late, in milliseconds. Callers abandon a request after 2 s without an event. */
+const maxLatePassMs = 1000;
+
+/** The weight of a new request in the moving average of the prompt length. */
+const promptWeight = 0.1;
 
 /** The number of further requests that a cold rank counts as having when a rank is chosen: more than the usual difference between two ranks, but not so many that the others get slow. */
 const coldRankRequests = 2;
@@ -161,7 +170,9 @@
 Creates the admission control of one group. All ranks run their passes in lockstep,
 so each additional request slows every stream of the group. A request is therefore
 admitted only if the predicted time of the next pass, with all running requests and
-this one, stays within the allowed pause, or if nothing runs. A request for which there is no capacity
+this one, stays within the allowed pause, or if nothing runs. A group whose passes are so slow that
+callers get more from late streams than from the few that would be on time admits as many as
+can end before their deadline. A request for which there is no capacity
 waits for a short time and is then refused with a retry delay. Resumed streams are
 placed first, then requests that can still meet their objective, then late ones, so
 that a queue does not make every request late; within these, more urgent ones are placed
@@ -173,7 +184,8 @@
 Load patterns: for many seconds, several entries send more requests than the group
 can decode at once; one priority exceeds the capacity alone; hundreds of callers return
 after an outage, too late for their objective; a group makes no pass for seconds, because a map switch holds it
-and a rank does not answer, while requests keep arriving.
+and a rank does not answer, while requests keep arriving; every pass takes longer than the model says, because the
+machines of the group are busy.
 
 @example
 admission.ask(request, decision => reply(decision));
@@ -184,8 +196,14 @@
 	const waiting = new Map<string, WaitingRequest>();
 	// The allowed pause of the latest request; unlimited before the first.
 	let lastGapMs = Number.POSITIVE_INFINITY;
-	// The planning skew, the rate at which the group can serve requests, and the time at which they were computed.
-	let cachedPlan = {skew: 1, perSecond: 0, atMs: Number.NEGATIVE_INFINITY};
+	// The time until the deadline of the latest first attempt, and the mean length of their prompts.
+	let lastDeadlineMs = 0;
+	let meanPromptTokens: number | undefined;
+	const latenessChoice = createLatenessChoice(nowMs);
+	// The planning skew, the rate at which the group can serve requests, how late it makes streams, and the time at which they were computed.
+	let cachedPlan = {
+		skew: 1, perSecond: 0, lateness: 0, atMs: Number.NEGATIVE_INFINITY,
+	};
 	const forecast = createArrivalForecast(nowMs);
 	/** The return times by priority: an urgent request that returns is placed before the others, so its time does not depend on theirs. */
 	const returnsByPriority = new Map<number, ReturnSchedule>();
@@ -200,7 +218,7 @@
 		ranks: acceptingRanks(), usualAnswerTokens: model.usualAnswerTokens, skew, slowdown: options.slowdown(),
 	});
 
-	const capacityAt = (model: GroupModel, skew: number): number => groupCapacity(model, {...balancedLoad(model, skew), slots: model.slots, gapMs: lastGapMs});
+	const capacityAt = (model: GroupModel, skew: number, maxMs: number): number => groupCapacity(model, {...balancedLoad(model, skew), slots: model.slots, maxPassMs: maxMs});
 
 	const passMsAt = (model: GroupModel, count: number, skew: number): number => balancedPassMs(model, count, balancedLoad(model, skew));
 
@@ -214,20 +232,46 @@
 	const plan = (): typeof cachedPlan => {
 		const now = nowMs();
 		if (now - cachedPlan.atMs >= skewRefreshIntervalMs) {
-			const skew = computePlanningSkew();
-			cachedPlan = {skew, perSecond: computeServiceRate(skew), atMs: now};
+			const lateness = computeLateness();
+			const skew = lateness > 0 ? options.skew() : computePlanningSkew();
+			cachedPlan = {
+				skew, perSecond: computeServiceRate(skew, lateness), lateness, atMs: now,
+			};
 		}
 
 		return cachedPlan;
 	};
 
-	const computeServiceRate = (skew: number): number => {
+	/** Returns the longest pass in which a stream that is served late still ends before its deadline, in milliseconds. */
+	const latePassMs = (model: GroupModel, {answerTokens, deadlineMs}: Pick<PlacementRequest, 'answerTokens' | 'deadlineMs'>): number => {
+		const prefillPasses = 1;
+		return Math.min(maxLatePassMs, maxLateStreamRatio * deadlineMs / ((answerTokens / model.stepsPerPass) + prefillPasses));
+	};
+
+	const maxPassMs = (model: GroupModel, lateness: number, {gapMs, ...request}: Pick<PlacementRequest, 'gapMs' | 'answerTokens' | 'deadlineMs'>): number =>
+		lateness < 1 ? onTimePassMs(gapMs) + (lateness * (gapMs - onTimePassMs(gapMs))) : Math.max(gapMs, latePassMs(model, request));
+
+	const usualMaxPassMs = (model: GroupModel, lateness: number): number =>
+		maxPassMs(model, lateness, {gapMs: lastGapMs, answerTokens: model.usualAnswerTokens, deadlineMs: lastDeadlineMs});
+
+	const computeLateness = (): number => {
+		const model = options.model();
+		if (!model || meanPromptTokens === undefined) {
+			return 0;
+		}
+
+		const load = {...balancedLoad(model, options.skew()), slots: model.slots, prefillTokens: meanPromptTokens};
+		const askedPerSecond = forecast.meanPerSecond();
+		return latenessChoice.choose(lateness => Math.min(askedPerSecond, streamsPerSecond(model, {...load, maxPassMs: usualMaxPassMs(model, lateness)})));
+	};
+
+	const computeServiceRate = (skew: number, lateness: number): number => {
 		const model = options.model();
 		if (!model || !Number.isFinite(lastGapMs)) {
 			return 0;
 		}
 
-		const streams = capacityAt(model, skew);
+		const streams = capacityAt(model, skew, usualMaxPassMs(model, lateness));
 		const prefillPasses = 1;
 		const streamMs = passMsAt(model, streams, options.skew()) * ((model.usualAnswerTokens / model.stepsPerPass) + prefillPasses);
 		return streams * 1000 / streamMs;
@@ -244,8 +288,8 @@
 			return currentSkew;
 		}
 
-		const currentCapacity = capacityAt(model, currentSkew);
-		const shiftCapacity = capacityAt(model, shifts.skew);
+		const currentCapacity = capacityAt(model, currentSkew, onTimePassMs(lastGapMs));
+		const shiftCapacity = capacityAt(model, shifts.skew, onTimePassMs(lastGapMs));
 		const currentPassMs = passMsAt(model, currentCapacity, currentSkew);
 		const streamDurationMs = currentPassMs * model.usualAnswerTokens / model.stepsPerPass;
 		// The part of the streams during which a shift is expected.
@@ -360,7 +404,7 @@
 
 		const reserved = reservedStreams(request);
 		const reservedMs = reserved > 0 ? reservedPassMs(options.model()!, reserved) : 0;
-		return reservedMs !== undefined && passMsWith(request, rank) + reservedMs <= maxPassToGapRatio * request.gapMs;
+		return reservedMs !== undefined && passMsWith(request, rank) + reservedMs <= maxPassMs(options.model()!, plan().lateness, request);
 	};
 
 	/**
@@ -368,7 +412,7 @@
 	slot that becomes free at the end of the pass. Without others to place after it, 0.
 	*/
 	const urgentWaitMs = ({priority, gapMs, objectiveMs, deadlineMs}: PlacementRequest): number =>
-		forecast.perSecond(other => other > priority) < minForecastPerSecond ? 0 : Math.min(deadlineMs, maxPassToGapRatio * gapMs, objectiveMs * (1 - firstTokenReserveRatio) / 2);
+		forecast.perSecond(other => other > priority) < minForecastPerSecond ? 0 : Math.min(deadlineMs, onTimePassMs(gapMs), objectiveMs * (1 - firstTokenReserveRatio) / 2);
 
 	/** Whether a late request fits on no rank although slots are free, because of its size or the ranks on which it failed. It waits for longer than others and must not hold them up. */
 	const isUnplaceable = (waitingRequest: WaitingRequest): boolean => {
@@ -414,7 +458,7 @@
 			return 0;
 		}
 
-		const horizonMs = Math.max(0, (maxPassToGapRatio * request.gapMs) - (firstWaitRatio * request.objectiveMs));
+		const horizonMs = Math.max(0, onTimePassMs(request.gapMs) - (firstWaitRatio * request.objectiveMs));
 		const expected = perSecond * horizonMs / 1000;
 		return reserveRatio * (expected + (reserveDeviations * Math.sqrt(expected)));
 	};
@@ -476,6 +520,8 @@
 			lastGapMs = request.gapMs;
 			if (!request.hasReturned && !request.isResumed) {
 				forecast.received(request.priority);
+				lastDeadlineMs = request.deadlineMs;
+				meanPromptTokens = meanPromptTokens === undefined ? request.promptTokens : meanPromptTokens + (promptWeight * (request.promptTokens - meanPromptTokens));
 			}
 
 			const waitingRequest = {
@@ -508,11 +554,13 @@
 			running.delete(id);
 		},
 		tick,
-		state: () => ({running: running.size, waiting: waiting.size, passMs: nextPassMs()}),
-		passRatio: () => Number.isFinite(lastGapMs) ? nextPassMs() / (maxPassToGapRatio * lastGapMs) : undefined,
+		state: () => ({
+			running: running.size, waiting: waiting.size, passMs: nextPassMs(), lateness: plan().lateness,
+		}),
+		passRatio: () => Number.isFinite(lastGapMs) ? nextPassMs() / onTimePassMs(lastGapMs) : undefined,
 		room() {
 			const model = options.model();
-			return model ? capacityAt(model, planningSkew()) : 0;
+			return model ? capacityAt(model, planningSkew(), usualMaxPassMs(model, plan().lateness)) : 0;
 		},
 	};
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -33,7 +33,7 @@
 export {
 	createDemandEstimator, uniformDemand, type Demand, type DemandEstimator,
 } from './demand.js';
-export {groupCapacity, type GroupCapacityOptions} from './group-capacity.js';
+export {groupCapacity, onTimePassMs, type GroupCapacityOptions} from './group-capacity.js';
 export {
 	createGroupAdmission, maxPlacementWaitMs, type GroupAdmission, type GroupAdmissionOptions, type GroupDecision, type GroupModel, type PlacementRequest, type RefusalRule,
 	type GroupState, type DemandShifts,
