--- a/packages/group/src/expert-balancer.ts
+++ b/packages/group/src/expert-balancer.ts
@@ -138,6 +138,8 @@
 	lastHeldPass = takeover.held;
 	let version = Math.max(token * versionsPerToken, takeover.newest);
 	let overheadMs = 0;
+	/** The first pass with the map of the last switch. */
+	let firstPass = 0;
 	let plannedAtMs = Number.NEGATIVE_INFINITY;
 	let restUntilMs = Number.NEGATIVE_INFINITY;
 	deps.onMap(map, takeover.version);
@@ -149,6 +151,11 @@
 			return 'stuck';
 		}
 
+		// The ranks take the last map with this pass and refuse another one until then. An idle group doesn't begin it.
+		if ((deps.view()?.pass ?? firstPass) < firstPass) {
+			continue;
+		}
+
 		deps.tracker.settle(deps.nowMs());
 		const demands = deps.tracker.demands();
 		const isDue = hasShiftedSince(demands, plannedAtMs) || deps.nowMs() - plannedAtMs >= replanIntervalMs;
@@ -188,6 +195,7 @@
 				const measuredMs = result.preparedMs - (deps.model.copyMs * chosen.mostPerRank);
 				overheadMs += (Math.min(maxOverheadMs, Math.max(0, measuredMs)) - overheadMs) * overheadWeight;
 				map = chosen.placements;
+				firstPass = result.pass;
 				plannedAtMs = Number.NEGATIVE_INFINITY;
 				deps.onMap(map, version);
 				break;
--- a/packages/group/test/expert-balancer.test.ts
+++ b/packages/group/test/expert-balancer.test.ts
@@ -26,7 +26,7 @@
 /** Converts a command into an order of the stand-in group, in which a copy takes no time. */
 const orderOf = ({command}: GuardedCommand): PassOrder => command satisfies PassCommand;
 
-type BalancingResult = {readonly skewAt: (ms: number) => number; readonly changes: readonly number[]; readonly skewAfterSecondShift: number; readonly tokens: number};
+type BalancingResult = {readonly skewAt: (ms: number) => number; readonly changes: readonly number[]; readonly skewAfterSecondShift: number; readonly tokens: number; readonly refusedPrepares: number};
 
 type BalancingOptions = {
 	readonly expertGigabytes: number;
@@ -40,6 +40,8 @@
 	readonly slowUntilMs?: number;
 	readonly shiftIntervalMs?: number;
 	readonly lengthMs?: number;
+	/** From the first change until when no pass begins, in milliseconds. */
+	readonly idleUntilMs?: number;
 	/** Until when the map can't be read from every rank, in milliseconds. */
 	readonly unreadableUntilMs?: number;
 };
@@ -49,7 +51,7 @@
 
 /** Runs the balancer for three virtual seconds, or `lengthMs`, in which a pass takes 100 ms. */
 async function runBalancer({
-	expertGigabytes, need = 1, secondShiftMs = Number.POSITIVE_INFINITY, clockMs = 0, otherWorkMs = 0, slowUntilMs = 0, shiftIntervalMs = 4000, lengthMs = 3000, unreadableUntilMs = 0,
+	expertGigabytes, need = 1, secondShiftMs = Number.POSITIVE_INFINITY, clockMs = 0, otherWorkMs = 0, slowUntilMs = 0, shiftIntervalMs = 4000, lengthMs = 3000, unreadableUntilMs = 0, idleUntilMs = 0,
 }: BalancingOptions): Promise<BalancingResult> {
 	const group = createPassGroup(ranks);
 	let nowMs = 10_000;
@@ -70,13 +72,20 @@
 
 	let nextPassMs = nowMs;
 	let tokens = 0;
+	let refusedPrepares = 0;
+	const order = (rank: number, guarded: GuardedCommand): ReturnType<typeof group.order> => {
+		const result = group.order(rank, orderOf(guarded), guarded);
+		refusedPrepares += guarded.command.kind === 'prepare' && result === 'refused' ? 1 : 0;
+		return result;
+	};
+
 	await balanceExperts({
 		ranks: {
 			count: ranks, onFrame: () => false, readExperts: async () => undefined, readView: async rank => view(rank),
-			order: async (rank, guarded) => group.order(rank, orderOf(guarded), guarded),
+			order: async (rank, guarded) => order(rank, guarded),
 			async command(rank, guarded) {
 				nowMs += guarded.command.kind === 'prepare' && nowMs - 10_000 < slowUntilMs ? slowPrepareMs / ranks : 0;
-				return {result: group.order(rank, orderOf(guarded), guarded), view: view(rank)};
+				return {result: order(rank, guarded), view: view(rank)};
 			},
 		},
 		ownRank: 0, formation: 1, acquireToken: async () => ++tokens, waitForMembers: async () => undefined, view: () => view(0),
@@ -101,8 +110,11 @@
 		},
 		async sleep(ms) {
 			nowMs += ms;
+			const isIdle = changes.length > 1 && nowMs - 10_000 < idleUntilMs;
 			for (; nextPassMs <= nowMs; nextPassMs += 100) {
-				group.beginPass();
+				if (!isIdle) {
+					group.beginPass();
+				}
 			}
 		},
 		async yieldTurn() {
@@ -120,6 +132,7 @@
 		changes: changes.slice(1).map(({ms}) => ms),
 		skewAfterSecondShift,
 		tokens,
+		refusedPrepares,
 	};
 }
 
@@ -151,6 +164,17 @@
 		expect(skewAfterFirstChange(disturbed)).to.be.at.most(skewAfterFirstChange(calm) + 0.05);
 	});
 
+	// Guards against orders sent for seconds to ranks that refuse them, and a change that comes late: a switch had ended, and no pass began by which the ranks would have left the armed state.
+	it('starts no change before a pass has begun with the last one, and then follows the shift at once', async () => {
+		const {changes, skewAt, skewAfterSecondShift, refusedPrepares} = await runBalancer({
+			expertGigabytes: 0.4, secondShiftMs: 1000, idleUntilMs: 4000, lengthMs: 6000,
+		});
+		expect(refusedPrepares).to.equal(0);
+		expect(changes.filter(ms => ms > changes[0] && ms < 4000)).to.deep.equal([]);
+		expect(changes.some(ms => ms >= 4000 && ms <= 4500), changes.join(', ')).to.equal(true);
+		expect(skewAt(6000)).to.be.below(skewAfterSecondShift);
+	});
+
 	// Guards against a first map that comes a second late: each attempt to read the map of a group that has just started took another token from the store.
 	it('reads the map again under the same token until every rank can be read', async () => {
 		const {tokens, changes} = await runBalancer({expertGigabytes: 0.4, unreadableUntilMs: 700});
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -915,4 +915,9 @@
 		find: '(1 - (lateStreamLossRatio * lateness))', replace: '(1 + lateness)',
 		spec: 'group/test/slow-group.test.ts', test: 'keeps streams on time in an overload',
 	},
+	{
+		name: 'no change of the map before a pass with the last one', file: 'group/src/expert-balancer.ts',
+		find: 'if ((deps.view()?.pass ?? firstPass) < firstPass) {', replace: 'if (firstPass < 0) {',
+		spec: 'group/test/expert-balancer.test.ts', test: 'starts no change before a pass has begun',
+	},
 ];
