Ask the entries again whether the streams that a coordinator counts still run

Traced cause: the entry's event loop was blocked, and its timer came before the reply that had arrived.

A coordinator now asks for the list of an entry again when one of its streams has not been confirmed for 1 s, or 5 s once it decodes. The list names what the entry has asked for. Entries answer late placements, read what has arrived before they give up, and give up with the connection. A coordinator that stops coordinating turns the requests without a decision away.

--- a/packages/direct/src/group-place.ts
+++ b/packages/direct/src/group-place.ts
@@ -1,3 +1,4 @@
+import {setImmediate} from 'node:timers/promises';
 import {
 	createRankNotices, handleFrame, type DownCause, type Frame, type FrameHandlers, type GroupLoad, type Peer, type PeerPlacementRequest, type StreamNotice,
 } from '@papayaflow/peer';
@@ -44,6 +45,9 @@
 /** The time of a pass as a ratio of the longest pause that streams allow, under usual load. */
 const usualPassRatio = 0.6;
 
+/** How many turns of the event loop it takes to read a frame that has arrived, and to act on it. */
+const readTurns = 3;
+
 /** The shortest time after which a coordinator that does not answer counts as silent, as a multiple of the latency objective. Its decision on a first attempt may be due much sooner, but its machine may be busy. */
 const minReplyTimeoutRatio = 1;
 
@@ -56,6 +60,11 @@
 /** A generation that this entry has placed in a group. */
 type Stream = {readonly group: string | undefined; readonly target: string; readonly ask: PeerPlacementRequest; hasBegun: boolean};
 
+type PlacementReply = Extract<Frame, {kind: 'placed' | 'turnedAway'}>;
+
+/** A request that this entry has asked a coordinator to place. */
+type PendingReply = {readonly coordinator: Peer; readonly group: string | undefined; readonly settle: (reply: PlacementReply | 'silent') => void};
+
 export type GroupPlacerOptions = {
 	readonly targets: Targets;
 	readonly model: (service: string) => EngineModel | undefined;
@@ -117,7 +126,7 @@
 	const {targets, monotonicMs, random, metrics, log} = options;
 	const notices = createRankNotices();
 	const loads = new Map<string, {readonly load: GroupLoad; readonly atMs: number}>();
-	const pendingReplies = new Map<string, {readonly coordinator: Peer; readonly settle: (frame: Extract<Frame, {kind: 'placed' | 'turnedAway'}>) => void}>();
+	const pendingReplies = new Map<string, PendingReply>();
 	const streams = new Map<string, Stream>();
 	/** The held requests that may go on and are about to be asked for, by group. */
 	const claims = new Map<string, number>();
@@ -174,10 +183,10 @@
 	});
 
 	// Looks up the coordinator for each frame, since it may change during a stream. A new coordinator has already been sent the list of running streams.
-	const reservePlace = (target: Target, call: Call, placementRequest: PeerPlacementRequest): Place => {
+	const reservePlace = (target: Target, call: Call, placementRequest: PeerPlacementRequest, group: string | undefined): Place => {
 		const endRequest = target.startRequest();
 		const stream: Stream = {
-			group: groupOf(target), target: target.address, ask: placementRequest, hasBegun: false,
+			group, target: target.address, ask: placementRequest, hasBegun: false,
 		};
 		const notifyCoordinator = (frame: Frame): void => {
 			const coordinator = stream.group === undefined ? undefined : notices.coordinatorOf(stream.group);
@@ -240,7 +249,7 @@
 		}
 
 		const {target, group} = choice;
-		const place = reservePlace(target, call, placementRequest);
+		const place = reservePlace(target, call, placementRequest, groupOf(target) ?? group);
 		if (group !== undefined) {
 			notices.coordinatorOf(group)?.send({kind: 'running', stream: createStreamNotice(placementRequest.id, streams.get(placementRequest.id)!)});
 		}
@@ -404,15 +413,23 @@
 
 	const drawRetryAfterMs = ({objectiveMs}: PeerPlacementRequest): number => refusalRetryDelayMs(objectiveMs, random);
 
-	const askCoordinator = async (coordinator: Peer, placementRequest: PeerPlacementRequest, signal: AbortSignal):
-	Promise<Extract<Frame, {kind: 'placed' | 'turnedAway'}> | 'withdrawn' | 'silent'> => new Promise(resolve => {
-		const settle = (reply: Extract<Frame, {kind: 'placed' | 'turnedAway'}> | 'withdrawn' | 'silent'): void => {
+	/** Tells a coordinator that a request neither runs nor waits, over the connection on which it was asked and the one that is used now. */
+	const endAt = (coordinator: Peer, group: string | undefined, id: string): void => {
+		const current = group === undefined ? undefined : notices.coordinatorOf(group);
+		for (const peer of new Set([coordinator, current ?? coordinator])) {
+			peer.send({kind: 'ended', id});
+		}
+	};
+
+	const askCoordinator = async (coordinator: Peer, group: string | undefined, placementRequest: PeerPlacementRequest, signal: AbortSignal):
+	Promise<PlacementReply | 'withdrawn' | 'silent'> => new Promise(resolve => {
+		const settle = (reply: PlacementReply | 'withdrawn' | 'silent'): void => {
 			clearTimeout(timer);
 			signal.removeEventListener('abort', withdraw);
 			pendingReplies.delete(placementRequest.id);
 			resolve(reply);
 			if (reply === 'withdrawn' || reply === 'silent') {
-				coordinator.send({kind: 'ended', id: placementRequest.id});
+				endAt(coordinator, group, placementRequest.id);
 			}
 		};
 
@@ -420,9 +437,22 @@
 			settle('withdrawn');
 		};
 
-		const timer = setTimeout(settle, Math.max(placementRequest.objectiveMs * minReplyTimeoutRatio, maxPlacementWaitMs(placementRequest)) + replyMarginMs, 'silent');
+		// The reply may have arrived in time and not been read, if the event loop was blocked meanwhile.
+		const giveUp = async (): Promise<void> => {
+			for (let turn = 0; turn < readTurns; turn++) {
+				await setImmediate();
+			}
+
+			if (pendingReplies.get(placementRequest.id)?.settle === settle) {
+				settle('silent');
+			}
+		};
+
+		const timer = setTimeout(() => {
+			void giveUp();
+		}, Math.max(placementRequest.objectiveMs * minReplyTimeoutRatio, maxPlacementWaitMs(placementRequest)) + replyMarginMs);
 		signal.addEventListener('abort', withdraw, {once: true});
-		pendingReplies.set(placementRequest.id, {coordinator, settle});
+		pendingReplies.set(placementRequest.id, {coordinator, group, settle});
 		coordinator.send({kind: 'place', ask: placementRequest});
 	});
 
@@ -483,7 +513,8 @@
 			return placeWithoutCoordinator(call, candidates, placementRequest);
 		}
 
-		const reply = await askCoordinator(coordinator, placementRequest, signal);
+		const group = notices.of(coordinator)?.group;
+		const reply = await askCoordinator(coordinator, group, placementRequest, signal);
 		if (reply === 'withdrawn') {
 			return {kind: 'refused', reason: 'withdrawn', retryAfterMs: drawRetryAfterMs(placementRequest)};
 		}
@@ -503,15 +534,25 @@
 		const target = candidates.find(({address, isServing}) => address === reply.target && isServing);
 		if (!target) {
 			// The target has left or said so since the coordinator was asked.
-			coordinator.send({kind: 'ended', id: call.requestId});
+			endAt(coordinator, group, call.requestId);
 			return placeWithoutCoordinator(call, candidates, placementRequest);
 		}
 
-		return {kind: 'placed', place: reservePlace(target, call, placementRequest)};
+		return {kind: 'placed', place: reservePlace(target, call, placementRequest, group)};
 	};
 
-	const handleReply = (_peer: Peer, frame: Extract<Frame, {kind: 'placed' | 'turnedAway'}>): void => {
-		pendingReplies.get(frame.id)?.settle(frame);
+	const handleReply = (peer: Peer, frame: PlacementReply): void => {
+		const pending = pendingReplies.get(frame.id);
+		if (pending) {
+			pending.settle(frame);
+			return;
+		}
+
+		// The coordinator counts a request that this entry has given up or runs elsewhere.
+		if (frame.kind === 'placed') {
+			const stream = streams.get(frame.id);
+			peer.send(stream && stream.group === notices.of(peer)?.group ? {kind: 'running', stream: createStreamNotice(frame.id, stream)} : {kind: 'ended', id: frame.id});
+		}
 	};
 
 	const handlers: FrameHandlers = {
@@ -519,9 +560,10 @@
 			const previous = notices.of(peer);
 			notices.set(peer, notice);
 			availability.update(notice.group);
-			if (notice.isCoordinator && (!previous?.isCoordinator || previous.term !== notice.term)) {
+			if (notice.isCoordinator && (!previous?.isCoordinator || previous.term !== notice.term || previous.listing !== notice.listing)) {
 				const ownStreams = [...streams].filter(([, {group}]) => group === notice.group);
-				peer.send({kind: 'streams', streams: ownStreams.map(([id, stream]) => createStreamNotice(id, stream))});
+				const pending = [...pendingReplies].filter(([, {group}]) => group === notice.group).map(([id]) => id);
+				peer.send({kind: 'streams', streams: ownStreams.map(([id, stream]) => createStreamNotice(id, stream)), pending});
 			}
 		},
 		placed: handleReply,
@@ -542,6 +584,12 @@
 			if (notice) {
 				availability.update(notice.group);
 			}
+
+			for (const {coordinator, settle} of pendingReplies.values()) {
+				if (coordinator === peer) {
+					settle('silent');
+				}
+			}
 		},
 		onFrame: (peer, frame) => handleFrame(handlers, peer, frame),
 		entries: entryCount,
--- a/packages/direct/test/group-place.test.ts
+++ b/packages/direct/test/group-place.test.ts
@@ -1,4 +1,4 @@
-import {setTimeout as sleep} from 'node:timers/promises';
+import {setImmediate as nextTurn, setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {beforeEach, describe, it} from 'mocha';
 import {type Frame, type Peer, type RankNotice} from '@papayaflow/peer';
@@ -387,6 +387,131 @@
 	});
 });
 
+describe('a group placer and the coordinator that counts its streams', () => {
+	let placer: GroupPlacer;
+	let sent: Frame[];
+	let coordinator: Peer;
+
+	const coordinatorTo = (frames: Frame[]): Peer => ({
+		...peerOf(0),
+		send(frame) {
+			frames.push(frame);
+		},
+	});
+
+	const connect = (peer: Peer, listing?: number): void => {
+		placer.onFrame(peer, {
+			kind: 'rank', notice: {
+				group: 'g', formation: 1, rank: 0, size: 2, isOpen: true, target: addressOf(0), isCoordinator: true, term: 1, ...(listing !== undefined && {listing}),
+			},
+		});
+	};
+
+	beforeEach(() => {
+		const targets = createTargets({
+			connectMs: 100, ejection: {ejectAfterFailures: 3, ejectMs: 1000, maxEjectedRatio: 0.5}, nowMs: () => performance.now(), isKnownService: () => true, onChange: () => undefined,
+		});
+		// The sidecar of rank 1 is not connected.
+		targets.update([0, 1].map(rank => ({
+			id: `i-${rank}`, incarnation: 0, registeredAt: 1, service: 's', host: `10.0.0.${rank}`, port: 80, zone: 'z', slots: 8, state: 'serving', warmingMs: 0,
+		})));
+		placer = createGroupPlacer({
+			targets, model: () => undefined, monotonicMs: () => performance.now(), random: () => 0.5, metrics: createMetrics(), log: createLog({}, 'error'),
+		});
+		sent = [];
+		coordinator = coordinatorTo(sent);
+		connect(coordinator);
+		sent.length = 0;
+	});
+
+	const place = async (id: string, signal = new AbortController().signal): ReturnType<GroupPlacer['place']> => placer.place({
+		call: callOf(id), hasBegun: false, tried: new Set(), excluded: new Set(), signal,
+	});
+
+	const placed = (id: string, rank: number): Frame => ({kind: 'placed', id, target: addressOf(rank)});
+
+	// Guards against a stream that the coordinator counts and no rank runs: the entry's event loop was blocked, and the timer came before the reply that had arrived.
+	it('takes a reply that has arrived before its time limit, even if it is read afterwards', async () => {
+		const placing = place('r');
+		await sleep(1);
+		// The timers come next in the event loop.
+		await nextTurn();
+		setImmediate(() => {
+			placer.onFrame(coordinator, placed('r', 0));
+		});
+		// Longer than the time limit.
+		for (const startedMs = performance.now(); performance.now() - startedMs < 150;) {
+			// Blocks the event loop.
+		}
+
+		expect((await placing).kind).to.equal('placed');
+		expect(sent.filter(({kind}) => kind === 'ended')).to.deep.equal([]);
+	});
+
+	// Guards against the same for a reply that comes when the call has been withdrawn or placed elsewhere.
+	it('tells the coordinator that a late placement has ended, or where the request runs', async () => {
+		placer.onFrame(peerOf(1), {
+			kind: 'rank', notice: {
+				group: 'g', formation: 1, rank: 1, size: 2, isOpen: true, target: addressOf(1), isCoordinator: false, term: 1,
+			},
+		});
+		const withdrawal = new AbortController();
+		const withdrawn = place('withdrawn', withdrawal.signal);
+		withdrawal.abort();
+		await withdrawn;
+		const alone = await place('alone');
+		expect(alone.kind).to.equal('placed');
+		sent.length = 0;
+		placer.onFrame(coordinator, placed('withdrawn', 0));
+		placer.onFrame(coordinator, placed('alone', 0));
+		expect(sent[0]).to.deep.equal({kind: 'ended', id: 'withdrawn'});
+		expect(sent[1]).to.deep.include({kind: 'running'});
+		expect(sent[1].kind === 'running' && sent[1].stream.target).to.equal(alone.kind === 'placed' && alone.place.target.address);
+	});
+
+	// Guards against a stream whose end is told to nobody, as its target's sidecar is not connected to this entry.
+	it('tells the coordinator the end of each stream that it has placed', async () => {
+		const placing = place('r');
+		await sleep(1);
+		placer.onFrame(coordinator, placed('r', 1));
+		const result = await placing;
+		expect(result.kind === 'placed' && result.place.target.record.id).to.equal('i-1');
+		if (result.kind === 'placed') {
+			result.place.ended('neutral');
+		}
+
+		expect(sent.at(-1)).to.deep.equal({kind: 'ended', id: 'r'});
+	});
+
+	// Guards against a placement that is lost because the list of streams crossed it.
+	it('lists its streams and the requests that it has asked for when a coordinator asks again', async () => {
+		const placing = place('runs');
+		await sleep(1);
+		placer.onFrame(coordinator, placed('runs', 1));
+		await placing;
+		void place('waits');
+		await sleep(1);
+		sent.length = 0;
+		connect(coordinator, 1);
+		connect(coordinator, 1);
+		expect(sent).to.have.length(1);
+		expect(sent[0].kind === 'streams' && [sent[0].streams.map(({id}) => id), sent[0].pending]).to.deep.equal([['runs'], ['waits']]);
+	});
+
+	// Guards against requests that wait for the reply of a lost connection, and are counted by the coordinator over a new one.
+	it('gives up its questions with the connection on which they were asked, and says so over the new one', async () => {
+		const placing = place('r');
+		await sleep(1);
+		const sentLater: Frame[] = [];
+		connect(coordinatorTo(sentLater));
+		const startedMs = performance.now();
+		placer.onDown(coordinator, 'silent');
+		await placing;
+		expect(performance.now() - startedMs).to.be.below(50);
+		expect(sentLater.slice(1).map(({kind}) => kind)).to.include('ended');
+	});
+});
+
 describe('a group placer for calls that may reach only some zones', () => {
 	const zones = ['a', 'b', 'b'];
 	let asks: Array<Extract<Frame, {kind: 'place'}>['ask']>;
--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -33,6 +33,9 @@
 /** How long a disconnected entry may take to reconnect before its streams count as ended, in milliseconds. */
 const entryReconnectTimeoutMs = 1200;
 
+/** The shortest interval between two questions to an entry whether its streams still run, in milliseconds. */
+const confirmIntervalMs = 1000;
+
 /** Which ranks are cold, and how often they get requests, by their registrations. */
 export type ColdRanks = {
 	isCold(record: TargetRecord): boolean;
@@ -100,6 +103,11 @@
 	const demandMemory = createDemandMemory(monotonicMs);
 	/** The instance of the entry that each placed request came from, by request id. */
 	const entryByRequest = new Map<string, string>();
+	/** The connections on which the requests without a decision have come, by request id. */
+	const waitingAsks = new Map<string, Peer>();
+	/** When each entry was last asked for its streams, by instance. */
+	const confirmAskedMs = new Map<string, number>();
+	let listing = 0;
 	const channel = createRankChannel(monotonicMs);
 	let coordination: Coordination | undefined;
 	/** The coordinations that still complete or abort a switch after this process has stopped coordinating their formations. */
@@ -178,6 +186,30 @@
 		updateRole(view);
 		updateNotice(view);
 		coordination?.onView(view);
+		confirmStreams();
+	};
+
+	/** Asks the entries for their streams if some of those that are counted may have ended unnoticed. */
+	const confirmStreams = (): void => {
+		const now = monotonicMs();
+		const instances = new Set((coordination?.admission.unconfirmed() ?? []).flatMap(id => entryByRequest.get(id) ?? []));
+		for (const instance of instances) {
+			if (!notice || now - (confirmAskedMs.get(instance) ?? Number.NEGATIVE_INFINITY) < confirmIntervalMs) {
+				continue;
+			}
+
+			confirmAskedMs.set(instance, now);
+			listing++;
+			metrics.count('stream_confirmations');
+			const peers = [...entries].filter(({hello}) => hello.instance === instance);
+			for (const peer of peers) {
+				peer.send({kind: 'rank', notice: {...notice, listing}});
+			}
+
+			if (peers.length === 0) {
+				void removeStreamsUnlessReconnected(instance);
+			}
+		}
 	};
 
 	const isCold = (rank: number): boolean => {
@@ -227,6 +259,18 @@
 		}
 
 		coordination = undefined;
+		for (const [id, peer] of waitingAsks) {
+			turnAway(peer, id);
+		}
+
+		waitingAsks.clear();
+	};
+
+	/** Lets the entry place a request itself. */
+	const turnAway = (peer: Peer, id: string): void => {
+		peer.send({
+			kind: 'turnedAway', id, reason: 'wrongOwner', retryAfterMs: 0,
+		});
 	};
 
 	const stopInBackground = async (ended: Coordination): Promise<void> => {
@@ -270,14 +314,14 @@
 		const {id, identity} = frame.ask;
 		const askedMs = monotonicMs();
 		if (!coordination) {
-			peer.send({
-				kind: 'turnedAway', id, reason: 'wrongOwner', retryAfterMs: 0,
-			});
+			turnAway(peer, id);
 			return;
 		}
 
+		waitingAsks.set(id, peer);
 		coordination.admission.ask(placementRequestOf(peer, frame), decision => {
 			const queuedMs = monotonicMs() - askedMs;
+			waitingAsks.delete(id);
 			metrics.count('group_decisions', {kind: decision.kind, priority: String(frame.ask.priority)});
 			metrics.latency('group_wait', queuedMs);
 			const target = decision.kind === 'placed' ? targetOf(decision.rank) : undefined;
@@ -311,30 +355,50 @@
 		});
 	};
 
+	const removeRequest = (id: string): void => {
+		entryByRequest.delete(id);
+		waitingAsks.delete(id);
+		coordination?.admission.ended(id);
+	};
+
 	const recordStream = (peer: Peer, {id, target, promptTokens, answerTokens, hasBegun}: StreamNotice): void => {
 		const rank = openByRank.findIndex((_, index) => targetOf(index) === target);
-		if (rank !== -1) {
-			entryByRequest.set(id, peer.hello.instance);
-			coordination?.admission.recordRunning(id, {
-				rank, promptTokens, answerTokens, hasBegun,
-			});
+		if (rank === -1) {
+			removeRequest(id);
+			return;
 		}
+
+		entryByRequest.set(id, peer.hello.instance);
+		coordination?.admission.recordRunning(id, {
+			rank, promptTokens, answerTokens, hasBegun,
+		});
 	};
 
 	const removeStreams = (instance: string, except: ReadonlySet<string>): void => {
 		for (const [id, entry] of entryByRequest) {
 			if (entry === instance && !except.has(id)) {
-				entryByRequest.delete(id);
-				coordination?.admission.ended(id);
+				removeRequest(id);
 			}
 		}
 	};
 
-	// An entry that reconnects sends the list of its streams. If it doesn't reconnect in time, its streams are removed.
+	const removeWaiting = (instance: string, except: ReadonlySet<string>): void => {
+		for (const [id, {hello}] of waitingAsks) {
+			if (hello.instance === instance && !except.has(id)) {
+				removeRequest(id);
+			}
+		}
+	};
+
+	/** Whether a request is another entry's; what this one says of it doesn't count. */
+	const isOfOther = (peer: Peer, id: string): boolean => (entryByRequest.get(id) ?? peer.hello.instance) !== peer.hello.instance;
+
+	// An entry that reconnects sends the list of its streams. If it doesn't reconnect in time, its requests are removed.
 	const removeStreamsUnlessReconnected = async (instance: string): Promise<void> => {
 		await deps.sleep(entryReconnectTimeoutMs);
 		if (![...entries].some(({hello}) => hello.instance === instance)) {
 			removeStreams(instance, new Set());
+			removeWaiting(instance, new Set());
 		}
 	};
 
@@ -397,18 +461,27 @@
 		running(peer, {stream}) {
 			recordStream(peer, stream);
 		},
-		streams(peer, {streams}) {
-			removeStreams(peer.hello.instance, new Set(streams.map(({id}) => id)));
+		streams(peer, {streams, pending}) {
+			const {instance} = peer.hello;
+			const known = new Set([...streams.map(({id}) => id), ...(pending ?? [])]);
+			removeStreams(instance, known);
+			if (pending) {
+				removeWaiting(instance, known);
+			}
+
 			for (const stream of streams) {
 				recordStream(peer, stream);
 			}
 		},
-		began(_peer, {id}) {
-			coordination?.admission.began(id);
+		began(peer, {id}) {
+			if (!isOfOther(peer, id)) {
+				coordination?.admission.began(id);
+			}
 		},
-		ended(_peer, {id}) {
-			entryByRequest.delete(id);
-			coordination?.admission.ended(id);
+		ended(peer, {id}) {
+			if (!isOfOther(peer, id)) {
+				removeRequest(id);
+			}
 		},
 		counts(_peer, frame) {
 			addCounts(frame.formation, unpackCounts(frame));
--- a/packages/group/test/sidecar.test.ts
+++ b/packages/group/test/sidecar.test.ts
@@ -141,6 +141,149 @@
 		await sidecar.leave();
 	});
 
+	describe('agrees with an entry on its streams', () => {
+		/** What the entry runs and has asked for, and the frames that it sends; the answers to it are lost unless a test reads them. */
+		type Play = {
+			readonly streams: Map<string, {hasBegun: boolean}>;
+			readonly pending: Set<string>;
+			readonly send: (frame: Frame) => void;
+			/** Sends a frame as another entry. */
+			readonly sendAsOther: (frame: Frame) => void;
+			/** Replaces the connection of the entry, which sends its list over the new one. */
+			readonly reconnect: () => void;
+			readonly setMs: (ms: number) => Promise<void>;
+		};
+
+		const noticeOfStream = (id: string, hasBegun: boolean) => ({
+			id, target: targetOf(1), promptTokens: 100, answerTokens: 100, hasBegun,
+		});
+
+		const plays: Readonly<Record<string, (play: Play) => Promise<void> | void>> = {
+			'the placement came too late and the end of the wait was lost'({send}) {
+				send(placeFrame('r', []));
+			},
+			'the placement came too late, and the request was read after the end of its wait'({send}) {
+				send({kind: 'ended', id: 'r'});
+				send(placeFrame('r', []));
+			},
+			async 'the end of a stream was lost'({send, setMs}) {
+				send(placeFrame('r', []));
+				send({kind: 'began', id: 'r'});
+				await setMs(4000);
+			},
+			async 'the connection was replaced, and the request was read from the older one afterwards'({send, reconnect, setMs}) {
+				reconnect();
+				send(placeFrame('r', []));
+				await setMs(1500);
+			},
+			'the list of streams crossed a placement'({send, streams, pending}) {
+				send(placeFrame('r', []));
+				pending.add('r');
+				send({kind: 'streams', streams: [], pending: ['r']});
+				pending.delete('r');
+				streams.set('r', {hasBegun: false});
+			},
+			'the start of a stream was lost'({send, streams}) {
+				send(placeFrame('r', []));
+				streams.set('r', {hasBegun: true});
+			},
+			'a stream that the entry placed itself was lost with the connection'({streams, reconnect}) {
+				streams.set('r', {hasBegun: true});
+				reconnect();
+			},
+			async 'a stream runs for longer than its record lasts'({send, streams, setMs}) {
+				send(placeFrame('r', []));
+				streams.set('r', {hasBegun: true});
+				send({kind: 'began', id: 'r'});
+				for (let ms = 5000; ms <= 40_000; ms += 5000) {
+					await setMs(ms);
+				}
+			},
+			'another entry says that the stream has ended'({send, sendAsOther, streams}) {
+				send(placeFrame('r', []));
+				streams.set('r', {hasBegun: false});
+				sendAsOther({kind: 'ended', id: 'r'});
+			},
+		};
+
+		for (const [name, play] of Object.entries(plays)) {
+			// Guards against capacity that stays taken by streams that no rank runs, and streams that no coordinator counts.
+			it(`when ${name}`, async () => {
+				const clock = {nowMs: 0};
+				const {sidecar, stop} = startSidecar(0, clock);
+				for (const rank of [1, 2]) {
+					const peer = peerOf('sidecar', []);
+					sidecar.onUp(peer);
+					sidecar.onFrame(peer, {kind: 'rank', notice: noticeOf(rank, false)});
+				}
+
+				const streams = new Map<string, {hasBegun: boolean}>();
+				const pending = new Set<string>();
+				const sendList = (peer: Peer): void => {
+					sidecar.onFrame(peer, {kind: 'streams', streams: [...streams].map(([id, {hasBegun}]) => noticeOfStream(id, hasBegun)), pending: [...pending]});
+				};
+
+				let listing: number | undefined;
+				const connect = (): Peer => {
+					const peer: Peer = {
+						...peerOf('entry', []),
+						send(frame) {
+							if (frame.kind === 'rank' && frame.notice.listing !== listing) {
+								listing = frame.notice.listing;
+								sendList(peer);
+							}
+						},
+					};
+					sidecar.onUp(peer);
+					sendList(peer);
+					return peer;
+				};
+
+				await sleep(20);
+				const entry = connect();
+				const setMs = async (ms: number): Promise<void> => {
+					clock.nowMs = ms;
+					await sleep(12);
+				};
+
+				await play({
+					streams, pending, setMs,
+					send: frame => sidecar.onFrame(entry, frame),
+					sendAsOther: frame => sidecar.onFrame({...entry, hello: {...entry.hello, instance: 'entry-2'}}, frame),
+					reconnect() {
+						const next = connect();
+						sidecar.onDown(entry, 'silent');
+						sendList(next);
+					},
+				});
+				await setMs(clock.nowMs + 2000);
+				await setMs(clock.nowMs + 4000);
+				expect((sidecar.status() as {load: {running: number}}).load.running).to.equal(streams.size);
+				stop();
+			});
+		}
+	});
+
+	// Guards against requests that wait at an entry until it gives up: nobody answered those without a decision when their coordinator stopped coordinating.
+	it('turns the requests without a decision away when it stops coordinating', async () => {
+		const {sidecar, stop} = startSidecar(0, {nowMs: 0});
+		const sent: Frame[] = [];
+		const entry = peerOf('entry', sent);
+		sidecar.onUp(entry);
+		await sleep(20);
+		for (let index = 0; index < 40; index++) {
+			sidecar.onFrame(entry, placeFrame(`r-${index}`, []));
+		}
+
+		const answered = (): number => new Set(sent.flatMap(frame => frame.kind === 'placed' || frame.kind === 'turnedAway' ? [frame.id] : [])).size;
+		expect(answered()).to.be.below(40);
+		const leaving = sidecar.leave();
+		expect(answered()).to.equal(40);
+		expect(sent.at(-1)).to.include({kind: 'turnedAway', reason: 'wrongOwner'});
+		stop();
+		await leaving;
+	});
+
 	// Guards against a coordinator that places requests in an evacuated zone for entries that have not heard of it, and one that takes such ranks out of their group.
 	it('places no request on the ranks of an evacuated zone, its own among them, and continues to coordinate', async () => {
 		const evacuated = new Set<string>();
--- a/packages/peer/src/frame.ts
+++ b/packages/peer/src/frame.ts
@@ -73,6 +73,8 @@
 	readonly isCoordinator: boolean;
 	/** Increases each time this sidecar becomes the coordinator. A new coordinator knows no running requests, so each entry reports its running requests again. */
 	readonly term: number;
+	/** Increases each time this sidecar asks the receiving entry for its list of streams again; absent before the first time. */
+	readonly listing?: number;
 };
 
 /** Asks a group's coordinator to choose an engine for a request of an entry. Excluded engines are given by address, whereas `PlacementRequest` excludes ranks. The zone is that of the connection. */
@@ -187,8 +189,12 @@
 		| {readonly kind: 'turnedAway'; readonly id: string; readonly reason: RefusalReason; readonly retryAfterMs: number}
 	/** A request runs at a target that the entry chose without the coordinator. */
 		| {readonly kind: 'running'; readonly stream: StreamNotice}
-	/** All requests of an entry that run in the group. Requests missing from the list have ended. */
-		| {readonly kind: 'streams'; readonly streams: readonly StreamNotice[]}
+	/**
+	All requests of an entry that run in the group, and the ids of those that it has asked to
+	place and has no reply to. All others have ended. Without `pending`, as processes of earlier
+	versions send it, nothing is said of requests without a decision.
+	*/
+		| {readonly kind: 'streams'; readonly streams: readonly StreamNotice[]; readonly pending?: readonly string[]}
 		| {readonly kind: 'began'; readonly id: string}
 		| {readonly kind: 'ended'; readonly id: string}
 		| {readonly kind: 'groupLoad'; readonly group: string; readonly load: GroupLoad}
--- a/packages/policy/src/group-admission.ts
+++ b/packages/policy/src/group-admission.ts
@@ -47,8 +47,8 @@
 	readonly rank: number;
 	readonly promptTokens: number;
 	readonly answerTokens: number;
-	/** The time of the placement or of the latest `recordRunning`. */
-	readonly recordedAtMs: number;
+	/** When its entry last said that it runs, or when it was placed. */
+	confirmedAtMs: number;
 	/** Whether its prefill has finished. */
 	hasBegun: boolean;
 };
@@ -97,6 +97,8 @@
 	began(id: string): void;
 	/** Removes a request, whether it runs or waits. */
 	ended(id: string): void;
+	/** Returns the running requests that may have ended unnoticed, since their entries have not confirmed them for long. */
+	unconfirmed(): readonly string[];
 	/** Tries again to place the waiting requests and refuses those whose waiting time has ended; to be called regularly. */
 	tick(): void;
 	state(): GroupState;
@@ -163,8 +165,12 @@
 /** The part of a rank's memory that may be reserved for requests, as a ratio. The rest covers answers that are longer than expected. */
 const maxMemoryRatio = 0.92;
 
-/** The age at which the record of a running request is dropped, in milliseconds, so that a request whose end is never reported does not hold capacity for good. */
-const runningRecordMaxAgeMs = 30_000;
+/** The time after which a request has to be confirmed, in milliseconds, before and after its prefill has finished. Its entry may have got the placement too late, or its end may have been lost with a connection. */
+const placedConfirmMs = 1000;
+const begunConfirmMs = 5000;
+
+/** The time after which an unconfirmed request is dropped, in milliseconds, so that a request whose entry never answers does not hold capacity for good. */
+const unconfirmedMaxMs = 30_000;
 
 /**
 Creates the admission control of one group. All ranks run their passes in lockstep,
@@ -390,7 +396,7 @@
 		}
 
 		running.set(request.id, {
-			rank, promptTokens: request.promptTokens, answerTokens: request.answerTokens, recordedAtMs: nowMs(), hasBegun: false,
+			rank, promptTokens: request.promptTokens, answerTokens: request.answerTokens, confirmedAtMs: nowMs(), hasBegun: false,
 		});
 		forecast.placed(request.priority);
 		return {kind: 'placed', rank};
@@ -508,7 +514,7 @@
 		}
 
 		for (const [id, request] of running) {
-			if (now - request.recordedAtMs > runningRecordMaxAgeMs) {
+			if (now - request.confirmedAtMs > unconfirmedMaxMs) {
 				running.delete(id);
 			}
 		}
@@ -541,18 +547,23 @@
 			waiting.delete(id);
 		},
 		recordRunning(id, request) {
-			running.set(id, {...request, recordedAtMs: nowMs()});
+			running.set(id, {...request, confirmedAtMs: nowMs()});
 		},
 		began(id) {
 			const request = running.get(id);
 			if (request) {
 				request.hasBegun = true;
+				request.confirmedAtMs = nowMs();
 			}
 		},
 		ended(id) {
 			waiting.delete(id);
 			running.delete(id);
 		},
+		unconfirmed() {
+			const now = nowMs();
+			return [...running].filter(([, {hasBegun, confirmedAtMs}]) => now - confirmedAtMs >= (hasBegun ? begunConfirmMs : placedConfirmMs)).map(([id]) => id);
+		},
 		tick,
 		state: () => ({
 			running: running.size, waiting: waiting.size, passMs: nextPassMs(), lateness: plan().lateness,
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -920,4 +920,24 @@
 		find: 'if ((deps.view()?.pass ?? firstPass) < firstPass) {', replace: 'if (firstPass < 0) {',
 		spec: 'group/test/expert-balancer.test.ts', test: 'starts no change before a pass has begun',
 	},
+	{
+		name: 'streams that are not confirmed are asked for', file: 'policy/src/group-admission.ts',
+		find: 'now - confirmedAtMs >= (hasBegun ? begunConfirmMs : placedConfirmMs)', replace: 'now < confirmedAtMs && hasBegun',
+		spec: 'group/test/sidecar.test.ts', test: 'when the placement came too late and the end of the wait was lost',
+	},
+	{
+		name: 'the list of streams names the requests without a reply', file: 'group/src/sidecar.ts',
+		find: '...(pending ?? [])', replace: '',
+		spec: 'group/test/sidecar.test.ts', test: 'when the list of streams crossed a placement',
+	},
+	{
+		name: 'a late placement is answered', file: 'direct/src/group-place.ts',
+		find: 'if (frame.kind === \'placed\') {', replace: 'if (frame.id === \'\') {',
+		spec: 'direct/test/group-place.test.ts', test: 'tells the coordinator that a late placement has ended',
+	},
+	{
+		name: 'a reply that has arrived is read before the entry gives up', file: 'direct/src/group-place.ts',
+		find: 'const readTurns = 3;', replace: 'const readTurns = 0;',
+		spec: 'direct/test/group-place.test.ts', test: 'takes a reply that has arrived before its time limit',
+	},
 ];
