Ignore what an entry sent over a connection that it has replaced

A stream could run without being counted, so that a coordinator placed more than its group serves on time: the end of an earlier attempt was read from the older connection of an entry after the request had been placed again over the newer one.

Frames about requests count only from the newest connection of an entry. The new case of the sidecar test failed before (0 streams counted in place of 1).

--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -36,6 +36,9 @@
 /** The shortest interval between two questions to an entry whether its streams still run, in milliseconds. */
 const confirmIntervalMs = 1000;
 
+/** The frames by which entries and the coordinator agree on requests. (placement.pml: latest) */
+const placementKinds: ReadonlySet<string> = new Set<Frame['kind']>(['place', 'running', 'streams', 'began', 'ended']);
+
 /** Which ranks are cold, and how often they get requests, by their registrations. */
 export type ColdRanks = {
 	isCold(record: TargetRecord): boolean;
@@ -97,6 +100,8 @@
 export function createGroupSidecar(deps: GroupSidecarDeps): GroupSidecar {
 	const {log, metrics, monotonicMs} = deps;
 	const entries = new Set<Peer>();
+	/** The newest connection of each entry, by instance. */
+	const latestEntries = new Map<string, Peer>();
 	const sidecars = new Set<Peer>();
 	const membership = createMembership();
 	const linkChoice = createLinkChoice({groupOf: membership.groupOf, nowMs: monotonicMs});
@@ -450,6 +455,9 @@
 		peer.send({kind: 'experts', id, ...(held && {held})});
 	};
 
+	/** Whether an entry has connected anew since; what was sent over the older connection may be read after newer frames. */
+	const isReplaced = (peer: Peer): boolean => peer.hello.role === 'entry' && (latestEntries.get(peer.hello.instance) ?? peer) !== peer;
+
 	const handlers: FrameHandlers = {
 		rank(peer, {notice: peerNotice}) {
 			membership.set(peer, peerNotice);
@@ -501,6 +509,9 @@
 		onUp(peer) {
 			const peersOfRole = peer.hello.role === 'entry' ? entries : sidecars;
 			peersOfRole.add(peer);
+			if (peer.hello.role === 'entry') {
+				latestEntries.set(peer.hello.instance, peer);
+			}
 
 			if (notice) {
 				peer.send({kind: 'rank', notice});
@@ -511,11 +522,19 @@
 			sidecars.delete(peer);
 			membership.remove(peer, cause);
 			if (peer.hello.role === 'entry') {
+				if (!isReplaced(peer)) {
+					latestEntries.delete(peer.hello.instance);
+				}
+
 				void removeStreamsUnlessReconnected(peer.hello.instance);
 			}
 		},
 		onFrame(peer, frame) {
 			channel.onHeard(peer);
+			if (isReplaced(peer)) {
+				return placementKinds.has(frame.kind);
+			}
+
 			const isHandled = handleFrame(handlers, peer, frame);
 			const replies = isHandled ? [] : [coordination, ...stopping].map(each => each?.ranks.onFrame(frame) ?? false);
 			return isHandled || replies.includes(true);
--- a/packages/group/test/sidecar.test.ts
+++ b/packages/group/test/sidecar.test.ts
@@ -147,10 +147,12 @@
 			readonly streams: Map<string, {hasBegun: boolean}>;
 			readonly pending: Set<string>;
 			readonly send: (frame: Frame) => void;
+			/** Sends a frame over the latest connection, whereas `send` uses the first one. */
+			readonly sendLast: (frame: Frame) => void;
 			/** Sends a frame as another entry. */
 			readonly sendAsOther: (frame: Frame) => void;
-			/** Replaces the connection of the entry, which sends its list over the new one. */
-			readonly reconnect: () => void;
+			/** Replaces the connection of the entry, which sends its list over the new one. The older one may be open here for longer. */
+			readonly reconnect: (options?: {readonly isOlderOpen: boolean}) => void;
 			readonly setMs: (ms: number) => Promise<void>;
 		};
 
@@ -176,6 +178,13 @@
 				send(placeFrame('r', []));
 				await setMs(1500);
 			},
+			'the connection was replaced, and the end of an earlier attempt was read from the older one afterwards'({send, sendLast, streams, reconnect}) {
+				send(placeFrame('r', []));
+				reconnect({isOlderOpen: true});
+				streams.set('r', {hasBegun: false});
+				sendLast(placeFrame('r', []));
+				send({kind: 'ended', id: 'r'});
+			},
 			'the list of streams crossed a placement'({send, streams, pending}) {
 				send(placeFrame('r', []));
 				pending.add('r');
@@ -241,6 +250,7 @@
 
 				await sleep(20);
 				const entry = connect();
+				let latest = entry;
 				const setMs = async (ms: number): Promise<void> => {
 					clock.nowMs = ms;
 					await sleep(12);
@@ -250,10 +260,12 @@
 					streams, pending, setMs,
 					send: frame => sidecar.onFrame(entry, frame),
 					sendAsOther: frame => sidecar.onFrame({...entry, hello: {...entry.hello, instance: 'entry-2'}}, frame),
-					reconnect() {
-						const next = connect();
-						sidecar.onDown(entry, 'silent');
-						sendList(next);
+					sendLast: frame => sidecar.onFrame(latest, frame),
+					reconnect(options) {
+						latest = connect();
+						if (!options?.isOlderOpen) {
+							sidecar.onDown(entry, 'silent');
+						}
 					},
 				});
 				await setMs(clock.nowMs + 2000);
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -940,4 +940,9 @@
 		find: 'const readTurns = 3;', replace: 'const readTurns = 0;',
 		spec: 'direct/test/group-place.test.ts', test: 'takes a reply that has arrived before its time limit',
 	},
+	{
+		name: 'what an entry sent over an older connection does not count', file: 'group/src/sidecar.ts',
+		find: 'if (isReplaced(peer)) {', replace: 'if (isReplaced(peer) && frame.kind === \'alive\') {',
+		spec: 'group/test/sidecar.test.ts', test: 'the end of an earlier attempt was read from the older one afterwards',
+	},
 ];
