Forget whose requests are counted when a sidecar stops coordinating

The list of the entry of each request outlived the coordination: the ends of its requests are told to the next coordinator. It was never shorter again in a sidecar that had stepped down. No caller saw it; found by reading, while looking for lists that outlive their work. It has no test of its own: the list can't be seen from outside.

--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -269,6 +269,8 @@
 		}
 
 		waitingAsks.clear();
+		// Entries tell their streams anew when this sidecar coordinates again.
+		entryByRequest.clear();
 	};
 
 	/** Lets the entry place a request itself. */
@@ -367,6 +369,10 @@
 	};
 
 	const recordStream = (peer: Peer, {id, target, promptTokens, answerTokens, hasBegun}: StreamNotice): void => {
+		if (!coordination) {
+			return;
+		}
+
 		const rank = openByRank.findIndex((_, index) => targetOf(index) === target);
 		if (rank === -1) {
 			removeRequest(id);
@@ -374,7 +380,7 @@
 		}
 
 		entryByRequest.set(id, peer.hello.instance);
-		coordination?.admission.recordRunning(id, {
+		coordination.admission.recordRunning(id, {
 			rank, promptTokens, answerTokens, hasBegun,
 		});
 	};
@@ -402,6 +408,7 @@
 	const removeStreamsUnlessReconnected = async (instance: string): Promise<void> => {
 		await deps.sleep(entryReconnectTimeoutMs);
 		if (![...entries].some(({hello}) => hello.instance === instance)) {
+			confirmAskedMs.delete(instance);
 			removeStreams(instance, new Set());
 			removeWaiting(instance, new Set());
 		}
