Keep counting a stream whose rank is not known at the moment

The list of an entry may name a target whose sidecar has not told its rank in this formation yet. An example in a comment is put right.

--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -374,15 +374,12 @@
 		}
 
 		const rank = openByRank.findIndex((_, index) => targetOf(index) === target);
-		if (rank === -1) {
-			removeRequest(id);
-			return;
+		if (rank !== -1) {
+			entryByRequest.set(id, peer.hello.instance);
+			coordination.admission.recordRunning(id, {
+				rank, promptTokens, answerTokens, hasBegun,
+			});
 		}
-
-		entryByRequest.set(id, peer.hello.instance);
-		coordination.admission.recordRunning(id, {
-			rank, promptTokens, answerTokens, hasBegun,
-		});
 	};
 
 	const removeStreams = (instance: string, except: ReadonlySet<string>): void => {
--- a/packages/policy/src/pass-limit.ts
+++ b/packages/policy/src/pass-limit.ts
@@ -27,7 +27,7 @@
 
 @example
 const choice = createLatenessChoice(() => performance.now());
-choice.choose(lateness => lateness < 1 ? 0 : 8); // 0 at first, 1 after about a second
+choice.choose(lateness => lateness < 1 ? 7 : 8); // 0, since eight late streams are worth less than seven on time
 */
 export function createLatenessChoice(nowMs: () => number): LatenessChoice {
 	const earned = latenesses.map(() => 0);
