Plan the next change of the map while the pass with the last one begins

The plan is now made meanwhile, and only the switch waits, for at most 0.4 s; in an idle group no further plan is made until the pass begins.

--- a/packages/group/src/expert-balancer.ts
+++ b/packages/group/src/expert-balancer.ts
@@ -24,6 +24,10 @@
 /** The delay before a retry when no token could be acquired or a rank could not be reached, in milliseconds. */
 const retryDelayMs = 300;
 
+/** How long a planned switch waits for the first pass with the map of the last one, and how often it looks, in milliseconds. */
+const maxPassWaitMs = 400;
+const passPollMs = 25;
+
 /** How often the map is read under one token. Only then another one is acquired, since each takes two calls to the store. */
 const maxMapReads = 5;
 
@@ -138,8 +142,9 @@
 	lastHeldPass = takeover.held;
 	let version = Math.max(token * versionsPerToken, takeover.newest);
 	let overheadMs = 0;
-	/** The first pass with the map of the last switch. */
+	/** The first pass with the map of the last switch, and whether the group has been found not to begin it. */
 	let firstPass = 0;
+	let isIdle = false;
 	let plannedAtMs = Number.NEGATIVE_INFINITY;
 	let restUntilMs = Number.NEGATIVE_INFINITY;
 	deps.onMap(map, takeover.version);
@@ -151,11 +156,11 @@
 			return 'stuck';
 		}
 
-		// The ranks take the last map with this pass and refuse another one until then. An idle group doesn't begin it.
-		if ((deps.view()?.pass ?? firstPass) < firstPass) {
+		if (isIdle && (deps.view()?.pass ?? firstPass) < firstPass) {
 			continue;
 		}
 
+		isIdle = false;
 		deps.tracker.settle(deps.nowMs());
 		const demands = deps.tracker.demands();
 		const isDue = hasShiftedSince(demands, plannedAtMs) || deps.nowMs() - plannedAtMs >= replanIntervalMs;
@@ -179,6 +184,13 @@
 			continue;
 		}
 
+		// The ranks take the last map with its first pass and refuse another one until then. An idle group doesn't begin it.
+		if (!(await waitForPass(firstPass, deps))) {
+			isIdle = true;
+			plannedAtMs = Number.NEGATIVE_INFINITY;
+			continue;
+		}
+
 		// `switchPass` aborts a switch by preparing the map in use as the next version, so every second version is left for that.
 		version += 2;
 		const result = await switchPass({version, map: chosen.placements, current: map}, options);
@@ -216,6 +228,25 @@
 	return 'superseded';
 }
 
+/** Waits until the own rank has begun a pass, for a few times as long as passes take. Returns whether it has; also `true` if the rank does not tell. */
+async function waitForPass(pass: number, {ranks, ownRank, nowMs, sleep, isStopped}: ExpertBalancerDeps): Promise<boolean> {
+	const deadlineMs = nowMs() + maxPassWaitMs;
+	while (!isStopped()) {
+		const view = await ranks.readView(ownRank);
+		if ((view?.pass ?? pass) >= pass) {
+			return true;
+		}
+
+		if (nowMs() >= deadlineMs) {
+			return false;
+		}
+
+		await sleep(passPollMs);
+	}
+
+	return false;
+}
+
 function hasShiftedSince(demands: readonly Demand[], sinceMs: number): boolean {
 	return demands.some(({shiftedAtMs}) => shiftedAtMs !== undefined && shiftedAtMs > sinceMs);
 }
--- a/test/guard-list.js
+++ b/test/guard-list.js
@@ -917,7 +917,7 @@
 	},
 	{
 		name: 'no change of the map before a pass with the last one', file: 'group/src/expert-balancer.ts',
-		find: 'if ((deps.view()?.pass ?? firstPass) < firstPass) {', replace: 'if (firstPass < 0) {',
+		find: 'if (!(await waitForPass(firstPass, deps))) {', replace: 'if (firstPass < 0) {',
 		spec: 'group/test/expert-balancer.test.ts', test: 'starts no change before a pass has begun',
 	},
 	{
