Compute the passes of a stream in one place

Three places divided the answer by the tokens of a pass and added the prefill: the rate at which streams end, twice, and the longest pass of a late stream. passesOfStream serves all three, with the same results. The comment on the reply of a sidecar that does not coordinate says what it does. Behaviour is unchanged; types, lint and the tests of policy and group pass.

--- a/packages/group/src/sidecar.ts
+++ b/packages/group/src/sidecar.ts
@@ -273,7 +273,7 @@
 		entryByRequest.clear();
 	};
 
-	/** Lets the entry place a request itself. */
+	/** Replies that this sidecar does not coordinate the group, so that the entry places the request without a coordinator. */
 	const turnAway = (peer: Peer, id: string): void => {
 		peer.send({
 			kind: 'turnedAway', id, reason: 'wrongOwner', retryAfterMs: 0,
--- a/packages/policy/src/group-admission.ts
+++ b/packages/policy/src/group-admission.ts
@@ -1,6 +1,6 @@
 import {createArrivalForecast} from './arrivals.js';
 import {
-	balancedPassMs, groupCapacity, onTimePassMs, streamsPerSecond, type BalancedLoad,
+	balancedPassMs, groupCapacity, onTimePassMs, passesOfStream, streamsPerSecond, type BalancedLoad,
 } from './group-capacity.js';
 import {predictPassMs, type PassModel, type RankWork} from './pass-time.js';
 import {createLatenessChoice, lateStreamLossRatio} from './pass-limit.js';
@@ -249,10 +249,8 @@
 	};
 
 	/** Returns the longest pass in which a stream that is served late still ends before its deadline, in milliseconds. */
-	const latePassMs = (model: GroupModel, {answerTokens, deadlineMs}: Pick<PlacementRequest, 'answerTokens' | 'deadlineMs'>): number => {
-		const prefillPasses = 1;
-		return Math.min(maxLatePassMs, maxLateStreamRatio * deadlineMs / ((answerTokens / model.stepsPerPass) + prefillPasses));
-	};
+	const latePassMs = (model: GroupModel, {answerTokens, deadlineMs}: Pick<PlacementRequest, 'answerTokens' | 'deadlineMs'>): number =>
+		Math.min(maxLatePassMs, maxLateStreamRatio * deadlineMs / passesOfStream(model, answerTokens));
 
 	const maxPassMs = (model: GroupModel, lateness: number, {gapMs, ...request}: Pick<PlacementRequest, 'gapMs' | 'answerTokens' | 'deadlineMs'>): number =>
 		lateness < 1 ? onTimePassMs(gapMs) + (lateness * (gapMs - onTimePassMs(gapMs))) : Math.max(gapMs, latePassMs(model, request));
@@ -278,8 +276,7 @@
 		}
 
 		const streams = capacityAt(model, skew, usualMaxPassMs(model, lateness));
-		const prefillPasses = 1;
-		const streamMs = passMsAt(model, streams, options.skew()) * ((model.usualAnswerTokens / model.stepsPerPass) + prefillPasses);
+		const streamMs = passMsAt(model, streams, options.skew()) * passesOfStream(model, model.usualAnswerTokens);
 		return streams * 1000 / streamMs;
 	};
 
--- a/packages/policy/src/group-capacity.ts
+++ b/packages/policy/src/group-capacity.ts
@@ -71,6 +71,17 @@
 	return maxRequests;
 }
 
+/**
+Returns the number of passes that a stream takes: one that prefills its prompt, and those
+that decode its answer of `answerTokens` tokens.
+
+@example
+passesOfStream({...model, stepsPerPass: 4}, 138); // 35.5
+*/
+export function passesOfStream({stepsPerPass}: Pick<PassModel, 'stepsPerPass'>, answerTokens: number): number {
+	return (answerTokens / stepsPerPass) + prefillPasses;
+}
+
 /**
 Returns how many requests, spread evenly over the ranks that run some, end per second while
 the group runs as many as its passes of at most `maxPassMs` and its slots allow; 0 if
@@ -92,8 +103,8 @@
 		}
 	}
 
-	const passesPerStream = (load.usualAnswerTokens / model.stepsPerPass) + 1;
-	return count === 0 ? 0 : count * msPerSecond / (passesPerStream * balancedPassMs(model, count, load));
+	return count === 0 ? 0 : count * msPerSecond / (balancedPassMs(model, count, load) * passesOfStream(model, load.usualAnswerTokens));
 }
 
+const prefillPasses = 1;
 const msPerSecond = 1000;
